--- /dev/null
+++ b/library/src/main/java/org/wigeontally/errors/InputException.java
@@ -0,0 +1,38 @@
+package org.wigeontally.errors;
+
+import java.util.List;
+
+import org.wigeontally.schema.generated.Finding;
+
+/**
+ * Input was refused; carries every finding.
+ */
+public final class InputException extends WigeontallyException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final transient List<Finding> findings;
+
+	private InputException(String message, List<Finding> findings) {
+		super(message);
+		this.findings = findings;
+	}
+
+	/**
+	 * Creates the exception.
+	 * @param findings what was found, at least one
+	 * @return the exception
+	 */
+	public static InputException of(List<Finding> findings) {
+		return new InputException(Findings.format(findings), List.copyOf(findings));
+	}
+
+	/**
+	 * Returns what was found.
+	 * @return the findings
+	 */
+	public List<Finding> findings() {
+		return this.findings;
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/misc/SystemClock.java
@@ -0,0 +1,25 @@
+package org.wigeontally.misc;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The clock of the machine.
+ */
+final class SystemClock implements Clock {
+
+	static final SystemClock INSTANCE = new SystemClock();
+
+	private SystemClock() {
+	}
+
+	@Override
+	public long monotonicMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
+	@Override
+	public long wallMs() {
+		return System.currentTimeMillis();
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/misc/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small shared types: clocks and the closer of resources.
+ */
+package org.wigeontally.misc;
