--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Clients of the platform's services over HTTP.
+ */
+package org.wigeontally.platform;
