Configuration: fold of the log into what is in force

Every reader folds the same records to the same verdicts: signatures, revisions of the subject, the bundle checked as a whole, sign-off by another operator with the digest. Offsets start at 1, so 0 stands for nothing folded.

--- /dev/null
+++ b/library/src/main/java/org/wigeontally/configuration/KeyRing.java
@@ -0,0 +1,89 @@
+package org.wigeontally.configuration;
+
+import java.security.GeneralSecurityException;
+import java.security.PublicKey;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.errors.Findings;
+import org.wigeontally.errors.InputException;
+import org.wigeontally.schema.generated.OperatorKey;
+
+/**
+ * Public keys of operators and owners by name. All entry hosts must have the same keys,
+ * since verdicts depend on them.
+ */
+public final class KeyRing {
+
+	private static final KeyRing TRUSTING = new KeyRing(Map.of(), true);
+
+	private final Map<String, PublicKey> keys;
+
+	private final boolean trusting;
+
+	private KeyRing(Map<String, PublicKey> keys, boolean trusting) {
+		this.keys = Map.copyOf(keys);
+		this.trusting = trusting;
+	}
+
+	/**
+	 * Creates a key ring from settings.
+	 * @param operatorKeys names and keys
+	 * @return the key ring
+	 * @throws InputException with all keys that cannot be read
+	 */
+	public static KeyRing of(List<OperatorKey> operatorKeys) throws InputException {
+		Findings findings = Findings.create();
+		Map<String, PublicKey> keys = new LinkedHashMap<>();
+		for (int i = 0; i < operatorKeys.size(); i++) {
+			OperatorKey each = operatorKeys.get(i);
+			String place = "operator_keys[" + i + "]";
+			try {
+				if (keys.put(each.getName(), Signatures.publicKey(each.getPublicKey())) != null) {
+					findings.add(place, ErrorType.DUPLICATE_NAME, "operator", each.getName());
+				}
+			}
+			catch (GeneralSecurityException ex) {
+				findings.add(place, ErrorType.WRONG_TYPE, "public_key", "an Ed25519 public key in hexadecimal");
+			}
+		}
+		findings.throwIfAny();
+		return new KeyRing(keys, false);
+	}
+
+	/**
+	 * Returns the key ring of agents, which takes every signature as verified. Agents
+	 * fold only records that an entry host has judged.
+	 * @return the key ring
+	 */
+	public static KeyRing trusting() {
+		return TRUSTING;
+	}
+
+	/**
+	 * Tells whether a name has a key.
+	 * @param name name of an operator or owner
+	 * @return true if it has
+	 */
+	public boolean knows(String name) {
+		return this.trusting || this.keys.containsKey(name);
+	}
+
+	/**
+	 * Verifies a signature.
+	 * @param name name of the signer
+	 * @param content what was signed
+	 * @param signature the signature in hexadecimal
+	 * @return true if the signer's key made it
+	 */
+	public boolean verifies(String name, byte[] content, String signature) {
+		if (this.trusting) {
+			return true;
+		}
+		PublicKey key = this.keys.get(name);
+		return key != null && Signatures.verifies(key, content, signature);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/configuration/Signatures.java
@@ -0,0 +1,120 @@
+package org.wigeontally.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.PrivateKey;
+import java.security.PublicKey;
+import java.security.Signature;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.security.spec.X509EncodedKeySpec;
+import java.util.HexFormat;
+
+import com.google.common.hash.Hashing;
+
+import org.wigeontally.schema.generated.Approval;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.Change;
+
+/**
+ * Ed25519 signatures of operators and owners, and digests of bundles.
+ */
+public final class Signatures {
+
+	private static final String ALGORITHM = "Ed25519";
+
+	private Signatures() {
+	}
+
+	/**
+	 * Reads a public key.
+	 * @param hex the X.509 encoding in hexadecimal
+	 * @return the key
+	 * @throws GeneralSecurityException if it is none
+	 */
+	public static PublicKey publicKey(String hex) throws GeneralSecurityException {
+		return KeyFactory.getInstance(ALGORITHM).generatePublic(new X509EncodedKeySpec(bytes(hex)));
+	}
+
+	/**
+	 * Reads a private key.
+	 * @param hex the PKCS#8 encoding in hexadecimal
+	 * @return the key
+	 * @throws GeneralSecurityException if it is none
+	 */
+	public static PrivateKey privateKey(String hex) throws GeneralSecurityException {
+		return KeyFactory.getInstance(ALGORITHM).generatePrivate(new PKCS8EncodedKeySpec(bytes(hex)));
+	}
+
+	/**
+	 * Signs a change.
+	 * @param change the change, complete but for its signature
+	 * @param key the author's key
+	 * @return the change with its signature
+	 * @throws GeneralSecurityException if the key cannot sign
+	 */
+	public static Change sign(Change change, PrivateKey key) throws GeneralSecurityException {
+		return change.toBuilder().setSignature(sign(content(change), key)).build();
+	}
+
+	/**
+	 * Approves a calling team.
+	 * @param organisation name of the calling organisation
+	 * @param service name of the service
+	 * @param owner name of the service's owner
+	 * @param key the owner's key
+	 * @return the approval with its signature
+	 * @throws GeneralSecurityException if the key cannot sign
+	 */
+	public static Approval approve(String organisation, String service, String owner, PrivateKey key)
+			throws GeneralSecurityException {
+		String signature = sign(approvalContent(organisation, service), key);
+		return Approval.newBuilder().setService(service).setOwner(owner).setSignature(signature).build();
+	}
+
+	/**
+	 * Returns the digest that a sign-off carries.
+	 * @param bundle the bundle
+	 * @return the SHA-256 in hexadecimal
+	 */
+	public static String digest(Bundle bundle) {
+		return Hashing.sha256().hashBytes(bundle.toByteArray()).toString();
+	}
+
+	static byte[] content(Change change) {
+		return change.toBuilder().clearSignature().build().toByteArray();
+	}
+
+	static byte[] approvalContent(String organisation, String service) {
+		return ("approve " + organisation + " " + service).getBytes(StandardCharsets.UTF_8);
+	}
+
+	static boolean verifies(PublicKey key, byte[] content, String signature) {
+		try {
+			Signature verifier = Signature.getInstance(ALGORITHM);
+			verifier.initVerify(key);
+			verifier.update(content);
+			return verifier.verify(bytes(signature));
+		}
+		catch (GeneralSecurityException ex) {
+			return false;
+		}
+	}
+
+	private static String sign(byte[] content, PrivateKey key) throws GeneralSecurityException {
+		Signature signer = Signature.getInstance(ALGORITHM);
+		signer.initSign(key);
+		signer.update(content);
+		return HexFormat.of().formatHex(signer.sign());
+	}
+
+	private static byte[] bytes(String hex) throws GeneralSecurityException {
+		try {
+			return HexFormat.of().parseHex(hex);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new GeneralSecurityException("not hexadecimal", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/configuration/SnapshotEdits.java
@@ -0,0 +1,92 @@
+package org.wigeontally.configuration;
+
+import java.util.List;
+
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.ConfigurationSnapshot;
+import org.wigeontally.schema.generated.HostRule;
+import org.wigeontally.schema.generated.ProposedBundle;
+import org.wigeontally.schema.generated.SetHost;
+import org.wigeontally.schema.generated.SetZone;
+import org.wigeontally.schema.generated.ZoneState;
+
+/**
+ * Carries accepted changes out on a snapshot.
+ */
+final class SnapshotEdits {
+
+	private SnapshotEdits() {
+	}
+
+	static void propose(ConfigurationSnapshot.Builder after, Change change, long offset, int kept) {
+		Bundle bundle = change.getPropose().getBundle();
+		removeProposal(after, bundle.getName());
+		after.addProposed(
+				ProposedBundle.newBuilder().setBundle(bundle).setAuthor(change.getAuthor()).setRevision(offset));
+		if (after.getProposedCount() > kept) {
+			after.removeProposed(0);
+		}
+	}
+
+	static void signOff(ConfigurationSnapshot.Builder after, Change change, long offset) {
+		for (ProposedBundle.Builder each : after.getProposedBuilderList()) {
+			if (each.getBundle().getName().equals(change.getSignOff().getBundle())) {
+				each.setSignedOffBy(change.getAuthor()).setRevision(offset);
+			}
+		}
+	}
+
+	static void roll(ConfigurationSnapshot.Builder after, ProposedBundle proposed, long offset) {
+		List<String> previous = after.getInForce().getConfirmingHostsList();
+		after.clearPreviousConfirmingHosts();
+		if (!previous.equals(proposed.getBundle().getConfirmingHostsList())) {
+			after.addAllPreviousConfirmingHosts(previous);
+		}
+		// Every proposal builds on the bundle that was in force, so none can be rolled
+		// now.
+		after.clearProposed();
+		after.setInForce(proposed.getBundle());
+		after.setRolledAt(offset);
+	}
+
+	static void zone(ConfigurationSnapshot.Builder after, SetZone change, long offset) {
+		ZoneState state = ZoneState.newBuilder()
+			.setZone(change.getZone())
+			.setOut(change.getOut())
+			.setRevision(offset)
+			.build();
+		for (int i = 0; i < after.getZonesCount(); i++) {
+			if (after.getZones(i).getZone().equals(change.getZone())) {
+				after.setZones(i, state);
+				return;
+			}
+		}
+		after.addZones(state);
+	}
+
+	static void host(ConfigurationSnapshot.Builder after, SetHost change, long offset) {
+		HostRule rule = HostRule.newBuilder()
+			.setHost(change.getHost())
+			.setDraining(change.getDraining())
+			.setRevision(offset)
+			.build();
+		for (int i = 0; i < after.getHostsCount(); i++) {
+			if (after.getHosts(i).getHost().equals(change.getHost())) {
+				after.setHosts(i, rule);
+				return;
+			}
+		}
+		after.addHosts(rule);
+	}
+
+	private static void removeProposal(ConfigurationSnapshot.Builder after, String name) {
+		for (int i = 0; i < after.getProposedCount(); i++) {
+			if (after.getProposed(i).getBundle().getName().equals(name)) {
+				after.removeProposed(i);
+				return;
+			}
+		}
+	}
+
+}
