--- /dev/null
+++ b/library/src/main/java/org/wigeontally/claims/OwnClaim.java
@@ -0,0 +1,108 @@
+package org.wigeontally.claims;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.wigeontally.schema.generated.Claim;
+import org.wigeontally.schema.generated.ClaimReport;
+import org.wigeontally.schema.generated.ClaimState;
+import org.wigeontally.schema.generated.Outcome;
+
+/**
+ * A claim made by this process and what became of it. Once given up it is never
+ * dispatched, whatever the log says of it later. Used on the control context.
+ */
+final class OwnClaim {
+
+	private final ClaimKey key;
+
+	private final Claim claim;
+
+	private final long madeMs;
+
+	private final long settleByMs;
+
+	private final CompletableFuture<ClaimDecision> decision = new CompletableFuture<>();
+
+	private State state = State.QUEUED;
+
+	private Outcome outcome;
+
+	OwnClaim(ClaimKey key, Claim claim, long madeMs, long settleByMs) {
+		this.key = key;
+		this.claim = claim;
+		this.madeMs = madeMs;
+		this.settleByMs = settleByMs;
+	}
+
+	ClaimKey key() {
+		return this.key;
+	}
+
+	Claim claim() {
+		return this.claim;
+	}
+
+	String id() {
+		return this.claim.getId();
+	}
+
+	long madeMs() {
+		return this.madeMs;
+	}
+
+	long settleByMs() {
+		return this.settleByMs;
+	}
+
+	CompletableFuture<ClaimDecision> decision() {
+		return this.decision;
+	}
+
+	State state() {
+		return this.state;
+	}
+
+	void state(State next) {
+		this.state = next;
+	}
+
+	boolean unsettled() {
+		return this.state == State.QUEUED || this.state == State.SENT;
+	}
+
+	void done(Outcome result) {
+		this.state = State.DONE;
+		this.outcome = result;
+	}
+
+	ClaimReport report() {
+		ClaimReport.Builder report = ClaimReport.newBuilder().setClaim(id());
+		switch (this.state) {
+			case GIVEN_UP -> report.setState(ClaimState.CLAIM_FENCED);
+			case DONE -> report.setState(ClaimState.CLAIM_DONE).setOutcome(this.outcome);
+			default -> report.setState(ClaimState.CLAIM_RUNNING);
+		}
+		return report.build();
+	}
+
+	/**
+	 * Stages of a claim, in order.
+	 */
+	enum State {
+
+		/** Not yet appended. */
+		QUEUED,
+		/** In an append; whether it took effect is not known. */
+		SENT,
+		/** Holds its key; not dispatched yet. */
+		WON,
+		/** May have reached an agent. */
+		DISPATCHED,
+		/** Ended with an outcome. */
+		DONE,
+		/** Lost, released or abandoned: never dispatched from now on. */
+		GIVEN_UP
+
+	}
+
+}
