--- a/library/src/main/java/org/wigeontally/claims/ClaimDecision.java
+++ b/library/src/main/java/org/wigeontally/claims/ClaimDecision.java
@@ -59,4 +59,11 @@
 
 	}
 
+	/**
+	 * The request may have run or may be running; its outcome cannot be known now.
+	 */
+	record Unknown() implements ClaimDecision {
+
+	}
+
 }
