--- /dev/null
+++ b/library/src/main/java/org/wigeontally/routing/RoundRobin.java
@@ -0,0 +1,38 @@
+package org.wigeontally.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Takes backend servers in turn, whatever their load. A baseline for measurements.
+ */
+public final class RoundRobin implements BackendChooser {
+
+	private int next;
+
+	private RoundRobin(int first) {
+		this.next = first;
+	}
+
+	/**
+	 * Creates a chooser.
+	 * @param first index of the first turn, so that entries do not start at the same one
+	 * @return the chooser
+	 */
+	public static RoundRobin create(int first) {
+		return new RoundRobin(first);
+	}
+
+	@Override
+	public Optional<Candidate> choose(ChoiceRequest request, List<Candidate> candidates) {
+		for (int i = 0; i < candidates.size(); i++) {
+			Candidate candidate = candidates.get(Math.floorMod(this.next + i, candidates.size()));
+			if (candidate.serves(request)) {
+				this.next += i + 1;
+				return Optional.of(candidate);
+			}
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry's choice of a backend server for a request.
+ */
+package org.wigeontally.routing;
