--- a/library/src/main/java/org/wigeontally/orders/OrderLedger.java
+++ b/library/src/main/java/org/wigeontally/orders/OrderLedger.java
@@ -124,12 +124,21 @@
 	public void ended(OrderResult result) {
 		this.orderOpen = false;
 		this.changedMs = this.clock.monotonicMs();
-		switch (result) {
-			case DONE -> this.fenceShown = true;
-			case OLD_FENCE -> this.superseded = true;
-			case NO_REPLY -> this.quietUntilMs = this.checksFence ? Long.MIN_VALUE : this.changedMs + ORDER_LIFE_MS;
-			default -> {
-			}
+		if (result == OrderResult.DONE) {
+			this.fenceShown = true;
+		}
+		if (result == OrderResult.OLD_FENCE) {
+			this.superseded = true;
+		}
+		if (result == OrderResult.NO_REPLY) {
+			noReply();
+		}
+	}
+
+	private void noReply() {
+		this.fenceShown = false;
+		if (!this.checksFence) {
+			this.quietUntilMs = this.changedMs + ORDER_LIFE_MS;
 		}
 	}
 
