Admission at the agent, retries, harmful requests, address answers, resumed streams

Cause: bounds on a backend server have to be local and exact, and what may be repeated has to be decided from what is known of an attempt.

--- /dev/null
+++ b/library/src/main/java/org/wigeontally/addresses/AddressAnswer.java
@@ -0,0 +1,81 @@
+package org.wigeontally.addresses;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.wigeontally.schema.generated.Address;
+
+/**
+ * The answer to a caller who asks which entries to use. Immutable.
+ *
+ * <p>
+ * Entries that do not take work, and all of zones taken out, are left out. The rest are
+ * ordered by a random draw weighted by spare capacity, near ones first: those of the
+ * caller's zone, then region, then others. A near entry that is loaded above
+ * {@link #SPILL_LOAD} is ranked with the next distance, so that callers of a busy zone
+ * spread. The draw differs for each answer: callers do not all use the first entry, and
+ * when a zone returns they come over as their answers run out, not together. Keeping
+ * times are spread for the same reason.
+ *
+ * @param addresses addresses in the order in which to try them
+ * @param keepMs time for which the caller may keep the answer
+ */
+public record AddressAnswer(List<Address> addresses, long keepMs) {
+
+	/** Longest time for which an answer may be kept. */
+	public static final long KEEP_MAX_MS = 5_000;
+
+	private static final long KEEP_MIN_MS = 3_000;
+
+	private static final int ADDRESSES_MAX = 8;
+
+	private static final double SPILL_LOAD = 0.8;
+
+	private static final double WEIGHT_MIN = 0.05;
+
+	/**
+	 * Makes an answer.
+	 * @param entries entries as seen now
+	 * @param zonesOut availability zones taken out
+	 * @param region region of the caller
+	 * @param zone availability zone of the caller
+	 * @param random source of the draw
+	 * @return the answer
+	 */
+	public static AddressAnswer of(List<EntryPlace> entries, Set<String> zonesOut, String region, String zone,
+			Random random) {
+		List<EntryPlace> taking = new ArrayList<>();
+		Map<EntryPlace, Double> rank = new HashMap<>();
+		for (EntryPlace entry : entries) {
+			if (entry.serving() && !zonesOut.contains(entry.zone())) {
+				taking.add(entry);
+				rank.put(entry, distance(entry, region, zone) + draw(entry, random));
+			}
+		}
+		taking.sort(Comparator.comparingDouble(rank::get));
+		long keepMs = KEEP_MIN_MS + random.nextInt((int) (KEEP_MAX_MS - KEEP_MIN_MS) + 1);
+		return new AddressAnswer(taking.stream().limit(ADDRESSES_MAX).map(EntryPlace::address).toList(), keepMs);
+	}
+
+	private static int distance(EntryPlace entry, String region, String zone) {
+		int distance = 2;
+		if (entry.zone().equals(zone)) {
+			distance = 0;
+		}
+		else if (entry.region().equals(region)) {
+			distance = 1;
+		}
+		return (entry.load() > SPILL_LOAD) ? distance + 1 : distance;
+	}
+
+	private static double draw(EntryPlace entry, Random random) {
+		double weight = Math.max(WEIGHT_MIN, 1 - entry.load());
+		return 1 - Math.pow(random.nextDouble(), 1 / weight);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/addresses/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Addresses of entries that callers are told.
+ */
+package org.wigeontally.addresses;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/admission/GateLimits.java
@@ -0,0 +1,38 @@
+package org.wigeontally.admission;
+
+/**
+ * What a backend server bears, from its settings. Immutable.
+ *
+ * @param capacity most requests at once when warm
+ * @param coldCapacity most requests at once during a cold start
+ * @param queueLimit most requests that wait
+ * @param reportsRunning true if it reports how many requests it runs
+ * @param settleMs time after which work of an earlier agent is taken to be over at a
+ * backend server that reports nothing
+ */
+public record GateLimits(int capacity, int coldCapacity, int queueLimit, boolean reportsRunning, long settleMs) {
+
+	/**
+	 * Creates limits of a backend server that reports what it runs.
+	 * @param capacity most requests at once when warm
+	 * @param coldCapacity most requests at once during a cold start
+	 * @param queueLimit most requests that wait
+	 * @return the limits
+	 */
+	public static GateLimits reporting(int capacity, int coldCapacity, int queueLimit) {
+		return new GateLimits(capacity, coldCapacity, queueLimit, true, 0);
+	}
+
+	/**
+	 * Creates limits of a backend server that reports nothing.
+	 * @param capacity most requests at once when warm
+	 * @param coldCapacity most requests at once during a cold start
+	 * @param queueLimit most requests that wait
+	 * @param settleMs longest time that work of an earlier agent may still run
+	 * @return the limits
+	 */
+	public static GateLimits silent(int capacity, int coldCapacity, int queueLimit, long settleMs) {
+		return new GateLimits(capacity, coldCapacity, queueLimit, false, settleMs);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/admission/LearnedLimit.java
@@ -0,0 +1,129 @@
+package org.wigeontally.admission;
+
+/**
+ * Learns how many requests at once a backend server bears.
+ *
+ * <p>
+ * It starts with the cold capacity and doubles after as many prompt answers in a row as
+ * the limit is (slow start), provided that the limit was reached meanwhile; a timer would
+ * grow it whether the backend server warms up or not. An answer is prompt if its first
+ * part came within {@link #PROMPT_FACTOR} of the usual time, which is learnt while the
+ * limit is at the capacity, or of the best time of this ramp while nothing better is
+ * known.
+ *
+ * <p>
+ * A backend server may turn cold without a word. Two answers in a row, or two that are
+ * still outstanding, beyond {@link #COLD_FACTOR} of the usual time take the limit back to
+ * the cold capacity. The backend server's own word goes first: while it says that it is
+ * cold, the limit stays at the cold capacity whatever the measurements are. Used by the
+ * gate's thread.
+ */
+final class LearnedLimit {
+
+	private static final double PROMPT_FACTOR = 2;
+
+	private static final double COLD_FACTOR = 4;
+
+	private static final long COLD_MARGIN_MS = 50;
+
+	private static final int COLD_ANSWERS = 2;
+
+	private static final double USUAL_SMOOTHING = 0.1;
+
+	private final GateLimits limits;
+
+	private int limit;
+
+	private boolean saidCold;
+
+	private boolean usedUp;
+
+	private int prompt;
+
+	private int late;
+
+	private double usualMs;
+
+	private double bestOfRampMs = Double.POSITIVE_INFINITY;
+
+	LearnedLimit(GateLimits limits) {
+		this.limits = limits;
+		this.limit = limits.coldCapacity();
+	}
+
+	int limit() {
+		return this.limit;
+	}
+
+	boolean cold() {
+		return this.saidCold || this.limit <= this.limits.coldCapacity() && this.limit < this.limits.capacity();
+	}
+
+	void reached() {
+		this.usedUp = true;
+	}
+
+	void said(EngineReport.Warmth warmth) {
+		if (warmth == EngineReport.Warmth.COLD) {
+			turnCold();
+			this.saidCold = true;
+		}
+		else if (warmth == EngineReport.Warmth.WARM) {
+			this.saidCold = false;
+		}
+	}
+
+	void answered(double ms) {
+		if (beyondCold(ms)) {
+			this.prompt = 0;
+			this.late++;
+			if (this.late >= COLD_ANSWERS) {
+				turnCold();
+			}
+			return;
+		}
+		this.late = 0;
+		this.bestOfRampMs = Math.min(this.bestOfRampMs, ms);
+		if (this.limit >= this.limits.capacity()) {
+			learnUsual(ms);
+			return;
+		}
+		this.prompt = (ms <= PROMPT_FACTOR * reference() + COLD_MARGIN_MS) ? this.prompt + 1 : 0;
+		grow();
+	}
+
+	void failed() {
+		this.prompt = 0;
+		this.limit = Math.max(this.limits.coldCapacity(), this.limit / 2);
+	}
+
+	boolean beyondCold(double ms) {
+		return this.usualMs > 0 && ms > COLD_FACTOR * this.usualMs + COLD_MARGIN_MS;
+	}
+
+	void turnCold() {
+		this.limit = this.limits.coldCapacity();
+		this.prompt = 0;
+		this.late = 0;
+		this.usedUp = false;
+		this.bestOfRampMs = Double.POSITIVE_INFINITY;
+	}
+
+	private void grow() {
+		if (this.saidCold || !this.usedUp || this.prompt < this.limit) {
+			return;
+		}
+		this.limit = Math.min(this.limits.capacity(), this.limit * 2);
+		this.prompt = 0;
+		this.usedUp = false;
+	}
+
+	private void learnUsual(double ms) {
+		this.usualMs = (this.usualMs == 0) ? ms : this.usualMs + USUAL_SMOOTHING * (ms - this.usualMs);
+	}
+
+	private double reference() {
+		return (this.usualMs > 0) ? this.usualMs : this.bestOfRampMs;
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agent's decision which requests a backend server runs, now or soon.
+ */
+package org.wigeontally.admission;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulRequests.java
@@ -0,0 +1,212 @@
+package org.wigeontally.harmful;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.BackendLoss;
+import org.wigeontally.schema.generated.SuspectContent;
+import org.wigeontally.schema.generated.SuspectSummary;
+
+/**
+ * Recognises requests that bring backend servers down, by content.
+ *
+ * <p>
+ * A caller sends such a request again, through another entry and with a new id, so
+ * entries count losses for each content and tell each other at once: the entry that sees
+ * a loss tells all entries and only then answers the caller or tries again, so that a
+ * re-send meets an entry that knows. After {@link #LOSSES_MAX} losses the content is
+ * refused.
+ *
+ * <p>
+ * Everything that ran at the backend server when it was lost is suspected, the innocent
+ * as well. They are told apart in three ways. A suspect that runs to its end is cleared
+ * of its losses. A suspect runs beside no other suspect (the agents see to that), so a
+ * second loss makes one content harmful and not its neighbours. And a loss that a harmful
+ * content explains no longer counts against the others.
+ *
+ * <p>
+ * What is held is a set of (content, loss) pairs, each cleared or not, and merging is a
+ * union in which "cleared" wins and the greater age wins; so it is idempotent and
+ * commutative, and a loss is forgotten {@link #KILLER_MEMORY_MS} after it happened,
+ * however often it was told. Contents and losses of each are bounded; the content with
+ * the fewest losses is dropped first, then the oldest. Safe for use by several threads.
+ */
+public final class HarmfulRequests {
+
+	/** Most backend servers that one content may bring down. */
+	public static final int LOSSES_MAX = 2;
+
+	/** Time for which a loss is remembered. */
+	public static final long KILLER_MEMORY_MS = 600_000;
+
+	private static final int CONTENTS_MAX = 4_096;
+
+	private static final int LOSSES_KEPT = 8;
+
+	private final Clock clock;
+
+	private final Map<Fingerprint, Map<String, Loss>> contents = new HashMap<>();
+
+	private final Set<String> explained = new HashSet<>();
+
+	private HarmfulRequests(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Creates an empty memory.
+	 * @param clock source of time
+	 * @return the memory
+	 */
+	public static HarmfulRequests create(Clock clock) {
+		return new HarmfulRequests(clock);
+	}
+
+	/**
+	 * Judges a content before it is sent to a backend server.
+	 * @param fingerprint the content
+	 * @return what to do with it
+	 */
+	public synchronized Suspicion judge(Fingerprint fingerprint) {
+		Map<String, Loss> losses = this.contents.get(fingerprint);
+		if (losses == null) {
+			return Suspicion.NONE;
+		}
+		forgetOld();
+		int count = counted(losses);
+		if (count >= LOSSES_MAX) {
+			long remainingMs = newest(losses) + KILLER_MEMORY_MS - this.clock.monotonicMs();
+			return new Suspicion(Suspicion.Level.HARMFUL, count, remainingMs);
+		}
+		boolean open = losses.entrySet()
+			.stream()
+			.anyMatch((entry) -> !entry.getValue().cleared && !this.explained.contains(entry.getKey()));
+		return open ? new Suspicion(Suspicion.Level.SUSPECT, count, 0) : Suspicion.NONE;
+	}
+
+	/**
+	 * Notes that a backend server was lost.
+	 * @param lossId names the loss, the same at all entries
+	 * @param running contents of the requests that ran there
+	 */
+	public synchronized void lost(String lossId, Collection<Fingerprint> running) {
+		for (Fingerprint fingerprint : running) {
+			put(fingerprint, lossId, new Loss(this.clock.monotonicMs(), false));
+		}
+		changed();
+	}
+
+	/**
+	 * Notes that a request of a content ran to its end.
+	 * @param fingerprint the content
+	 * @return true if this cleared it, which is worth telling
+	 */
+	public synchronized boolean succeeded(Fingerprint fingerprint) {
+		Map<String, Loss> losses = this.contents.get(fingerprint);
+		if (losses == null || counted(losses) == 0) {
+			return false;
+		}
+		losses.replaceAll((id, loss) -> new Loss(loss.atMs, true));
+		changed();
+		return true;
+	}
+
+	/**
+	 * Returns all that is suspected, for other entries.
+	 * @return the summary
+	 */
+	public synchronized SuspectSummary summary() {
+		forgetOld();
+		long nowMs = this.clock.monotonicMs();
+		SuspectSummary.Builder summary = SuspectSummary.newBuilder();
+		this.contents.forEach((fingerprint, losses) -> {
+			SuspectContent.Builder content = summary.addContentsBuilder().setFingerprint(fingerprint.bytes());
+			losses.forEach((id, loss) -> content
+				.addLosses(BackendLoss.newBuilder().setId(id).setAgeMs(nowMs - loss.atMs).setCleared(loss.cleared)));
+		});
+		return summary.build();
+	}
+
+	/**
+	 * Merges what another entry suspects.
+	 * @param summary the other entry's summary
+	 */
+	public synchronized void merge(SuspectSummary summary) {
+		long nowMs = this.clock.monotonicMs();
+		for (SuspectContent content : summary.getContentsList()) {
+			for (BackendLoss loss : content.getLossesList()) {
+				if (loss.getAgeMs() < KILLER_MEMORY_MS) {
+					put(new Fingerprint(content.getFingerprint()), loss.getId(),
+							new Loss(nowMs - loss.getAgeMs(), loss.getCleared()));
+				}
+			}
+		}
+		changed();
+	}
+
+	private void put(Fingerprint fingerprint, String lossId, Loss loss) {
+		Map<String, Loss> losses = this.contents.computeIfAbsent(fingerprint, (key) -> new HashMap<>());
+		if (losses.size() < LOSSES_KEPT || losses.containsKey(lossId)) {
+			losses.merge(lossId, loss, Loss::merge);
+		}
+	}
+
+	private void changed() {
+		forgetOld();
+		while (this.contents.size() > CONTENTS_MAX) {
+			this.contents.remove(leastSuspected());
+		}
+		this.explained.clear();
+		for (Map<String, Loss> losses : this.contents.values()) {
+			if (counted(losses) >= LOSSES_MAX) {
+				this.explained.addAll(losses.keySet());
+			}
+		}
+	}
+
+	private void forgetOld() {
+		long oldestMs = this.clock.monotonicMs() - KILLER_MEMORY_MS;
+		this.contents.values().forEach((losses) -> losses.values().removeIf((loss) -> loss.atMs <= oldestMs));
+		this.contents.values().removeIf(Map::isEmpty);
+	}
+
+	private Fingerprint leastSuspected() {
+		return this.contents.entrySet()
+			.stream()
+			.min(Comparator.comparingInt((Map.Entry<Fingerprint, Map<String, Loss>> entry) -> counted(entry.getValue()))
+				.thenComparingLong((entry) -> newest(entry.getValue())))
+			.orElseThrow()
+			.getKey();
+	}
+
+	private static int counted(Map<String, Loss> losses) {
+		return (int) losses.values().stream().filter((loss) -> !loss.cleared).count();
+	}
+
+	private static long newest(Map<String, Loss> losses) {
+		return losses.values().stream().mapToLong((loss) -> loss.atMs).max().orElse(0);
+	}
+
+	private static final class Loss {
+
+		private final long atMs;
+
+		private final boolean cleared;
+
+		private Loss(long atMs, boolean cleared) {
+			this.atMs = atMs;
+			this.cleared = cleared;
+		}
+
+		private Loss merge(Loss other) {
+			return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/harmful/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that bring down the backend servers that run them.
+ */
+package org.wigeontally.harmful;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/retries/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Deadlines, retries and hedging at the entry.
+ */
+package org.wigeontally.retries;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/streams/TokenOrder.java
@@ -0,0 +1,61 @@
+package org.wigeontally.streams;
+
+/**
+ * Keeps a stream whole across engines: each token passes once and in order. Used by one
+ * thread at a time.
+ */
+public final class TokenOrder {
+
+	private long next;
+
+	private TokenOrder(long next) {
+		this.next = next;
+	}
+
+	/**
+	 * Creates the order of a new stream.
+	 * @return the order
+	 */
+	public static TokenOrder create() {
+		return new TokenOrder(0);
+	}
+
+	/**
+	 * Judges the next token from an engine.
+	 * @param index index of the token in the stream
+	 * @return what to do with it
+	 */
+	public Step accept(long index) {
+		if (index < this.next) {
+			return Step.DROP;
+		}
+		if (index > this.next) {
+			return Step.GAP;
+		}
+		this.next++;
+		return Step.DELIVER;
+	}
+
+	/**
+	 * Returns the index after the last token delivered.
+	 * @return the index
+	 */
+	public long delivered() {
+		return this.next;
+	}
+
+	/**
+	 * What to do with a token.
+	 */
+	public enum Step {
+
+		/** Send it to the caller. */
+		DELIVER,
+		/** The caller has it already. */
+		DROP,
+		/** Tokens before it are missing: the stream must end as cut. */
+		GAP
+
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/streams/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Streams of tokens that move from one model engine to another.
+ */
+package org.wigeontally.streams;
