Command line, administration API and checks of settings

The operators' commands, the API that they use and the checks of settings and bundle files. The fuzz of the reader brought a stack overflow to light (100,000 open brackets); nesting is now limited to 50 levels before a document is composed, and the place of the first too deep level is named.

--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/administration/AdministrationApi.java
@@ -0,0 +1,167 @@
+package org.wigeontally.administration;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageOrBuilder;
+import com.google.protobuf.util.JsonFormat;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.errors.Findings;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.ChangeAnswer;
+import org.wigeontally.schema.generated.ErrorAnswer;
+import org.wigeontally.schema.generated.Finding;
+import org.wigeontally.schema.generated.StatusReport;
+
+/**
+ * The administration API over HTTP. Bodies are the JSON form of the schema's messages.
+ * Authority comes from the signature in each change, not from the connection.
+ */
+public final class AdministrationApi {
+
+	/** Largest change taken. */
+	public static final int CHANGE_LIMIT_BYTES = 4 << 20;
+
+	private static final long ANSWER_TIMEOUT_MS = 10_000;
+
+	private static final String JSON = "application/json";
+
+	private static final Logger logger = LoggerFactory.getLogger(AdministrationApi.class);
+
+	private final Administration administration;
+
+	private AdministrationApi(Administration administration) {
+		this.administration = administration;
+	}
+
+	/**
+	 * Creates the routes, to be mounted under /v1/admin.
+	 * @param vertx the Vert.x instance of the server
+	 * @param administration the entry's side
+	 * @return the router
+	 */
+	public static Router router(Vertx vertx, Administration administration) {
+		AdministrationApi api = new AdministrationApi(administration);
+		Router router = Router.router(vertx);
+		router.post("/changes").handler(BodyHandler.create(false).setBodyLimit(CHANGE_LIMIT_BYTES));
+		router.post("/changes").handler(api::submit);
+		router.get("/changes/:id").handler(api::outcome);
+		router.get("/bundles").handler((context) -> answer(context, administration::bundles));
+		router.get("/status").handler((context) -> answer(context, administration::status));
+		router.get("/hosts")
+			.handler((context) -> answer(context, () -> administration.status().map(AdministrationApi::hosts)));
+		router.route().handler((context) -> context.fail(404));
+		router.route().failureHandler(AdministrationApi::fail);
+		return router;
+	}
+
+	private void submit(RoutingContext context) {
+		Change.Builder change = Change.newBuilder();
+		Findings findings = Findings.create();
+		try {
+			String text = context.body().asString();
+			JsonFormat.parser().merge((text != null) ? text : "", change);
+			ChangeForm.check(change, findings);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			findings.add("body", ErrorType.BAD_REQUEST, ex.getMessage());
+		}
+		if (!findings.isEmpty()) {
+			send(context, 400, error(findings.list()));
+			return;
+		}
+		Change complete = change.build();
+		bounded(() -> this.administration.submit(complete)).recover((cause) -> {
+			logger.warn("administration: outcome of change {} is unknown: {}", complete.getId(), cause.toString());
+			return Future.succeededFuture(unknown(complete.getId()));
+		}).onSuccess((answer) -> send(context, status(answer.getOutcome()), answer));
+	}
+
+	private void outcome(RoutingContext context) {
+		String id = context.pathParam("id");
+		answer(context, () -> this.administration.outcome(id));
+	}
+
+	private static ChangeAnswer unknown(String id) {
+		return ChangeAnswer.newBuilder().setId(id).setOutcome(ChangeAnswer.Outcome.UNKNOWN).build();
+	}
+
+	private static int status(ChangeAnswer.Outcome outcome) {
+		return switch (outcome) {
+			case ACCEPTED -> 200;
+			case PENDING -> 202;
+			case REFUSED -> 409;
+			default -> 504;
+		};
+	}
+
+	private static <T extends MessageOrBuilder> void answer(RoutingContext context, Supplier<Future<T>> action) {
+		bounded(action).onSuccess((message) -> send(context, 200, message))
+			.onFailure((cause) -> context.fail(503, cause));
+	}
+
+	private static <T> Future<T> bounded(Supplier<Future<T>> action) {
+		try {
+			return action.get().timeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (RuntimeException ex) {
+			return Future.failedFuture(ex);
+		}
+	}
+
+	private static void fail(RoutingContext context) {
+		Throwable cause = context.failure();
+		int status = (context.statusCode() >= 400) ? context.statusCode() : 500;
+		if (status >= 500) {
+			logger.warn("administration: {} {} failed: {}", context.request().method(), context.request().path(),
+					String.valueOf(cause));
+		}
+		Findings findings = Findings.create();
+		if (status == 413) {
+			findings.add("body", ErrorType.BODY_TOO_LARGE, CHANGE_LIMIT_BYTES);
+		}
+		else if (status >= 500) {
+			findings.add("", ErrorType.NOT_SERVING, "no answer within the time limit");
+		}
+		else {
+			findings.add("path", ErrorType.BAD_REQUEST, context.request().method() + " " + context.request().path());
+		}
+		send(context, status, error(findings.list()));
+	}
+
+	private static ErrorAnswer error(List<Finding> findings) {
+		return ErrorAnswer.newBuilder().addAllFindings(findings).build();
+	}
+
+	private static void send(RoutingContext context, int status, MessageOrBuilder message) {
+		if (context.response().ended() || context.response().closed()) {
+			return;
+		}
+		try {
+			String body = JsonFormat.printer().print(message);
+			context.response().setStatusCode(status).putHeader("Content-Type", JSON).end(body + "\n");
+		}
+		catch (InvalidProtocolBufferException ex) {
+			context.response().setStatusCode(500).end();
+		}
+	}
+
+	private static StatusReport hosts(StatusReport report) {
+		return StatusReport.newBuilder()
+			.setReporter(report.getReporter())
+			.setMinimumRevision(report.getMinimumRevision())
+			.addAllHosts(report.getHostsList())
+			.build();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/administration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The administration API on entry hosts.
+ */
+package org.wigeontally.administration;
--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -3,8 +3,8 @@
 /**
  * All errors that wigeontally reports, each with a number that stays the same between
  * versions, a severity and a message with placeholders. Numbers below 100 belong to
- * settings, from 100 to configuration, from 200 to callers' requests, from 300 to
- * weights, from 400 to the platform.
+ * settings and the command line, from 100 to configuration, from 200 to callers'
+ * requests, from 300 to weights, from 400 to the platform.
  */
 public enum ErrorType {
 
@@ -24,6 +24,14 @@
 	UNREADABLE_FILE(7, Severity.ERROR, "cannot read file: %s"),
 	/** An address that is not an IP number and port. */
 	BAD_ADDRESS(8, Severity.ERROR, "\"%s\" is not an IP number and port"),
+	/** A value that is not hexadecimal or has the wrong length. */
+	BAD_HEXADECIMAL(9, Severity.ERROR, "\"%s\" must be %s bytes in hexadecimal"),
+	/** A name that another entry of the same list has. */
+	REPEATED_VALUE(10, Severity.ERROR, "\"%s\" repeats \"%s\""),
+	/** No entry host answered the command line. */
+	NO_ENTRY_REACHED(20, Severity.ERROR, "no entry host answered; check the addresses in the settings: %s"),
+	/** An entry host answered with something that the command line cannot use. */
+	BAD_ANSWER(21, Severity.ERROR, "entry host %s answered with status %s: %s"),
 
 	/** The change builds on a revision that is no longer the newest. */
 	STALE_REVISION(100, Severity.ERROR, "builds on revision %s of %s, which is at revision %s"),
--- a/library/src/main/java/org/wigeontally/errors/Findings.java
+++ b/library/src/main/java/org/wigeontally/errors/Findings.java
@@ -40,6 +40,14 @@
 			.build());
 	}
 
+	/**
+	 * Adds a finding that was made elsewhere.
+	 * @param finding the finding
+	 */
+	public void add(Finding finding) {
+		this.list.add(finding);
+	}
+
 	/**
 	 * Tells whether anything was found.
 	 * @return true if there is no finding
--- a/library/src/main/java/org/wigeontally/settings/SettingsReader.java
+++ b/library/src/main/java/org/wigeontally/settings/SettingsReader.java
@@ -7,6 +7,10 @@
 import com.google.protobuf.Message;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.api.lowlevel.Parse;
+import org.snakeyaml.engine.v2.events.CollectionEndEvent;
+import org.snakeyaml.engine.v2.events.CollectionStartEvent;
+import org.snakeyaml.engine.v2.events.Event;
 import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
 import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
 import org.snakeyaml.engine.v2.nodes.Node;
@@ -21,6 +25,8 @@
  */
 public final class SettingsReader {
 
+	private static final int MAX_DEPTH = 50;
+
 	private SettingsReader() {
 	}
 
@@ -63,8 +69,10 @@
 		PlaceMap places = new PlaceMap(name);
 		try {
 			LoadSettings settings = LoadSettings.builder().setLabel(name).build();
-			Node root = new Compose(settings).composeString(text).orElse(null);
-			new YamlToMessage(places, findings).fill(root, target, "");
+			if (fits(new Parse(settings).parseString(text), places, findings)) {
+				Node root = new Compose(settings).composeString(text).orElse(null);
+				new YamlToMessage(places, findings).fill(root, target, "");
+			}
 		}
 		catch (MarkedYamlEngineException ex) {
 			String place = ex.getProblemMark().map(places::format).orElse(name);
@@ -78,4 +86,26 @@
 		return target;
 	}
 
+	/**
+	 * Limits the nesting, since composing recurses. Stops at the first event that is too
+	 * deep.
+	 */
+	private static boolean fits(Iterable<Event> events, PlaceMap places, Findings findings) {
+		int depth = 0;
+		for (Event event : events) {
+			if (event instanceof CollectionStartEvent) {
+				depth++;
+			}
+			else if (event instanceof CollectionEndEvent) {
+				depth--;
+			}
+			if (depth > MAX_DEPTH) {
+				String place = event.getStartMark().map(places::format).orElse("");
+				findings.add(place, ErrorType.YAML_SYNTAX, "nested deeper than " + MAX_DEPTH + " levels");
+				return false;
+			}
+		}
+		return true;
+	}
+
 }
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/settings/SettingsFuzzTests.java
@@ -0,0 +1,113 @@
+package org.wigeontally.settings;
+
+import java.util.List;
+import java.util.Random;
+
+import com.google.protobuf.Message;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.errors.InputException;
+import org.wigeontally.schema.generated.AgentSettings;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.EntrySettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Mutates good documents at random. The reader must take each or refuse it with findings
+ * that have a place; it must throw nothing else. Seen red on a planted fault: a check
+ * that reads the first element of an empty list.
+ */
+public class SettingsFuzzTests {
+
+	private static final int DOCUMENTS = 4000;
+
+	private static final String GOOD = """
+			host: entry-1
+			region: west
+			zone: west-a
+			listen: 127.0.0.1:7000
+			peers: [127.0.0.1:7001, {ip: "::1", port: 7002}]
+			entries: [127.0.0.1:7001]
+			platform: {log: 127.0.0.1:9000, host_list: 127.0.0.1:9001}
+			drain_ms: 3000
+			backends:
+			  - {service: a, address: 127.0.0.1:8000, kind: model_engine, capacity: 4}
+			operator_keys:
+			  - {name: olive, public_key: 302a300506032b6570032100}
+			name: b1
+			confirming_hosts: [entry-1]
+			services: [{name: a, kind: plain_service, owner: olive, at_most_once_paths: [/book]}]
+			organisations:
+			  - {name: resorts, weight: 2, approvals: [{service: a, owner: olive}]}
+			""";
+
+	private static final List<String> PIECES = List.of("[", "]", "{", "}", ":", "- ", "\n", "  ", "\t", "\"", "'",
+			"&a ", "*a", "!!int ", "!x ", "---\n", "...\n", "%YAML 9\n", "|\n", ">\n", "#", "? ", "<<: ", "null", "~",
+			"true", "-1", "4294967296", "99999999999999999999", "1e9", "NaN", "\u0000", "\ufeff", "\ud800", "é",
+			"%s%n%d", "127.0.0.1:99999", "[::1]:1", "[[[[[[[[", "{{{{{{{{");
+
+	@DataProvider
+	public Object[][] seeds() {
+		return new Object[][] { { 1L }, { 2L }, { 3L } };
+	}
+
+	@Test(dataProvider = "seeds", timeOut = 60_000)
+	public void readerNeverFailsOtherwiseThanWithFindings(long seed) {
+		Random random = new Random(seed);
+		int refused = 0;
+		for (int i = 0; i < DOCUMENTS; i++) {
+			String text = mutate(random);
+			refused += refuses(text, EntrySettings.newBuilder(), EntrySettingsCheck.create()) ? 1 : 0;
+			refused += refuses(text, AgentSettings.newBuilder(), AgentSettingsCheck.create()) ? 1 : 0;
+			refused += refuses(text, Bundle.newBuilder(), BundleFileCheck.create()) ? 1 : 0;
+		}
+		assertThat(refused).isPositive();
+	}
+
+	@Test(timeOut = 60_000)
+	public void refusesVeryDeepDocuments() {
+		for (String open : List.of("[", "{a: ", "- ")) {
+			String text = "host: " + (open.equals("- ") ? "\n" : "") + open.repeat(100_000);
+			assertThat(refuses(text, EntrySettings.newBuilder(), EntrySettingsCheck.create())).isTrue();
+		}
+	}
+
+	private static <B extends Message.Builder> boolean refuses(String text, B target, SettingsCheck<B> check) {
+		try {
+			SettingsReader.read("fuzz.yaml", text, target, check);
+			return false;
+		}
+		catch (InputException ex) {
+			assertThat(ex.findings()).isNotEmpty().allSatisfy((finding) -> {
+				assertThat(finding.getPlace()).startsWith("fuzz.yaml");
+				assertThat(finding.getMessage()).isNotEmpty();
+			});
+			return true;
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			throw new AssertionError("failed on:\n" + text.substring(0, Math.min(text.length(), 2000)), ex);
+		}
+	}
+
+	private static String mutate(Random random) {
+		StringBuilder text = new StringBuilder(GOOD);
+		int mutations = 1 + random.nextInt(8);
+		for (int i = 0; i < mutations; i++) {
+			int at = random.nextInt(text.length());
+			int end = Math.min(text.length(), at + random.nextInt(12));
+			switch (random.nextInt(4)) {
+				case 0 -> text.insert(at, PIECES.get(random.nextInt(PIECES.size())));
+				case 1 -> text.delete(at, end);
+				case 2 -> text.replace(at, end, PIECES.get(random.nextInt(PIECES.size())));
+				default -> text.insert(random.nextInt(text.length()), text.substring(at, end));
+			}
+			if (text.isEmpty()) {
+				return "";
+			}
+		}
+		return text.toString();
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/BundleFile.java
@@ -0,0 +1,22 @@
+package org.wigeontally.tool;
+
+import java.nio.file.Path;
+
+import org.wigeontally.errors.InputException;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.settings.BundleFileCheck;
+import org.wigeontally.settings.SettingsReader;
+
+/**
+ * Reading of bundle files.
+ */
+final class BundleFile {
+
+	private BundleFile() {
+	}
+
+	static Bundle read(Path file) throws InputException {
+		return SettingsReader.readFile(file, Bundle.newBuilder(), BundleFileCheck.create()).build();
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/BundleProposeCommand.java
@@ -0,0 +1,54 @@
+package org.wigeontally.tool;
+
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.errors.WigeontallyException;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.ProposeBundle;
+import org.wigeontally.schema.generated.ProposedBundle;
+
+/**
+ * Proposes the bundle in a file.
+ */
+final class BundleProposeCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "FILE", required = true)
+	private String file;
+
+	BundleProposeCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "bundle propose";
+	}
+
+	@Override
+	public String description() {
+		return "Propose the bundle in a file";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		Bundle bundle = BundleFile.read(Path.of(this.file));
+		try (OperatorSession session = OperatorSession.open(this.console, true)) {
+			long newest = session.client()
+				.bundles()
+				.getProposedList()
+				.stream()
+				.filter((each) -> each.getBundle().getName().equals(bundle.getName()))
+				.mapToLong(ProposedBundle::getRevision)
+				.findFirst()
+				.orElse(0);
+			return session.carryOut(
+					Change.newBuilder().setBuildsOn(newest).setPropose(ProposeBundle.newBuilder().setBundle(bundle)));
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/BundleSignOffCommand.java
@@ -0,0 +1,52 @@
+package org.wigeontally.tool;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.configuration.Signatures;
+import org.wigeontally.errors.WigeontallyException;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.ProposedBundle;
+import org.wigeontally.schema.generated.SignOffBundle;
+
+/**
+ * Signs off a proposed bundle.
+ */
+final class BundleSignOffCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "NAME", required = true)
+	private String bundle;
+
+	@Parameter(names = "--digest", description = "Digest that was reviewed, from bundle show")
+	private String digest;
+
+	BundleSignOffCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "bundle sign-off";
+	}
+
+	@Override
+	public String description() {
+		return "Sign off a bundle that somebody else proposed";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		try (OperatorSession session = OperatorSession.open(this.console, true)) {
+			ProposedBundle proposed = Proposals.find(session.client().bundles(), this.bundle);
+			String current = Signatures.digest(proposed.getBundle());
+			if (this.digest != null && !this.digest.equals(current)) {
+				throw new UsageException("the proposal was changed since the review: its digest is " + current
+						+ "; look again with wigeontally bundle show " + this.bundle);
+			}
+			SignOffBundle signOff = SignOffBundle.newBuilder().setBundle(this.bundle).setDigest(current).build();
+			return session.carryOut(Change.newBuilder().setBuildsOn(proposed.getRevision()).setSignOff(signOff));
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/ChangeShowCommand.java
@@ -0,0 +1,38 @@
+package org.wigeontally.tool;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.errors.WigeontallyException;
+
+/**
+ * Asks what became of a change.
+ */
+final class ChangeShowCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "ID", required = true)
+	private String id;
+
+	ChangeShowCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "change show";
+	}
+
+	@Override
+	public String description() {
+		return "Ask what became of a change";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		try (OperatorSession session = OperatorSession.open(this.console, false)) {
+			return session.report(session.client().outcome(this.id).toBuilder().setId(this.id).build());
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/CheckCommand.java
@@ -0,0 +1,73 @@
+package org.wigeontally.tool;
+
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.errors.WigeontallyException;
+import org.wigeontally.schema.generated.AgentSettings;
+import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.schema.generated.OperatorSettings;
+import org.wigeontally.settings.AgentSettingsCheck;
+import org.wigeontally.settings.EntrySettingsCheck;
+import org.wigeontally.settings.OperatorSettingsCheck;
+import org.wigeontally.settings.SettingsReader;
+
+/**
+ * Checks a file without a server.
+ */
+final class CheckCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "FILE", required = true)
+	private String file;
+
+	@Parameter(names = "--kind", description = "What the file holds: entry, agent, operator or bundle", required = true)
+	private Kind kind;
+
+	CheckCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "check";
+	}
+
+	@Override
+	public String description() {
+		return "Check a settings or bundle file without a server";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		Path path = Path.of(this.file);
+		switch (this.kind) {
+			case ENTRY -> SettingsReader.readFile(path, EntrySettings.newBuilder(), EntrySettingsCheck.create());
+			case AGENT -> SettingsReader.readFile(path, AgentSettings.newBuilder(), AgentSettingsCheck.create());
+			case OPERATOR ->
+				SettingsReader.readFile(path, OperatorSettings.newBuilder(), OperatorSettingsCheck.create(false));
+			default -> BundleFile.read(path);
+		}
+		this.console.out().println(this.file + ": no findings");
+		return ExitCode.DONE;
+	}
+
+	/**
+	 * What a file holds.
+	 */
+	enum Kind {
+
+		/** Settings of an entry. */
+		ENTRY,
+		/** Settings of an agent. */
+		AGENT,
+		/** Settings of the operators' command line. */
+		OPERATOR,
+		/** A bundle. */
+		BUNDLE
+
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/CommandTree.java
@@ -0,0 +1,92 @@
+package org.wigeontally.tool;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+
+/**
+ * Commands and groups of commands as JCommander sees them.
+ */
+final class CommandTree {
+
+	private CommandTree() {
+	}
+
+	static JCommander build(String program, Object mainOptions, GlobalOptions options, List<Command> commands) {
+		JCommander root = JCommander.newBuilder()
+			.programName(program)
+			.addObject(mainOptions)
+			.addObject(options)
+			.build();
+		Map<String, JCommander> groups = new HashMap<>();
+		for (Command command : commands) {
+			String[] words = command.name().split(" ");
+			JCommander parent = (words.length == 1) ? root
+					: groups.computeIfAbsent(words[0], (group) -> addGroup(root, group, options));
+			String word = words[words.length - 1];
+			parent.addCommand(word, new Object[] { command, options });
+			parent.getCommands().get(word).setProgramName(program + " " + command.name());
+		}
+		return root;
+	}
+
+	private static JCommander addGroup(JCommander root, String group, GlobalOptions options) {
+		root.addCommand(group, options);
+		JCommander commander = root.getCommands().get(group);
+		commander.setProgramName(root.getProgramName() + " " + group);
+		return commander;
+	}
+
+	/**
+	 * Returns the command or group that was named.
+	 * @param root the root after parsing
+	 * @return the innermost one, or the root itself
+	 */
+	static JCommander selected(JCommander root) {
+		JCommander selected = root;
+		while (selected.getParsedAlias() != null) {
+			selected = selected.findCommandByAlias(selected.getParsedAlias());
+		}
+		return selected;
+	}
+
+	/**
+	 * Returns the command of a node.
+	 * @param node a node
+	 * @return the command, or null if the node is the root or a group
+	 */
+	static Command command(JCommander node) {
+		return (node.getObjects().get(0) instanceof Command command) ? command : null;
+	}
+
+	static String usage(JCommander node) {
+		StringBuilder text = new StringBuilder();
+		Command command = command(node);
+		if (command != null) {
+			text.append(command.description()).append(".\n");
+		}
+		if (!node.getCommands().isEmpty()) {
+			text.append("Usage: ").append(node.getProgramName()).append(" COMMAND [options]\n\nCommands:\n");
+			appendCommands(node, "", text);
+			text.append("\nOptions of each command: ").append(node.getProgramName()).append(" COMMAND --help\n");
+			return text.toString();
+		}
+		node.getUsageFormatter().usage(text);
+		return text.toString();
+	}
+
+	private static void appendCommands(JCommander node, String prefix, StringBuilder text) {
+		for (Map.Entry<String, JCommander> entry : node.getCommands().entrySet()) {
+			Command command = command(entry.getValue());
+			if (command == null) {
+				appendCommands(entry.getValue(), prefix + entry.getKey() + " ", text);
+			}
+			else {
+				text.append(String.format("  %-18s %s%n", prefix + entry.getKey(), command.description()));
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/GlobalOptions.java
@@ -0,0 +1,61 @@
+package org.wigeontally.tool;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+import com.beust.jcommander.Parameter;
+
+/**
+ * Options that every command takes, before or after its name.
+ */
+final class GlobalOptions {
+
+	private static final int DEFAULT_TIMEOUT_S = 30;
+
+	@Parameter(names = "--settings", description = "Settings file; by default the one named in WIGEONTALLY_SETTINGS")
+	private String settings = System.getenv("WIGEONTALLY_SETTINGS");
+
+	@Parameter(names = "--output", description = "Form of the output: table or json")
+	private OutputForm output = OutputForm.TABLE;
+
+	@Parameter(names = "--timeout", description = "Longest time for the command, in seconds")
+	private int timeoutS = DEFAULT_TIMEOUT_S;
+
+	@Parameter(names = { "--help", "-h" }, help = true, description = "Print the options")
+	private boolean help;
+
+	Path settings() throws UsageException {
+		if (this.settings == null || this.settings.isBlank()) {
+			throw new UsageException("no settings file: give --settings FILE or set WIGEONTALLY_SETTINGS");
+		}
+		return Path.of(this.settings);
+	}
+
+	boolean json() {
+		return this.output == OutputForm.JSON;
+	}
+
+	long timeoutMs() throws UsageException {
+		if (this.timeoutS < 1) {
+			throw new UsageException("--timeout must be at least 1 second");
+		}
+		return TimeUnit.SECONDS.toMillis(this.timeoutS);
+	}
+
+	boolean help() {
+		return this.help;
+	}
+
+	/**
+	 * Form of the output.
+	 */
+	enum OutputForm {
+
+		/** For people. */
+		TABLE,
+		/** For programs. */
+		JSON
+
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/KeyNewCommand.java
@@ -0,0 +1,63 @@
+package org.wigeontally.tool;
+
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+import com.beust.jcommander.Parameter;
+
+/**
+ * Makes an operator's key pair. It is printed and kept nowhere.
+ */
+final class KeyNewCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "NAME", required = true)
+	private String operator;
+
+	KeyNewCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "key new";
+	}
+
+	@Override
+	public String description() {
+		return "Make a key pair for an operator or owner";
+	}
+
+	@Override
+	public int run() {
+		KeyPair pair = generate();
+		String publicKey = HexFormat.of().formatHex(pair.getPublic().getEncoded());
+		String privateKey = HexFormat.of().formatHex(pair.getPrivate().getEncoded());
+		if (this.console.options().json()) {
+			this.console.out()
+				.printf("{\"operator\":\"%s\",\"public_key\":\"%s\",\"private_key\":\"%s\"}%n", this.operator,
+						publicKey, privateKey);
+			return ExitCode.DONE;
+		}
+		this.console.out().println("# Keep secret, in the operator's own settings:");
+		this.console.out().println("operator: " + this.operator);
+		this.console.out().println("private_key: " + privateKey);
+		this.console.out().println("# For operator_keys in the settings of every entry:");
+		this.console.out().println("# - name: " + this.operator);
+		this.console.out().println("#   public_key: " + publicKey);
+		return ExitCode.DONE;
+	}
+
+	private static KeyPair generate() {
+		try {
+			return KeyPairGenerator.getInstance("Ed25519").generateKeyPair();
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("the Java runtime lacks Ed25519", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/Proposals.java
@@ -0,0 +1,28 @@
+package org.wigeontally.tool;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.errors.Findings;
+import org.wigeontally.errors.InputException;
+import org.wigeontally.schema.generated.BundleList;
+import org.wigeontally.schema.generated.ProposedBundle;
+
+/**
+ * Look-up of proposed bundles.
+ */
+final class Proposals {
+
+	private Proposals() {
+	}
+
+	static ProposedBundle find(BundleList bundles, String name) throws InputException {
+		for (ProposedBundle each : bundles.getProposedList()) {
+			if (each.getBundle().getName().equals(name)) {
+				return each;
+			}
+		}
+		Findings findings = Findings.create();
+		findings.add("see wigeontally bundle list", ErrorType.UNKNOWN_BUNDLE, name);
+		throw InputException.of(findings.list());
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsPage.java
@@ -0,0 +1,156 @@
+package org.wigeontally.tool;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.protobuf.DescriptorProtos.DescriptorProto;
+import com.google.protobuf.DescriptorProtos.EnumDescriptorProto;
+import com.google.protobuf.DescriptorProtos.FieldDescriptorProto;
+import com.google.protobuf.DescriptorProtos.FileDescriptorProto;
+import com.google.protobuf.DescriptorProtos.FileDescriptorSet;
+import com.google.protobuf.DescriptorProtos.SourceCodeInfo.Location;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageOrBuilder;
+
+import org.wigeontally.schema.generated.AgentSettings;
+import org.wigeontally.schema.generated.BackendSettings;
+import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.settings.SettingsDefaults;
+
+/**
+ * The page on settings: a table for each document that people write and for each message
+ * that it holds. Names, types and explanations come from the schema.
+ */
+final class SettingsPage {
+
+	private static final List<String> DOCUMENTS = List.of("EntrySettings", "AgentSettings", "OperatorSettings",
+			"Bundle");
+
+	private final Map<String, DescriptorProto> messages = new HashMap<>();
+
+	private final Map<String, EnumDescriptorProto> enums = new HashMap<>();
+
+	private final Map<String, String> comments = new HashMap<>();
+
+	private final Map<String, String> defaults = new HashMap<>();
+
+	private SettingsPage(FileDescriptorSet files) {
+		for (FileDescriptorProto file : files.getFileList()) {
+			Map<List<Integer>, String> byPath = new HashMap<>();
+			for (Location location : file.getSourceCodeInfo().getLocationList()) {
+				byPath.put(location.getPathList(), location.getLeadingComments().strip().replaceAll("\\s+", " "));
+			}
+			addMessages(file, byPath);
+			addEnums(file, byPath);
+		}
+		EntrySettings.Builder entry = EntrySettings.newBuilder();
+		SettingsDefaults.apply(entry);
+		addDefaults(entry);
+		AgentSettings.Builder agent = AgentSettings.newBuilder().addBackends(BackendSettings.getDefaultInstance());
+		SettingsDefaults.apply(agent);
+		addDefaults(agent);
+		addDefaults(agent.getBackends(0));
+	}
+
+	private void addDefaults(MessageOrBuilder settings) {
+		String message = settings.getDescriptorForType().getName();
+		settings.getAllFields().forEach((field, value) -> {
+			if (!field.isRepeated()) {
+				this.defaults.put(message + "." + field.getName(), "`" + value + "`");
+			}
+		});
+	}
+
+	static SettingsPage of(byte[] descriptorSet) throws InvalidProtocolBufferException {
+		return new SettingsPage(FileDescriptorSet.parseFrom(descriptorSet));
+	}
+
+	private void addMessages(FileDescriptorProto file, Map<List<Integer>, String> byPath) {
+		for (int i = 0; i < file.getMessageTypeCount(); i++) {
+			DescriptorProto message = file.getMessageType(i);
+			this.messages.put(message.getName(), message);
+			this.comments.put(message.getName(),
+					byPath.getOrDefault(List.of(FileDescriptorProto.MESSAGE_TYPE_FIELD_NUMBER, i), ""));
+			for (int j = 0; j < message.getFieldCount(); j++) {
+				List<Integer> path = List.of(FileDescriptorProto.MESSAGE_TYPE_FIELD_NUMBER, i,
+						DescriptorProto.FIELD_FIELD_NUMBER, j);
+				this.comments.put(message.getName() + "." + message.getField(j).getName(),
+						byPath.getOrDefault(path, ""));
+			}
+		}
+	}
+
+	private void addEnums(FileDescriptorProto file, Map<List<Integer>, String> byPath) {
+		for (int i = 0; i < file.getEnumTypeCount(); i++) {
+			EnumDescriptorProto type = file.getEnumType(i);
+			this.enums.put(type.getName(), type);
+			for (int j = 0; j < type.getValueCount(); j++) {
+				List<Integer> path = List.of(FileDescriptorProto.ENUM_TYPE_FIELD_NUMBER, i,
+						EnumDescriptorProto.VALUE_FIELD_NUMBER, j);
+				this.comments.put(type.getName() + "." + type.getValue(j).getName(), byPath.getOrDefault(path, ""));
+			}
+		}
+	}
+
+	String format() {
+		StringBuilder page = new StringBuilder("# Settings\n\n"
+				+ "Made from the schema by `bin/settings-page`. Files are YAML; unknown keys are errors. "
+				+ "Check a file with `bin/wigeontally check --kind entry|agent|operator|bundle FILE`.\n");
+		Set<String> written = new LinkedHashSet<>();
+		Deque<String> waiting = new ArrayDeque<>(DOCUMENTS);
+		while (!waiting.isEmpty()) {
+			String name = waiting.poll();
+			if (written.add(name)) {
+				appendType(name, page, waiting);
+			}
+		}
+		return page.toString();
+	}
+
+	private void appendType(String name, StringBuilder page, Deque<String> waiting) {
+		page.append("\n## ").append(name).append("\n\n");
+		if (this.enums.containsKey(name)) {
+			page.append("| value | meaning |\n| --- | --- |\n");
+			for (int i = 1; i < this.enums.get(name).getValueCount(); i++) {
+				String value = this.enums.get(name).getValue(i).getName();
+				row(page, "`" + value.toLowerCase() + "`", this.comments.get(name + "." + value));
+			}
+			return;
+		}
+		String comment = this.comments.get(name);
+		page.append(comment.isEmpty() ? "" : comment + "\n\n")
+			.append("| key | type | default | meaning |\n| --- | --- | --- | --- |\n");
+		for (FieldDescriptorProto field : this.messages.get(name).getFieldList()) {
+			String path = name + "." + field.getName();
+			row(page, "`" + field.getName() + "`", type(field), this.defaults.getOrDefault(path, ""),
+					this.comments.get(path));
+			if (field.hasTypeName() && !simpleName(field).equals("Address")) {
+				waiting.add(simpleName(field));
+			}
+		}
+	}
+
+	private static void row(StringBuilder page, String... cells) {
+		page.append("| ").append(String.join(" | ", cells)).append(" |\n");
+	}
+
+	private static String type(FieldDescriptorProto field) {
+		String type = switch (field.getType()) {
+			case TYPE_STRING -> "text";
+			case TYPE_BOOL -> "true or false";
+			case TYPE_MESSAGE, TYPE_ENUM -> simpleName(field).equals("Address") ? "IP:PORT" : simpleName(field);
+			default -> "whole number";
+		};
+		return (field.getLabel() == FieldDescriptorProto.Label.LABEL_REPEATED) ? "list of " + type : type;
+	}
+
+	private static String simpleName(FieldDescriptorProto field) {
+		return field.getTypeName().substring(field.getTypeName().lastIndexOf('.') + 1);
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsPageCommand.java
@@ -0,0 +1,47 @@
+package org.wigeontally.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.errors.WigeontallyException;
+
+/**
+ * Prints the page on settings from the schema, with the schema's own comments.
+ */
+final class SettingsPageCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(names = "--descriptors", description = "Descriptor set with source information, from bin/generate",
+			required = true)
+	private String descriptors;
+
+	SettingsPageCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "settings-page";
+	}
+
+	@Override
+	public String description() {
+		return "Print the page on settings from the schema";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		try {
+			this.console.out().print(SettingsPage.of(Files.readAllBytes(Path.of(this.descriptors))).format());
+			return ExitCode.DONE;
+		}
+		catch (IOException ex) {
+			throw new UsageException("cannot read descriptors: " + ex.getMessage() + "; run bin/generate first");
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/StatusCommand.java
@@ -0,0 +1,38 @@
+package org.wigeontally.tool;
+
+import org.wigeontally.errors.WigeontallyException;
+import org.wigeontally.schema.generated.StatusReport;
+
+/**
+ * Shows the deployment at one look.
+ */
+final class StatusCommand implements Command {
+
+	private final Console console;
+
+	StatusCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "status";
+	}
+
+	@Override
+	public String description() {
+		return "Show zones, versions, hosts, what is in force where, and alarms";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		try (OperatorSession session = OperatorSession.open(this.console, false)) {
+			StatusReport report = session.client().status();
+			if (!this.console.printedAsJson(report)) {
+				this.console.out().print(StatusTables.all(report));
+			}
+			return ExitCode.DONE;
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/Table.java
@@ -0,0 +1,56 @@
+package org.wigeontally.tool;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Text in aligned columns.
+ */
+final class Table {
+
+	private static final String GAP = "  ";
+
+	private final List<List<String>> rows = new ArrayList<>();
+
+	private Table(List<String> titles) {
+		this.rows.add(titles);
+	}
+
+	static Table of(String... titles) {
+		return new Table(List.of(titles));
+	}
+
+	Table row(Object... cells) {
+		List<String> row = new ArrayList<>();
+		for (Object cell : cells) {
+			String text = String.valueOf(cell);
+			row.add(text.isEmpty() ? "-" : text);
+		}
+		this.rows.add(row);
+		return this;
+	}
+
+	String format() {
+		int[] widths = widths();
+		StringBuilder text = new StringBuilder();
+		for (List<String> row : this.rows) {
+			StringBuilder line = new StringBuilder();
+			for (int i = 0; i < row.size(); i++) {
+				line.append(row.get(i)).append(" ".repeat(widths[i] - row.get(i).length())).append(GAP);
+			}
+			text.append(line.toString().stripTrailing()).append('\n');
+		}
+		return text.toString();
+	}
+
+	private int[] widths() {
+		int[] widths = new int[this.rows.get(0).size()];
+		for (List<String> row : this.rows) {
+			for (int i = 0; i < row.size(); i++) {
+				widths[i] = Math.max(widths[i], row.get(i).length());
+			}
+		}
+		return widths;
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/Wigeontally.java
@@ -0,0 +1,129 @@
+package org.wigeontally.tool;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.util.Properties;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.errors.InputException;
+import org.wigeontally.errors.WigeontallyException;
+
+/**
+ * The command line's main class: reads the options, runs the command that they name and
+ * turns its outcome into an exit code.
+ */
+public final class Wigeontally {
+
+	private static final String PROGRAM = "wigeontally";
+
+	private final Console console;
+
+	private final MainOptions mainOptions = new MainOptions();
+
+	private final JCommander commander;
+
+	private Wigeontally(PrintStream out, PrintStream err) {
+		GlobalOptions options = new GlobalOptions();
+		this.console = new Console(out, err, options);
+		this.commander = CommandTree.build(PROGRAM, this.mainOptions, options, Commands.all(this.console));
+	}
+
+	/**
+	 * Runs a command and ends the process with its exit code.
+	 * @param args name of the command and its options
+	 */
+	public static void main(String[] args) {
+		System.exit(run(System.out, System.err, args));
+	}
+
+	/**
+	 * Runs a command.
+	 * @param out receives results
+	 * @param err receives errors and hints
+	 * @param args name of the command and its options
+	 * @return exit code: 0 done or accepted, 1 refused or failed, 2 bad input, 3 pending
+	 * or unknown at the timeout, 4 no entry host reached
+	 */
+	public static int run(PrintStream out, PrintStream err, String... args) {
+		return new Wigeontally(out, err).run(args);
+	}
+
+	private int run(String[] args) {
+		try {
+			this.commander.parse(args);
+		}
+		catch (ParameterException ex) {
+			return usageError(ex.getMessage());
+		}
+		if (this.mainOptions.version) {
+			this.console.out().println(PROGRAM + " " + version());
+			return ExitCode.DONE;
+		}
+		JCommander selected = CommandTree.selected(this.commander);
+		if (this.console.options().help()) {
+			this.console.out().print(CommandTree.usage(selected));
+			return ExitCode.DONE;
+		}
+		Command command = CommandTree.command(selected);
+		if (command == null) {
+			this.console.err().print(CommandTree.usage(selected));
+			return ExitCode.BAD_INPUT;
+		}
+		return run(command);
+	}
+
+	private int run(Command command) {
+		try {
+			return command.run();
+		}
+		catch (UsageException ex) {
+			return usageError(ex.getMessage());
+		}
+		catch (InputException ex) {
+			this.console.err().println(ex.getMessage());
+			return ExitCode.BAD_INPUT;
+		}
+		catch (EntryException ex) {
+			this.console.err().println(PROGRAM + ": " + ex.getMessage());
+			return (ex.type() == ErrorType.NO_ENTRY_REACHED) ? ExitCode.NO_ENTRY : ExitCode.REFUSED;
+		}
+		catch (WigeontallyException ex) {
+			this.console.err().println(PROGRAM + ": " + ex.getMessage());
+			return ExitCode.REFUSED;
+		}
+	}
+
+	private int usageError(String message) {
+		this.console.err().println(PROGRAM + ": " + message);
+		this.console.err().println("See " + PROGRAM + " --help.");
+		return ExitCode.BAD_INPUT;
+	}
+
+	private static String version() {
+		Properties properties = new Properties();
+		try (InputStream stream = Wigeontally.class.getResourceAsStream("version.properties")) {
+			properties.load(stream);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return properties.getProperty("version");
+	}
+
+	/**
+	 * Options of the program itself.
+	 */
+	static final class MainOptions {
+
+		@Parameter(names = "--version", description = "Print the version")
+		private boolean version;
+
+	}
+
+}
