--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/spread/ByteFetcher.java
@@ -0,0 +1,156 @@
+package org.wigeontally.spread;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.weights.Fetch;
+
+/**
+ * Fetches bytes of known size over HTTP and leaves a link that stalls: one on which less
+ * than a small part of the bytes came in the last while. An answer of another size than
+ * expected fails.
+ */
+public final class ByteFetcher implements AutoCloseable {
+
+	/** Header with the name of the host that asks. */
+	public static final String HOST_HEADER = "wigeontally-host";
+
+	/** Header with the region of the host that asks. */
+	public static final String REGION_HEADER = "wigeontally-region";
+
+	private static final int CONNECT_TIMEOUT_MS = 1000;
+
+	private static final int STALL_MS = 900;
+
+	private static final int LEAST_PART_PER_CHECK = 32;
+
+	private static final int MAX_CONNECTIONS_PER_HOST = 32;
+
+	private static final int MOST_UNSIZED_BYTES = 64 << 20;
+
+	private final Vertx vertx;
+
+	private final HttpClient client;
+
+	private final HostIdentity self;
+
+	private ByteFetcher(Vertx vertx, HttpClient client, HostIdentity self) {
+		this.vertx = vertx;
+		this.client = client;
+		this.self = self;
+	}
+
+	/**
+	 * Creates a fetcher.
+	 * @param vertx the Vert.x instance
+	 * @param self identity of this host, told to the other side
+	 * @return the fetcher
+	 */
+	public static ByteFetcher create(Vertx vertx, HostIdentity self) {
+		HttpClient client = vertx.httpClientBuilder()
+			.with(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS))
+			.with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_HOST))
+			.build();
+		return new ByteFetcher(vertx, client, self);
+	}
+
+	/**
+	 * Opens a GET request.
+	 * @param address where to
+	 * @param uri path
+	 * @return the request, not yet sent
+	 */
+	Future<HttpClientRequest> open(Address address, String uri) {
+		return this.client.request(new RequestOptions().setMethod(HttpMethod.GET)
+			.setHost(address.getIp())
+			.setPort(address.getPort())
+			.setURI(uri)
+			.putHeader(HOST_HEADER, this.self.getHost())
+			.putHeader(REGION_HEADER, this.self.getRegion()));
+	}
+
+	/**
+	 * Fetches bytes.
+	 * @param address where from
+	 * @param uri path
+	 * @param size number of bytes expected; 0 if unknown
+	 * @return the bytes
+	 */
+	public Future<byte[]> fetch(Address address, String uri, int size) {
+		Promise<byte[]> result = Promise.promise();
+		open(address, uri).onFailure((cause) -> unreachable(result, cause))
+			.onSuccess((request) -> receive(request, size, result));
+		return result.future();
+	}
+
+	private void receive(HttpClientRequest request, int size, Promise<byte[]> result) {
+		AtomicInteger received = new AtomicInteger();
+		AtomicInteger checked = new AtomicInteger(-1);
+		long timer = this.vertx.setPeriodic(STALL_MS, (id) -> {
+			if (received.get() - checked.get() <= size / LEAST_PART_PER_CHECK && checked.get() >= 0) {
+				result.tryFail(FetchFailedException.of(Fetch.Failure.STALLED, "stalled"));
+				request.reset();
+			}
+			checked.set(received.get());
+		});
+		result.future().onComplete((done) -> this.vertx.cancelTimer(timer));
+		request.exceptionHandler((cause) -> unreachable(result, cause));
+		request.send()
+			.onFailure((cause) -> unreachable(result, cause))
+			.onSuccess((response) -> collect(response, size, received, result));
+	}
+
+	private void collect(HttpClientResponse response, int size, AtomicInteger received, Promise<byte[]> result) {
+		if (response.statusCode() != 200) {
+			result.tryFail(FetchFailedException.of(failure(response.statusCode()), "status " + response.statusCode()));
+			return;
+		}
+		Buffer body = Buffer.buffer((size > 0) ? size : STALL_MS);
+		int most = (size > 0) ? size : MOST_UNSIZED_BYTES;
+		response.handler((piece) -> {
+			received.addAndGet(piece.length());
+			if (received.get() <= most) {
+				body.appendBuffer(piece);
+			}
+		});
+		response.exceptionHandler((cause) -> unreachable(result, cause));
+		response.endHandler((end) -> {
+			if (received.get() > most || size > 0 && received.get() != size) {
+				unreachable(result, new IllegalStateException("answer of " + received.get() + " bytes"));
+				return;
+			}
+			result.tryComplete(body.getBytes());
+		});
+	}
+
+	private static Fetch.Failure failure(int status) {
+		return switch (status) {
+			case 404 -> Fetch.Failure.MISSING;
+			case 429, 503 -> Fetch.Failure.BUSY;
+			default -> Fetch.Failure.UNREACHABLE;
+		};
+	}
+
+	private static void unreachable(Promise<byte[]> result, Throwable cause) {
+		result.tryFail(FetchFailedException.of(Fetch.Failure.UNREACHABLE, String.valueOf(cause.getMessage())));
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/spread/HttpOriginClient.java
@@ -0,0 +1,53 @@
+package org.wigeontally.spread;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Future;
+
+import org.wigeontally.schema.generated.Address;
+
+/**
+ * Origin and store over HTTP: {@code GET /manifests/DIGEST} and
+ * {@code GET /chunks/DIGEST}. A failure moves the next call to the other one.
+ */
+public final class HttpOriginClient implements OriginClient {
+
+	private final ByteFetcher fetcher;
+
+	private final List<Address> addresses;
+
+	private final AtomicInteger current = new AtomicInteger();
+
+	private HttpOriginClient(ByteFetcher fetcher, List<Address> addresses) {
+		this.fetcher = fetcher;
+		this.addresses = addresses;
+	}
+
+	/**
+	 * Creates a client.
+	 * @param fetcher carries the requests; closed by its owner
+	 * @param addresses origin first, then the store
+	 * @return the client
+	 */
+	public static HttpOriginClient create(ByteFetcher fetcher, List<Address> addresses) {
+		return new HttpOriginClient(fetcher, List.copyOf(addresses));
+	}
+
+	@Override
+	public Future<byte[]> manifest(String digest) {
+		return fetch("/manifests/" + digest, 0);
+	}
+
+	@Override
+	public Future<byte[]> chunk(String digest, int size) {
+		return fetch("/chunks/" + digest, size);
+	}
+
+	private Future<byte[]> fetch(String uri, int size) {
+		int index = this.current.get();
+		return this.fetcher.fetch(this.addresses.get(index), uri, size)
+			.onFailure((cause) -> this.current.compareAndSet(index, (index + 1) % this.addresses.size()));
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/spread/NodeParts.java
@@ -0,0 +1,27 @@
+package org.wigeontally.spread;
+
+import java.util.Random;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+
+import org.wigeontally.misc.Clock;
+import org.wigeontally.weights.ChunkStore;
+import org.wigeontally.weights.HostPlace;
+
+/**
+ * What the parts of a weight node share.
+ */
+record NodeParts(Vertx vertx, Context control, WeightSettings settings, ChunkStore store, ByteFetcher fetcher,
+		OriginClient origin, Clock clock, Random random, FetchCounters counters) {
+
+	NodeParts(Vertx vertx, Context control, WeightSettings settings, ChunkStore store, ByteFetcher fetcher,
+			OriginClient origin, Clock clock, Random random) {
+		this(vertx, control, settings, store, fetcher, origin, clock, random, new FetchCounters());
+	}
+
+	HostPlace place() {
+		return HostPlace.of(this.settings.self());
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -0,0 +1,99 @@
+package org.wigeontally.weights;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * Says which host of a region fetches which chunks from outside the region. The chunks of
+ * a version are dealt to a fixed number of lanes; each (manifest, lane, region) ranks the
+ * live hosts of the region by rendezvous hashing. Rank 0 fetches the lane, the others
+ * take over in order when it stalls. A lane has one fetch at a time, so the number of
+ * streams on the origin's link and on a region border does not grow with the number of
+ * hosts. Hosts with the same view agree without a message; with different views a chunk
+ * is fetched twice at worst, which costs bandwidth and never correctness. Immutable.
+ */
+public final class FetchDuty {
+
+	/** Number of lanes of a version. */
+	public static final int LANES = 4;
+
+	private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+	private final Map<String, List<List<String>>> ranks = new HashMap<>();
+
+	private final String originRegion;
+
+	private FetchDuty(String originRegion) {
+		this.originRegion = originRegion;
+	}
+
+	/**
+	 * Ranks the hosts.
+	 * @param manifest digest of the manifest
+	 * @param hosts live hosts, the own one among them
+	 * @param originRegion region of the origin
+	 * @return the duties
+	 */
+	public static FetchDuty of(String manifest, Iterable<HostPlace> hosts, String originRegion) {
+		Map<String, List<String>> byRegion = new java.util.TreeMap<>();
+		for (HostPlace place : hosts) {
+			byRegion.computeIfAbsent(place.region(), (region) -> new ArrayList<>()).add(place.host());
+		}
+		String first = byRegion.containsKey(originRegion) ? originRegion : byRegion.keySet().iterator().next();
+		FetchDuty duty = new FetchDuty(first);
+		byRegion.forEach((region, names) -> {
+			List<List<String>> lanes = new ArrayList<>();
+			for (int lane = 0; lane < LANES; lane++) {
+				lanes.add(ranked(manifest + "/" + region + "/" + lane + "/", names));
+			}
+			duty.ranks.put(region, lanes);
+		});
+		return duty;
+	}
+
+	private static List<String> ranked(String prefix, List<String> names) {
+		Map<String, Long> scores = new HashMap<>();
+		for (String name : names) {
+			scores.put(name, HASHER.hashCharsToLong(prefix + name));
+		}
+		List<String> ranked = new ArrayList<>(names);
+		ranked.sort(Comparator.<String, Long>comparing(scores::get).thenComparing(Comparator.naturalOrder()));
+		return ranked;
+	}
+
+	/**
+	 * Returns the lane of a chunk.
+	 * @param chunk index of the chunk
+	 * @return number of the lane
+	 */
+	public static int lane(int chunk) {
+		return chunk % LANES;
+	}
+
+	/**
+	 * Returns the region whose hosts fetch from the origin: the origin's own, or the
+	 * first one if no host is live there.
+	 * @return name of the region
+	 */
+	public String originRegion() {
+		return this.originRegion;
+	}
+
+	/**
+	 * Returns the hosts of a region in the order in which they take a lane.
+	 * @param region the region
+	 * @param lane the lane
+	 * @return names of hosts; empty if no host is live there
+	 */
+	public List<String> order(String region, int lane) {
+		List<List<String>> lanes = this.ranks.get(region);
+		return (lanes != null) ? lanes.get(lane) : List.of();
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/weights/HostPlace.java
@@ -0,0 +1,23 @@
+package org.wigeontally.weights;
+
+import org.wigeontally.schema.generated.HostIdentity;
+
+/**
+ * Where a backend server host stands.
+ *
+ * @param host name of the host
+ * @param region its region
+ * @param zone its availability zone
+ */
+public record HostPlace(String host, String region, String zone) {
+
+	/**
+	 * Takes the place out of an identity.
+	 * @param identity identity of a host
+	 * @return its place
+	 */
+	public static HostPlace of(HostIdentity identity) {
+		return new HostPlace(identity.getHost(), identity.getRegion(), identity.getZone());
+	}
+
+}
