--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/control/Submissions.java
@@ -0,0 +1,169 @@
+package org.wigeontally.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+
+import org.wigeontally.configuration.Configuration;
+import org.wigeontally.confirmation.Confirmation;
+import org.wigeontally.control.ChangeOutcome.Status;
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.errors.Findings;
+import org.wigeontally.log.PlatformLog;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.replication.ConfigurationReplica;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.Finding;
+import org.wigeontally.schema.generated.LogRecord;
+import org.wigeontally.schema.generated.Verdict;
+
+/**
+ * Takes an operator's change to its outcome. The log is read to its head first, so that a
+ * change that was sent before under the same id is found and one that cannot be accepted
+ * is refused without an append. An append whose reply was lost is settled by reading on;
+ * until the id turns up the outcome is unknown, never accepted or refused. Runs on the
+ * control context.
+ */
+final class Submissions {
+
+	private static final long SYNC_MS = 1500;
+
+	private static final long VERDICT_MS = 2000;
+
+	private static final long MAJORITY_MS = 2500;
+
+	private static final long CHECK_MS = 20;
+
+	private final Vertx vertx;
+
+	private final PlatformLog platformLog;
+
+	private final LogFollower follower;
+
+	private final ConfigurationReplica replica;
+
+	private final Confirmation confirmation;
+
+	private final Clock clock;
+
+	private final Runnable exchangeNow;
+
+	private final Supplier<Map<String, Long>> inForce;
+
+	private final Supplier<Long> minimum;
+
+	Submissions(Vertx vertx, PlatformLog platformLog, LogFollower follower, ConfigurationReplica replica,
+			Confirmation confirmation, Clock clock, Runnable exchangeNow, Supplier<Map<String, Long>> inForce,
+			Supplier<Long> minimum) {
+		this.vertx = vertx;
+		this.platformLog = platformLog;
+		this.follower = follower;
+		this.replica = replica;
+		this.confirmation = confirmation;
+		this.clock = clock;
+		this.exchangeNow = exchangeNow;
+		this.inForce = inForce;
+		this.minimum = minimum;
+	}
+
+	Future<ChangeOutcome> submit(Change change) {
+		if (change.getId().isEmpty()) {
+			Findings findings = Findings.create();
+			findings.add("id", ErrorType.MISSING_VALUE, "id");
+			return Future.succeededFuture(outcome(Status.REFUSED, 0, findings.list()));
+		}
+		Promise<ChangeOutcome> outcome = Promise.promise();
+		this.follower.sync(SYNC_MS)
+			.onSuccess((read) -> judge(change).onComplete(outcome))
+			.onFailure((failure) -> outcome.complete(unknown(failure.getMessage())));
+		return outcome.future();
+	}
+
+	private Future<ChangeOutcome> judge(Change change) {
+		Configuration held = this.replica.configuration();
+		if (held.verdict(change.getId()).isPresent()) {
+			return settle(change.getId());
+		}
+		Findings findings = this.replica.judge().judge(held, change);
+		if (!findings.isEmpty()) {
+			return Future.succeededFuture(outcome(Status.REFUSED, 0, findings.list()));
+		}
+		LogRecord record = LogRecord.newBuilder().setId(change.getId()).setChange(change).build();
+		Context context = this.vertx.getOrCreateContext();
+		Promise<ChangeOutcome> outcome = Promise.promise();
+		this.platformLog.append(PlatformLog.CONFIGURATION, record)
+			.whenComplete((offset, failure) -> context.runOnContext((v) -> settle(change.getId()).onComplete(outcome)));
+		return outcome.future();
+	}
+
+	private Future<ChangeOutcome> settle(String id) {
+		Promise<ChangeOutcome> outcome = Promise.promise();
+		await(() -> this.replica.configuration().verdict(id).isPresent(), VERDICT_MS).compose((found) -> {
+			Optional<Verdict> verdict = this.replica.configuration().verdict(id);
+			if (verdict.isEmpty() || !verdict.get().getAccepted()) {
+				return Future.succeededFuture();
+			}
+			return await(() -> holdsMajority(verdict.get().getOffset()), MAJORITY_MS);
+		}).onComplete((done) -> outcome.complete(byId(id)));
+		return outcome.future();
+	}
+
+	private boolean holdsMajority(long revision) {
+		if (this.confirmation.majorityHolds(revision)) {
+			return true;
+		}
+		this.exchangeNow.run();
+		return false;
+	}
+
+	/**
+	 * Returns what is known of a change now.
+	 * @param id id of the change
+	 * @return the outcome
+	 */
+	ChangeOutcome byId(String id) {
+		Optional<Verdict> verdict = this.replica.configuration().verdict(id);
+		if (verdict.isEmpty()) {
+			return unknown("the change was not found in the log yet");
+		}
+		long offset = verdict.get().getOffset();
+		if (!verdict.get().getAccepted()) {
+			return outcome(Status.REFUSED, offset, verdict.get().getFindingsList());
+		}
+		boolean held = this.confirmation.majorityHolds(offset);
+		return outcome(held ? Status.ACCEPTED : Status.PENDING, offset, List.of());
+	}
+
+	private ChangeOutcome unknown(String why) {
+		Findings findings = Findings.create();
+		findings.add("", ErrorType.LOG_UNAVAILABLE, why);
+		return outcome(Status.UNKNOWN, 0, findings.list());
+	}
+
+	private ChangeOutcome outcome(Status status, long revision, List<Finding> findings) {
+		return new ChangeOutcome(status, revision, findings, this.inForce.get(), this.minimum.get());
+	}
+
+	private Future<Void> await(BooleanSupplier condition, long timeoutMs) {
+		Promise<Void> done = Promise.promise();
+		long deadlineMs = this.clock.monotonicMs() + timeoutMs;
+		check(condition, deadlineMs, done);
+		return done.future();
+	}
+
+	private void check(BooleanSupplier condition, long deadlineMs, Promise<Void> done) {
+		if (condition.getAsBoolean() || this.clock.monotonicMs() >= deadlineMs) {
+			done.complete();
+			return;
+		}
+		this.vertx.setTimer(CHECK_MS, (id) -> check(condition, deadlineMs, done));
+	}
+
+}
--- a/library/src/main/java/org/wigeontally/configuration/Configuration.java
+++ b/library/src/main/java/org/wigeontally/configuration/Configuration.java
@@ -100,6 +100,14 @@
 		return this.snapshot.getRolledAt();
 	}
 
+	/**
+	 * Returns the revision of the last roll that changed the confirming hosts.
+	 * @return the revision; 0 for none
+	 */
+	public long listRolledAt() {
+		return this.snapshot.getListRolledAt();
+	}
+
 	/**
 	 * Looks up a service.
 	 * @param name name of the service
@@ -195,8 +203,8 @@
 	}
 
 	/**
-	 * Returns the confirming hosts before the last roll, if that roll changed them.
-	 * @return names of hosts
+	 * Returns the confirming hosts before the last roll that changed them.
+	 * @return names of hosts; empty if that roll is settled
 	 */
 	public List<String> previousConfirmingHosts() {
 		return this.snapshot.getPreviousConfirmingHostsList();
--- a/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
+++ b/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
@@ -63,6 +63,9 @@
 			return new Folded(before, Optional.empty());
 		}
 		ConfigurationSnapshot.Builder after = before.snapshot().toBuilder().setApplied(record.getOffset());
+		if (record.getRecord().getSettledList() > 0) {
+			SnapshotEdits.settle(after, record.getRecord().getSettledList());
+		}
 		Change change = record.getRecord().getChange();
 		if (!record.getRecord().hasChange() || before.verdict(change.getId()).isPresent()) {
 			return new Folded(Configuration.of(after.build()), Optional.empty());
@@ -146,6 +149,10 @@
 			findings.add("roll.bundle", ErrorType.NOT_SIGNED_OFF, roll.getBundle());
 		}
 		BundleCheck.checkBuildsOn(proposed.get().getBundle(), before.bundle(), findings);
+		if (!before.previousConfirmingHosts().isEmpty()
+				&& !before.confirmingHosts().equals(proposed.get().getBundle().getConfirmingHostsList())) {
+			findings.add("confirming_hosts", ErrorType.LIST_UNSETTLED);
+		}
 	}
 
 	private static void judgeRevision(Change change, String subject, long newest, Findings findings) {
--- a/library/src/main/java/org/wigeontally/configuration/SnapshotEdits.java
+++ b/library/src/main/java/org/wigeontally/configuration/SnapshotEdits.java
@@ -39,9 +39,9 @@
 
 	static void roll(ConfigurationSnapshot.Builder after, ProposedBundle proposed, long offset) {
 		List<String> previous = after.getInForce().getConfirmingHostsList();
-		after.clearPreviousConfirmingHosts();
-		if (!previous.equals(proposed.getBundle().getConfirmingHostsList())) {
-			after.addAllPreviousConfirmingHosts(previous);
+		if (after.hasInForce() && !previous.equals(proposed.getBundle().getConfirmingHostsList())) {
+			after.clearPreviousConfirmingHosts().addAllPreviousConfirmingHosts(previous);
+			after.setListRolledAt(offset);
 		}
 		// Every proposal builds on the bundle that was in force, so none can be rolled
 		// now.
@@ -50,6 +50,12 @@
 		after.setRolledAt(offset);
 	}
 
+	static void settle(ConfigurationSnapshot.Builder after, long listRolledAt) {
+		if (listRolledAt == after.getListRolledAt()) {
+			after.clearPreviousConfirmingHosts();
+		}
+	}
+
 	static void zone(ConfigurationSnapshot.Builder after, SetZone change, long offset) {
 		ZoneState state = ZoneState.newBuilder()
 			.setZone(change.getZone())
--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -49,6 +49,8 @@
 	UNKNOWN_OPERATOR(110, Severity.ERROR, "operator \"%s\" is not known"),
 	/** The change has no subject that this version knows. */
 	UNKNOWN_SUBJECT(111, Severity.ERROR, "the change has no known subject"),
+	/** The confirming hosts change again before the last change of them is settled. */
+	LIST_UNSETTLED(112, Severity.ERROR, "the last change of the confirming hosts is not settled yet"),
 
 	/** The caller's credential is missing or wrong. */
 	BAD_CREDENTIAL(200, Severity.ERROR, "credential is missing or wrong"),
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/membership/HostTable.java
@@ -0,0 +1,249 @@
+package org.wigeontally.membership;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+
+/**
+ * The table of hosts as one process sees it.
+ *
+ * <p>
+ * Heartbeats do not travel through the table, since at many hosts they would be all its
+ * traffic. A host is heard directly by the few processes that it exchanges with; these
+ * <em>vouch</em> for it towards the others, and a row travels only when it changed: when
+ * the host raised the sequence of its own state, or when the reporter began or ceased to
+ * hear it. A host is live if it was heard here within {@value #SUSPECT_AFTER_MS} ms, or
+ * if a reporter that vouches for it was itself heard within {@value #VOUCH_MS} ms. A host
+ * that nobody vouches for is suspected and dropped after {@value #DEAD_AFTER_MS} ms.
+ *
+ * <p>
+ * Of two states of a host the one of the later incarnation (offset of the join) wins, and
+ * within a process the one with the higher sequence, so late and repeated messages do no
+ * harm. Belongs to the control thread; the lists that it hands out are immutable.
+ */
+public final class HostTable {
+
+	/** Silence after which a host is suspected, in milliseconds. */
+	public static final long SUSPECT_AFTER_MS = 1500;
+
+	/** Silence of a reporter after which it no longer vouches, in milliseconds. */
+	public static final long VOUCH_MS = 3000;
+
+	/** Silence after which a host is dropped, in milliseconds. */
+	public static final long DEAD_AFTER_MS = 30_000;
+
+	private final Clock clock;
+
+	private final String self;
+
+	private final Map<String, HostRow> rows = new TreeMap<>();
+
+	private long version = 1;
+
+	private HostTable(Clock clock, String self) {
+		this.clock = clock;
+		this.self = self;
+	}
+
+	/**
+	 * Creates a table with one row.
+	 * @param clock the clock of this process
+	 * @param self state of this host
+	 * @return the table
+	 */
+	public static HostTable create(Clock clock, HostState self) {
+		HostTable table = new HostTable(clock, self.getHost().getHost());
+		table.update(self);
+		return table;
+	}
+
+	/**
+	 * Replaces the state of this host.
+	 * @param state the state, with a raised sequence
+	 */
+	public void update(HostState state) {
+		HostRow row = row(state);
+		row.replace(state, ++this.version);
+		row.heardAtMs = this.clock.monotonicMs();
+		judge(row);
+	}
+
+	/**
+	 * Takes note of a message that came from a host itself.
+	 * @param host name of the host
+	 * @param process id of the process
+	 * @return true if the process is known; if not, its state is needed
+	 */
+	public boolean heard(String host, String process) {
+		HostRow row = this.rows.get(host);
+		if (row == null || !row.state.getHost().getProcess().equals(process)) {
+			return false;
+		}
+		row.heardAtMs = this.clock.monotonicMs();
+		judge(row);
+		return true;
+	}
+
+	/**
+	 * Takes note of a state that came from the host itself.
+	 * @param state the state
+	 */
+	public void heard(HostState state) {
+		HostIdentity host = state.getHost();
+		if (host.getHost().equals(this.self)) {
+			return;
+		}
+		HostRow row = row(state);
+		if (row.supersededBy(state)) {
+			row.replace(state, ++this.version);
+		}
+		heard(host.getHost(), host.getProcess());
+	}
+
+	/**
+	 * Takes note of rows that another process reported.
+	 * @param reporter name of the reporting host
+	 * @param complete true if these are all its rows, not a delta
+	 * @param reported the rows
+	 */
+	public void reported(String reporter, boolean complete, List<HostState> reported) {
+		if (complete) {
+			this.rows.values().forEach((row) -> row.withdraw(reporter, this.clock.monotonicMs()));
+		}
+		for (HostState state : reported) {
+			String host = state.getHost().getHost();
+			if (host.equals(this.self) || host.equals(reporter)) {
+				continue;
+			}
+			HostRow row = row(state);
+			if (row.supersededBy(state)) {
+				row.replace(state, ++this.version);
+			}
+			if (state.getLiveness() == Liveness.SUSPECTED) {
+				row.withdraw(reporter, this.clock.monotonicMs());
+			}
+			else if (row.state.getHost().getProcess().equals(state.getHost().getProcess())) {
+				row.vouchers.add(reporter);
+			}
+			judge(row);
+		}
+	}
+
+	private HostRow row(HostState state) {
+		return this.rows.computeIfAbsent(state.getHost().getHost(),
+				(name) -> new HostRow(state, ++this.version, this.clock.monotonicMs()));
+	}
+
+	/**
+	 * Judges all rows by the time that has passed. To be called a few times a second.
+	 */
+	public void tick() {
+		long now = this.clock.monotonicMs();
+		Iterator<HostRow> each = this.rows.values().iterator();
+		while (each.hasNext()) {
+			HostRow row = each.next();
+			if (!isSelf(row) && now - lastWordMs(row) > DEAD_AFTER_MS) {
+				each.remove();
+				continue;
+			}
+			judge(row);
+		}
+	}
+
+	private void judge(HostRow row) {
+		boolean direct = isSelf(row) || row.heardWithin(this.clock.monotonicMs(), SUSPECT_AFTER_MS);
+		if (direct != row.direct) {
+			row.direct = direct;
+			row.directVersion = ++this.version;
+		}
+		boolean live = direct || vouchedFor(row);
+		if (live != row.live) {
+			row.live = live;
+			row.version = ++this.version;
+		}
+	}
+
+	private boolean vouchedFor(HostRow row) {
+		for (String reporter : row.vouchers) {
+			HostRow found = this.rows.get(reporter);
+			if (found != null && found.heardWithin(this.clock.monotonicMs(), VOUCH_MS)) {
+				row.vouchedAtMs = this.clock.monotonicMs();
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private long lastWordMs(HostRow row) {
+		return Math.max(row.heardAtMs, vouchedFor(row) ? this.clock.monotonicMs() : row.vouchedAtMs);
+	}
+
+	private boolean isSelf(HostRow row) {
+		return row.state.getHost().getHost().equals(this.self);
+	}
+
+	/**
+	 * Returns the version of the table.
+	 * @return a number that grows with each change
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the rows that changed after a version.
+	 * @param seen version that the asker has seen; 0 for none
+	 * @param onlyDirect true for rows of hosts that this process hears itself
+	 * @return the rows, with the liveness that this process vouches for
+	 */
+	public List<HostState> changedSince(long seen, boolean onlyDirect) {
+		List<HostState> changed = new ArrayList<>();
+		for (HostRow row : this.rows.values()) {
+			boolean vouched = onlyDirect ? row.direct : row.live;
+			long rowVersion = onlyDirect ? row.directVersion : row.version;
+			boolean everHeard = !onlyDirect || isSelf(row) || row.heardAtMs != HostRow.NEVER;
+			if (everHeard && Math.max(rowVersion, row.stateVersion) > seen) {
+				changed.add(row.published(vouched));
+			}
+		}
+		return changed;
+	}
+
+	/**
+	 * Returns all rows.
+	 * @return an immutable list, ordered by host
+	 */
+	public List<HostState> hosts() {
+		List<HostState> all = new ArrayList<>();
+		this.rows.values().forEach((row) -> all.add(row.published(row.live)));
+		return List.copyOf(all);
+	}
+
+	/**
+	 * Looks up a host.
+	 * @param host name of the host
+	 * @return its newest state, if the host is known
+	 */
+	public Optional<HostState> find(String host) {
+		return Optional.ofNullable(this.rows.get(host)).map((row) -> row.published(row.live));
+	}
+
+	/**
+	 * Tells whether a host was heard directly within the time of suspicion.
+	 * @param host name of the host
+	 * @return true if it was
+	 */
+	public boolean hears(String host) {
+		HostRow row = this.rows.get(host);
+		return row != null && row.heardWithin(this.clock.monotonicMs(), SUSPECT_AFTER_MS);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/replication/PeerSession.java
@@ -0,0 +1,76 @@
+package org.wigeontally.replication;
+
+import org.wigeontally.schema.generated.ExchangeReply;
+
+/**
+ * What one process knows of the exchanges with one peer address. Changed by
+ * {@link ExchangeProtocol} only.
+ */
+public final class PeerSession {
+
+	private final String address;
+
+	private String host = "";
+
+	private String process = "";
+
+	private long seenTable;
+
+	private long sequenceSeen;
+
+	private PeerSession(String address) {
+		this.address = address;
+	}
+
+	/**
+	 * Creates a session before the first exchange.
+	 * @param address address of the peer
+	 * @return the session
+	 */
+	public static PeerSession to(String address) {
+		return new PeerSession(address);
+	}
+
+	/**
+	 * Returns the peer's address.
+	 * @return an IP number and port
+	 */
+	public String address() {
+		return this.address;
+	}
+
+	/**
+	 * Returns the peer's host.
+	 * @return name of the host; empty before the first reply
+	 */
+	public String host() {
+		return this.host;
+	}
+
+	String process() {
+		return this.process;
+	}
+
+	long seenTable() {
+		return this.seenTable;
+	}
+
+	boolean needsState(long sequence) {
+		return this.process.isEmpty() || this.sequenceSeen < sequence;
+	}
+
+	boolean isNewProcess(ExchangeReply reply) {
+		return !reply.getFrom().getProcess().equals(this.process);
+	}
+
+	void replied(ExchangeReply reply, long sequenceSent) {
+		if (isNewProcess(reply)) {
+			this.sequenceSeen = 0;
+		}
+		this.host = reply.getFrom().getHost();
+		this.process = reply.getFrom().getProcess();
+		this.seenTable = reply.getTable();
+		this.sequenceSeen = reply.getWantsState() ? 0 : Math.max(this.sequenceSeen, sequenceSent);
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/configuration/Operators.java
@@ -0,0 +1,163 @@
+package org.wigeontally.configuration;
+
+import java.security.GeneralSecurityException;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeontally.errors.InputException;
+import org.wigeontally.schema.generated.BackendKind;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.OperatorKey;
+import org.wigeontally.schema.generated.Organisation;
+import org.wigeontally.schema.generated.ProposeBundle;
+import org.wigeontally.schema.generated.RollBundle;
+import org.wigeontally.schema.generated.Service;
+import org.wigeontally.schema.generated.SetZone;
+import org.wigeontally.schema.generated.SignOffBundle;
+
+/**
+ * Operators with keys, for tests: "ann", "ben" and the owner "olga".
+ */
+public final class Operators {
+
+	private final Map<String, KeyPair> pairs = new LinkedHashMap<>();
+
+	private Operators() {
+	}
+
+	/**
+	 * Creates the operators with new keys.
+	 * @return the operators
+	 */
+	public static Operators create() {
+		Operators operators = new Operators();
+		try {
+			for (String name : List.of("ann", "ben", "olga")) {
+				operators.pairs.put(name, KeyPairGenerator.getInstance("Ed25519").generateKeyPair());
+			}
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException(ex);
+		}
+		return operators;
+	}
+
+	/**
+	 * Returns their public keys.
+	 * @return the key ring
+	 */
+	public KeyRing keys() {
+		List<OperatorKey> keys = new ArrayList<>();
+		this.pairs.forEach((name,
+				pair) -> keys.add(OperatorKey.newBuilder()
+					.setName(name)
+					.setPublicKey(HexFormat.of().formatHex(pair.getPublic().getEncoded()))
+					.build()));
+		try {
+			return KeyRing.of(keys);
+		}
+		catch (InputException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Signs a change.
+	 * @param author name of the author
+	 * @param id id of the change
+	 * @param buildsOn revision that it builds on
+	 * @param change the subject
+	 * @return the signed change
+	 */
+	public Change sign(String author, String id, long buildsOn, Change.Builder change) {
+		try {
+			Change unsigned = change.setAuthor(author).setId(id).setBuildsOn(buildsOn).build();
+			return Signatures.sign(unsigned, this.pairs.get(author).getPrivate());
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Takes a zone out or back.
+	 * @param author name of the author
+	 * @param id id of the change
+	 * @param buildsOn revision that it builds on
+	 * @param zone name of the zone
+	 * @param out true to take it out
+	 * @return the signed change
+	 */
+	public Change zone(String author, String id, long buildsOn, String zone, boolean out) {
+		return sign(author, id, buildsOn, Change.newBuilder().setZone(SetZone.newBuilder().setZone(zone).setOut(out)));
+	}
+
+	/**
+	 * Proposes a bundle.
+	 * @param author name of the author
+	 * @param id id of the change
+	 * @param bundle the bundle
+	 * @return the signed change
+	 */
+	public Change propose(String author, String id, Bundle bundle) {
+		return sign(author, id, 0, Change.newBuilder().setPropose(ProposeBundle.newBuilder().setBundle(bundle)));
+	}
+
+	/**
+	 * Signs a bundle off.
+	 * @param author name of the author
+	 * @param id id of the change
+	 * @param buildsOn revision of the proposal
+	 * @param bundle the bundle
+	 * @return the signed change
+	 */
+	public Change signOff(String author, String id, long buildsOn, Bundle bundle) {
+		return sign(author, id, buildsOn, Change.newBuilder()
+			.setSignOff(SignOffBundle.newBuilder().setBundle(bundle.getName()).setDigest(Signatures.digest(bundle))));
+	}
+
+	/**
+	 * Rolls a bundle.
+	 * @param author name of the author
+	 * @param id id of the change
+	 * @param buildsOn revision of the sign-off
+	 * @param bundle name of the bundle
+	 * @return the signed change
+	 */
+	public Change roll(String author, String id, long buildsOn, String bundle) {
+		return sign(author, id, buildsOn, Change.newBuilder().setRoll(RollBundle.newBuilder().setBundle(bundle)));
+	}
+
+	/**
+	 * Creates a small bundle with one service and one approved organisation.
+	 * @param name name of the bundle
+	 * @param buildsOn name of the bundle before
+	 * @param confirmingHosts names of the confirming hosts
+	 * @return the bundle
+	 */
+	public Bundle bundle(String name, String buildsOn, List<String> confirmingHosts) {
+		try {
+			return Bundle.newBuilder()
+				.setName(name)
+				.setBuildsOn(buildsOn)
+				.addAllConfirmingHosts(confirmingHosts)
+				.addServices(
+						Service.newBuilder().setName("yard-ops").setKind(BackendKind.PLAIN_SERVICE).setOwner("olga"))
+				.addOrganisations(Organisation.newBuilder()
+					.setName("koro")
+					.setCredential("c0")
+					.addApprovals(Signatures.approve("koro", "yard-ops", "olga", this.pairs.get("olga").getPrivate())))
+				.build();
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/control/ControlNodeTests.java
@@ -0,0 +1,170 @@
+package org.wigeontally.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.configuration.KeyRing;
+import org.wigeontally.configuration.Operators;
+import org.wigeontally.control.ChangeOutcome.Status;
+import org.wigeontally.emulator.platform.MemoryLog;
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.Change;
+import org.wigeontally.schema.generated.Finding;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Role;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Three entry hosts and an agent over gRPC on loopback, with the log in memory.
+ */
+public class ControlNodeTests {
+
+	private static final List<String> ENTRIES = List.of("e1", "e2", "e3");
+
+	private final Operators operators = Operators.create();
+
+	private Vertx vertx;
+
+	private MemoryLog log;
+
+	private final List<Address> addresses = new ArrayList<>();
+
+	private final List<ControlNode> nodes = new ArrayList<>();
+
+	private ControlNode agent;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.vertx = Vertx.vertx();
+		this.log = MemoryLog.create(Clock.system(), 1);
+		List<AtomicReference<Handler<HttpServerRequest>>> handlers = new ArrayList<>();
+		for (int i = 0; i <= ENTRIES.size(); i++) {
+			AtomicReference<Handler<HttpServerRequest>> handler = new AtomicReference<>(
+					(request) -> request.response().setStatusCode(503).end());
+			handlers.add(handler);
+			HttpServer server = this.vertx.createHttpServer()
+				.requestHandler((request) -> handler.get().handle(request));
+			await(server.listen(0, "127.0.0.1"));
+			this.addresses.add(Address.newBuilder().setIp("127.0.0.1").setPort(server.actualPort()).build());
+		}
+		for (int i = 0; i < ENTRIES.size(); i++) {
+			ControlNode node = node(ENTRIES.get(i), Role.ENTRY, this.addresses.get(i), this.log);
+			handlers.get(i).set(node.handler());
+			this.nodes.add(node);
+		}
+		this.agent = node("b1", Role.AGENT, this.addresses.get(ENTRIES.size()), null);
+	}
+
+	private ControlNode node(String host, Role role, Address address, MemoryLog platformLog) throws Exception {
+		HostIdentity self = HostIdentity.newBuilder()
+			.setHost(host)
+			.setZone("z")
+			.setRole(role)
+			.setAddress(address)
+			.build();
+		ControlSettings settings = new ControlSettings(self, this.addresses.subList(0, ENTRIES.size()), 3_600_000);
+		KeyRing keys = (role == Role.ENTRY) ? this.operators.keys() : KeyRing.trusting();
+		return await(ControlNode.start(this.vertx, settings, platformLog, keys, Clock.system()));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		await(this.vertx.close());
+		this.nodes.clear();
+		this.addresses.clear();
+	}
+
+	@Test
+	public void rollsABundleAndTakesAZoneOutEverywhere() throws Exception {
+		until(() -> this.nodes.stream().allMatch((node) -> node.view().self().getIncarnation() > 0));
+		Bundle bundle = this.operators.bundle("b-1", "", ENTRIES);
+		ChangeOutcome proposed = submit(0, this.operators.propose("ann", "c1", bundle));
+		assertThat(proposed.status()).isEqualTo(Status.ACCEPTED);
+		ChangeOutcome own = submit(1, this.operators.signOff("ann", "c2", proposed.revision(), bundle));
+		assertThat(own.findings()).extracting(Finding::getNumber).containsExactly(ErrorType.OWN_SIGN_OFF.number());
+		ChangeOutcome signedOff = submit(1, this.operators.signOff("ben", "c3", proposed.revision(), bundle));
+		ChangeOutcome rolled = submit(2, this.operators.roll("ann", "c4", signedOff.revision(), "b-1"));
+		assertThat(rolled.status()).isEqualTo(Status.ACCEPTED);
+		until(() -> this.agent.view().configuration().approved("koro", "yard-ops") && this.agent.view().serving());
+		assertThat(submit(0, this.operators.zone("ann", "c5", 0, "z", true)).status()).isEqualTo(Status.ACCEPTED);
+		until(() -> this.agent.view().configuration().zoneOut("z"));
+		until(() -> submit(0, this.operators.zone("ann", "c5", 0, "z", true)).minimum() >= rolled.revision());
+	}
+
+	@Test
+	public void goesOnInALogOutageAndTellsUnknown() throws Exception {
+		until(() -> this.agent.view().serving() && this.agent.view().self().getIncarnation() > 0);
+		assertThat(submit(0, this.operators.zone("ann", "c1", 0, "z", true)).status()).isEqualTo(Status.ACCEPTED);
+		this.log.outage(true);
+		assertThat(submit(0, this.operators.zone("ann", "c2", 0, "z2", true)).status()).isEqualTo(Status.UNKNOWN);
+		Thread.sleep(3000);
+		assertThat(this.nodes).allMatch((node) -> node.view().serving());
+		assertThat(this.agent.view().serving()).isTrue();
+		this.log.outage(false);
+		this.log.lostReplies(1);
+		assertThat(submit(0, this.operators.zone("ann", "c2", 0, "z2", true)).status()).isEqualTo(Status.ACCEPTED);
+	}
+
+	@Test
+	public void knowsTheAgentLeavingAndDead() throws Exception {
+		until(() -> liveness("b1") == Liveness.LIVE);
+		await(this.agent.leave());
+		assertThat(this.agent.view().serving()).isFalse();
+		until(() -> liveness("b1") == Liveness.LEAVING);
+		await(this.agent.close());
+		until(() -> liveness("b1") == Liveness.SUSPECTED);
+	}
+
+	private Liveness liveness(String host) {
+		Liveness worst = null;
+		for (ControlNode node : this.nodes) {
+			for (HostState row : node.view().hosts()) {
+				if (row.getHost().getHost().equals(host)) {
+					boolean same = worst == null || worst == row.getLiveness();
+					worst = same ? row.getLiveness() : Liveness.LIVENESS_UNSPECIFIED;
+				}
+			}
+		}
+		return worst;
+	}
+
+	private ChangeOutcome submit(int node, Change change) {
+		try {
+			return await(this.nodes.get(node).submit(change));
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void until(BooleanSupplier condition) throws InterruptedException {
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("time to reach the condition").isLessThan(deadline);
+			Thread.sleep(20);
+		}
+	}
+
+	private static <T> T await(Future<T> future) throws Exception {
+		return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+	}
+
+}
