The thin whole path as separate processes

Ruled out on the way: a body handler behind a user handler (Vert.x refuses it), hosts named like the host list.

--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -0,0 +1,129 @@
+package org.wigeontally.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.wigeontally.configuration.KeyRing;
+import org.wigeontally.control.ControlNode;
+import org.wigeontally.control.ControlSettings;
+import org.wigeontally.http.DaemonServer;
+import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.MetricsApi;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.Closer;
+import org.wigeontally.schema.generated.AgentSettings;
+import org.wigeontally.schema.generated.BackendSettings;
+import org.wigeontally.schema.generated.BackendState;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * The process in the slot of a backend server host. It watches the host's backend
+ * servers, tells the entries what they can take, and is the only way to them.
+ */
+public final class AgentDaemon implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(AgentDaemon.class);
+
+	private static final int BODY_LIMIT_BYTES = 16 << 20;
+
+	private final Vertx vertx;
+
+	private final AgentSettings settings;
+
+	private final Closer closer;
+
+	private final ControlNode control;
+
+	private final List<BackendLink> links;
+
+	private final DispatchApi dispatches;
+
+	private AgentDaemon(Vertx vertx, AgentSettings settings, Closer closer, ControlNode control,
+			List<BackendLink> links) {
+		this.vertx = vertx;
+		this.settings = settings;
+		this.closer = closer;
+		this.control = control;
+		this.links = links;
+		this.dispatches = new DispatchApi(vertx, control.view(), links);
+	}
+
+	/**
+	 * Starts an agent.
+	 * @param vertx the Vert.x instance to run on
+	 * @param settings checked settings
+	 * @param clock source of time
+	 * @return the running agent, once it listens
+	 */
+	public static Future<AgentDaemon> start(Vertx vertx, AgentSettings settings, Clock clock) {
+		Closer closer = Closer.create();
+		List<BackendLink> links = new ArrayList<>();
+		for (BackendSettings backend : settings.getBackendsList()) {
+			links.add(closer.add(BackendLink.open(vertx, backend)));
+		}
+		ControlSettings controlSettings = ControlSettings.of(settings);
+		return ControlNode.start(vertx, controlSettings, null, KeyRing.trusting(), clock).compose((control) -> {
+			closer.add(control::close);
+			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links);
+			control.localState(daemon::states);
+			return daemon.listen().map(daemon);
+		});
+	}
+
+	private Future<HttpServer> listen() {
+		Router router = Router.router(this.vertx);
+		PrometheusRegistry registry = new PrometheusRegistry();
+		MetricsApi.mount(router, registry, this.control.view()::serving);
+		this.dispatches.mount(router, BODY_LIMIT_BYTES);
+		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
+			.onSuccess((server) -> {
+				this.closer.add(server::close);
+				logger.info("agent: {} listens on {}", this.settings.getHost(),
+						Addresses.format(this.settings.getListen()));
+			});
+	}
+
+	private List<BackendState> states() {
+		return this.links.stream().map(BackendLink::state).toList();
+	}
+
+	/**
+	 * Returns the control of this process.
+	 * @return the control
+	 */
+	public ControlNode control() {
+		return this.control;
+	}
+
+	/**
+	 * Leaves: takes no new work, lets the requests in flight end, then closes.
+	 * @return the requests that did not end within the drain's time
+	 */
+	public Future<Integer> drain() {
+		logger.info("agent: {} leaves", this.settings.getHost());
+		this.control.leave();
+		return Drain.await(this.vertx, this.dispatches::inFlight, this.settings.getDrainMs()).onSuccess((cut) -> {
+			logger.info("agent: {} left, {} requests cut", this.settings.getHost(), cut);
+			close();
+		});
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.closer.close();
+		}
+		catch (Exception ex) {
+			logger.warn("agent: closing failed: {}", ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendLink.java
@@ -0,0 +1,158 @@
+package org.wigeontally.agent;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.wigeontally.schema.generated.BackendKind;
+import org.wigeontally.schema.generated.BackendSettings;
+import org.wigeontally.schema.generated.BackendState;
+
+/**
+ * The connection to one backend server: its settings, its HTTP client and its state as
+ * last reported. The state is polled; after {@link #FAILURES_TO_DOWN} polls without an
+ * answer the backend server counts as down. Polls and state changes run on the context
+ * that created the link; {@link #state()} may be read from any thread.
+ */
+final class BackendLink implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(BackendLink.class);
+
+	private static final long POLL_MS = 200;
+
+	private static final long POLL_TIMEOUT_MS = 600;
+
+	private static final int FAILURES_TO_DOWN = 2;
+
+	private static final int MAX_CONNECTIONS = 512;
+
+	private final Vertx vertx;
+
+	private final BackendSettings settings;
+
+	private final HttpClient client;
+
+	private final long timer;
+
+	private volatile BackendState state;
+
+	private int failures;
+
+	private boolean polling;
+
+	private BackendLink(Vertx vertx, BackendSettings settings) {
+		this.vertx = vertx;
+		this.settings = settings;
+		this.client = vertx.httpClientBuilder()
+			.with(new HttpClientOptions().setConnectTimeout((int) POLL_TIMEOUT_MS).setTcpNoDelay(true))
+			.with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
+			.build();
+		this.state = BackendState.newBuilder()
+			.setService(settings.getService())
+			.setKind(settings.getKind())
+			.setLimit(settings.getCapacity())
+			.build();
+		this.timer = vertx.setPeriodic(1, POLL_MS, (id) -> poll());
+	}
+
+	static BackendLink open(Vertx vertx, BackendSettings settings) {
+		return new BackendLink(vertx, settings);
+	}
+
+	private void poll() {
+		if (this.polling) {
+			return;
+		}
+		this.polling = true;
+		this.client.request(request(HttpMethod.GET, "/load").setIdleTimeout(POLL_TIMEOUT_MS))
+			.compose((request) -> request.send())
+			.compose(HttpClientResponse::body)
+			.map((body) -> body.toJsonObject())
+			.onComplete((result) -> {
+				this.polling = false;
+				if (result.succeeded()) {
+					reported(result.result());
+				}
+				else {
+					missed(result.cause());
+				}
+			});
+	}
+
+	private void reported(JsonObject report) {
+		this.failures = 0;
+		boolean wasUp = this.state.getUp();
+		BackendState.Builder next = this.state.toBuilder();
+		try {
+			next.setUp(true)
+				.setVersion(report.getString("version", ""))
+				.setCold(report.getBoolean("cold", false))
+				.setRunning(report.getInteger("running", 0));
+		}
+		catch (ClassCastException | DecodeException ex) {
+			logger.warn("agent: {} sent a load report that cannot be read", this.settings.getService());
+			return;
+		}
+		next.setLimit(next.getCold() ? coldLimit() : this.settings.getCapacity());
+		this.state = next.build();
+		if (!wasUp) {
+			logger.info("agent: {} is up, version '{}'", this.settings.getService(), this.state.getVersion());
+		}
+	}
+
+	private int coldLimit() {
+		return (this.settings.getColdCapacity() > 0) ? this.settings.getColdCapacity() : this.settings.getCapacity();
+	}
+
+	private void missed(Throwable cause) {
+		this.failures++;
+		if (this.failures < FAILURES_TO_DOWN || !this.state.getUp()) {
+			return;
+		}
+		this.state = this.state.toBuilder().setUp(false).build();
+		logger.warn("agent: {} is down: {}", this.settings.getService(), cause.getMessage());
+	}
+
+	RequestOptions request(HttpMethod method, String uri) {
+		return new RequestOptions().setMethod(method)
+			.setHost(this.settings.getAddress().getIp())
+			.setPort(this.settings.getAddress().getPort())
+			.setURI(uri);
+	}
+
+	HttpClient client() {
+		return this.client;
+	}
+
+	BackendSettings settings() {
+		return this.settings;
+	}
+
+	BackendState state() {
+		return this.state;
+	}
+
+	boolean isEngine() {
+		return this.settings.getKind() == BackendKind.MODEL_ENGINE;
+	}
+
+	Future<Void> shutdown() {
+		this.vertx.cancelTimer(this.timer);
+		return this.client.close();
+	}
+
+	@Override
+	public void close() {
+		shutdown();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
@@ -0,0 +1,114 @@
+package org.wigeontally.agent;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+
+import org.wigeontally.control.ControlView;
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.Headers;
+import org.wigeontally.http.Refusal;
+import org.wigeontally.schema.generated.BackendState;
+
+/**
+ * Takes dispatched requests from entries and is the last gate before a backend server:
+ * whether this host may serve at all is judged here, at the moment of use, whatever the
+ * entry believed. Runs on event loops.
+ */
+final class DispatchApi {
+
+	private static final String PREFIX = "/dispatch/";
+
+	private static final long RETRY_SOON_MS = 200;
+
+	private final ControlView view;
+
+	private final List<BackendLink> links;
+
+	private final BackendProxy proxy;
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links) {
+		this.view = view;
+		this.links = List.copyOf(links);
+		this.proxy = new BackendProxy(vertx);
+	}
+
+	void mount(Router router, int bodyLimitBytes) {
+		router.route(PREFIX + ":service/*").handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes));
+		router.route(PREFIX + ":service/*").handler(this::dispatch);
+	}
+
+	private void dispatch(RoutingContext context) {
+		String service = context.pathParam("service");
+		String path = context.request().uri().substring(PREFIX.length() + service.length());
+		Optional<DispatchRequest> read = DispatchRequest.read(service, path, context.request());
+		if (read.isEmpty()) {
+			Refusal.notRun(ErrorType.BAD_REQUEST, Refusal.NEVER, "dispatch headers").send(context.response());
+			return;
+		}
+		DispatchRequest request = read.get();
+		context.response().putHeader(Headers.DISPATCH, request.id());
+		BackendLink link = link(service);
+		Optional<Refusal> refusal = check(request, link);
+		if (refusal.isPresent()) {
+			refusal.get().send(context.response());
+			return;
+		}
+		this.inFlight.incrementAndGet();
+		context.addEndHandler((end) -> this.inFlight.decrementAndGet());
+		Buffer body = (context.body().buffer() != null) ? context.body().buffer() : Buffer.buffer();
+		this.proxy.forward(request, body, link, context.response());
+	}
+
+	private BackendLink link(String service) {
+		for (BackendLink link : this.links) {
+			if (link.settings().getService().equals(service)) {
+				return link;
+			}
+		}
+		return null;
+	}
+
+	private Optional<Refusal> check(DispatchRequest request, BackendLink link) {
+		if (link == null) {
+			return refuse(ErrorType.UNKNOWN_SERVICE, request.service());
+		}
+		if (!this.view.serving()) {
+			return refuse(ErrorType.NOT_SERVING, "its configuration is not confirmed or it leaves");
+		}
+		if (this.view.configuration().zoneOut(this.view.self().getZone())) {
+			return refuse(ErrorType.NOT_SERVING, "its availability zone is out");
+		}
+		if (this.view.configuration().hostDraining(this.view.self().getHost())) {
+			return refuse(ErrorType.NOT_SERVING, "the host drains");
+		}
+		BackendState state = link.state();
+		if (!state.getUp()) {
+			return refuse(ErrorType.NOT_SERVING, "the backend server is down");
+		}
+		if (!request.version().isEmpty() && !request.version().equals(state.getVersion())) {
+			return refuse(ErrorType.NOT_SERVING, "it has version '" + state.getVersion() + "'");
+		}
+		if (request.deadlineMs() <= 0) {
+			return Optional.of(Refusal.notRun(ErrorType.DEADLINE, Refusal.NEVER));
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<Refusal> refuse(ErrorType error, Object argument) {
+		return Optional.of(Refusal.notRun(error, RETRY_SOON_MS, argument));
+	}
+
+	int inFlight() {
+		return this.inFlight.get();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/AgentClient.java
@@ -0,0 +1,122 @@
+package org.wigeontally.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.Headers;
+import org.wigeontally.http.Outcome;
+import org.wigeontally.http.Refusal;
+import org.wigeontally.schema.generated.Address;
+
+/**
+ * Sends dispatches to agents. Every dispatch has an id of its own that the answer must
+ * repeat; an answer with another id is dropped with its connection, so a late or crossed
+ * answer never reaches a caller. Safe for use by several threads.
+ */
+final class AgentClient implements AutoCloseable {
+
+	private static final int CONNECT_TIMEOUT_MS = 500;
+
+	private static final int MAX_CONNECTIONS = 1024;
+
+	private final HttpClient client;
+
+	private AgentClient(HttpClient client) {
+		this.client = client;
+	}
+
+	static AgentClient create(Vertx vertx) {
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true);
+		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
+		return new AgentClient(vertx.httpClientBuilder().with(options).with(pool).build());
+	}
+
+	/**
+	 * Sends one dispatch.
+	 * @param agent address of the agent
+	 * @param dispatch the dispatch
+	 * @return what came of it; never fails
+	 */
+	Future<AgentAnswer> send(Address agent, Dispatch dispatch) {
+		RequestOptions options = new RequestOptions().setMethod(dispatch.request().method())
+			.setHost(agent.getIp())
+			.setPort(agent.getPort())
+			.setConnectTimeout(CONNECT_TIMEOUT_MS)
+			.setURI("/dispatch/" + dispatch.request().service().getName() + dispatch.request().path());
+		return this.client.request(options).transform((connected) -> {
+			if (connected.failed()) {
+				return Future.succeededFuture(notConnected(connected.cause()));
+			}
+			return sendOn(connected.result(), dispatch);
+		});
+	}
+
+	private static AgentAnswer notConnected(Throwable cause) {
+		return new AgentAnswer.NotRun(Refusal.notRun(ErrorType.NOT_SERVING, 0, cause.getMessage()));
+	}
+
+	private static Future<AgentAnswer> sendOn(HttpClientRequest request, Dispatch dispatch) {
+		if (!dispatch.begin(request)) {
+			request.reset();
+			return Future.succeededFuture(new AgentAnswer.NotRun(Refusal.notRun(ErrorType.DEADLINE, Refusal.NEVER)));
+		}
+		request.putHeader(Headers.DISPATCH, dispatch.id())
+			.putHeader(Headers.ORGANISATION, dispatch.request().organisation().getName())
+			.putHeader(Headers.PRIORITY, dispatch.request().priority())
+			.putHeader(Headers.VERSION, dispatch.version())
+			.putHeader(Headers.REVISION, Long.toString(dispatch.revision()))
+			.putHeader(Headers.DEADLINE_MS, Long.toString(dispatch.leftMs()))
+			.putHeader(Headers.CLAIM, dispatch.claim());
+		return request.send(dispatch.request().body()).transform((answered) -> {
+			if (answered.failed()) {
+				return Future.succeededFuture(new AgentAnswer.Lost(answered.cause().getMessage()));
+			}
+			return classify(answered.result(), dispatch);
+		});
+	}
+
+	private static Future<AgentAnswer> classify(HttpClientResponse response, Dispatch dispatch) {
+		if (!dispatch.id().equals(response.getHeader(Headers.DISPATCH))) {
+			response.request().connection().close();
+			return Future.succeededFuture(new AgentAnswer.Lost("the answer belongs to another dispatch"));
+		}
+		String outcome = response.getHeader(Headers.OUTCOME);
+		if (Outcome.DONE.text().equals(outcome)) {
+			response.pause();
+			return Future.succeededFuture(new AgentAnswer.Answered(response));
+		}
+		if (Outcome.NOT_RUN.text().equals(outcome)) {
+			return response.body().transform((body) -> Future.succeededFuture(refused(response, body.result())));
+		}
+		return response.end().transform((end) -> Future.succeededFuture(new AgentAnswer.Lost("the agent lost track")));
+	}
+
+	private static AgentAnswer refused(HttpClientResponse response, io.vertx.core.buffer.Buffer body) {
+		ErrorType error = ErrorType.NOT_SERVING;
+		String number = response.getHeader(Headers.ERROR);
+		for (ErrorType type : ErrorType.values()) {
+			if (Integer.toString(type.number()).equals(number)) {
+				error = type;
+				break;
+			}
+		}
+		String after = response.getHeader(Headers.RETRY_AFTER_MS);
+		long retryAfterMs = (after != null) ? Long.parseLong(after) : Refusal.NEVER;
+		String message = (body != null) ? new JsonObject(body).getString("message", "") : "";
+		return new AgentAnswer.NotRun(new Refusal(error, message, Outcome.NOT_RUN, retryAfterMs));
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -0,0 +1,106 @@
+package org.wigeontally.entry;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import io.vertx.ext.web.handler.PlatformHandler;
+
+import org.wigeontally.configuration.Configuration;
+import org.wigeontally.control.ControlView;
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.Refusal;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Role;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * The callers' interface: which addresses to use, and requests to services.
+ */
+final class CallerApi {
+
+	private static final long KEEP_MS = 5000;
+
+	private static final long RETRY_SOON_MS = 500;
+
+	private final ControlView view;
+
+	private final RequestReader reader;
+
+	private final Dispatcher dispatcher;
+
+	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher) {
+		this.view = view;
+		this.reader = reader;
+		this.dispatcher = dispatcher;
+	}
+
+	void mount(Router router, int bodyLimitBytes) {
+		router.get("/v1/addresses").handler(this::addresses);
+		router.route(RequestReader.PREFIX + ":service/*")
+			.handler((PlatformHandler) this::refuseIfNotServing)
+			.handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes))
+			.handler(this::request)
+			.failureHandler((context) -> fail(context, bodyLimitBytes));
+	}
+
+	private void refuseIfNotServing(RoutingContext context) {
+		Configuration configuration = this.view.configuration();
+		if (!this.view.serving()) {
+			refuse(context, "its configuration is not confirmed or it leaves");
+			return;
+		}
+		if (configuration.zoneOut(this.view.self().getZone())) {
+			refuse(context, "its availability zone is out");
+			return;
+		}
+		if (configuration.hostDraining(this.view.self().getHost())) {
+			refuse(context, "the host drains");
+			return;
+		}
+		context.next();
+	}
+
+	private static void refuse(RoutingContext context, String reason) {
+		Refusal.notRun(ErrorType.NOT_SERVING, RETRY_SOON_MS, reason).send(context.response());
+	}
+
+	private void request(RoutingContext context) {
+		CallerRequest request;
+		try {
+			request = this.reader.read(context, this.view.configuration());
+		}
+		catch (RefusedException ex) {
+			ex.refusal().send(context.response());
+			return;
+		}
+		this.dispatcher.dispatch(request, "", context.response());
+	}
+
+	private static void fail(RoutingContext context, int bodyLimitBytes) {
+		if (context.statusCode() == 413) {
+			Refusal.notRun(ErrorType.BODY_TOO_LARGE, Refusal.NEVER, bodyLimitBytes).send(context.response());
+			return;
+		}
+		Refusal.notRun(ErrorType.BAD_REQUEST, Refusal.NEVER, "it cannot be read").send(context.response());
+	}
+
+	private void addresses(RoutingContext context) {
+		JsonArray list = new JsonArray();
+		Configuration configuration = this.view.configuration();
+		for (HostState state : this.view.hosts()) {
+			boolean takesWork = state.getHost().getRole() == Role.ENTRY && state.getLiveness() == Liveness.LIVE
+					&& !configuration.zoneOut(state.getHost().getZone())
+					&& !configuration.hostDraining(state.getHost().getHost());
+			if (takesWork) {
+				list.add(new JsonObject().put("address", Addresses.format(state.getHost().getAddress()))
+					.put("zone", state.getHost().getZone())
+					.put("region", state.getHost().getRegion()));
+			}
+		}
+		context.json(new JsonObject().put("addresses", list).put("keep_ms", KEEP_MS));
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerRequest.java
@@ -0,0 +1,53 @@
+package org.wigeontally.entry;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+
+import org.wigeontally.schema.generated.Organisation;
+import org.wigeontally.schema.generated.Service;
+
+/**
+ * A caller's request after all checks.
+ *
+ * @param organisation organisation of the caller
+ * @param service the service
+ * @param method HTTP method
+ * @param path path and query at the backend server
+ * @param body the body
+ * @param priority priority of the request
+ * @param deadlineMs instant at which the time is up, on the monotonic clock
+ * @param key idempotency key; empty for none
+ * @param keyTimeMs when the key was first sent, in ms since 1970; 0 for none
+ */
+record CallerRequest(Organisation organisation, Service service, HttpMethod method, String path, Buffer body,
+		String priority, long deadlineMs, String key, long keyTimeMs) {
+
+	/**
+	 * Tells whether the request must run at most once.
+	 * @return true if its path is listed so
+	 */
+	boolean atMostOnce() {
+		return this.service.getAtMostOncePathsList().contains(pathWithoutQuery());
+	}
+
+	/**
+	 * Tells whether the request may be sent again after a backend server may have got it.
+	 * @return true if it is idempotent
+	 */
+	boolean repeatable() {
+		if (atMostOnce()) {
+			return false;
+		}
+		if (!this.service.getModel().isEmpty()) {
+			return true;
+		}
+		return this.method == HttpMethod.GET || this.method == HttpMethod.HEAD || this.method == HttpMethod.PUT
+				|| this.method == HttpMethod.DELETE;
+	}
+
+	private String pathWithoutQuery() {
+		int query = this.path.indexOf('?');
+		return (query < 0) ? this.path : this.path.substring(0, query);
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/Candidates.java
@@ -0,0 +1,79 @@
+package org.wigeontally.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.wigeontally.configuration.Configuration;
+import org.wigeontally.control.ControlView;
+import org.wigeontally.schema.generated.BackendState;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Model;
+import org.wigeontally.schema.generated.Role;
+import org.wigeontally.schema.generated.Service;
+
+/**
+ * Which hosts may get a request now, by what the entry holds. The agent checks again.
+ */
+final class Candidates {
+
+	private Candidates() {
+	}
+
+	/**
+	 * Lists the hosts.
+	 * @param view control of the entry
+	 * @param service the service
+	 * @param version version that the request is pinned to; empty for none
+	 * @param tried hosts that were tried already
+	 * @return live agents of zones in work with the service up, in no order
+	 */
+	static List<HostState> list(ControlView view, Service service, String version, Set<String> tried) {
+		Configuration configuration = view.configuration();
+		List<HostState> candidates = new ArrayList<>();
+		for (HostState state : view.hosts()) {
+			String host = state.getHost().getHost();
+			if (state.getHost().getRole() != Role.AGENT || state.getLiveness() != Liveness.LIVE) {
+				continue;
+			}
+			if (tried.contains(host) || configuration.hostDraining(host)
+					|| configuration.zoneOut(state.getHost().getZone())) {
+				continue;
+			}
+			if (backend(state, service.getName(), version).isPresent()) {
+				candidates.add(state);
+			}
+		}
+		return candidates;
+	}
+
+	/**
+	 * Returns a host's backend server of a service that is up and has the version.
+	 * @param state the host
+	 * @param service name of the service
+	 * @param version the version; empty for any
+	 * @return the backend server, if there is one
+	 */
+	static Optional<BackendState> backend(HostState state, String service, String version) {
+		for (BackendState backend : state.getBackendsList()) {
+			boolean fits = version.isEmpty() || backend.getVersion().equals(version);
+			if (backend.getService().equals(service) && backend.getUp() && fits) {
+				return Optional.of(backend);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns the version in force of a service's model.
+	 * @param configuration the configuration in force
+	 * @param service the service
+	 * @return the version; empty for a plain service
+	 */
+	static String version(Configuration configuration, Service service) {
+		return configuration.model(service.getModel()).map(Model::getVersion).orElse("");
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -0,0 +1,122 @@
+package org.wigeontally.entry;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.wigeontally.administration.Administration;
+import org.wigeontally.administration.AdministrationApi;
+import org.wigeontally.configuration.KeyRing;
+import org.wigeontally.control.ControlNode;
+import org.wigeontally.control.ControlSettings;
+import org.wigeontally.errors.InputException;
+import org.wigeontally.http.DaemonServer;
+import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.MetricsApi;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.Closer;
+import org.wigeontally.platform.HttpPlatformLog;
+import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * The process on an entry host. It starts control, then the interfaces of callers and
+ * operators, and ends in the opposite order: it says that it leaves, refuses new requests
+ * with other addresses to go to, lets the requests in flight end, and closes.
+ */
+public final class EntryDaemon implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(EntryDaemon.class);
+
+	private final Vertx vertx;
+
+	private final EntrySettings settings;
+
+	private final Closer closer;
+
+	private final ControlNode control;
+
+	private final Dispatcher dispatcher;
+
+	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control,
+			Dispatcher dispatcher) {
+		this.vertx = vertx;
+		this.settings = settings;
+		this.closer = closer;
+		this.control = control;
+		this.dispatcher = dispatcher;
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param vertx the Vert.x instance to run on
+	 * @param settings checked settings
+	 * @param clock source of time
+	 * @return the running entry, once it listens
+	 * @throws InputException if an operator's key cannot be read
+	 */
+	public static Future<EntryDaemon> start(Vertx vertx, EntrySettings settings, Clock clock) throws InputException {
+		Closer closer = Closer.create();
+		KeyRing keys = KeyRing.of(settings.getOperatorKeysList());
+		HttpPlatformLog log = closer.add(HttpPlatformLog.create(vertx, settings.getPlatform().getLog()));
+		AgentClient agents = closer.add(AgentClient.create(vertx));
+		return ControlNode.start(vertx, ControlSettings.of(settings), log, keys, clock).compose((control) -> {
+			closer.add(control::close);
+			Dispatcher dispatcher = new Dispatcher(control.view(), agents, clock);
+			EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher);
+			return daemon.listen(clock).map(daemon);
+		});
+	}
+
+	private Future<HttpServer> listen(Clock clock) {
+		Router router = Router.router(this.vertx);
+		PrometheusRegistry registry = new PrometheusRegistry();
+		MetricsApi.mount(router, registry, this.control.view()::serving);
+		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher);
+		callers.mount(router, this.settings.getBodyLimitBytes());
+		Administration administration = new ControlAdministration(this.control);
+		router.route("/v1/admin/*").subRouter(AdministrationApi.router(this.vertx, administration));
+		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
+			.onSuccess((server) -> {
+				this.closer.add(server::close);
+				logger.info("entry: {} listens on {}", this.settings.getHost(),
+						Addresses.format(this.settings.getListen()));
+			});
+	}
+
+	/**
+	 * Returns the control of this process.
+	 * @return the control
+	 */
+	public ControlNode control() {
+		return this.control;
+	}
+
+	/**
+	 * Leaves: takes no new work, lets the requests in flight end, then closes.
+	 * @return the requests that did not end within the drain's time
+	 */
+	public Future<Integer> drain() {
+		logger.info("entry: {} leaves", this.settings.getHost());
+		this.control.leave();
+		return Drain.await(this.vertx, this.dispatcher::inFlight, this.settings.getDrainMs()).onSuccess((cut) -> {
+			logger.info("entry: {} left, {} requests cut", this.settings.getHost(), cut);
+			close();
+		});
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.closer.close();
+		}
+		catch (Exception ex) {
+			logger.warn("entry: closing failed: {}", ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/http/DaemonServer.java
@@ -0,0 +1,56 @@
+package org.wigeontally.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+
+import org.wigeontally.schema.generated.Address;
+
+/**
+ * The one server of a daemon: gRPC requests go to control, all others to the router.
+ */
+public final class DaemonServer {
+
+	private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+	private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
+
+	private static final int IDLE_TIMEOUT_S = 120;
+
+	private DaemonServer() {
+	}
+
+	/**
+	 * Starts the server.
+	 * @param vertx the Vert.x instance to run on
+	 * @param address where to listen
+	 * @param control takes gRPC requests
+	 * @param traffic takes all others
+	 * @return the listening server
+	 */
+	public static Future<HttpServer> start(Vertx vertx, Address address, Handler<HttpServerRequest> control,
+			Handler<HttpServerRequest> traffic) {
+		HttpServerOptions options = new HttpServerOptions().setTcpNoDelay(true)
+			.setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+			.setIdleTimeout(IDLE_TIMEOUT_S)
+			.setReuseAddress(true);
+		return vertx.createHttpServer(options).requestHandler((request) -> {
+			if (isGrpc(request)) {
+				control.handle(request);
+			}
+			else {
+				traffic.handle(request);
+			}
+		}).listen(address.getPort(), address.getIp());
+	}
+
+	private static boolean isGrpc(HttpServerRequest request) {
+		String type = request.getHeader("Content-Type");
+		return type != null && type.startsWith("application/grpc");
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/http/Drain.java
@@ -0,0 +1,41 @@
+package org.wigeontally.http;
+
+import java.util.function.IntSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+
+/**
+ * Waits until the requests in flight have ended.
+ */
+public final class Drain {
+
+	private static final long POLL_MS = 20;
+
+	private Drain() {
+	}
+
+	/**
+	 * Waits.
+	 * @param vertx the Vert.x instance whose timers are used
+	 * @param inFlight counts the requests in flight
+	 * @param longestMs longest wait, in milliseconds
+	 * @return succeeds with the requests still in flight at the end, 0 if all ended
+	 */
+	public static Future<Integer> await(Vertx vertx, IntSupplier inFlight, long longestMs) {
+		Promise<Integer> done = Promise.promise();
+		poll(vertx, inFlight, longestMs, done);
+		return done.future();
+	}
+
+	private static void poll(Vertx vertx, IntSupplier inFlight, long leftMs, Promise<Integer> done) {
+		int count = inFlight.getAsInt();
+		if (count == 0 || leftMs <= 0) {
+			done.complete(count);
+			return;
+		}
+		vertx.setTimer(POLL_MS, (id) -> poll(vertx, inFlight, leftMs - POLL_MS, done));
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/http/Outcome.java
@@ -0,0 +1,29 @@
+package org.wigeontally.http;
+
+/**
+ * What is known of a request when its answer is given.
+ */
+public enum Outcome {
+
+	/** A backend server answered, and this is its answer. */
+	DONE("done"),
+	/** No backend server got the request and none will. */
+	NOT_RUN("not-run"),
+	/** A backend server may have run the request. */
+	UNKNOWN("unknown");
+
+	private final String text;
+
+	Outcome(String text) {
+		this.text = text;
+	}
+
+	/**
+	 * Returns the outcome as headers carry it.
+	 * @return the text
+	 */
+	public String text() {
+		return this.text;
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/http/Refusal.java
@@ -0,0 +1,95 @@
+package org.wigeontally.http;
+
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+import org.wigeontally.errors.ErrorType;
+
+/**
+ * An answer that carries no result: the error, what is known of the request, and when to
+ * come back.
+ *
+ * @param error the error
+ * @param message the error's message, filled in
+ * @param outcome what is known of the request
+ * @param retryAfterMs when to come back, in milliseconds; negative for never
+ */
+public record Refusal(ErrorType error, String message, Outcome outcome, long retryAfterMs) {
+
+	/** Stands for no time to come back. */
+	public static final long NEVER = -1;
+
+	/**
+	 * A request that no backend server got.
+	 * @param error the error
+	 * @param retryAfterMs when to come back, in milliseconds; negative for never
+	 * @param arguments values for the message's placeholders
+	 * @return the refusal
+	 */
+	public static Refusal notRun(ErrorType error, long retryAfterMs, Object... arguments) {
+		return new Refusal(error, error.message(arguments), Outcome.NOT_RUN, retryAfterMs);
+	}
+
+	/**
+	 * A request that a backend server may have run.
+	 * @param detail what happened
+	 * @return the refusal
+	 */
+	public static Refusal unknown(String detail) {
+		ErrorType error = ErrorType.OUTCOME_UNKNOWN;
+		return new Refusal(error, error.message(detail), Outcome.UNKNOWN, NEVER);
+	}
+
+	/**
+	 * Sends the refusal as the whole answer, unless the answer has begun.
+	 * @param response the response
+	 */
+	public void send(HttpServerResponse response) {
+		if (response.headWritten() || response.closed()) {
+			return;
+		}
+		response.setStatusCode(status())
+			.putHeader(Headers.OUTCOME, this.outcome.text())
+			.putHeader(Headers.ERROR, Integer.toString(this.error.number()))
+			.putHeader("Content-Type", "application/json");
+		if (this.retryAfterMs >= 0) {
+			long seconds = (this.retryAfterMs + TimeUnit.SECONDS.toMillis(1) - 1) / TimeUnit.SECONDS.toMillis(1);
+			response.putHeader("Retry-After", Long.toString(seconds))
+				.putHeader(Headers.RETRY_AFTER_MS, Long.toString(this.retryAfterMs));
+		}
+		response.end(body().toBuffer());
+	}
+
+	private JsonObject body() {
+		JsonObject body = new JsonObject().put("error", this.error.number())
+			.put("message", this.message)
+			.put("outcome", this.outcome.text());
+		if (this.retryAfterMs >= 0) {
+			body.put("retry_after_ms", this.retryAfterMs);
+		}
+		return body;
+	}
+
+	/**
+	 * Returns the HTTP status that fits the error.
+	 * @return the status code
+	 */
+	public int status() {
+		return switch (this.error) {
+			case BAD_CREDENTIAL -> 401;
+			case NOT_APPROVED -> 403;
+			case UNKNOWN_SERVICE -> 404;
+			case KEY_REUSED, KEY_EXPIRED -> 409;
+			case BODY_TOO_LARGE -> 413;
+			case HARMFUL_REQUEST -> 422;
+			case OVER_SHARE -> 429;
+			case BAD_REQUEST -> 400;
+			case DEADLINE, OUTCOME_UNKNOWN -> 504;
+			case BACKEND_FAILED, STREAM_CUT -> 502;
+			default -> 503;
+		};
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics of a process in Prometheus' text format.
+ */
+package org.wigeontally.metrics;
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Ports.java
@@ -0,0 +1,43 @@
+package org.wigeontally.emulator.experiment;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.wigeontally.schema.generated.Address;
+
+/**
+ * Hands out free ports on the loopback address.
+ */
+public final class Ports {
+
+	/** The loopback address. */
+	public static final String LOOPBACK = "127.0.0.1";
+
+	private static final Set<Integer> taken = new HashSet<>();
+
+	private Ports() {
+	}
+
+	/**
+	 * Returns an address that nothing listens on.
+	 * @return the address
+	 * @throws IOException if no port is free
+	 */
+	public static synchronized Address free() throws IOException {
+		while (true) {
+			try (ServerSocket socket = new ServerSocket()) {
+				socket.setReuseAddress(true);
+				socket.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+				int port = socket.getLocalPort();
+				if (taken.add(port)) {
+					return Address.newBuilder().setIp(LOOPBACK).setPort(port).build();
+				}
+			}
+		}
+	}
+
+}
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -255,9 +255,7 @@
 		return strandedFetch(number, fallBack, nowMs);
 	}
 
-	/**
-	 * Chunks once seen in the region, whose holders may all be gone by now.
-	 */
+	// Chunks once seen in the region, whose holders may all be gone by now.
 	private Fetch strandedFetch(int number, boolean fallBack, long nowMs) {
 		if (!fallBack || !this.origin.open(nowMs)) {
 			return null;
@@ -453,7 +451,7 @@
 			this.idle = true;
 		}
 
-		/** Starts the wait when the first chunk comes into view outside the region. */
+		// Starts the wait when the first chunk comes into view outside the region.
 		void waiting(long nowMs) {
 			if (this.idle) {
 				this.sinceMs = Math.max(this.sinceMs, nowMs);
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/DaemonCommand.java
@@ -0,0 +1,93 @@
+package org.wigeontally.tool;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+
+import org.wigeontally.agent.AgentDaemon;
+import org.wigeontally.entry.EntryDaemon;
+import org.wigeontally.errors.InputException;
+import org.wigeontally.errors.WigeontallyException;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.AgentSettings;
+import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.settings.AgentSettingsCheck;
+import org.wigeontally.settings.EntrySettingsCheck;
+import org.wigeontally.settings.SettingsDefaults;
+import org.wigeontally.settings.SettingsReader;
+
+/**
+ * Runs a daemon until the process is asked to end; then drains it.
+ */
+final class DaemonCommand implements Command {
+
+	private final Console console;
+
+	private final boolean entry;
+
+	DaemonCommand(Console console, boolean entry) {
+		this.console = console;
+		this.entry = entry;
+	}
+
+	@Override
+	public String name() {
+		return this.entry ? "entry" : "agent";
+	}
+
+	@Override
+	public String description() {
+		return this.entry ? "Run the process of an entry host" : "Run the process of a backend server host";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		Path path = this.console.options().settings();
+		Vertx vertx = Vertx.vertx();
+		Future<Supplier<Future<Integer>>> started = this.entry ? startEntry(vertx, path) : startAgent(vertx, path);
+		CountDownLatch drained = new CountDownLatch(1);
+		try {
+			Supplier<Future<Integer>> drain = started.toCompletionStage().toCompletableFuture().get();
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(drain, drained)));
+			new CountDownLatch(1).await();
+		}
+		catch (ExecutionException ex) {
+			this.console.err().println("wigeontally: cannot start: " + ex.getCause().getMessage());
+			vertx.close();
+			return ExitCode.REFUSED;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return ExitCode.DONE;
+	}
+
+	private static void drain(Supplier<Future<Integer>> drain, CountDownLatch drained) {
+		drain.get().onComplete((ended) -> drained.countDown());
+		try {
+			drained.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static Future<Supplier<Future<Integer>>> startEntry(Vertx vertx, Path path) throws InputException {
+		EntrySettings.Builder settings = SettingsReader.readFile(path, EntrySettings.newBuilder(),
+				EntrySettingsCheck.create());
+		SettingsDefaults.apply(settings);
+		return EntryDaemon.start(vertx, settings.build(), Clock.system()).map((daemon) -> daemon::drain);
+	}
+
+	private static Future<Supplier<Future<Integer>>> startAgent(Vertx vertx, Path path) throws InputException {
+		AgentSettings.Builder settings = SettingsReader.readFile(path, AgentSettings.newBuilder(),
+				AgentSettingsCheck.create());
+		SettingsDefaults.apply(settings);
+		return AgentDaemon.start(vertx, settings.build(), Clock.system()).map((daemon) -> daemon::drain);
+	}
+
+}
