--- a/library/src/main/java/org/wigeontally/settings/SettingsReader.java
+++ b/library/src/main/java/org/wigeontally/settings/SettingsReader.java
@@ -86,10 +86,7 @@
 		return target;
 	}
 
-	/**
-	 * Limits the nesting, since composing recurses. Stops at the first event that is too
-	 * deep.
-	 */
+	// Limits the nesting, since composing recurses.
 	private static boolean fits(Iterable<Event> events, PlaceMap places, Findings findings) {
 		int depth = 0;
 		for (Event event : events) {
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/knownred/KnownRedListener.java
@@ -0,0 +1,60 @@
+package org.wigeontally.knownred;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.Optional;
+
+import org.testng.IInvokedMethod;
+import org.testng.IInvokedMethodListener;
+import org.testng.ITestResult;
+
+/**
+ * Turns the failure of exactly a listed test into a skip and prints it, so that CI passes
+ * over known faults only. A listed test that passes is printed too.
+ */
+public final class KnownRedListener implements IInvokedMethodListener {
+
+	private final KnownRed knownRed;
+
+	private final PrintStream out;
+
+	public KnownRedListener() {
+		this(find(), System.out);
+	}
+
+	KnownRedListener(KnownRed knownRed, PrintStream out) {
+		this.knownRed = knownRed;
+		this.out = out;
+	}
+
+	@Override
+	public void afterInvocation(IInvokedMethod method, ITestResult result) {
+		if (!method.isTestMethod()) {
+			return;
+		}
+		Optional<String> entry = this.knownRed.entry(method.getTestMethod().getRealClass().getName(),
+				method.getTestMethod().getMethodName());
+		if (entry.isEmpty()) {
+			return;
+		}
+		if (result.getStatus() == ITestResult.FAILURE) {
+			result.setStatus(ITestResult.SKIP);
+			this.out.println("KNOWN RED: " + entry.get());
+		}
+		else if (result.getStatus() == ITestResult.SUCCESS) {
+			this.out.println("KNOWN RED NOW PASSES: " + entry.get());
+		}
+	}
+
+	private static KnownRed find() {
+		try {
+			return KnownRed.find(Path.of(""));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- a/tool/src/main/java/org/wigeontally/tool/AdminClient.java
+++ b/tool/src/main/java/org/wigeontally/tool/AdminClient.java
@@ -1,5 +1,6 @@
 package org.wigeontally.tool;
 
+import java.net.ConnectException;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -47,6 +48,8 @@
 
 	private int current;
 
+	private boolean mayHaveSent;
+
 	private AdminClient(Vertx vertx, List<Address> entries) {
 		this.vertx = vertx;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
@@ -61,6 +64,14 @@
 		return request(HttpMethod.POST, "/changes", change, ChangeAnswer.newBuilder()).build();
 	}
 
+	/**
+	 * Tells whether an entry host that did not answer may have taken a request.
+	 * @return false if no connection came about
+	 */
+	boolean mayHaveSent() {
+		return this.mayHaveSent;
+	}
+
 	ChangeAnswer outcome(String id) throws EntryException, InputException {
 		return request(HttpMethod.GET, "/changes/" + id, null, ChangeAnswer.newBuilder()).build();
 	}
@@ -86,6 +97,7 @@
 				failures.append(failure(entry, "status " + reply.status()));
 			}
 			catch (ExecutionException | TimeoutException ex) {
+				this.mayHaveSent |= !(ex.getCause() instanceof ConnectException);
 				failures
 					.append(failure(entry, (ex.getCause() != null) ? ex.getCause().getMessage() : "no answer in time"));
 			}
--- a/tool/src/main/java/org/wigeontally/tool/OperatorSession.java
+++ b/tool/src/main/java/org/wigeontally/tool/OperatorSession.java
@@ -64,12 +64,33 @@
 	int carryOut(Change.Builder unsigned) throws WigeontallyException {
 		unsigned.setId(UUID.randomUUID().toString()).setAuthor(this.settings.getOperator());
 		Change change = sign(unsigned.build());
-		ChangeAnswer answer = this.client.submit(change);
+		ChangeAnswer answer = submit(change);
 		while (!settled(answer) && !expired()) {
 			pause();
-			answer = this.client.outcome(change.getId());
+			answer = askAgain(answer);
+		}
+		return report(answer);
+	}
+
+	private ChangeAnswer submit(Change change) throws WigeontallyException {
+		try {
+			return this.client.submit(change).toBuilder().setId(change.getId()).build();
+		}
+		catch (EntryException ex) {
+			if (!this.client.mayHaveSent()) {
+				throw ex;
+			}
+			return ChangeAnswer.newBuilder().setId(change.getId()).setOutcome(ChangeAnswer.Outcome.UNKNOWN).build();
+		}
+	}
+
+	private ChangeAnswer askAgain(ChangeAnswer last) throws WigeontallyException {
+		try {
+			return this.client.outcome(last.getId()).toBuilder().setId(last.getId()).build();
+		}
+		catch (EntryException ex) {
+			return last;
 		}
-		return report(answer.toBuilder().setId(change.getId()).build());
 	}
 
 	/**
