--- a/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
@@ -239,7 +239,7 @@
 		}
 	}
 
-	/** Takes note of a chunk that is in the store now. */
+	// Takes note of a chunk that is in the store now.
 	void stored(String digest) {
 		Integer chunk = this.indexes.get(digest);
 		if (chunk == null || this.scheduler == null) {
