Measurement of the path; the caller's requests stay on one context

Cause: answers read on another thread than the connection's were already gone (IllegalStateException in the caller).

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
@@ -34,6 +34,8 @@
 
 	private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
 
+	private final Vertx vertx;
+
 	private final HttpClient client;
 
 	private final List<Address> known;
@@ -42,7 +44,8 @@
 
 	private volatile List<Address> addresses;
 
-	private CallerClient(HttpClient client, List<Address> known) {
+	private CallerClient(Vertx vertx, HttpClient client, List<Address> known) {
+		this.vertx = vertx;
 		this.client = client;
 		this.known = List.copyOf(known);
 		this.addresses = this.known;
@@ -57,7 +60,7 @@
 	public static CallerClient create(Vertx vertx, List<Address> known) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true);
 		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
-		CallerClient caller = new CallerClient(vertx.httpClientBuilder().with(options).with(pool).build(), known);
+		CallerClient caller = new CallerClient(vertx, vertx.httpClientBuilder().with(options).with(pool).build(), known);
 		vertx.setPeriodic(1, TimeUnit.SECONDS.toMillis(2), (id) -> caller.refresh());
 		return caller;
 	}
@@ -102,14 +105,21 @@
 	 */
 	public Future<CallerAnswer> send(Address to, HttpMethod method, String path, Map<String, String> headers,
 			String body) {
-		long start = System.nanoTime();
 		RequestOptions options = options(method, to, path);
 		headers.forEach(options::putHeader);
-		return this.client.request(options)
+		Promise<CallerAnswer> promise = Promise.promise();
+		this.vertx.getOrCreateContext().runOnContext((ignored) -> sendOnContext(options, body, promise));
+		return promise.future();
+	}
+
+	private void sendOnContext(RequestOptions options, String body, Promise<CallerAnswer> promise) {
+		long start = System.nanoTime();
+		this.client.request(options)
 			.compose((request) -> sendBody(request, body))
 			.compose((response) -> read(response, start))
 			.recover((failure) -> Future.succeededFuture(
-					new CallerAnswer(CallerAnswer.Kind.BROKEN, 0, failure.toString(), "", 0, 0, elapsed(start))));
+					new CallerAnswer(CallerAnswer.Kind.BROKEN, 0, failure.toString(), "", 0, 0, elapsed(start))))
+			.onComplete(promise);
 	}
 
 	private static Future<HttpClientResponse> sendBody(HttpClientRequest request, String body) {
