--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/OperatorSession.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/OperatorSession.java
@@ -15,7 +15,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 
@@ -45,11 +44,14 @@
 
 	private static final long CALL_TIMEOUT_MS = 8000;
 
+	private final Vertx vertx;
+
 	private final HttpClient client;
 
 	private final List<Address> entries;
 
-	private OperatorSession(HttpClient client, List<Address> entries) {
+	private OperatorSession(Vertx vertx, HttpClient client, List<Address> entries) {
+		this.vertx = vertx;
 		this.client = client;
 		this.entries = List.copyOf(entries);
 	}
@@ -61,7 +63,7 @@
 	 * @return the session
 	 */
 	public static OperatorSession open(Vertx vertx, List<Address> entries) {
-		return new OperatorSession(vertx.createHttpClient(), entries);
+		return new OperatorSession(vertx, vertx.createHttpClient(), entries);
 	}
 
 	/**
@@ -207,9 +209,7 @@
 			.setPort(entry.getPort())
 			.setURI(path)
 			.putHeader("Content-Type", "application/json");
-		return this.client.request(options)
-			.compose((request) -> body.isEmpty() ? request.send() : request.send(body))
-			.compose(HttpClientResponse::body);
+		return HttpCall.send(this.vertx, this.client, options, body);
 	}
 
 	@Override
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
@@ -8,8 +8,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 
 import org.wigeontally.misc.Closer;
@@ -176,10 +176,11 @@
 
 	private String call(HttpMethod method, String name, String path) throws Exception {
 		Address address = this.deployment.address(name);
-		return await(this.client.request(method, address.getPort(), address.getIp(), path)
-			.compose((request) -> request.send())
-			.compose(HttpClientResponse::body)
-			.map((body) -> body.toString()));
+		RequestOptions options = new RequestOptions().setMethod(method)
+			.setHost(address.getIp())
+			.setPort(address.getPort())
+			.setURI(path);
+		return await(HttpCall.send(this.vertx, this.client, options, "")).toString();
 	}
 
 	/**
