Replication: random histories in simulated time, cuts, outages, restarts

The history check found two faults. A log that lost records and grew again between two reads was followed on: new records are now folded only from a page that begins with the last one folded.

--- a/daemons/src/main/java/org/wigeontally/control/Submissions.java
+++ b/daemons/src/main/java/org/wigeontally/control/Submissions.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Vertx;
 
 import org.wigeontally.configuration.Configuration;
+import org.wigeontally.configuration.ConfigurationFold;
 import org.wigeontally.confirmation.Confirmation;
 import org.wigeontally.control.ChangeOutcome.Status;
 import org.wigeontally.errors.ErrorType;
@@ -92,6 +93,9 @@
 			return settle(change.getId());
 		}
 		Findings findings = this.replica.judge().judge(held, change);
+		if (!findings.isEmpty() && ConfigurationFold.mayBeForgotten(held, change)) {
+			return Future.succeededFuture(unknown("verdicts of that age are no longer kept"));
+		}
 		if (!findings.isEmpty()) {
 			return Future.succeededFuture(outcome(Status.REFUSED, 0, findings.list()));
 		}
--- a/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
+++ b/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
@@ -33,7 +33,7 @@
  */
 public final class ConfigurationFold {
 
-	private static final int VERDICTS_KEPT = 64;
+	private static final int VERDICTS_KEPT = 128;
 
 	private static final int PROPOSALS_KEPT = 16;
 
@@ -114,6 +114,19 @@
 		return findings;
 	}
 
+	/**
+	 * Tells whether a change without a verdict may have been decided so long ago that its
+	 * verdict is no longer kept. Such a change must not be refused as unknown to the log.
+	 * @param held the configuration, read up to the log's head
+	 * @param change the change
+	 * @return true if it may have been decided
+	 */
+	public static boolean mayBeForgotten(Configuration held, Change change) {
+		int kept = held.snapshot().getVerdictsCount();
+		return kept >= VERDICTS_KEPT && held.verdict(change.getId()).isEmpty()
+				&& change.getBuildsOn() < held.snapshot().getVerdicts(0).getOffset();
+	}
+
 	private void judgeProposal(Configuration before, Change change, Findings findings) {
 		Bundle bundle = change.getPropose().getBundle();
 		long newest = before.proposed(bundle.getName()).map(ProposedBundle::getRevision).orElse(0L);
--- a/library/src/main/java/org/wigeontally/replication/LogCursor.java
+++ b/library/src/main/java/org/wigeontally/replication/LogCursor.java
@@ -95,9 +95,13 @@
 		if (checksTail() && !tailStands(from, page)) {
 			return (from == applied) ? Outcome.FORKED : Outcome.BEHIND;
 		}
-		this.verifyTail = false;
+		if (from > applied && !page.records().isEmpty() && !this.replica.tailId().isEmpty()) {
+			this.verifyTail = true;
+			return Outcome.BEHIND;
+		}
 		this.searchFrom = 0;
 		this.replica.fold(page.records());
+		this.verifyTail = page.head() > this.replica.configuration().applied() + 1;
 		boolean confirmed = this.confirmation.logRead(sentAtMs, page.head());
 		return confirmed ? Outcome.CAUGHT_UP : Outcome.BEHIND;
 	}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/replication/Operation.java
@@ -0,0 +1,35 @@
+package org.wigeontally.replication;
+
+/**
+ * One change as its operator saw it, with the times of call and return.
+ */
+final class Operation {
+
+	static final String ACCEPTED = "accepted";
+
+	static final String REFUSED = "refused";
+
+	final String id;
+
+	final long invokedAtMs;
+
+	long returnedAtMs = Long.MAX_VALUE;
+
+	String told = "unknown";
+
+	Operation(String id, long invokedAtMs) {
+		this.id = id;
+		this.invokedAtMs = invokedAtMs;
+	}
+
+	void told(String outcome, long atMs) {
+		this.told = outcome;
+		this.returnedAtMs = atMs;
+	}
+
+	@Override
+	public String toString() {
+		return this.id + " [" + this.invokedAtMs + ", " + this.returnedAtMs + "] " + this.told;
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/replication/ReplicationTests.java
@@ -0,0 +1,195 @@
+package org.wigeontally.replication;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.configuration.Configuration;
+import org.wigeontally.configuration.Operators;
+import org.wigeontally.log.PlatformLog;
+import org.wigeontally.schema.generated.Bundle;
+import org.wigeontally.schema.generated.LogRecord;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Five entry hosts in simulated time with cuts, outages, restarts and pauses.
+ */
+public class ReplicationTests {
+
+	private static final int HOSTS = 5;
+
+	private static final long SETTLE_MS = 3000;
+
+	private final Operators operators = Operators.create();
+
+	@Test
+	public void serviceGoesOnInAnOutageOfTheLog() {
+		ControlSimulation simulation = started(1);
+		simulation.outage(true);
+		simulation.run(10_000);
+		assertThat(simulation.hosts.values()).allMatch(SimulatedHost::serving);
+		simulation.restart("e1");
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.get("e1").serving()).as("confirmed by its peers").isTrue();
+		assertThat(simulation.hosts.get("e1").replica.counts()).isFalse();
+		simulation.restart("e2");
+		simulation.restart("e3");
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values()).as("three of five do not count").noneMatch(SimulatedHost::serving);
+		simulation.outage(false);
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values()).allMatch(SimulatedHost::serving);
+	}
+
+	@Test
+	public void minorityWithoutTheLogStopsAndTheOthersGoOn() {
+		ControlSimulation simulation = started(2);
+		simulation.sides.put("e3", 1);
+		simulation.sides.put("e4", 1);
+		Operation out = simulation.submit("e0", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(4000);
+		assertThat(out.told).isEqualTo(Operation.ACCEPTED);
+		assertThat(serving(simulation)).containsExactly("e0", "e1", "e2");
+		simulation.sides.clear();
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values())
+			.allMatch((host) -> host.serving() && host.replica.configuration().zoneOut("z"));
+	}
+
+	@Test
+	public void minorityWithTheLogGoesOnButNothingIsAccepted() {
+		ControlSimulation simulation = started(3);
+		for (String host : List.of("e0", "e1", "e2")) {
+			simulation.sides.put(host, 1);
+		}
+		Operation out = simulation.submit("e4", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(4500);
+		assertThat(out.told).as("no majority holds it").isEqualTo("unknown");
+		assertThat(serving(simulation)).as("the majority without the log confirms itself")
+			.containsExactly("e0", "e1", "e2", "e3", "e4");
+		simulation.sides.clear();
+		Operation again = simulation.submit("e0", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(SETTLE_MS);
+		assertThat(again.told).isEqualTo(Operation.ACCEPTED);
+	}
+
+	@Test
+	public void pausedProcessFindsItsLeaseLapsed() {
+		ControlSimulation simulation = started(4);
+		SimulatedHost paused = simulation.hosts.get("e2");
+		paused.pausedUntilMs = simulation.clock.monotonicMs() + 5000;
+		simulation.submit("e0", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(4990);
+		assertThat(paused.serving()).as("before any of its timers fired").isFalse();
+		simulation.run(SETTLE_MS);
+		assertThat(paused.serving()).isTrue();
+	}
+
+	@Test
+	public void oldHeadAndShortenedLogConfirmNothing() {
+		ControlSimulation simulation = started(5);
+		simulation.submit("e0", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(SETTLE_MS);
+		simulation.log.staleBy(100);
+		simulation.restart("e1");
+		simulation.run(1000);
+		assertThat(simulation.hosts.get("e0").lastRead).isEqualTo(LogCursor.Outcome.OLD_HEAD);
+		assertThat(simulation.hosts.get("e1").replica.configuration().zoneOut("z")).as("from its peers").isTrue();
+		simulation.log.staleBy(0);
+		simulation.run(SETTLE_MS);
+		long revision = simulation.hosts.get("e0").revision();
+		simulation.log.shorten(PlatformLog.CONFIGURATION, 4);
+		for (int i = 0; i < 6; i++) {
+			simulation.log.append(PlatformLog.CONFIGURATION, LogRecord.newBuilder().setId("other-" + i).build());
+		}
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values()).allMatch((host) -> host.lastRead == LogCursor.Outcome.FORKED);
+		assertThat(simulation.hosts.values()).allMatch((host) -> host.revision() == revision && host.serving());
+	}
+
+	@Test
+	public void startsFromACheckpointAfterRetention() {
+		ControlSimulation simulation = started(6);
+		simulation.submit("e0", this.operators.zone("ann", "c1", 0, "z", true));
+		simulation.run(SETTLE_MS);
+		simulation.hosts.keySet().forEach(simulation::kill);
+		simulation.run(60_000);
+		LogRecord checkpoint = LogRecord.newBuilder()
+			.setId("checkpoint")
+			.setCheckpoint(simulation.hosts.get("e0").replica.configuration().snapshot())
+			.build();
+		simulation.log.append(PlatformLog.CONFIGURATION, checkpoint);
+		simulation.log.append(PlatformLog.CONFIGURATION, checkpoint);
+		simulation.log.retentionMs(30_000);
+		simulation.names.forEach(simulation::restart);
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values())
+			.allMatch((host) -> host.serving() && host.replica.counts() && host.replica.configuration().zoneOut("z"));
+	}
+
+	@Test
+	public void doesNotServeAcrossAGapWithoutACheckpoint() {
+		ControlSimulation simulation = started(7);
+		simulation.hosts.keySet().forEach(simulation::kill);
+		simulation.run(60_000);
+		simulation.log.retentionMs(30_000);
+		simulation.names.forEach(simulation::restart);
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values()).noneMatch(SimulatedHost::serving);
+		assertThat(simulation.hosts.get("e0").lastRead).isIn(LogCursor.Outcome.GAP, LogCursor.Outcome.BEHIND);
+	}
+
+	/** Seeds of the random histories. */
+	@DataProvider
+	public Object[][] seeds() {
+		return IntStream.range(0, 16).mapToObj((seed) -> new Object[] { seed }).toArray(Object[][]::new);
+	}
+
+	/**
+	 * Random histories. Seen red with: answers of hosts that do not count, the instant of
+	 * the reply in place of the question's, "accepted" told without a majority, only the
+	 * new list asked during a roll of it, "refused" told without reading the log first.
+	 * @param seed seed of all choices
+	 */
+	@Test(dataProvider = "seeds")
+	public void acceptedChangesAreLinearizableAndInForceInTime(int seed) {
+		ControlSimulation simulation = started(seed);
+		RandomFaults faults = new RandomFaults(simulation, this.operators);
+		for (int step = 0; step < 60; step++) {
+			faults.step(step);
+			simulation.run(500 + simulation.random.nextInt(1500));
+		}
+		faults.heal();
+		simulation.run(15_000);
+		simulation.checkOperations();
+		Configuration reference = simulation.reference();
+		assertThat(simulation.hosts.values()).allMatch(SimulatedHost::serving);
+		assertThat(simulation.hosts.values())
+			.allMatch((host) -> host.replica.configuration().snapshot().equals(reference.snapshot()));
+		assertThat(simulation.operations).anyMatch((operation) -> operation.told.equals(Operation.ACCEPTED));
+	}
+
+	private ControlSimulation started(long seed) {
+		ControlSimulation simulation = new ControlSimulation(seed, this.operators, HOSTS);
+		Bundle bundle = this.operators.bundle("b-0", "", simulation.names);
+		simulation.run(SETTLE_MS);
+		simulation.submit("e0", this.operators.propose("ann", "first-1", bundle));
+		simulation.run(SETTLE_MS);
+		long proposed = simulation.reference().revision();
+		simulation.submit("e0", this.operators.signOff("ben", "first-2", proposed, bundle));
+		simulation.run(SETTLE_MS);
+		simulation.submit("e0", this.operators.roll("ann", "first-3", simulation.reference().revision(), "b-0"));
+		simulation.run(SETTLE_MS);
+		assertThat(simulation.hosts.values()).allMatch((host) -> host.replica.configuration().bundle().isPresent());
+		return simulation;
+	}
+
+	private static Stream<String> serving(ControlSimulation simulation) {
+		return simulation.hosts.values().stream().filter(SimulatedHost::serving).map((host) -> host.name);
+	}
+
+}
