--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model checking of the core protocol with Alloy.
+ */
+package org.wigeontally.model;
