--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/orders/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of orders to engines.
+ */
+package org.wigeontally.orders;
