Fair shares that hold without a backlog, shorter waits, plain baseline

The virtual time now advances at the rate at which each active organisation would be served. Cause of refusals after 2 s: requests were queued behind more than they could wait for; now the expected wait decides at arrival (at most 400 ms). Cause of lost goodput at 1: reports were distrusted after 500 ms although requests run for seconds (half-life now 10 s), and the prefix discount was too weak to keep prefixes where they are cached.

--- a/emulator/src/main/java/org/wigeontally/emulator/measure/RouteMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/RouteMeasurement.java
@@ -12,9 +12,10 @@
 import org.wigeontally.emulator.traffic.Workload;
 
 /**
- * Goodput, latency and fairness of the policy at a load relative to the capacity, with
- * round robin and least reported load on the same arrivals. In virtual time, with the
- * real decision classes.
+ * Goodput, latency and fairness of the policy at a load relative to the capacity. The
+ * baselines get the same arrivals: round robin without admission, and the policy with
+ * only its choice replaced by round robin or by the least reported load. In virtual time,
+ * with the real decision classes.
  */
 final class RouteMeasurement implements Measurement {
 
@@ -45,15 +46,18 @@
 		RouteSetting setting = setting(size, Policy.LEAST_LOADED_OF_FEW, fullCapacity, seed);
 		double capacity = fullCapacity * RouteRun.shareInWork(setting);
 		RouteResult policy = RouteRun.of(setting);
+		RouteResult plain = RouteRun.of(setting(size, Policy.PLAIN_ROUND_ROBIN, fullCapacity, seed));
 		RouteResult roundRobin = RouteRun.of(setting(size, Policy.ROUND_ROBIN, fullCapacity, seed));
 		RouteResult leastReported = RouteRun.of(setting(size, Policy.LEAST_REPORTED, fullCapacity, seed));
 		Figures figures = Figures.create().put("load", this.load).put("capacityPerSecond", capacity);
 		put(figures, policy, capacity);
-		figures.put("firstTokenP95VsRoundRobin", policy.firstTokenMs(95) / roundRobin.firstTokenMs(95));
+		figures.put("firstTokenP95VsRoundRobin", policy.firstTokenMs(95) / plain.firstTokenMs(95));
+		figures.put("firstTokenP95VsGatedRoundRobin", policy.firstTokenMs(95) / roundRobin.firstTokenMs(95));
 		figures.put("aloneFirstTokenP95Ms", alone.firstTokenMs(95));
 		figures.put("aloneBetweenTokensP95Ms", alone.betweenTokensMs(95));
-		putBaseline(figures, "roundRobin", roundRobin, capacity);
-		putBaseline(figures, "leastReported", leastReported, capacity);
+		putBaseline(figures, "roundRobin", plain, capacity);
+		putBaseline(figures, "gatedRoundRobin", roundRobin, capacity);
+		putBaseline(figures, "gatedLeastReported", leastReported, capacity);
 		return figures;
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/traffic/ModelAgent.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/traffic/ModelAgent.java
@@ -1,5 +1,7 @@
 package org.wigeontally.emulator.traffic;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,8 +14,8 @@
 import org.wigeontally.admission.GateLimits;
 
 /**
- * An agent with its engine: the real gate before the model of an engine. Used by one
- * thread.
+ * An agent with its engine: the real gate before the model of an engine, or for the plain
+ * baseline a first-in-first-out queue without bound. Used by one thread.
  */
 final class ModelAgent {
 
@@ -35,15 +37,20 @@
 
 	private final AdmissionGate gate;
 
+	private final boolean gated;
+
+	private final Deque<String> waiting = new ArrayDeque<>();
+
 	private final Map<String, Sending> pending = new HashMap<>();
 
 	private final Map<Integer, Integer> byEntry = new HashMap<>();
 
-	ModelAgent(VirtualTime time, String host, int zone, ModelEngine engine, Random random) {
+	ModelAgent(VirtualTime time, String host, int zone, ModelEngine engine, boolean gated, Random random) {
 		this.time = time;
 		this.host = host;
 		this.zone = zone;
 		this.engine = engine;
+		this.gated = gated;
 		this.gate = AdmissionGate.create(GateLimits.reporting(CAPACITY, COLD_CAPACITY, QUEUE_LIMIT), time, random);
 		this.gate.report(new EngineReport(0, EngineReport.Warmth.WARM, time.monotonicMs()));
 		time.after(TICK_MS, this::tick);
@@ -65,14 +72,19 @@
 	void offer(AdmissionRequest request, Sending sending) {
 		this.pending.put(request.id(), sending);
 		this.byEntry.merge(sending.entry(), 1, Integer::sum);
-		carryOut(this.gate.offer(request));
+		if (this.gated) {
+			carryOut(this.gate.offer(request));
+			return;
+		}
+		this.waiting.addLast(request.id());
+		startWaiting();
 	}
 
 	private void carryOut(Admission admission) {
 		String id = admission.request().id();
 		Sending sending = this.pending.get(id);
 		switch (admission.verdict()) {
-			case RUN -> this.engine.start(sending.request(), (index) -> token(id, sending, index), () -> end(id));
+			case RUN -> start(id);
 			case REFUSED -> {
 				gone(id);
 				sending.listener().refused(admission);
@@ -82,6 +94,17 @@
 		}
 	}
 
+	private void start(String id) {
+		Sending sending = this.pending.get(id);
+		this.engine.start(sending.request(), (index) -> token(id, sending, index), () -> end(id));
+	}
+
+	private void startWaiting() {
+		while (!this.waiting.isEmpty() && this.engine.running() < CAPACITY) {
+			start(this.waiting.removeFirst());
+		}
+	}
+
 	private void token(String id, Sending sending, int index) {
 		if (index == 0) {
 			carryOut(this.gate.answered(id));
@@ -92,6 +115,7 @@
 	private void end(String id) {
 		Sending sending = gone(id);
 		carryOut(this.gate.ended(id, AdmissionGate.End.COMPLETE));
+		startWaiting();
 		sending.listener().ended();
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/traffic/ModelEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/traffic/ModelEntry.java
@@ -28,11 +28,11 @@
 
 	private static final double REPORT_LAG_MS = 200;
 
-	private static final double RETRY_SHARE = 0.2;
+	private static final double RETRY_SHARE = 0.5;
 
 	private static final double RETRIES_SAVED = 10;
 
-	private static final int ATTEMPTS_MAX = 3;
+	private static final int ATTEMPTS_MAX = 4;
 
 	private static final double MEAN_OUTPUT_TOKENS = 128;
 
--- a/emulator/src/main/java/org/wigeontally/emulator/traffic/Policy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/traffic/Policy.java
@@ -15,9 +15,11 @@
 
 	/** The policy in use. */
 	LEAST_LOADED_OF_FEW,
-	/** Baseline: in turn. */
+	/** Baseline: in turn, with neither admission nor retries. */
+	PLAIN_ROUND_ROBIN,
+	/** The choice alone replaced: in turn. */
 	ROUND_ROBIN,
-	/** Baseline: lowest reported load. */
+	/** The choice alone replaced: lowest reported load. */
 	LEAST_REPORTED;
 
 	private static final int AFFINITY_BLOCKS = 1_000;
@@ -25,7 +27,7 @@
 	BackendChooser chooser(String zone, PrefixAffinity affinity, Random random) {
 		return switch (this) {
 			case LEAST_LOADED_OF_FEW -> LeastLoadedOfFew.create("region-" + zone, zone, affinity, random);
-			case ROUND_ROBIN -> RoundRobin.create(random.nextInt(100));
+			case PLAIN_ROUND_ROBIN, ROUND_ROBIN -> RoundRobin.create(random.nextInt(100));
 			case LEAST_REPORTED -> LeastReported.create();
 		};
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/traffic/RouteRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/traffic/RouteRun.java
@@ -60,7 +60,7 @@
 	 */
 	public static RouteResult alone(double windowMs, long seed) {
 		VirtualTime time = VirtualTime.create();
-		ModelEngine engine = ModelEngine.create(time, Integer.MAX_VALUE);
+		ModelEngine engine = ModelEngine.create(time, PREFIXES_CACHED);
 		RouteResult result = new RouteResult(WARM_UP_MS, WARM_UP_MS + windowMs);
 		Workload workload = Workload.create(seed);
 		for (int i = 0; i < ModelAgent.CAPACITY; i++) {
@@ -93,7 +93,8 @@
 		List<ModelAgent> agents = new ArrayList<>();
 		for (int i = 0; i < this.setting.size().replicas(); i++) {
 			ModelEngine engine = ModelEngine.create(this.time, PREFIXES_CACHED);
-			agents.add(new ModelAgent(this.time, "backend-" + i, i % UserSize.ZONES, engine, this.random));
+			boolean gated = this.setting.policy() != Policy.PLAIN_ROUND_ROBIN;
+			agents.add(new ModelAgent(this.time, "backend-" + i, i % UserSize.ZONES, engine, gated, this.random));
 		}
 		for (int i = 0; i < this.setting.size().entries(); i++) {
 			this.entries.add(new ModelEntry(i, this.setting, this.time, agents, this.result, this.random));
--- a/library/src/main/java/org/wigeontally/admission/AdmissionGate.java
+++ b/library/src/main/java/org/wigeontally/admission/AdmissionGate.java
@@ -25,7 +25,8 @@
  * When all places are taken a request waits in a short queue ({@link FairQueue}) if it is
  * likely to leave it in time, or is refused at once. What is queued is not pushed out
  * later: a refusal after waiting happens only if the deadline passes or the backend
- * server goes down. Organisations over their share may use half of the queue.
+ * server goes down. Organisations over their share wait behind the others, so they are
+ * let in only if what the others leave over drains the queue in time.
  *
  * <p>
  * A request whose content is suspected of bringing backend servers down
@@ -38,7 +39,15 @@
  */
 public final class AdmissionGate {
 
-	private static final double QUEUE_WAIT_MAX_MS = 500;
+	private static final double QUEUE_WAIT_MAX_MS = 400;
+
+	private static final double LEFT_OVER_MIN = 0.05;
+
+	private static final int RESERVED_PART = 16;
+
+	private static final double CONTENTION_MIN = 0.5;
+
+	private static final double CONTENTION_SMOOTHING = 0.05;
 
 	private final Clock clock;
 
@@ -56,6 +65,8 @@
 
 	private String suspect = "";
 
+	private double contention;
+
 	private boolean up = true;
 
 	private boolean closing;
@@ -88,6 +99,8 @@
 	public Admission offer(AdmissionRequest request) {
 		long nowMs = this.clock.monotonicMs();
 		noticeOverdue(nowMs);
+		this.queue.called(request, nowMs);
+		noticeContention(request);
 		ErrorType reason = obstacle(request, nowMs);
 		this.drain.decided(reason != null);
 		if (reason != null) {
@@ -96,7 +109,8 @@
 		if (request.suspect()) {
 			this.suspect = request.id();
 		}
-		if (hasPlace()) {
+		boolean overShare = this.queue.overShare(request);
+		if (hasPlace(overShare)) {
 			this.queue.passThrough(request);
 			return start(request, nowMs, 0);
 		}
@@ -208,8 +222,8 @@
 			decisions.add(refuse(expired.request, ErrorType.DEADLINE, nowMs - expired.sinceMs));
 			expired = this.queue.pollExpired(nowMs);
 		}
-		while (this.queue.size() > 0 && hasPlace()) {
-			FairQueue.Waiting next = this.queue.poll();
+		while (this.queue.size() > 0 && hasPlace(this.queue.firstOverShare(nowMs))) {
+			FairQueue.Waiting next = this.queue.poll(nowMs);
 			decisions.add(start(next.request, nowMs, nowMs - next.sinceMs));
 		}
 		return decisions;
@@ -268,25 +282,37 @@
 		if (request.deadlineMs() <= nowMs) {
 			return ErrorType.DEADLINE;
 		}
-		return hasPlace() ? null : obstacleToWaiting(request, nowMs);
+		return hasPlace(this.queue.overShare(request)) ? null : obstacleToWaiting(request, nowMs);
 	}
 
 	private ErrorType obstacleToWaiting(AdmissionRequest request, long nowMs) {
 		boolean overShare = this.queue.overShare(request);
 		double waitMs = this.drain.waitMs(this.queue.ahead(request));
+		if (overShare) {
+			waitMs /= Math.max(LEFT_OVER_MIN, 1 - this.queue.underShare());
+		}
 		if (request.deadlineMs() != AdmissionRequest.NO_DEADLINE && nowMs + waitMs > request.deadlineMs()) {
 			return ErrorType.DEADLINE;
 		}
-		double share = overShare ? 0.5 : 1;
-		boolean full = this.queue.size() >= Math.ceil(share * this.limits.queueLimit());
-		if (full || waitMs > share * QUEUE_WAIT_MAX_MS && this.queue.size() > 0) {
+		if (this.queue.size() >= this.limits.queueLimit() || waitMs > QUEUE_WAIT_MAX_MS) {
 			return overShare ? ErrorType.OVER_SHARE : ErrorType.OVERLOADED;
 		}
 		return null;
 	}
 
-	private boolean hasPlace() {
-		return this.up && this.outside.known(this.clock.monotonicMs()) && running() < this.learned.limit();
+	private boolean hasPlace(boolean overShare) {
+		int limit = this.learned.limit();
+		if (overShare && this.contention > CONTENTION_MIN) {
+			limit -= limit / RESERVED_PART;
+		}
+		return this.up && this.outside.known(this.clock.monotonicMs()) && running() < limit;
+	}
+
+	private void noticeContention(AdmissionRequest request) {
+		if (!this.queue.overShare(request)) {
+			int blocked = hasPlace(false) ? 0 : 1;
+			this.contention += CONTENTION_SMOOTHING * (blocked - this.contention);
+		}
 	}
 
 	private Admission start(AdmissionRequest request, long nowMs, long waitedMs) {
@@ -305,7 +331,7 @@
 	private List<Admission> refuseAll(ErrorType reason) {
 		long nowMs = this.clock.monotonicMs();
 		List<Admission> decisions = new ArrayList<>();
-		for (FairQueue.Waiting next = this.queue.poll(); next != null; next = this.queue.poll()) {
+		for (FairQueue.Waiting next = this.queue.poll(nowMs); next != null; next = this.queue.poll(nowMs)) {
 			clearSuspect(next.request.id());
 			decisions.add(refuse(next.request, reason, nowMs - next.sinceMs));
 		}
--- a/library/src/main/java/org/wigeontally/admission/FairQueue.java
+++ b/library/src/main/java/org/wigeontally/admission/FairQueue.java
@@ -7,42 +7,57 @@
 import java.util.TreeSet;
 
 /**
- * Orders waiting requests by priority and then by start-time fair queueing between
- * organisations.
+ * Orders waiting requests by priority and then fairly between organisations, and tells
+ * who uses more than its share.
  *
  * <p>
  * Each request gets a start tag, the larger of the virtual time and its organisation's
  * last finish tag, and a finish tag later by cost over weight. The lowest start tag
- * leaves first and sets the virtual time, so an organisation that sends much runs ahead
- * of the virtual time and waits, while one that sent nothing begins at it and cannot save
- * up credit. Requests that run without waiting are tagged too; else the queue would not
- * know who used the backend server before it filled up.
+ * leaves first. The virtual time advances with each start by the cost over the sum of the
+ * weights of all organisations that called lately: at the rate at which each would be
+ * served if all got their share. (Start-time fair queueing sets it to the tag in service
+ * instead. That needs a backlog of everybody; here queues are short and most requests are
+ * refused rather than queued, so the tag in service is always that of the one who sends
+ * most, and no one is ever ahead.)
  *
  * <p>
- * The tags also tell who is over its share: an organisation whose next start tag is more
- * than {@link #ALLOWANCE} mean requests ahead. The gate lets it use only a part of the
- * queue, so that one large organisation never takes the last place. Used by the gate's
- * thread.
+ * An organisation that sends more than its share runs ahead of the virtual time; one that
+ * sends less begins at it and cannot save up credit. Who is more than {@link #ALLOWANCE}
+ * mean requests ahead is over its share, and no one gets further ahead than
+ * {@link #LEAD_MAX}, so that past use does not count for ever. Requests that run without
+ * waiting are tagged too. Used by the gate's thread.
  */
 final class FairQueue {
 
 	private static final double ALLOWANCE = 4;
 
+	private static final double LEAD_MAX = 8;
+
+	private static final long AGED_MS = 300;
+
+	private static final long ACTIVE_MS = 10_000;
+
 	private static final double COST_SMOOTHING = 0.02;
 
-	private static final int FORGET_ABOVE = 1_000;
+	private static final double UNDER_SHARE_SMOOTHING = 0.05;
 
 	private final TreeSet<Waiting> waiting = new TreeSet<>(
 			Comparator.comparingInt((Waiting entry) -> -entry.request.priority())
 				.thenComparingDouble((entry) -> entry.startTag)
 				.thenComparingLong((entry) -> entry.order));
 
-	private final Map<String, Double> finishTags = new HashMap<>();
+	private final Map<String, Share> shares = new HashMap<>();
 
 	private double virtualTime;
 
 	private double meanCost;
 
+	private double underShare;
+
+	private long prunedMs;
+
+	private int weights;
+
 	private long order;
 
 	int size() {
@@ -53,6 +68,11 @@
 		return nextStart(request) > this.virtualTime + ALLOWANCE * this.meanCost;
 	}
 
+	boolean firstOverShare(long nowMs) {
+		Waiting first = first(nowMs);
+		return first != null && first.startTag > this.virtualTime + ALLOWANCE * this.meanCost;
+	}
+
 	int ahead(AdmissionRequest request) {
 		double startTag = nextStart(request);
 		int count = 0;
@@ -68,21 +88,36 @@
 	}
 
 	void passThrough(AdmissionRequest request) {
-		this.virtualTime = Math.max(this.virtualTime, tag(request));
+		tag(request);
+		advance(request);
 	}
 
 	void push(AdmissionRequest request, long nowMs) {
 		this.waiting.add(new Waiting(request, tag(request), this.order++, nowMs));
 	}
 
-	Waiting poll() {
-		Waiting first = this.waiting.pollFirst();
+	Waiting poll(long nowMs) {
+		Waiting first = first(nowMs);
 		if (first != null) {
-			this.virtualTime = Math.max(this.virtualTime, first.startTag);
+			this.waiting.remove(first);
+			advance(first.request);
 		}
 		return first;
 	}
 
+	private Waiting first(long nowMs) {
+		if (this.waiting.isEmpty()) {
+			return null;
+		}
+		Waiting oldest = this.waiting.first();
+		for (Waiting entry : this.waiting) {
+			if (entry.sinceMs < oldest.sinceMs) {
+				oldest = entry;
+			}
+		}
+		return (nowMs - oldest.sinceMs > AGED_MS) ? oldest : this.waiting.first();
+	}
+
 	Waiting remove(String id) {
 		Iterator<Waiting> entries = this.waiting.iterator();
 		while (entries.hasNext()) {
@@ -105,21 +140,62 @@
 		return null;
 	}
 
+	/**
+	 * Notes that an organisation calls, whether it is served or not.
+	 * @param request its request
+	 * @param nowMs the time
+	 */
+	void called(AdmissionRequest request, long nowMs) {
+		Share share = this.shares.computeIfAbsent(request.organisation(), (key) -> new Share());
+		share.weight = Math.max(1, request.weight());
+		share.calledMs = nowMs;
+		if (nowMs - this.prunedMs > ACTIVE_MS / 10) {
+			this.prunedMs = nowMs;
+			this.shares.values().removeIf((entry) -> nowMs - entry.calledMs > ACTIVE_MS);
+			this.weights = this.shares.values().stream().mapToInt((entry) -> entry.weight).sum();
+		}
+	}
+
+	/**
+	 * Returns the part of the work that organisations within their share take.
+	 * @return a moving average between 0 and 1
+	 */
+	double underShare() {
+		return this.underShare;
+	}
+
 	private double nextStart(AdmissionRequest request) {
-		return Math.max(this.virtualTime, this.finishTags.getOrDefault(request.organisation(), 0.0));
+		Share share = this.shares.get(request.organisation());
+		return (share != null) ? Math.max(this.virtualTime, share.finishTag) : this.virtualTime;
 	}
 
 	private double tag(AdmissionRequest request) {
+		this.underShare += UNDER_SHARE_SMOOTHING * ((overShare(request) ? 0 : 1) - this.underShare);
 		double startTag = nextStart(request);
 		double cost = Math.max(1, request.cost());
 		this.meanCost += (this.meanCost == 0) ? cost : COST_SMOOTHING * (cost - this.meanCost);
-		this.finishTags.put(request.organisation(), startTag + cost / Math.max(1, request.weight()));
-		if (this.finishTags.size() > FORGET_ABOVE) {
-			this.finishTags.values().removeIf((finish) -> finish <= this.virtualTime);
+		Share share = this.shares.get(request.organisation());
+		if (share != null) {
+			double most = this.virtualTime + LEAD_MAX * this.meanCost;
+			share.finishTag = Math.min(startTag + cost / share.weight, Math.max(most, startTag));
 		}
 		return startTag;
 	}
 
+	private void advance(AdmissionRequest request) {
+		this.virtualTime += Math.max(1, request.cost()) / Math.max(1, this.weights);
+	}
+
+	private static final class Share {
+
+		private int weight = 1;
+
+		private double finishTag;
+
+		private long calledMs;
+
+	}
+
 	/**
 	 * A request in the queue.
 	 */
--- a/library/src/main/java/org/wigeontally/routing/LeastLoadedOfFew.java
+++ b/library/src/main/java/org/wigeontally/routing/LeastLoadedOfFew.java
@@ -30,11 +30,11 @@
 
 	private static final int DRAWN_PER_DISTANCE = 3;
 
-	private static final double OTHER_ZONE_PENALTY = 0.05;
+	private static final double OTHER_ZONE_PENALTY = 0.025;
 
-	private static final double OTHER_REGION_PENALTY = 0.1;
+	private static final double OTHER_REGION_PENALTY = 0.05;
 
-	private static final double PREFIX_GAIN = 0.3;
+	private static final double PREFIX_GAIN = 1;
 
 	private static final double PREFIX_LOAD_BOUND = 1.25;
 
--- a/library/src/main/java/org/wigeontally/routing/LoadEstimate.java
+++ b/library/src/main/java/org/wigeontally/routing/LoadEstimate.java
@@ -16,7 +16,7 @@
  */
 final class LoadEstimate {
 
-	static final double REPORT_HALF_LIFE_MS = 500;
+	static final double REPORT_HALF_LIFE_MS = 10_000;
 
 	private final double othersMean;
 
