--- a/library/src/main/java/org/wigeontally/admission/AdmissionGate.java
+++ b/library/src/main/java/org/wigeontally/admission/AdmissionGate.java
@@ -26,7 +26,8 @@
  * likely to leave it in time, or is refused at once. What is queued is not pushed out
  * later: a refusal after waiting happens only if the deadline passes or the backend
  * server goes down. Organisations over their share wait behind the others, so they are
- * let in only if what the others leave over drains the queue in time.
+ * let in only if what the others leave over drains the queue in time, and into half of
+ * the queue.
  *
  * <p>
  * A request whose content is suspected of bringing backend servers down
@@ -287,14 +288,17 @@
 
 	private ErrorType obstacleToWaiting(AdmissionRequest request, long nowMs) {
 		boolean overShare = this.queue.overShare(request);
-		double waitMs = this.drain.waitMs(this.queue.ahead(request));
+		int ahead = this.queue.ahead(request);
+		double waitMs = this.drain.waitMs(ahead);
 		if (overShare) {
 			waitMs /= Math.max(LEFT_OVER_MIN, 1 - this.queue.underShare());
 		}
 		if (request.deadlineMs() != AdmissionRequest.NO_DEADLINE && nowMs + waitMs > request.deadlineMs()) {
 			return ErrorType.DEADLINE;
 		}
-		if (this.queue.size() >= this.limits.queueLimit() || waitMs > QUEUE_WAIT_MAX_MS) {
+		boolean full = overShare ? this.queue.size() >= this.limits.queueLimit() / 2
+				: ahead >= this.limits.queueLimit();
+		if (full || waitMs > QUEUE_WAIT_MAX_MS) {
 			return overShare ? ErrorType.OVER_SHARE : ErrorType.OVERLOADED;
 		}
 		return null;
--- a/library/src/main/java/org/wigeontally/admission/GateLimits.java
+++ b/library/src/main/java/org/wigeontally/admission/GateLimits.java
@@ -5,7 +5,8 @@
  *
  * @param capacity most requests at once when warm
  * @param coldCapacity most requests at once during a cold start
- * @param queueLimit most requests that wait
+ * @param queueLimit most requests that wait ahead of one that is let in; half as many of
+ * organisations over their share may wait behind them
  * @param reportsRunning true if it reports how many requests it runs
  * @param settleMs time after which work of an earlier agent is taken to be over at a
  * backend server that reports nothing
