--- a/testsuite/src/test/java/org/wigeontally/tool/WigeontallyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/WigeontallyTests.java
@@ -138,6 +138,19 @@
 		assertThat(this.out).contains("unknown");
 	}
 
+	@Test
+	public void sendsAChangeAgainWhileItsOutcomeIsUnknown() throws InterruptedException {
+		this.entry.failing(true);
+		Thread mend = new Thread(() -> {
+			pause(1000);
+			this.entry.failing(false);
+		});
+		mend.start();
+		assertThat(run("zone", "out", "west-a", "--settings", this.olive, "--timeout", "20")).isZero();
+		mend.join();
+		assertThat(this.out).contains("accepted at revision 1");
+	}
+
 	@Test
 	public void tellsWhenNoEntryHostAnswers() {
 		this.entry.close();
@@ -175,6 +188,15 @@
 		return code;
 	}
 
+	private static void pause(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private String keys(String name) {
 		assertThat(run("key", "new", name)).isZero();
 		return this.out;
--- a/tool/src/main/java/org/wigeontally/tool/AdminClient.java
+++ b/tool/src/main/java/org/wigeontally/tool/AdminClient.java
@@ -36,7 +36,7 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 1000;
 
-	private static final long ATTEMPT_TIMEOUT_MS = 5000;
+	private static final long ATTEMPT_TIMEOUT_MS = 8000;
 
 	private static final String ROOT = "/v1/admin";
 
--- a/tool/src/main/java/org/wigeontally/tool/OperatorSession.java
+++ b/tool/src/main/java/org/wigeontally/tool/OperatorSession.java
@@ -67,7 +67,7 @@
 		ChangeAnswer answer = submit(change);
 		while (!settled(answer) && !expired()) {
 			pause();
-			answer = askAgain(answer);
+			answer = askAgain(change, answer);
 		}
 		return report(answer);
 	}
@@ -84,9 +84,14 @@
 		}
 	}
 
-	private ChangeAnswer askAgain(ChangeAnswer last) throws WigeontallyException {
+	// A change that was not found in the log is sent again: an entry reads the log to its
+	// head first, and the id counts once.
+	private ChangeAnswer askAgain(Change change, ChangeAnswer last) throws WigeontallyException {
+		if (last.getOutcome() != ChangeAnswer.Outcome.PENDING) {
+			return submit(change);
+		}
 		try {
-			return this.client.outcome(last.getId()).toBuilder().setId(last.getId()).build();
+			return this.client.outcome(change.getId()).toBuilder().setId(change.getId()).build();
 		}
 		catch (EntryException ex) {
 			return last;
