Fuzz of the callers' door; paths in another form are refused

A request to /v1/services/order-desk/%62ookings (also //bookings, /./bookings, /x/../bookings) ran the booking without being taken for one that must run at most once. Paths that are not in normal form are now refused, and trailing slashes and path parameters do not count in the comparison.

--- a/daemons/src/main/java/org/wigeontally/entry/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerRequest.java
@@ -46,8 +46,14 @@
 	}
 
 	private String pathWithoutQuery() {
-		int query = this.path.indexOf('?');
-		return (query < 0) ? this.path : this.path.substring(0, query);
+		int end = 0;
+		while (end < this.path.length() && "?;".indexOf(this.path.charAt(end)) < 0) {
+			end++;
+		}
+		while (end > 1 && this.path.charAt(end - 1) == '/') {
+			end--;
+		}
+		return this.path.substring(0, end);
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/entry/RequestReader.java
+++ b/daemons/src/main/java/org/wigeontally/entry/RequestReader.java
@@ -45,6 +45,9 @@
 	 */
 	CallerRequest read(RoutingContext context, Configuration configuration) throws RefusedException {
 		HttpServerRequest http = context.request();
+		if (!context.normalizedPath().equals(http.path())) {
+			throw refused(ErrorType.BAD_REQUEST, "the path is not in normal form");
+		}
 		Organisation organisation = organisation(http, configuration);
 		Service service = service(context, configuration);
 		if (!configuration.approved(organisation.getName(), service.getName())) {
