--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -16,6 +16,7 @@
 import org.wigeontally.control.ControlSettings;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.ControlMetrics;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -82,6 +83,8 @@
 		Router router = Router.router(this.vertx);
 		PrometheusRegistry registry = new PrometheusRegistry();
 		MetricsApi.mount(router, registry, this.control.view()::serving);
+		ControlMetrics.register(registry, this.control.view());
+		ControlMetrics.registerBackends(registry, this::states);
 		this.dispatches.mount(router, BODY_LIMIT_BYTES);
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
--- a/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -11,6 +11,7 @@
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.metrics.RequestMetrics;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
 import org.wigeontally.schema.generated.Role;
@@ -31,15 +32,19 @@
 
 	private final Dispatcher dispatcher;
 
-	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher) {
+	private final RequestMetrics metrics;
+
+	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, RequestMetrics metrics) {
 		this.view = view;
 		this.reader = reader;
 		this.dispatcher = dispatcher;
+		this.metrics = metrics;
 	}
 
 	void mount(Router router, int bodyLimitBytes) {
 		router.get("/v1/addresses").handler(this::addresses);
 		router.route(RequestReader.PREFIX + ":service/*")
+			.handler((PlatformHandler) this.metrics::follow)
 			.handler((PlatformHandler) this::refuseIfNotServing)
 			.handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes))
 			.handler(this::request)
@@ -76,6 +81,7 @@
 			ex.refusal().send(context.response());
 			return;
 		}
+		this.metrics.follow(context, request.service().getName(), request.organisation().getName(), request.priority());
 		this.dispatcher.dispatch(request, "", context.response());
 	}
 
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -16,7 +16,9 @@
 import org.wigeontally.errors.InputException;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.ControlMetrics;
 import org.wigeontally.metrics.MetricsApi;
+import org.wigeontally.metrics.RequestMetrics;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.HttpPlatformLog;
@@ -76,7 +78,9 @@
 		Router router = Router.router(this.vertx);
 		PrometheusRegistry registry = new PrometheusRegistry();
 		MetricsApi.mount(router, registry, this.control.view()::serving);
-		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher);
+		ControlMetrics.register(registry, this.control.view());
+		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher,
+				RequestMetrics.register(registry));
 		callers.mount(router, this.settings.getBodyLimitBytes());
 		Administration administration = new ControlAdministration(this.control);
 		router.route("/v1/admin/*").subRouter(AdministrationApi.router(this.vertx, administration));
--- a/testsuite/src/test/java/org/wigeontally/entry/CallerDoorFuzzTests.java
+++ b/testsuite/src/test/java/org/wigeontally/entry/CallerDoorFuzzTests.java
@@ -224,6 +224,26 @@
 		assertServes();
 	}
 
+	@Test
+	public void countsRequestsByClassAndRefusalsByError() throws IOException {
+		assertServes();
+		statusOf(good("wrong").replace("credential-1", "wrong"));
+		String metrics = read("GET /metrics HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n");
+		assertThat(metrics)
+			.containsPattern("wigeontally_requests_total\\{organisation=\"org-1\",outcome=\"done\",priority=\"normal\","
+					+ "service=\"order-desk\"} [1-9]")
+			.containsPattern("wigeontally_first_byte_seconds_bucket\\{organisation=\"org-1\".*le=\"0.92\"} [1-9]")
+			.containsPattern("wigeontally_refusals_total\\{error=\"200\"} [1-9]")
+			.contains("wigeontally_serving 1.0", "wigeontally_agents{liveness=\"live\"} 1.0");
+	}
+
+	private String read(String request) throws IOException {
+		try (Socket socket = new Socket(this.address.getIp(), this.address.getPort())) {
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		}
+	}
+
 	private void assertServes() throws IOException {
 		String id = UUID.randomUUID().toString();
 		assertThat(statusOf(good(id))).isEqualTo(200);
