Weights: activation, roll plan, loader, tests over HTTP; measurement with emulated links

Chunks of a peer whose path failed twice no longer count as held nearby. A root without an origin path now asks peers for the manifest.

--- a/daemons/src/main/java/org/wigeontally/spread/ChunkServer.java
+++ b/daemons/src/main/java/org/wigeontally/spread/ChunkServer.java
@@ -59,7 +59,7 @@
 			context.response().setStatusCode(503).end();
 			return;
 		}
-		this.upload.send(context.response(), receiver(context.request()), bytes)
+		this.upload.send(context.response(), receiver(context.request()), border, bytes)
 			.onComplete((ended) -> taken.decrementAndGet());
 	}
 
@@ -79,8 +79,9 @@
 			context.response().setStatusCode(404).end();
 			return;
 		}
-		spread.manifestBytes().timeout(MANIFEST_WAIT_MS, java.util.concurrent.TimeUnit.MILLISECONDS)
-			.onSuccess((bytes) -> this.upload.send(context.response(), receiver(context.request()), bytes))
+		spread.manifestBytes()
+			.timeout(MANIFEST_WAIT_MS, java.util.concurrent.TimeUnit.MILLISECONDS)
+			.onSuccess((bytes) -> this.upload.send(context.response(), receiver(context.request()), true, bytes))
 			.onFailure((cause) -> context.response().setStatusCode(404).end());
 	}
 
--- a/daemons/src/main/java/org/wigeontally/spread/ManifestFetch.java
+++ b/daemons/src/main/java/org/wigeontally/spread/ManifestFetch.java
@@ -17,8 +17,8 @@
  * Fetches the manifest of a version along a binary tree over the hosts of the region in
  * the order of lane 0: each host asks its ancestors, the nearest first, and the root asks
  * the origin, or the root of the origin's region. A host that goes through all of them in
- * vain tries again after a jittered pause, and from the second round also asks the
- * origin. Used on the control context.
+ * vain tries again after a jittered pause, and from the second round also asks a random
+ * host of the region and the origin. Used on the control context.
  */
 final class ManifestFetch {
 
@@ -76,6 +76,9 @@
 		if (!atOrigin && (root || this.rounds > 0)) {
 			sources.addAll(now.order(now.originRegion(), 0).subList(0, 1));
 		}
+		if (this.rounds > 0) {
+			sources.add(order.get(this.parts.random().nextInt(order.size())));
+		}
 		if (atOrigin && root || this.rounds > 0) {
 			sources.add(ORIGIN);
 		}
@@ -93,12 +96,11 @@
 			this.parts.vertx().setTimer(Math.max(1, waitMs), (id) -> round(sources(), 0));
 			return;
 		}
-		fetch(sources.get(next)).compose(this::check)
-			.onComplete((done) -> this.parts.control().runOnContext((now) -> {
-				if (done.failed()) {
-					round(sources, next + 1);
-				}
-			}));
+		fetch(sources.get(next)).compose(this::check).onComplete((done) -> this.parts.control().runOnContext((now) -> {
+			if (done.failed()) {
+				round(sources, next + 1);
+			}
+		}));
 	}
 
 	private Future<byte[]> fetch(String source) {
--- a/daemons/src/main/java/org/wigeontally/spread/PacedUpload.java
+++ b/daemons/src/main/java/org/wigeontally/spread/PacedUpload.java
@@ -15,7 +15,7 @@
  */
 public final class PacedUpload {
 
-	private static final int PIECE_BYTES = 4096;
+	private static final int PIECE_BYTES = 2048;
 
 	private static final int PIECES_PER_CHUNK = 64;
 
@@ -49,20 +49,22 @@
 	 * Sends a whole answer.
 	 * @param response where to
 	 * @param to name of the receiving host
+	 * @param urgent true to go before uploads that are not
 	 * @param bytes the body
 	 * @return ends when all was sent or the connection broke
 	 */
-	public Future<Void> send(HttpServerResponse response, String to, byte[] bytes) {
+	public Future<Void> send(HttpServerResponse response, String to, boolean urgent, byte[] bytes) {
 		Promise<Void> sent = Promise.promise();
 		response.exceptionHandler(sent::tryFail);
 		response.closeHandler((closed) -> sent.tryFail("closed"));
 		response.putHeader("Content-Length", Integer.toString(bytes.length));
 		int piece = Math.max(PIECE_BYTES, bytes.length / PIECES_PER_CHUNK);
-		next(response, to, bytes, 0, piece, sent);
+		next(response, to, urgent, bytes, 0, piece, sent);
 		return sent.future();
 	}
 
-	private void next(HttpServerResponse response, String to, byte[] bytes, int offset, int most, Promise<Void> sent) {
+	private void next(HttpServerResponse response, String to, boolean urgent, byte[] bytes, int offset, int most,
+			Promise<Void> sent) {
 		if (sent.future().isComplete()) {
 			return;
 		}
@@ -71,11 +73,14 @@
 			return;
 		}
 		int length = Math.min(most, bytes.length - offset);
-		long waitMs = Math.round(this.budget.reserve(length, this.clock.monotonicMs()));
-		after(waitMs).compose((waited) -> this.wire.carry(this.from, to, Buffer.buffer().appendBytes(bytes, offset, length)))
+		double nowMs = this.clock.monotonicMs();
+		long waitMs = Math
+			.round(urgent ? this.budget.reserveUrgent(length, nowMs) : this.budget.reserve(length, nowMs));
+		after(waitMs)
+			.compose((waited) -> this.wire.carry(this.from, to, Buffer.buffer().appendBytes(bytes, offset, length)))
 			.compose(response::write)
 			.onFailure(sent::tryFail)
-			.onSuccess((written) -> next(response, to, bytes, offset + length, most, sent));
+			.onSuccess((written) -> next(response, to, urgent, bytes, offset + length, most, sent));
 	}
 
 	private Future<Void> after(long waitMs) {
--- a/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
@@ -41,6 +41,8 @@
 
 	private static final long FOLLOW_RETRY_MS = 250;
 
+	private static final long HOSTS_REFRESH_MS = 300;
+
 	private final NodeParts parts;
 
 	private final Model model;
@@ -71,6 +73,8 @@
 
 	private boolean closed;
 
+	private long refreshAfterMs = Long.MIN_VALUE;
+
 	private volatile Manifest manifest;
 
 	private volatile int held;
@@ -97,7 +101,7 @@
 		long nowMs = nowMs();
 		this.scheduler = ChunkScheduler.create(received.getChunksCount(), this.parts.place(), this.parts.random(),
 				nowMs);
-		this.scheduler.hosts(this.places, this.duty);
+		this.scheduler.hosts(this.places, this.duty, nowMs);
 		for (int chunk = 0; chunk < received.getChunksCount(); chunk++) {
 			String digest = Digests.hex(received.getChunks(chunk).getDigest().toByteArray());
 			this.indexes.putIfAbsent(digest, chunk);
@@ -122,6 +126,10 @@
 	}
 
 	private void refreshHosts() {
+		if (nowMs() < this.refreshAfterMs) {
+			return;
+		}
+		this.refreshAfterMs = nowMs() + HOSTS_REFRESH_MS;
 		Map<String, HostPlace> live = new LinkedHashMap<>();
 		live.put(this.parts.place().host(), this.parts.place());
 		for (HostState state : this.peers.get()) {
@@ -136,7 +144,7 @@
 		this.places = live;
 		this.duty = FetchDuty.of(this.model.getManifest(), live.values(), this.parts.settings().originRegion());
 		if (this.scheduler != null) {
-			this.scheduler.hosts(live, this.duty);
+			this.scheduler.hosts(live, this.duty, nowMs());
 		}
 	}
 
@@ -157,9 +165,8 @@
 			Address address = this.addresses.get(host);
 			if (!this.followers.containsKey(host) && address != null
 					&& nowMs() >= this.followAfterMs.getOrDefault(host, Long.MIN_VALUE)) {
-				this.followers.put(host,
-						MapFollower.start(this.parts, address, this.model.getManifest(),
-								(chunks) -> mapAdded(host, chunks), () -> mapBroken(host)));
+				this.followers.put(host, MapFollower.start(this.parts, address, this.model.getManifest(),
+						(chunks) -> mapAdded(host, chunks), () -> mapBroken(host)));
 			}
 		}
 	}
@@ -171,8 +178,8 @@
 
 	private void mapBroken(String host) {
 		this.followers.remove(host);
-		this.followAfterMs.put(host, nowMs() + FOLLOW_RETRY_MS / 2
-				+ (long) (FOLLOW_RETRY_MS * this.parts.random().nextDouble()));
+		this.followAfterMs.put(host,
+				nowMs() + FOLLOW_RETRY_MS / 2 + (long) (FOLLOW_RETRY_MS * this.parts.random().nextDouble()));
 		this.scheduler.mapLost(host, nowMs());
 	}
 
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightLoader.java
@@ -0,0 +1,94 @@
+package org.wigeontally.spread;
+
+import java.util.List;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.Manifest;
+import org.wigeontally.weights.Manifests;
+import org.wigeontally.weights.VerifiedWeights;
+import org.wigeontally.weights.WeightsException;
+
+/**
+ * Orders an engine to load a version: {@code POST /orders/load} with the fencing number
+ * and the version in headers and the bytes as body. The length is declared, so an engine
+ * notices a body that was cut. An answer other than 200 or none fails the order; the
+ * caller asks the engine what it runs in any case.
+ */
+public final class WeightLoader {
+
+	/** Header with the fencing number. */
+	public static final String FENCE_HEADER = "wigeontally-fence";
+
+	/** Header with the name of the model. */
+	public static final String MODEL_HEADER = "wigeontally-model";
+
+	/** Header with the version. */
+	public static final String VERSION_HEADER = "wigeontally-version";
+
+	/** Header with the base that an adapter belongs to. */
+	public static final String BASE_HEADER = "wigeontally-base";
+
+	/** Header with the digest of the manifest. */
+	public static final String MANIFEST_HEADER = "wigeontally-manifest";
+
+	private static final long IDLE_TIMEOUT_MS = 30_000;
+
+	private final HttpClient client;
+
+	/**
+	 * Creates a loader.
+	 * @param client carries the orders; closed by its owner
+	 */
+	public WeightLoader(HttpClient client) {
+		this.client = client;
+	}
+
+	/**
+	 * Gives the order and streams the bytes.
+	 * @param engine address of the engine
+	 * @param fence fencing number
+	 * @param weights the verified version
+	 * @return ends when the engine accepted the order
+	 */
+	public Future<Void> load(Address engine, long fence, VerifiedWeights weights) {
+		Manifest manifest = weights.manifest();
+		RequestOptions options = new RequestOptions().setMethod(HttpMethod.POST)
+			.setHost(engine.getIp())
+			.setPort(engine.getPort())
+			.setURI("/orders/load")
+			.setIdleTimeout(IDLE_TIMEOUT_MS)
+			.putHeader(FENCE_HEADER, Long.toString(fence))
+			.putHeader(MODEL_HEADER, manifest.getModel())
+			.putHeader(VERSION_HEADER, manifest.getVersion())
+			.putHeader(BASE_HEADER, manifest.getBase())
+			.putHeader(MANIFEST_HEADER, Manifests.digest(manifest))
+			.putHeader("Content-Length", Long.toString(weights.totalBytes()));
+		return this.client.request(options).compose((request) -> {
+			Future<Void> answered = request.response().compose((response) -> accepted(response.statusCode()));
+			return write(request, weights.chunks(), 0).compose((written) -> answered);
+		});
+	}
+
+	private static Future<Void> write(HttpClientRequest request, List<byte[]> chunks, int next) {
+		if (next == chunks.size()) {
+			return request.end();
+		}
+		return request.write(Buffer.buffer(chunks.get(next))).compose((done) -> write(request, chunks, next + 1));
+	}
+
+	private static Future<Void> accepted(int status) {
+		if (status != 200) {
+			return Future.failedFuture(WeightsException.of(ErrorType.ORDER_FAILED, "status " + status));
+		}
+		return Future.succeededFuture();
+	}
+
+}
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,7 +11,7 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of();
+		return List.of(new WeightsMeasurement());
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/platform/Links.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/platform/Links.java
@@ -16,13 +16,17 @@
  * An emulated network of limited links: one each way for each machine, one out of the
  * origin, one each way between each pair of regions. A piece reserves its time on every
  * link of its path, first come first served, and arrives when the last of them is done
- * with it. Counts bytes; brings faults about. Safe for use by several threads.
+ * with it. A link makes up for idle time of up to 200 ms, so that late timers of a busy
+ * machine do not lower its rate. Counts bytes of weights; brings faults about. Safe for
+ * use by several threads.
  */
 public final class Links implements Wire {
 
 	/** Name of the origin as a sender. */
 	public static final String ORIGIN = "";
 
+	private static final double BURST_MS = 200;
+
 	private final Vertx vertx;
 
 	private final Clock clock;
@@ -59,33 +63,38 @@
 
 	@Override
 	public Future<Buffer> carry(String from, String to, Buffer piece) {
-		return travel(from, to, piece.length()).compose((arrived) -> this.fault.meet(from, to, piece));
+		return path(from, to, piece.length(), true).compose((arrived) -> this.fault.meet(from, to, piece));
 	}
 
 	/**
-	 * Sends bytes along the path between two hosts.
+	 * Sends bytes of live requests along the path between two hosts; they are not
+	 * counted.
 	 * @param from host that sends
 	 * @param to host that receives
 	 * @param bytes number of bytes
 	 * @return ends when they have arrived
 	 */
 	public Future<Void> travel(String from, String to, int bytes) {
+		return path(from, to, bytes, false);
+	}
+
+	private Future<Void> path(String from, String to, int bytes, boolean counted) {
 		double nowMs = this.clock.monotonicMs();
 		double waitMs = 0;
 		if (from.equals(ORIGIN)) {
-			waitMs = link("origin", this.rates.originKbps()).pass(bytes, nowMs);
+			waitMs = link("origin", this.rates.originKbps()).pass(bytes, counted, nowMs);
 		}
 		else {
-			waitMs = link("up " + from, this.rates.machineKbps()).pass(bytes, nowMs);
+			waitMs = link("up " + from, this.rates.machineKbps()).pass(bytes, counted, nowMs);
 		}
 		if (!to.equals(ORIGIN)) {
-			waitMs = Math.max(waitMs, link("down " + to, this.rates.machineKbps()).pass(bytes, nowMs));
+			waitMs = Math.max(waitMs, link("down " + to, this.rates.machineKbps()).pass(bytes, counted, nowMs));
 		}
 		String fromRegion = this.regions.getOrDefault(from, "");
 		String toRegion = this.regions.getOrDefault(to, "");
 		if (!fromRegion.equals(toRegion)) {
 			Link border = link("border " + fromRegion + " " + toRegion, this.rates.borderKbps());
-			waitMs = Math.max(waitMs, border.pass(bytes, nowMs));
+			waitMs = Math.max(waitMs, border.pass(bytes, counted, nowMs));
 		}
 		long wholeMs = Math.round(waitMs);
 		if (wholeMs < 1) {
@@ -97,7 +106,7 @@
 	}
 
 	private Link link(String name, int kbps) {
-		return this.links.computeIfAbsent(name, (key) -> new Link(LinkBudget.ofKbps(kbps)));
+		return this.links.computeIfAbsent(name, (key) -> new Link(LinkBudget.ofKbps(kbps, BURST_MS)));
 	}
 
 	/**
@@ -178,8 +187,8 @@
 			this.budget = budget;
 		}
 
-		double pass(int count, double nowMs) {
-			this.bytes.addAndGet(count);
+		double pass(int count, boolean counted, double nowMs) {
+			this.bytes.addAndGet(counted ? count : 0);
 			return this.budget.reserve(count, nowMs);
 		}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/platform/OriginServer.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/platform/OriginServer.java
@@ -132,15 +132,15 @@
 			}
 			case SLOW -> delayed().onSuccess((passed) -> send(context, to, bytes));
 			case CORRUPT -> send(context, to, corrupt(bytes));
-			case TRUNCATE -> context.response().end(io.vertx.core.buffer.Buffer.buffer().appendBytes(bytes, 0,
-					bytes.length / 2));
+			case TRUNCATE ->
+				context.response().end(io.vertx.core.buffer.Buffer.buffer().appendBytes(bytes, 0, bytes.length / 2));
 			default -> send(context, to, bytes);
 		}
 	}
 
 	private void send(RoutingContext context, String to, byte[] bytes) {
 		this.chunkBytesOut.addAndGet(bytes.length);
-		this.upload.send(context.response(), to, bytes);
+		this.upload.send(context.response(), to, true, bytes);
 	}
 
 	private Future<Void> delayed() {
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -27,14 +27,16 @@
  * makes progress. A region that no border source serves goes to the origin in the end.
  *
  * <p>
- * Invariants: a chunk is in flight at most once per host; a lane has at most one duty
- * fetch per host; a source that is shunned, backing off or has no such chunk is never
+ * Invariants: a chunk is in flight at most once per host; a lane has at most two duty
+ * fetches per host; a source that is shunned, backing off or has no such chunk is never
  * chosen. Nothing here trusts a peer: bytes are verified by {@link ChunkStore}. Used by
  * one thread, the control thread.
  */
 public final class ChunkScheduler {
 
-	private static final int PEER_FETCHES = 4;
+	private static final int PEER_FETCHES = 3;
+
+	private static final int LANE_FETCHES = 2;
 
 	private static final int FETCHES_PER_PEER = 2;
 
@@ -42,6 +44,12 @@
 
 	private static final long TAKEOVER_MS = 1200;
 
+	private static final int TAKEOVER_INTERVALS = 5;
+
+	private static final double FIRST_INTERVAL_MS = 500;
+
+	private static final double INTERVAL_WEIGHT = 4;
+
 	private static final double TAKEOVER_JITTER = 0.5;
 
 	private static final int MOST_RANK_STEPS = 8;
@@ -69,6 +77,9 @@
 
 	private final Map<String, PeerChunks> peers = new HashMap<>();
 
+	/** Chunks that no known host of the region holds any more, and since when. */
+	private final Map<Integer, Long> lostSinceMs = new HashMap<>();
+
 	private final Lane[] lanes = new Lane[FetchDuty.LANES];
 
 	private final Neighbours neighbours;
@@ -105,12 +116,13 @@
 	 * Takes in who is live.
 	 * @param places live hosts, the own one among them
 	 * @param newDuty duties ranked over the same hosts
+	 * @param nowMs current time
 	 */
-	public void hosts(Map<String, HostPlace> places, FetchDuty newDuty) {
+	public void hosts(Map<String, HostPlace> places, FetchDuty newDuty, long nowMs) {
 		this.duty = newDuty;
 		for (String gone : List.copyOf(this.peers.keySet())) {
 			if (!places.containsKey(gone)) {
-				this.peers.remove(gone);
+				noteLost(this.peers.remove(gone).chunks, nowMs);
 			}
 		}
 		for (HostPlace place : places.values()) {
@@ -148,7 +160,9 @@
 		for (int chunk : chunks) {
 			if (chunk >= 0 && chunk < this.chunkCount) {
 				peer.chunks.set(chunk);
-				seen(chunk, inRegion, nowMs);
+				if (peer.counts(nowMs)) {
+					seen(chunk, inRegion, nowMs);
+				}
 			}
 		}
 	}
@@ -162,6 +176,7 @@
 			}
 			return;
 		}
+		this.lostSinceMs.remove(chunk);
 		if (!this.seenInRegion.get(chunk)) {
 			this.seenInRegion.set(chunk);
 			lane.progress(nowMs);
@@ -177,7 +192,9 @@
 	public void mapLost(String host, long nowMs) {
 		PeerChunks peer = this.peers.get(host);
 		if (peer != null) {
+			BitSet lost = (BitSet) peer.chunks.clone();
 			peer.chunks.clear();
+			noteLost(lost, nowMs);
 		}
 		this.neighbours.lost(host);
 	}
@@ -189,6 +206,7 @@
 	 */
 	public void hold(int chunk, long nowMs) {
 		this.have.set(chunk);
+		this.lostSinceMs.remove(chunk);
 		if (!this.seenInRegion.get(chunk)) {
 			this.seenInRegion.set(chunk);
 			this.lanes[FetchDuty.lane(chunk)].progress(nowMs);
@@ -206,14 +224,16 @@
 		if (this.duty == null || complete()) {
 			return fetches;
 		}
-		for (int lane = 0; lane < this.lanes.length; lane++) {
-			Fetch fetch = dutyFetch(lane, nowMs);
+		for (int slot = 0; slot < this.lanes.length * LANE_FETCHES; slot++) {
+			int lane = slot % this.lanes.length;
+			Fetch duties = dutyFetch(lane, nowMs);
+			Fetch fetch = (duties != null) ? duties : lostFetch(lane, nowMs);
 			if (fetch != null) {
 				fetches.add(start(fetch));
-				this.lanes[lane].fetching = true;
+				this.lanes[lane].fetches++;
 			}
 		}
-		while (this.peerFetches < PEER_FETCHES) {
+		while (this.peerFetches < PEER_FETCHES - dutyFetches()) {
 			Fetch fetch = peerFetch(nowMs);
 			if (fetch == null) {
 				break;
@@ -224,6 +244,14 @@
 		return fetches;
 	}
 
+	private int dutyFetches() {
+		int fetches = 0;
+		for (Lane lane : this.lanes) {
+			fetches += lane.fetches;
+		}
+		return Math.min(fetches, 1);
+	}
+
 	private Fetch start(Fetch fetch) {
 		this.inFlight.set(fetch.chunk());
 		PeerChunks peer = this.peers.get(fetch.source());
@@ -235,11 +263,11 @@
 
 	private Fetch dutyFetch(int number, long nowMs) {
 		Lane lane = this.lanes[number];
-		if (lane.rank < 0 || lane.fetching || !onDuty(lane, nowMs)) {
+		if (lane.rank < 0 || lane.fetches >= LANE_FETCHES || !onDuty(lane, nowMs)) {
 			return null;
 		}
 		boolean atOrigin = this.self.region().equals(this.duty.originRegion());
-		boolean fallBack = lane.stalledFor(nowMs, TAKEOVER_MS, lane.steps() + ORIGIN_FALLBACK_STEPS);
+		boolean fallBack = lane.stalledFor(nowMs, lane.steps() + ORIGIN_FALLBACK_STEPS);
 		for (int chunk = number; chunk < this.chunkCount; chunk += FetchDuty.LANES) {
 			if (this.seenInRegion.get(chunk) || this.inFlight.get(chunk)) {
 				continue;
@@ -252,28 +280,45 @@
 				return new Fetch(chunk, "", true);
 			}
 		}
-		return strandedFetch(number, fallBack, nowMs);
+		return null;
 	}
 
 	/**
-	 * Chunks once seen in the region, whose holders may all be gone by now.
+	 * Chunks once seen in the region whose holders are gone, dead or shunned.
 	 */
-	private Fetch strandedFetch(int number, boolean fallBack, long nowMs) {
-		if (!fallBack || !this.origin.open(nowMs)) {
+	private Fetch lostFetch(int number, long nowMs) {
+		Lane lane = this.lanes[number];
+		if (this.lostSinceMs.isEmpty() || lane.rank < 0 || lane.fetches >= LANE_FETCHES) {
 			return null;
 		}
-		for (int chunk = number; chunk < this.chunkCount; chunk += FetchDuty.LANES) {
-			if (!this.have.get(chunk) && !this.inFlight.get(chunk) && !heldNearby(chunk, nowMs)) {
-				PeerChunks outside = source(chunk, false, nowMs);
-				return new Fetch(chunk, (outside != null) ? outside.place.host() : "", true);
+		for (Map.Entry<Integer, Long> lost : this.lostSinceMs.entrySet()) {
+			int chunk = lost.getKey();
+			boolean due = nowMs - lost.getValue() >= TAKEOVER_MS * (1 + lane.steps()) * lane.jitter;
+			if (FetchDuty.lane(chunk) != number || !due || this.inFlight.get(chunk)) {
+				continue;
+			}
+			PeerChunks outside = source(chunk, false, nowMs);
+			if (outside != null) {
+				return new Fetch(chunk, outside.place.host(), true);
+			}
+			if (this.origin.open(nowMs)) {
+				return new Fetch(chunk, "", true);
 			}
 		}
 		return null;
 	}
 
+	private void noteLost(BitSet chunks, long nowMs) {
+		for (int chunk = chunks.nextSetBit(0); chunk >= 0; chunk = chunks.nextSetBit(chunk + 1)) {
+			if (this.seenInRegion.get(chunk) && !this.have.get(chunk) && !heldNearby(chunk, nowMs)) {
+				this.lostSinceMs.putIfAbsent(chunk, nowMs);
+			}
+		}
+	}
+
 	private boolean heldNearby(int chunk, long nowMs) {
 		for (PeerChunks peer : this.peers.values()) {
-			if (local(peer) && peer.chunks.get(chunk) && peer.shun.open(nowMs)) {
+			if (local(peer) && peer.chunks.get(chunk) && peer.counts(nowMs)) {
 				return true;
 			}
 		}
@@ -282,7 +327,7 @@
 
 	private boolean onDuty(Lane lane, long nowMs) {
 		if (lane.rank > 0 && !lane.takenOver) {
-			lane.takenOver = lane.stalledFor(nowMs, TAKEOVER_MS, lane.steps());
+			lane.takenOver = lane.stalledFor(nowMs, lane.steps());
 		}
 		return lane.rank == 0 || lane.takenOver;
 	}
@@ -359,6 +404,7 @@
 		PeerChunks peer = this.peers.get(fetch.source());
 		if (peer != null) {
 			peer.retry.succeeded();
+			peer.failures = 0;
 		}
 	}
 
@@ -379,9 +425,21 @@
 		}
 		switch (failure) {
 			case BUSY -> peer.retry.pause(nowMs, BUSY_MS, this.random);
-			case MISSING -> peer.chunks.clear(fetch.chunk());
-			case CORRUPT -> peer.shun.failed(nowMs, this.random);
-			default -> peer.retry.failed(nowMs, this.random);
+			case MISSING -> {
+				peer.chunks.clear(fetch.chunk());
+				BitSet lost = new BitSet();
+				lost.set(fetch.chunk());
+				noteLost(lost, nowMs);
+			}
+			case CORRUPT -> {
+				peer.shun.failed(nowMs, this.random);
+				noteLost(peer.chunks, nowMs);
+			}
+			default -> {
+				peer.retry.failed(nowMs, this.random);
+				peer.failures++;
+				noteLost(peer.chunks, nowMs);
+			}
 		}
 	}
 
@@ -392,7 +450,7 @@
 			peer.fetches--;
 		}
 		if (fetch.duty()) {
-			this.lanes[FetchDuty.lane(fetch.chunk())].fetching = false;
+			this.lanes[FetchDuty.lane(fetch.chunk())].fetches--;
 		}
 		else {
 			this.peerFetches--;
@@ -426,6 +484,13 @@
 		return held() == this.chunkCount;
 	}
 
+	@Override
+	public String toString() {
+		return this.self.host() + " holds " + held() + " of " + this.chunkCount + ", in flight " + this.inFlight
+				+ ", peer fetches " + this.peerFetches + ", lost " + this.lostSinceMs.keySet() + ", lanes "
+				+ List.of(this.lanes);
+	}
+
 	/**
 	 * Standing of a lane in the own region.
 	 */
@@ -435,7 +500,7 @@
 
 		int rank = -1;
 
-		boolean fetching;
+		int fetches;
 
 		boolean takenOver;
 
@@ -443,12 +508,15 @@
 
 		private boolean idle = true;
 
+		private double intervalMs = FIRST_INTERVAL_MS;
+
 		Lane(long nowMs, double jitter) {
 			this.sinceMs = nowMs;
 			this.jitter = jitter;
 		}
 
 		void progress(long nowMs) {
+			this.intervalMs += (Math.min(nowMs - this.sinceMs, TAKEOVER_MS) - this.intervalMs) / INTERVAL_WEIGHT;
 			this.sinceMs = nowMs;
 			this.idle = true;
 		}
@@ -461,11 +529,22 @@
 			}
 		}
 
+		@Override
+		public String toString() {
+			return "rank " + this.rank + (this.takenOver ? " taken over" : "") + " fetches " + this.fetches + " since "
+					+ this.sinceMs;
+		}
+
 		int steps() {
 			return Math.min(this.rank, MOST_RANK_STEPS);
 		}
 
-		boolean stalledFor(long nowMs, long periodMs, int steps) {
+		/**
+		 * Tells whether nothing came for some periods, which grow with the usual
+		 * interval.
+		 */
+		boolean stalledFor(long nowMs, int steps) {
+			double periodMs = Math.max(TAKEOVER_MS, TAKEOVER_INTERVALS * this.intervalMs);
 			return nowMs - this.sinceMs >= periodMs * steps * this.jitter;
 		}
 
--- a/library/src/main/java/org/wigeontally/weights/FetchDuty.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -85,6 +86,14 @@
 		return this.originRegion;
 	}
 
+	/**
+	 * Returns the regions with live hosts.
+	 * @return names of regions
+	 */
+	public Set<String> regions() {
+		return this.ranks.keySet();
+	}
+
 	/**
 	 * Returns the hosts of a region in the order in which they take a lane.
 	 * @param region the region
--- a/library/src/main/java/org/wigeontally/weights/LinkBudget.java
+++ b/library/src/main/java/org/wigeontally/weights/LinkBudget.java
@@ -7,14 +7,19 @@
  */
 public final class LinkBudget {
 
-	private static final double BURST_MS = 10;
+	private static final double DEFAULT_BURST_MS = 100;
 
 	private final double bytesPerMs;
 
+	private final double burstMs;
+
 	private double nextFreeMs;
 
-	private LinkBudget(double bytesPerMs) {
+	private double nextUrgentMs;
+
+	private LinkBudget(double bytesPerMs, double burstMs) {
 		this.bytesPerMs = bytesPerMs;
+		this.burstMs = burstMs;
 	}
 
 	/**
@@ -23,7 +28,17 @@
 	 * @return the budget
 	 */
 	public static LinkBudget ofKbps(double kbps) {
-		return new LinkBudget(kbps / 8);
+		return ofKbps(kbps, DEFAULT_BURST_MS);
+	}
+
+	/**
+	 * Creates a budget.
+	 * @param kbps rate in kbit/s; 0 for no limit
+	 * @param burstMs idle time that may be made up for, in ms
+	 * @return the budget
+	 */
+	public static LinkBudget ofKbps(double kbps, double burstMs) {
+		return new LinkBudget(kbps / 8, burstMs);
 	}
 
 	/**
@@ -36,10 +51,25 @@
 		if (this.bytesPerMs <= 0) {
 			return 0;
 		}
-		this.nextFreeMs = Math.max(this.nextFreeMs, nowMs - BURST_MS) + bytes / this.bytesPerMs;
+		this.nextFreeMs = Math.max(this.nextFreeMs, nowMs - this.burstMs) + bytes / this.bytesPerMs;
 		return Math.max(0, this.nextFreeMs - nowMs);
 	}
 
+	/**
+	 * Reserves bytes for weights that others wait for; they only wait for their like.
+	 * @param bytes number of bytes
+	 * @param nowMs current time
+	 * @return milliseconds to wait before they may be sent
+	 */
+	public synchronized double reserveUrgent(int bytes, double nowMs) {
+		if (this.bytesPerMs <= 0) {
+			return 0;
+		}
+		this.nextUrgentMs = Math.max(this.nextUrgentMs, nowMs - this.burstMs) + bytes / this.bytesPerMs;
+		spend(bytes, nowMs);
+		return Math.max(0, this.nextUrgentMs - nowMs);
+	}
+
 	/**
 	 * Takes note of bytes of live requests, which do not wait.
 	 * @param bytes number of bytes
@@ -47,7 +77,7 @@
 	 */
 	public synchronized void spend(int bytes, double nowMs) {
 		if (this.bytesPerMs > 0) {
-			this.nextFreeMs = Math.max(this.nextFreeMs, nowMs - BURST_MS) + bytes / this.bytesPerMs;
+			this.nextFreeMs = Math.max(this.nextFreeMs, nowMs - this.burstMs) + bytes / this.bytesPerMs;
 		}
 	}
 
--- a/library/src/main/java/org/wigeontally/weights/Neighbours.java
+++ b/library/src/main/java/org/wigeontally/weights/Neighbours.java
@@ -57,10 +57,9 @@
 	}
 
 	Set<String> toFollow(FetchDuty duty, ChunkScheduler.Lane[] lanes) {
-		boolean atOrigin = this.self.region().equals(duty.originRegion());
 		fill(this.zone, IN_ZONE, (place) -> place.zone().equals(this.self.zone()));
-		fill(this.region, IN_REGION, (place) -> place.region().equals(this.self.region())
-				&& !place.zone().equals(this.self.zone()));
+		fill(this.region, IN_REGION,
+				(place) -> place.region().equals(this.self.region()) && !place.zone().equals(this.self.zone()));
 		Set<String> follow = new HashSet<>(this.zone);
 		follow.addAll(this.region);
 		for (int lane = 0; lane < lanes.length; lane++) {
@@ -68,16 +67,25 @@
 				continue;
 			}
 			follow.addAll(firstOf(duty.order(this.self.region(), lane), WATCHED_RANKS));
-			if (!atOrigin) {
-				follow.addAll(firstOf(duty.order(duty.originRegion(), lane), WATCHED_RANKS));
-				fill(this.border, OVER_BORDER, (place) -> place.region().equals(duty.originRegion()));
-				follow.addAll(this.border);
+			if (!this.self.region().equals(duty.originRegion())) {
+				followOutside(duty, lane, follow);
 			}
 		}
 		follow.remove(this.self.host());
 		return follow;
 	}
 
+	private void followOutside(FetchDuty duty, int lane, Set<String> follow) {
+		follow.addAll(firstOf(duty.order(duty.originRegion(), lane), WATCHED_RANKS));
+		for (String other : duty.regions()) {
+			if (!other.equals(this.self.region())) {
+				follow.addAll(firstOf(duty.order(other, lane), 1));
+			}
+		}
+		fill(this.border, OVER_BORDER, (place) -> place.region().equals(duty.originRegion()));
+		follow.addAll(this.border);
+	}
+
 	private static List<String> firstOf(List<String> names, int count) {
 		return names.subList(0, Math.min(count, names.size()));
 	}
--- a/library/src/main/java/org/wigeontally/weights/PeerChunks.java
+++ b/library/src/main/java/org/wigeontally/weights/PeerChunks.java
@@ -15,6 +15,8 @@
 
 	private static final long RETRY_MOST_MS = 10_000;
 
+	private static final int MOST_FAILURES = 2;
+
 	final HostPlace place;
 
 	final BitSet chunks = new BitSet();
@@ -27,10 +29,18 @@
 
 	int fetches;
 
+	/** Failures of the path since the last chunk that came over it. */
+	int failures;
+
 	PeerChunks(HostPlace place) {
 		this.place = place;
 	}
 
+	/** Tells whether chunks that the peer claims may be counted on. */
+	boolean counts(long nowMs) {
+		return this.shun.open(nowMs) && this.failures < MOST_FAILURES;
+	}
+
 	boolean usable(long nowMs) {
 		return this.shun.open(nowMs) && this.retry.open(nowMs);
 	}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/spread/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of weight nodes over HTTP.
+ */
+package org.wigeontally.spread;
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/weights/ActivationTests.java
@@ -0,0 +1,122 @@
+package org.wigeontally.weights;
+
+import java.util.List;
+import java.util.Random;
+
+import org.testng.annotations.Test;
+
+import org.wigeontally.schema.generated.BackendState;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.VersionPhase;
+import org.wigeontally.schema.generated.VersionProgress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Seen red with the whole-check, the check of the engine's word and the failure stop left
+ * out of {@link Activation} and {@link RollPlan}, one at a time.
+ */
+public class ActivationTests {
+
+	private static final Activation.Target V2 = new Activation.Target("assist", "v2", "");
+
+	@Test
+	public void ordersOnlyWhatIsWholeAndOnlyAfterTheEngineSpoke() {
+		Activation activation = Activation.create(new Random(1));
+		activation.target(V2);
+		activation.engineSays("v1");
+		activation.standing("v2", false, true);
+		assertThat(activation.order("", 0)).isEmpty();
+		activation.standing("v1", true, true);
+		assertThat(activation.order("", 0)).isEmpty();
+		activation.standing("v2", true, false);
+		assertThat(activation.order("", 0)).isEmpty();
+		activation.standing("v2", true, true);
+		activation.engineSilent();
+		assertThat(activation.order("", 0)).isEmpty();
+		activation.engineSays("v1");
+		assertThat(activation.order("", 0)).contains(V2);
+		assertThat(activation.order("", 0)).isEmpty();
+		assertThat(activation.phase()).isEqualTo(VersionPhase.LOADING);
+	}
+
+	@Test
+	public void countsAsLoadedOnlyByTheEnginesWord() {
+		Activation activation = ready(V2);
+		activation.order("", 0);
+		activation.engineSays("v2");
+		assertThat(activation.phase()).isEqualTo(VersionPhase.LOADING);
+		activation.orderEnded(true, 10);
+		assertThat(activation.phase()).isEqualTo(VersionPhase.VERIFIED);
+		activation.engineSays("v1");
+		assertThat(activation.phase()).isEqualTo(VersionPhase.VERIFIED);
+		activation.engineSays("v2");
+		assertThat(activation.phase()).isEqualTo(VersionPhase.LOADED);
+		activation.engineSilent();
+		assertThat(activation.phase()).isNotEqualTo(VersionPhase.LOADED);
+	}
+
+	@Test
+	public void stopsAfterRepeatedFailuresAndHoldsTheRoll() {
+		Activation activation = ready(V2);
+		long nowMs = 0;
+		int orders = 0;
+		while (nowMs < 600_000) {
+			if (activation.order("", nowMs).isPresent()) {
+				orders++;
+				activation.orderEnded(false, nowMs);
+				activation.engineSays("v1");
+			}
+			nowMs += 100;
+		}
+		assertThat(orders).isEqualTo(3);
+		assertThat(activation.phase()).isEqualTo(VersionPhase.FAILED);
+	}
+
+	@Test
+	public void adapterWaitsForItsBase() {
+		Activation.Target adapter = new Activation.Target("assist-fr", "a1", "v2");
+		Activation activation = ready(adapter);
+		assertThat(activation.order("v1", 0)).isEmpty();
+		assertThat(activation.order("v2", 0)).contains(adapter);
+	}
+
+	@Test
+	public void rollsZoneByZoneAndStopsOnFailure() {
+		List<HostState> hosts = List.of(host("h1", "a", "v2", VersionPhase.LOADED),
+				host("h2", "a", "v1", VersionPhase.LOADING), host("h3", "b", "v1", VersionPhase.VERIFIED));
+		assertThat(mayLoad(hosts, "a")).isTrue();
+		assertThat(mayLoad(hosts, "b")).isFalse();
+		hosts = List.of(hosts.get(0), host("h2", "a", "v2", VersionPhase.LOADED), hosts.get(2));
+		assertThat(mayLoad(hosts, "b")).isTrue();
+		hosts = List.of(hosts.get(0), host("h2", "a", "v1", VersionPhase.FAILED), hosts.get(2));
+		assertThat(mayLoad(hosts, "a")).isFalse();
+		assertThat(mayLoad(hosts, "b")).isFalse();
+	}
+
+	private static boolean mayLoad(List<HostState> hosts, String zone) {
+		return RollPlan.mayLoad(hosts, "assist-llm", "assist", "v2", zone);
+	}
+
+	private static Activation ready(Activation.Target target) {
+		Activation activation = Activation.create(new Random(1));
+		activation.target(target);
+		activation.standing(target.version(), true, true);
+		activation.engineSays("");
+		return activation;
+	}
+
+	private static HostState host(String name, String zone, String version, VersionPhase phase) {
+		return HostState.newBuilder()
+			.setHost(HostIdentity.newBuilder().setHost(name).setZone(zone))
+			.setLiveness(Liveness.LIVE)
+			.addBackends(BackendState.newBuilder()
+				.setService("assist-llm")
+				.setVersion(version)
+				.addProgress(VersionProgress.newBuilder().setModel("assist").setVersion("v2").setPhase(phase).build()))
+			.build();
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/weights/ManifestsTests.java
@@ -0,0 +1,87 @@
+package org.wigeontally.weights;
+
+import java.security.GeneralSecurityException;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.schema.generated.Manifest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/**
+ * Seen red with the signature check left out of {@code Manifests.verify}, and with the
+ * digest check left out of {@code ChunkStore.put}.
+ */
+public class ManifestsTests {
+
+	private static final int CHUNK_BYTES = 1000;
+
+	@Test
+	public void refusesOtherBytesAndOtherPublishers() throws GeneralSecurityException, WeightsException {
+		KeyPair owner = keys();
+		KeyPair stranger = keys();
+		Map<String, String> publishers = Map.of("lab", Digests.hex(owner.getPublic().getEncoded()));
+		Manifest unsigned = Manifests.build("assist", "v1", "", bytes(1, 5500), CHUNK_BYTES);
+		Manifest signed = Manifests.sign(unsigned, "lab", owner.getPrivate());
+		Manifest forged = Manifests.sign(unsigned, "lab", stranger.getPrivate());
+		assertThat(Manifests.verify(signed.toByteArray(), Manifests.digest(signed), publishers)).isEqualTo(signed);
+		assertThat(signed.getChunksCount()).isEqualTo(6);
+		refused(forged, Manifests.digest(forged), publishers);
+		refused(signed, Manifests.digest(forged), publishers);
+		refused(signed, Manifests.digest(signed), Map.of("other", publishers.get("lab")));
+		Manifest altered = signed.toBuilder().setVersion("v2").build();
+		refused(altered, Manifests.digest(altered), publishers);
+	}
+
+	@Test
+	public void versionsShareChunksThatDidNotChange() {
+		byte[] first = bytes(1, 5500);
+		byte[] second = first.clone();
+		second[2500]++;
+		Set<String> shared = Manifests.chunkDigests(Manifests.build("assist", "v1", "", first, CHUNK_BYTES));
+		Set<String> changed = Manifests.chunkDigests(Manifests.build("assist", "v2", "", second, CHUNK_BYTES));
+		changed.removeAll(shared);
+		assertThat(changed).hasSize(1);
+	}
+
+	@Test
+	public void storeTakesOnlyWhatFitsItsDigestAndItsRoom() {
+		ChunkStore store = ChunkStore.create(1);
+		byte[] chunk = bytes(1, 700_000);
+		byte[] second = bytes(2, 700_000);
+		String digest = Digests.sha256Hex(chunk);
+		byte[] corrupt = chunk.clone();
+		corrupt[699_999] ^= 1;
+		assertThat(store.put(digest, corrupt)).isEqualTo(ChunkStore.Outcome.CORRUPT);
+		assertThat(store.holds(digest)).isFalse();
+		assertThat(store.put(digest, chunk)).isEqualTo(ChunkStore.Outcome.STORED);
+		assertThat(store.put(Digests.sha256Hex(second), second)).isEqualTo(ChunkStore.Outcome.FULL);
+		store.retain(Set.of());
+		assertThat(store.heldBytes()).isZero();
+		assertThat(store.put(Digests.sha256Hex(second), second)).isEqualTo(ChunkStore.Outcome.STORED);
+	}
+
+	private static void refused(Manifest manifest, String digest, Map<String, String> publishers) {
+		WeightsException refused = catchThrowableOfType(WeightsException.class,
+				() -> Manifests.verify(manifest.toByteArray(), digest, publishers));
+		assertThat(refused.type()).isEqualTo(ErrorType.BAD_MANIFEST);
+	}
+
+	private static byte[] bytes(long seed, int size) {
+		byte[] bytes = new byte[size];
+		new Random(seed).nextBytes(bytes);
+		return bytes;
+	}
+
+	private static KeyPair keys() throws GeneralSecurityException {
+		return KeyPairGenerator.getInstance("Ed25519").generateKeyPair();
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the spreading and activation of weights.
+ */
+package org.wigeontally.weights;
