--- a/emulator/src/main/java/org/wigeontally/emulator/measure/LiveRequests.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/LiveRequests.java
@@ -61,7 +61,7 @@
 		this.vertx.cancelTimer(this.timer);
 	}
 
-	/** Returns the 99th percentile since the last call, in ms. */
+	// Returns the 99th percentile since the last call, in ms.
 	double p99Ms() {
 		Histogram ended = this.histogram;
 		this.histogram = histogram();
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,7 +11,8 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(), new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
+		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(),
+				new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
@@ -180,9 +180,7 @@
 		}
 	}
 
-	/**
-	 * Spreads a small version first, so that code is compiled and connections are open.
-	 */
+	// Spreads a small version first, so that code is compiled and connections are open.
 	private void warmUp(Random random) throws Exception {
 		byte[] bytes = new byte[this.sizeKb * 1024 / WARM_UP_PART];
 		random.nextBytes(bytes);
@@ -272,7 +270,7 @@
 		}
 	}
 
-	/** Notes when the last byte left the origin and when it came into each region. */
+	// Notes when the last byte left the origin and when it came into each region.
 	private void trace(double nowMs) {
 		if (this.links.originBytes() < this.sizeKb * 1024 + this.originBefore) {
 			this.originDoneMs = nowMs;
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -283,9 +283,7 @@
 		return null;
 	}
 
-	/**
-	 * Chunks once seen in the region whose holders are gone, dead or shunned.
-	 */
+	// Chunks once seen in the region whose holders are gone, dead or shunned.
 	private Fetch lostFetch(int number, long nowMs) {
 		Lane lane = this.lanes[number];
 		if (this.lostSinceMs.isEmpty() || lane.rank < 0 || lane.fetches >= LANE_FETCHES) {
@@ -521,7 +519,7 @@
 			this.idle = true;
 		}
 
-		/** Starts the wait when the first chunk comes into view outside the region. */
+		// Starts the wait when the first chunk comes into view outside the region.
 		void waiting(long nowMs) {
 			if (this.idle) {
 				this.sinceMs = Math.max(this.sinceMs, nowMs);
@@ -539,10 +537,8 @@
 			return Math.min(this.rank, MOST_RANK_STEPS);
 		}
 
-		/**
-		 * Tells whether nothing came for some periods, which grow with the usual
-		 * interval.
-		 */
+		// Tells whether nothing came for some periods, which grow with the usual
+		// interval.
 		boolean stalledFor(long nowMs, int steps) {
 			double periodMs = Math.max(TAKEOVER_MS, TAKEOVER_INTERVALS * this.intervalMs);
 			return nowMs - this.sinceMs >= periodMs * steps * this.jitter;
--- a/library/src/main/java/org/wigeontally/weights/PeerChunks.java
+++ b/library/src/main/java/org/wigeontally/weights/PeerChunks.java
@@ -36,7 +36,7 @@
 		this.place = place;
 	}
 
-	/** Tells whether chunks that the peer claims may be counted on. */
+	// Tells whether chunks that the peer claims may be counted on.
 	boolean counts(long nowMs) {
 		return this.shun.open(nowMs) && this.failures < MOST_FAILURES;
 	}
--- a/testsuite/src/test/java/org/wigeontally/replication/RandomFaults.java
+++ b/testsuite/src/test/java/org/wigeontally/replication/RandomFaults.java
@@ -38,7 +38,9 @@
 			case 2 -> this.simulation.restart(host());
 			case 3 -> pause();
 			case 4 -> this.simulation.log.lostReplies(this.random.nextDouble() * 0.5);
-			case 5 -> this.simulation.lossShare = this.random.nextDouble() * 0.3;
+			case 5 -> {
+				this.simulation.lossShare = this.random.nextDouble() * 0.3;
+			}
 			case 6 -> roll(step);
 			case 7 -> heal();
 			default -> resend();
