Control: fewer exchanges among confirming hosts while the log confirms

At 200 hosts (20 of them entry hosts) the worst process moved 8.1 KB/s, above the 7 KB/s allowed: it was a confirming host asked by the others twice a second. While the log is read they now ask each other once a second, and other entry hosts ask one of them. A connection is closed after three answers in a row are overdue, not after one: on an overloaded machine reconnects made the delay worse. A closed client fails the exchange in place of throwing into the event loop.

--- a/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
@@ -82,6 +82,8 @@
 
 	private long publishedVersion;
 
+	private long rounds;
+
 	private ExchangeClient client;
 
 	private LogFollower follower;
@@ -127,7 +129,7 @@
 		}
 		publish();
 		long roundMs = (this.self.getRole() == Role.ENTRY) ? ENTRY_ROUND_MS : AGENT_ROUND_MS;
-		this.vertx.setPeriodic(1, roundMs, (id) -> exchangeRound());
+		this.vertx.setPeriodic(1, roundMs, (id) -> exchangeInTurn());
 		this.vertx.setPeriodic(1, TICK_MS, (id) -> tick());
 		log.info("control: {} started as process {}", this.self.getHost(), this.self.getProcess());
 		return Future.succeededFuture();
@@ -187,6 +189,19 @@
 		}
 	}
 
+	/**
+	 * Runs a round. While the log is read, it confirms, and the confirming hosts need
+	 * each other's word in every second round only.
+	 */
+	private void exchangeInTurn() {
+		this.rounds++;
+		boolean logConfirms = this.follower != null && this.follower.fresh()
+				&& this.confirmation.confirmingHosts().contains(this.self.getHost());
+		if (!logConfirms || this.rounds % 2 == 0) {
+			exchangeRound();
+		}
+	}
+
 	private void exchange(PeerSession peer) {
 		if (!this.inFlight.add(peer.address())) {
 			return;
--- a/daemons/src/main/java/org/wigeontally/control/ExchangeClient.java
+++ b/daemons/src/main/java/org/wigeontally/control/ExchangeClient.java
@@ -20,8 +20,9 @@
 import org.wigeontally.settings.Addresses;
 
 /**
- * Sends exchanges over gRPC, one HTTP/2 connection to each peer. A connection on which an
- * answer is overdue is closed, so that after a cut the next exchange begins on a new one.
+ * Sends exchanges over gRPC, one HTTP/2 connection to each peer. A connection on which
+ * several answers in a row are overdue is closed, so that after a cut the next exchange
+ * begins on a new one. Runs on the control context.
  */
 final class ExchangeClient {
 
@@ -30,10 +31,14 @@
 
 	private static final long TIMEOUT_MS = 600;
 
+	private static final int OVERDUE_LIMIT = 3;
+
 	private final GrpcClient client;
 
 	private final Map<String, SocketAddress> addresses = new HashMap<>();
 
+	private final Map<String, Integer> overdue = new HashMap<>();
+
 	ExchangeClient(Vertx vertx, String host) {
 		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
 			.setHttp2ClearTextUpgrade(false)
@@ -44,16 +49,25 @@
 
 	Future<ExchangeReply> exchange(String address, ExchangeRequest message) {
 		SocketAddress target = this.addresses.computeIfAbsent(address, ExchangeClient::socketAddress);
-		return this.client.request(target, ControlGrpcClient.Exchange).compose((request) -> send(request, message));
+		// Within compose, so that a closed client fails the future and throws nothing.
+		return Future.succeededFuture()
+			.compose((start) -> this.client.request(target, ControlGrpcClient.Exchange))
+			.compose((request) -> send(request, message, address))
+			.onSuccess((reply) -> this.overdue.remove(address));
 	}
 
-	private static Future<ExchangeReply> send(GrpcClientRequest<ExchangeRequest, ExchangeReply> request,
-			ExchangeRequest message) {
+	private Future<ExchangeReply> send(GrpcClientRequest<ExchangeRequest, ExchangeReply> request,
+			ExchangeRequest message, String address) {
 		return request.end(message)
 			.compose((sent) -> request.response())
 			.compose((response) -> response.last())
 			.timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
-			.onFailure((failure) -> request.connection().close());
+			.onFailure((failure) -> {
+				if (this.overdue.merge(address, 1, Integer::sum) >= OVERDUE_LIMIT) {
+					this.overdue.remove(address);
+					request.connection().close();
+				}
+			});
 	}
 
 	private static SocketAddress socketAddress(String address) {
--- a/daemons/src/main/java/org/wigeontally/control/LogFollower.java
+++ b/daemons/src/main/java/org/wigeontally/control/LogFollower.java
@@ -90,15 +90,15 @@
 		Promise<Long> delay = Promise.promise();
 		long sentAtMs = this.clock.monotonicMs();
 		long from = this.cursor.next();
-		this.platformLog.read(PlatformLog.CONFIGURATION, from, PAGE_RECORDS, waitMs)
-			.whenComplete((page, failure) -> this.context.runOnContext((v) -> {
+		Future.succeededFuture()
+			.compose((start) -> Future.fromCompletionStage(
+					this.platformLog.read(PlatformLog.CONFIGURATION, from, PAGE_RECORDS, waitMs), this.context))
+			.onComplete((page, failure) -> {
 				if (failure != null) {
 					this.cursor.failed();
-					delay.complete(RETRY_MS);
-					return;
 				}
-				delay.complete(take(sentAtMs, from, page));
-			}));
+				delay.complete((failure != null) ? RETRY_MS : take(sentAtMs, from, page));
+			});
 		return delay.future();
 	}
 
--- a/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
+++ b/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
@@ -30,9 +30,9 @@
  */
 public final class ExchangePlan {
 
-	private static final int SLOW_ROUNDS = 4;
+	private static final long SLOW_MS = 2000;
 
-	private static final int CONFIRMING_PEERS = 2;
+	private static final int CONFIRMING_PEERS = 1;
 
 	private static final long AVOID_AFTER_FAILURE_MS = 3000;
 
@@ -46,7 +46,7 @@
 
 	private final Map<String, Long> failedAtMs = new HashMap<>();
 
-	private long round;
+	private final Map<String, Long> askedAtMs = new HashMap<>();
 
 	private ExchangePlan(Clock clock, HostIdentity self, Collection<String> firstPeers) {
 		this.clock = clock;
@@ -108,7 +108,7 @@
 	 * @return sessions with the peers to ask
 	 */
 	public List<PeerSession> nextRound(List<String> confirmingHosts) {
-		this.round++;
+		long now = this.clock.monotonicMs();
 		if (this.self.getRole() == Role.AGENT) {
 			List<PeerSession> ordered = inRendezvousOrder();
 			return ordered.isEmpty() ? List.of() : List.of(ordered.get(0));
@@ -121,7 +121,8 @@
 			if (fast) {
 				most--;
 			}
-			if (fast || Math.floorMod(this.round + peer.address().hashCode(), SLOW_ROUNDS) == 0) {
+			if (fast || now - this.askedAtMs.getOrDefault(peer.address(), now - SLOW_MS) >= SLOW_MS) {
+				this.askedAtMs.put(peer.address(), now);
 				chosen.add(peer);
 			}
 		}
--- a/testsuite/src/test/java/org/wigeontally/replication/ReplicationTests.java
+++ b/testsuite/src/test/java/org/wigeontally/replication/ReplicationTests.java
@@ -150,9 +150,10 @@
 	}
 
 	/**
-	 * Random histories. Seen red with: answers of hosts that do not count, the instant of
-	 * the reply in place of the question's, "accepted" told without a majority, only the
-	 * new list asked during a roll of it, "refused" told without reading the log first.
+	 * Random histories. Seen red with: the instant of the reply in place of the
+	 * question's; "accepted" told without a majority; verdicts forgotten without a word.
+	 * Not seen red by these histories, but by {@code ConfirmationTests}: answers of hosts
+	 * that do not count, and only the new list asked during a roll of it.
 	 * @param seed seed of all choices
 	 */
 	@Test(dataProvider = "seeds")
