--- a/daemons/src/main/java/org/wigeontally/control/Submissions.java
+++ b/daemons/src/main/java/org/wigeontally/control/Submissions.java
@@ -42,6 +42,8 @@
 
 	private static final long CHECK_MS = 20;
 
+	private static final long EXCHANGE_MS = 100;
+
 	private final Vertx vertx;
 
 	private final PlatformLog platformLog;
@@ -60,6 +62,8 @@
 
 	private final Supplier<Long> minimum;
 
+	private long exchangedAtMs = Long.MIN_VALUE / 2;
+
 	Submissions(Vertx vertx, PlatformLog platformLog, LogFollower follower, ConfigurationReplica replica,
 			Confirmation confirmation, Clock clock, Runnable exchangeNow, Supplier<Map<String, Long>> inForce,
 			Supplier<Long> minimum) {
@@ -123,7 +127,10 @@
 		if (this.confirmation.majorityHolds(revision)) {
 			return true;
 		}
-		this.exchangeNow.run();
+		if (this.clock.monotonicMs() - this.exchangedAtMs >= EXCHANGE_MS) {
+			this.exchangedAtMs = this.clock.monotonicMs();
+			this.exchangeNow.run();
+		}
 		return false;
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
@@ -3,12 +3,12 @@
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 import com.beust.jcommander.Parameter;
 import com.sun.management.OperatingSystemMXBean;
+import io.vertx.core.Future;
 import org.HdrHistogram.Histogram;
 
 import org.wigeontally.configuration.KeyRing;
@@ -46,6 +46,8 @@
 
 	private static final long IN_FORCE_LIMIT_MS = 10_000;
 
+	private static final long POLL_MS = 5;
+
 	private static final long CHANGE_EVERY_MS = 6000;
 
 	private static final double BYTES_PER_MB = 1024 * 1024;
@@ -135,19 +137,23 @@
 		Change signed = Signatures.sign(
 				change.setId(UUID.randomUUID().toString()).setAuthor(operator.name()).setBuildsOn(buildsOn).build(),
 				operator.privateKey());
-		ChangeOutcome outcome = cluster.nodes()
-			.get(0)
-			.submit(signed)
-			.toCompletionStage()
-			.toCompletableFuture()
-			.get(START_MS, TimeUnit.MILLISECONDS);
+		ControlNode node = cluster.nodes().get(0);
+		ChangeOutcome outcome = await(node.submit(signed));
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(IN_FORCE_LIMIT_MS);
+		while (outcome.status() == Status.PENDING && System.nanoTime() < deadline) {
+			sleep(POLL_MS);
+			outcome = await(node.outcome(signed.getId()));
+		}
 		if (outcome.status() != Status.ACCEPTED) {
-			throw new IllegalStateException(
-					String.format(Locale.ROOT, "the change is %s: %s", outcome.status(), outcome.findings()));
+			throw new IllegalStateException("the change is " + outcome.status() + ": " + outcome.findings());
 		}
 		return outcome.revision();
 	}
 
+	private static <T> T await(Future<T> future) throws Exception {
+		return future.toCompletionStage().toCompletableFuture().get(START_MS, TimeUnit.MILLISECONDS);
+	}
+
 	private void change(ControlCluster cluster, Histogram inForce, long everyMs, String zone) throws Exception {
 		long revision = 0;
 		for (int i = 0; i < this.changes; i++) {
@@ -172,7 +178,7 @@
 				}
 				return holds;
 			});
-			sleep(5);
+			sleep(POLL_MS);
 		}
 		missing.forEach((node) -> inForce.recordValue(IN_FORCE_LIMIT_MS));
 	}
--- a/library/src/main/java/org/wigeontally/membership/HostRow.java
+++ b/library/src/main/java/org/wigeontally/membership/HostRow.java
@@ -5,6 +5,7 @@
 
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Role;
 
 /**
  * A row of the table of hosts, changed by {@link HostTable} only.
@@ -57,6 +58,10 @@
 		this.stateVersion = nextVersion;
 	}
 
+	boolean isEntry() {
+		return this.state.getHost().getRole() == Role.ENTRY;
+	}
+
 	private static HostState withOwnLiveness(HostState state) {
 		Liveness liveness = (state.getLiveness() == Liveness.LEAVING) ? Liveness.LEAVING : Liveness.LIVE;
 		return state.toBuilder().setLiveness(liveness).build();
--- a/library/src/main/java/org/wigeontally/membership/HostTable.java
+++ b/library/src/main/java/org/wigeontally/membership/HostTable.java
@@ -11,6 +11,7 @@
 import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Role;
 
 /**
  * The table of hosts as one process sees it.
@@ -23,6 +24,8 @@
  * hear it. A host is live if it was heard here within {@value #SUSPECT_AFTER_MS} ms, or
  * if a reporter that vouches for it was itself heard within {@value #VOUCH_MS} ms. A host
  * that nobody vouches for is suspected and dropped after {@value #DEAD_AFTER_MS} ms.
+ * Entry hosts exchange with each other, some seldom, so among them the longer time counts
+ * and nobody's word but their own.
  *
  * <p>
  * Of two states of a host the one of the later incarnation (offset of the join) wins, and
@@ -44,13 +47,16 @@
 
 	private final String self;
 
+	private final boolean selfIsEntry;
+
 	private final Map<String, HostRow> rows = new TreeMap<>();
 
 	private long version = 1;
 
-	private HostTable(Clock clock, String self) {
+	private HostTable(Clock clock, HostIdentity self) {
 		this.clock = clock;
-		this.self = self;
+		this.self = self.getHost();
+		this.selfIsEntry = self.getRole() == Role.ENTRY;
 	}
 
 	/**
@@ -60,7 +66,7 @@
 	 * @return the table
 	 */
 	public static HostTable create(Clock clock, HostState self) {
-		HostTable table = new HostTable(clock, self.getHost().getHost());
+		HostTable table = new HostTable(clock, self.getHost());
 		table.update(self);
 		return table;
 	}
@@ -159,7 +165,8 @@
 	}
 
 	private void judge(HostRow row) {
-		boolean direct = isSelf(row) || row.heardWithin(this.clock.monotonicMs(), SUSPECT_AFTER_MS);
+		long silenceMs = row.isEntry() ? VOUCH_MS : SUSPECT_AFTER_MS;
+		boolean direct = isSelf(row) || row.heardWithin(this.clock.monotonicMs(), silenceMs);
 		if (direct != row.direct) {
 			row.direct = direct;
 			row.directVersion = ++this.version;
@@ -172,6 +179,9 @@
 	}
 
 	private boolean vouchedFor(HostRow row) {
+		if (row.isEntry() && this.selfIsEntry) {
+			return false;
+		}
 		for (String reporter : row.vouchers) {
 			HostRow found = this.rows.get(reporter);
 			if (found != null && found.heardWithin(this.clock.monotonicMs(), VOUCH_MS)) {
--- a/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
+++ b/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
@@ -117,7 +117,7 @@
 		int most = confirming ? Integer.MAX_VALUE : CONFIRMING_PEERS;
 		List<PeerSession> chosen = new ArrayList<>();
 		for (PeerSession peer : inRendezvousOrder()) {
-			boolean fast = isConfirming(peer, confirmingHosts) && !avoided(peer) && most > 0;
+			boolean fast = isConfirming(peer, confirmingHosts) && (confirming || !avoided(peer)) && most > 0;
 			if (fast) {
 				most--;
 			}
--- a/testsuite/src/test/java/org/wigeontally/membership/HostTableTests.java
+++ b/testsuite/src/test/java/org/wigeontally/membership/HostTableTests.java
@@ -16,7 +16,8 @@
 
 /**
  * Seen red with: late states let in (no comparison of sequences), a reporter that vouches
- * for ever, a complete report that leaves old vouchers in place.
+ * for ever, a complete report that leaves old vouchers in place, the short time of
+ * suspicion for entry hosts too.
  */
 public class HostTableTests {
 
@@ -93,6 +94,20 @@
 			.containsExactly(Liveness.SUSPECTED);
 	}
 
+	@Test
+	public void hearsEntryHostsThatExchangeSeldom() {
+		this.table.heard(state("e2", "p2", 2, 1, Liveness.LIVE, Role.ENTRY));
+		long seen = this.table.version();
+		for (int i = 0; i < 5; i++) {
+			pass(2000);
+			this.table.heard("e2", "p2");
+		}
+		assertThat(this.table.changedSince(seen, true)).isEmpty();
+		pass(HostTable.VOUCH_MS + 1);
+		assertThat(this.table.changedSince(seen, true)).extracting(HostState::getLiveness)
+			.containsExactly(Liveness.SUSPECTED);
+	}
+
 	private Liveness liveness() {
 		return this.table.find("b1").map(HostState::getLiveness).orElse(null);
 	}
