--- a/testsuite/src/test/java/org/wigeontally/configuration/ConfigurationFoldTests.java
+++ b/testsuite/src/test/java/org/wigeontally/configuration/ConfigurationFoldTests.java
@@ -18,8 +18,8 @@
 
 /**
  * Seen red with: no check of builds_on (race), no check of known ids (repeated append),
- * no comparison of the digest, a second change of the confirming hosts let through, a
- * checkpoint that replaces what was folded.
+ * no comparison of the digest, verdicts taken as never forgotten, a second change of the
+ * confirming hosts let through, a checkpoint that replaces what was folded.
  */
 public class ConfigurationFoldTests {
 
@@ -121,6 +121,20 @@
 		assertThat(this.held.revision()).isEqualTo(2);
 	}
 
+	@Test
+	public void knowsWhichVerdictsMayBeForgotten() {
+		Change first = this.operators.zone("ann", "c1", 0, "z", true);
+		apply(1, first);
+		for (int offset = 2; offset < 200; offset++) {
+			apply(offset, this.operators.zone("ann", "c" + offset, offset - 1, "z", offset % 2 == 0));
+		}
+		assertThat(this.held.verdict("c1")).isEmpty();
+		assertThat(this.fold.judge(this.held, first).isEmpty()).isFalse();
+		assertThat(ConfigurationFold.mayBeForgotten(this.held, first)).isTrue();
+		Change stale = this.operators.zone("ben", "new", 198, "z", true);
+		assertThat(ConfigurationFold.mayBeForgotten(this.held, stale)).isFalse();
+	}
+
 	private Verdict roll(long offset, Bundle bundle) {
 		String name = bundle.getName();
 		apply(offset, this.operators.propose("ann", name + "-propose", bundle));
--- a/testsuite/src/test/java/org/wigeontally/replication/ReplicationTests.java
+++ b/testsuite/src/test/java/org/wigeontally/replication/ReplicationTests.java
@@ -16,7 +16,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Five entry hosts in simulated time with cuts, outages, restarts and pauses.
+ * Five entry hosts in simulated time with cuts, outages, restarts and pauses. Seen red
+ * with: the last record folded not compared, no search for a checkpoint, answers of hosts
+ * that do not count, the instant of the reply in place of that of the question.
  */
 public class ReplicationTests {
 
@@ -151,9 +153,9 @@
 
 	/**
 	 * Random histories. Seen red with: the instant of the reply in place of the
-	 * question's; "accepted" told without a majority; verdicts forgotten without a word.
-	 * Not seen red by these histories, but by {@code ConfirmationTests}: answers of hosts
-	 * that do not count, and only the new list asked during a roll of it.
+	 * question's; "accepted" told without a majority. Not seen red by these histories,
+	 * but by {@code ConfirmationTests}: answers of hosts that do not count, and only the
+	 * new list asked during a roll of it.
 	 * @param seed seed of all choices
 	 */
 	@Test(dataProvider = "seeds")
