--- a/testsuite/src/test/java/org/wigeontally/replication/RandomFaults.java
+++ b/testsuite/src/test/java/org/wigeontally/replication/RandomFaults.java
@@ -38,7 +38,7 @@
 			case 2 -> this.simulation.restart(host());
 			case 3 -> pause();
 			case 4 -> this.simulation.log.lostReplies(this.random.nextDouble() * 0.5);
-			case 5 -> this.simulation.lossShare = this.random.nextDouble() * 0.3;
+			case 5 -> loseMessages();
 			case 6 -> roll(step);
 			case 7 -> heal();
 			default -> resend();
@@ -58,6 +58,10 @@
 		}
 	}
 
+	private void loseMessages() {
+		this.simulation.lossShare = this.random.nextDouble() * 0.3;
+	}
+
 	private void pause() {
 		this.simulation.hosts.get(host()).pausedUntilMs = this.simulation.clock.monotonicMs()
 				+ this.random.nextInt(6000);
