--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,8 +11,7 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(),
-				new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
+		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(), new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
