Status says what it knows: minimum first, hosts known to be behind, age of the confirmation

In a live trial an agent that exchanges with another entry host was shown as behind for ever, and watch would not have ended; ages were always 0. watch now ends when the minimum reaches the revision; unfilled fields are gone.

--- a/daemons/src/main/java/org/wigeontally/control/ControlNode.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlNode.java
@@ -178,6 +178,11 @@
 			return !ControlNode.this.loop.leaving() && ControlNode.this.loop.confirmation().valid();
 		}
 
+		@Override
+		public long confirmationAgeMs() {
+			return ControlNode.this.loop.confirmation().ageMs();
+		}
+
 		@Override
 		public List<HostState> hosts() {
 			return ControlNode.this.loop.hosts();
--- a/daemons/src/main/java/org/wigeontally/control/ControlView.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlView.java
@@ -24,6 +24,12 @@
 	 */
 	boolean serving();
 
+	/**
+	 * Returns how old the confirmation is.
+	 * @return milliseconds; negative if there was none yet
+	 */
+	long confirmationAgeMs();
+
 	/**
 	 * Returns the hosts known.
 	 * @return an immutable list
--- a/daemons/src/main/java/org/wigeontally/entry/StatusBuilder.java
+++ b/daemons/src/main/java/org/wigeontally/entry/StatusBuilder.java
@@ -50,7 +50,8 @@
 		this.report.setReporter(this.view.self().getHost())
 			.setStanding(Standing.newBuilder()
 				.setApplied(this.configuration.applied())
-				.setRevision(this.configuration.revision()))
+				.setRevision(this.configuration.revision())
+				.setConfirmedAgeMs(this.view.confirmationAgeMs()))
 			.setBundle(this.configuration.bundle().map(Bundle::getName).orElse(""))
 			.setMinimumRevision(minimum);
 		addZones();
@@ -102,8 +103,6 @@
 				.setDraining(this.configuration.hostDraining(host))
 				.setRuleRevision(this.configuration.hostRevision(host))
 				.setHeldRevision(this.inForce.getOrDefault(host, NOT_KNOWN))
-				.setHeardAgeMs(state.getHeardAgeMs())
-				.setConfirmedAgeMs(NOT_KNOWN)
 				.addAllBackends(state.getBackendsList()));
 		}
 	}
--- a/tool/src/main/java/org/wigeontally/tool/StatusTables.java
+++ b/tool/src/main/java/org/wigeontally/tool/StatusTables.java
@@ -31,7 +31,9 @@
 	}
 
 	static List<HostStatus> behind(StatusReport report, long revision) {
-		return live(report).stream().filter((host) -> host.getHeldRevision() < revision).toList();
+		return live(report).stream()
+			.filter((host) -> host.getHeldRevision() >= 0 && host.getHeldRevision() < revision)
+			.toList();
 	}
 
 	private static String head(StatusReport report) {
@@ -40,7 +42,7 @@
 		String confirmed = (standing.getConfirmedAgeMs() < 0) ? "never" : standing.getConfirmedAgeMs() + " ms ago";
 		List<HostStatus> behind = behind(report, standing.getRevision());
 		return "bundle in force: " + bundle + ", newest revision " + standing.getRevision() + ", minimum "
-				+ report.getMinimumRevision() + ", hosts behind: " + behind.size() + "\n" + "reported by "
+				+ report.getMinimumRevision() + ", hosts known to be behind: " + behind.size() + "\n" + "reported by "
 				+ report.getReporter() + ", confirmed " + confirmed + "\n";
 	}
 
@@ -74,11 +76,10 @@
 	}
 
 	static String hosts(StatusReport report) {
-		Table table = Table.of("HOST", "ROLE", "ZONE", "ADDRESS", "STATE", "IN FORCE", "HEARD", "BACKEND SERVERS");
+		Table table = Table.of("HOST", "ROLE", "ZONE", "ADDRESS", "STATE", "IN FORCE", "BACKEND SERVERS");
 		for (HostStatus host : report.getHostsList()) {
 			table.row(host.getHost(), (host.getRole() == Role.AGENT) ? "agent" : "entry", host.getZone(),
-					Addresses.format(host.getAddress()), state(host), held(host), host.getHeardAgeMs() + " ms ago",
-					backends(host));
+					Addresses.format(host.getAddress()), state(host), held(host), backends(host));
 		}
 		return table.format();
 	}
@@ -89,7 +90,7 @@
 	}
 
 	private static String held(HostStatus host) {
-		return (host.getHeldRevision() < 0) ? "not known" : "revision " + host.getHeldRevision();
+		return (host.getHeldRevision() < 0) ? "not known here" : "revision " + host.getHeldRevision();
 	}
 
 	private static String backends(HostStatus host) {
--- a/tool/src/main/java/org/wigeontally/tool/WatchCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/WatchCommand.java
@@ -47,7 +47,7 @@
 					this.console.out().println(line);
 				}
 				last = line;
-				if (behind.isEmpty()) {
+				if (report.getMinimumRevision() >= target) {
 					return ExitCode.DONE;
 				}
 				if (session.expired()) {
@@ -59,13 +59,14 @@
 	}
 
 	private static String line(StatusReport report, long target, List<HostStatus> behind) {
-		String line = "revision " + target + ": in force on " + (StatusTables.live(report).size() - behind.size())
-				+ " of " + StatusTables.live(report).size() + " live hosts, minimum " + report.getMinimumRevision();
+		String line = "revision " + target + ": minimum in force " + report.getMinimumRevision() + ", "
+				+ StatusTables.live(report).size() + " live hosts";
 		if (behind.isEmpty()) {
 			return line;
 		}
 		List<String> names = behind.stream().limit(HOSTS_NAMED).map(HostStatus::getHost).toList();
-		return line + ", behind: " + String.join(", ", names) + ((behind.size() > HOSTS_NAMED) ? ", …" : "");
+		return line + ", known to be behind: " + String.join(", ", names)
+				+ ((behind.size() > HOSTS_NAMED) ? ", …" : "");
 	}
 
 }
