Policies wired into the daemons: gate, choice, retries, harmful requests, metrics

The agent's gate decides on every dispatch; its load goes back with each answer. The entry chooses by load and prefix, retries within the organisation's budget, and refuses content that brought two backend servers down; the agent tells all entries of a loss before it answers the failed requests.

--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -16,6 +16,7 @@
 import org.wigeontally.control.ControlSettings;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.AgentMetrics;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -44,16 +45,19 @@
 
 	private final List<BackendLink> links;
 
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
 	private final DispatchApi dispatches;
 
 	private AgentDaemon(Vertx vertx, AgentSettings settings, Closer closer, ControlNode control,
-			List<BackendLink> links) {
+			List<BackendLink> links, Clock clock) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.closer = closer;
 		this.control = control;
 		this.links = links;
-		this.dispatches = new DispatchApi(vertx, control.view(), links);
+		this.dispatches = new DispatchApi(vertx, control.view(), links,
+				closer.add(LossNotices.create(vertx, control.view(), clock)), AgentMetrics.create(this.registry));
 	}
 
 	/**
@@ -67,12 +71,12 @@
 		Closer closer = Closer.create();
 		List<BackendLink> links = new ArrayList<>();
 		for (BackendSettings backend : settings.getBackendsList()) {
-			links.add(closer.add(BackendLink.open(vertx, backend)));
+			links.add(closer.add(BackendLink.open(vertx, backend, clock)));
 		}
 		ControlSettings controlSettings = ControlSettings.of(settings);
 		return ControlNode.start(vertx, controlSettings, null, KeyRing.trusting(), clock).compose((control) -> {
 			closer.add(control::close);
-			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links);
+			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links, clock);
 			control.localState(daemon::states);
 			return daemon.listen().map(daemon);
 		});
@@ -80,8 +84,7 @@
 
 	private Future<HttpServer> listen() {
 		Router router = Router.router(this.vertx);
-		PrometheusRegistry registry = new PrometheusRegistry();
-		MetricsApi.mount(router, registry, this.control.view()::serving);
+		MetricsApi.mount(router, this.registry, this.control.view()::serving);
 		this.dispatches.mount(router, BODY_LIMIT_BYTES);
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
@@ -92,7 +95,7 @@
 	}
 
 	private List<BackendState> states() {
-		return this.links.stream().map(BackendLink::state).toList();
+		return this.links.stream().map(BackendLink::stateWithLoad).toList();
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/agent/BackendLink.java
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendLink.java
@@ -13,6 +13,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.wigeontally.admission.EngineReport;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.BackendKind;
 import org.wigeontally.schema.generated.BackendSettings;
 import org.wigeontally.schema.generated.BackendState;
@@ -43,15 +45,18 @@
 
 	private final long timer;
 
+	private final BackendGate gate;
+
 	private volatile BackendState state;
 
 	private int failures;
 
 	private boolean polling;
 
-	private BackendLink(Vertx vertx, BackendSettings settings) {
+	private BackendLink(Vertx vertx, BackendSettings settings, Clock clock) {
 		this.vertx = vertx;
 		this.settings = settings;
+		this.gate = BackendGate.open(vertx, settings, clock);
 		this.client = vertx.httpClientBuilder()
 			.with(new HttpClientOptions().setConnectTimeout((int) POLL_TIMEOUT_MS).setTcpNoDelay(true))
 			.with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
@@ -64,8 +69,8 @@
 		this.timer = vertx.setPeriodic(1, POLL_MS, (id) -> poll());
 	}
 
-	static BackendLink open(Vertx vertx, BackendSettings settings) {
-		return new BackendLink(vertx, settings);
+	static BackendLink open(Vertx vertx, BackendSettings settings, Clock clock) {
+		return new BackendLink(vertx, settings, clock);
 	}
 
 	private void poll() {
@@ -73,6 +78,7 @@
 			return;
 		}
 		this.polling = true;
+		long askedMs = this.gate.nowMs();
 		this.client.request(request(HttpMethod.GET, "/load").setIdleTimeout(POLL_TIMEOUT_MS))
 			.compose((request) -> request.send())
 			.compose(HttpClientResponse::body)
@@ -80,7 +86,7 @@
 			.onComplete((result) -> {
 				this.polling = false;
 				if (result.succeeded()) {
-					reported(result.result());
+					reported(result.result(), askedMs);
 				}
 				else {
 					missed(result.cause());
@@ -88,7 +94,7 @@
 			});
 	}
 
-	private void reported(JsonObject report) {
+	private void reported(JsonObject report, long askedMs) {
 		this.failures = 0;
 		boolean wasUp = this.state.getUp();
 		BackendState.Builder next = this.state.toBuilder();
@@ -102,15 +108,19 @@
 			logger.warn("agent: {} sent a load report that cannot be read", this.settings.getService());
 			return;
 		}
-		next.setLimit(next.getCold() ? coldLimit() : this.settings.getCapacity());
 		this.state = next.build();
 		if (!wasUp) {
+			this.gate.up();
 			logger.info("agent: {} is up, version '{}'", this.settings.getService(), this.state.getVersion());
 		}
+		this.gate.reported(next.getRunning(), warmth(report), askedMs);
 	}
 
-	private int coldLimit() {
-		return (this.settings.getColdCapacity() > 0) ? this.settings.getColdCapacity() : this.settings.getCapacity();
+	private static EngineReport.Warmth warmth(JsonObject report) {
+		if (!report.containsKey("cold")) {
+			return EngineReport.Warmth.UNSAID;
+		}
+		return report.getBoolean("cold") ? EngineReport.Warmth.COLD : EngineReport.Warmth.WARM;
 	}
 
 	private void missed(Throwable cause) {
@@ -119,6 +129,7 @@
 			return;
 		}
 		this.state = this.state.toBuilder().setUp(false).build();
+		this.gate.down();
 		logger.warn("agent: {} is down: {}", this.settings.getService(), cause.getMessage());
 	}
 
@@ -141,12 +152,31 @@
 		return this.state;
 	}
 
+	BackendGate gate() {
+		return this.gate;
+	}
+
+	/**
+	 * Returns the state with the load that the gate counts.
+	 * @return the state for other hosts
+	 */
+	BackendState stateWithLoad() {
+		BackendGate.Load load = this.gate.load();
+		return this.state.toBuilder()
+			.setRunning(load.running())
+			.setQueued(load.queued())
+			.setLimit(load.limit())
+			.setCold(load.cold())
+			.build();
+	}
+
 	boolean isEngine() {
 		return this.settings.getKind() == BackendKind.MODEL_ENGINE;
 	}
 
 	Future<Void> shutdown() {
 		this.vertx.cancelTimer(this.timer);
+		this.gate.close();
 		return this.client.close();
 	}
 
--- a/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
@@ -1,5 +1,6 @@
 package org.wigeontally.agent;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -7,6 +8,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 
+import org.wigeontally.admission.AdmissionGate;
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Outcome;
@@ -31,60 +33,116 @@
 		this.vertx = vertx;
 	}
 
-	void forward(DispatchRequest request, Buffer body, BackendLink link, HttpServerResponse response) {
+	void forward(DispatchRequest request, Buffer body, BackendLink link, HttpServerResponse response,
+			LossNotices notices) {
 		RequestOptions options = link.request(request.method(), request.path()).setConnectTimeout(CONNECT_TIMEOUT_MS);
 		link.client().request(options).onComplete((connected) -> {
 			if (connected.failed()) {
+				link.gate().ended(request.id(), AdmissionGate.End.FAILED);
 				Refusal.notRun(ErrorType.NOT_SERVING, RETRY_SOON_MS, "the backend server takes no connection")
 					.send(response);
 				return;
 			}
-			send(request, body, connected.result(), response);
+			new Run(request, link, response, notices).send(body, connected.result());
 		});
 	}
 
-	private void send(DispatchRequest request, Buffer body, HttpClientRequest toBackend, HttpServerResponse response) {
-		if (response.closed()) {
-			toBackend.reset();
-			return;
+	private static void copy(String header, HttpClientResponse from, HttpServerResponse to) {
+		String value = from.getHeader(header);
+		if (value != null) {
+			to.putHeader(header, value);
+		}
+	}
+
+	/**
+	 * One request on its way through the backend server. It ends once at the gate: only
+	 * when the backend server has finished or dropped it, or its connection was reset.
+	 */
+	private final class Run {
+
+		private final DispatchRequest request;
+
+		private final BackendLink link;
+
+		private final HttpServerResponse response;
+
+		private final LossNotices notices;
+
+		private boolean reset;
+
+		private long timer;
+
+		Run(DispatchRequest request, BackendLink link, HttpServerResponse response, LossNotices notices) {
+			this.request = request;
+			this.link = link;
+			this.response = response;
+			this.notices = notices;
 		}
-		toBackend.putHeader(Headers.DISPATCH, request.id())
-			.putHeader(Headers.ORGANISATION, request.organisation())
-			.putHeader(Headers.PRIORITY, request.priority())
-			.putHeader("Content-Type", "application/json");
-		long timer = this.vertx.setTimer(Math.max(1, request.deadlineMs()), (id) -> toBackend.reset());
-		response.closeHandler((closed) -> toBackend.reset());
-		toBackend.send(body).onComplete((answered) -> {
-			if (answered.failed()) {
-				this.vertx.cancelTimer(timer);
-				Refusal.unknown("the backend server gave no answer").send(response);
+
+		void send(Buffer body, HttpClientRequest toBackend) {
+			if (this.response.closed()) {
+				reset(toBackend);
+				ended(AdmissionGate.End.CANCELLED);
 				return;
 			}
-			relay(answered.result(), response, timer);
-		});
-	}
+			toBackend.putHeader(Headers.DISPATCH, this.request.id())
+				.putHeader(Headers.ORGANISATION, this.request.organisation())
+				.putHeader(Headers.PRIORITY, this.request.priority())
+				.putHeader("Content-Type", "application/json");
+			this.timer = BackendProxy.this.vertx.setTimer(Math.max(1, this.request.deadlineMs()),
+					(id) -> reset(toBackend));
+			this.response.closeHandler((closed) -> reset(toBackend));
+			toBackend.send(body).onComplete((answered) -> {
+				if (answered.failed()) {
+					failed()
+						.onComplete((told) -> Refusal.unknown("the backend server gave no answer").send(this.response));
+					return;
+				}
+				relay(answered.result());
+			});
+		}
 
-	private void relay(HttpClientResponse answer, HttpServerResponse response, long timer) {
-		response.setStatusCode(answer.statusCode()).putHeader(Headers.OUTCOME, Outcome.DONE.text());
-		copy("Content-Type", answer, response);
-		copy("Content-Length", answer, response);
-		copy("Model-Version", answer, response);
-		if (answer.getHeader("Content-Length") == null) {
-			response.setChunked(true);
+		private void relay(HttpClientResponse answer) {
+			this.link.gate().answered(this.request.id());
+			this.response.setStatusCode(answer.statusCode())
+				.putHeader(Headers.OUTCOME, Outcome.DONE.text())
+				.putHeader(Headers.LOAD, this.link.gate().load().header());
+			copy("Content-Type", answer, this.response);
+			copy("Content-Length", answer, this.response);
+			copy("Model-Version", answer, this.response);
+			if (answer.getHeader("Content-Length") == null) {
+				this.response.setChunked(true);
+			}
+			answer.pipe().endOnFailure(false).to(this.response).onComplete((done) -> {
+				if (done.succeeded()) {
+					ended(AdmissionGate.End.COMPLETE);
+					return;
+				}
+				failed().onComplete((told) -> this.response.reset());
+			});
 		}
-		answer.pipe().endOnFailure(false).to(response).onComplete((done) -> {
-			this.vertx.cancelTimer(timer);
-			if (done.failed()) {
-				response.reset();
+
+		private Future<Void> failed() {
+			if (this.reset) {
+				ended(AdmissionGate.End.CANCELLED);
+				return Future.succeededFuture();
 			}
-		});
-	}
+			Future<Void> told = this.notices.backendLost(this.link);
+			ended(AdmissionGate.End.FAILED);
+			return told;
+		}
 
-	private static void copy(String header, HttpClientResponse from, HttpServerResponse to) {
-		String value = from.getHeader(header);
-		if (value != null) {
-			to.putHeader(header, value);
+		private void reset(HttpClientRequest toBackend) {
+			this.reset = true;
+			toBackend.reset();
+		}
+
+		private void ended(AdmissionGate.End end) {
+			BackendProxy.this.vertx.cancelTimer(this.timer);
+			this.notices.ended(this.request.id());
+			this.link.gate().ended(this.request.id(), end);
 		}
+
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
@@ -10,10 +10,14 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 
+import org.wigeontally.admission.Admission;
+import org.wigeontally.admission.AdmissionRequest;
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.metrics.AgentMetrics;
+import org.wigeontally.metrics.TrafficLabels;
 import org.wigeontally.schema.generated.BackendState;
 
 /**
@@ -31,13 +35,23 @@
 
 	private final List<BackendLink> links;
 
+	private static final double COST = 1;
+
+	private static final List<String> PRIORITIES = List.of("low", "normal", "high");
+
 	private final BackendProxy proxy;
 
+	private final LossNotices notices;
+
+	private final AgentMetrics metrics;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links) {
+	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links, LossNotices notices, AgentMetrics metrics) {
 		this.view = view;
 		this.links = List.copyOf(links);
+		this.notices = notices;
+		this.metrics = metrics;
 		this.proxy = new BackendProxy(vertx);
 	}
 
@@ -65,7 +79,36 @@
 		this.inFlight.incrementAndGet();
 		context.addEndHandler((end) -> this.inFlight.decrementAndGet());
 		Buffer body = (context.body().buffer() != null) ? context.body().buffer() : Buffer.buffer();
-		this.proxy.forward(request, body, link, context.response());
+		context.response().closeHandler((closed) -> link.gate().withdraw(request.id()));
+		link.gate().offer(admissionRequest(request, link), (admission) -> {
+			BackendGate.Load load = link.gate().load();
+			TrafficLabels labels = new TrafficLabels(request.organisation(), service, request.priority());
+			if (admission.verdict() == Admission.Verdict.RUN) {
+				this.metrics.admitted(labels, admission.waitedMs(), load.cold());
+				this.notices.started(request.id(), request.fingerprint());
+				this.proxy.forward(request, body, link, context.response(), this.notices);
+				return;
+			}
+			this.metrics.refused(labels, admission.reason().number());
+			context.response().putHeader(Headers.LOAD, load.header());
+			refused(admission).send(context.response());
+		});
+	}
+
+	private static AdmissionRequest admissionRequest(DispatchRequest request, BackendLink link) {
+		AdmissionRequest admission = AdmissionRequest.of(request.id(), request.organisation(), COST)
+			.withPriority(PRIORITIES.indexOf(request.priority()))
+			.withDeadline(link.gate().nowMs() + request.deadlineMs());
+		return request.suspect() ? admission.asSuspect() : admission;
+	}
+
+	private static Refusal refused(Admission admission) {
+		ErrorType reason = admission.reason();
+		Object argument = switch (reason) {
+			case OVER_SHARE -> admission.request().organisation();
+			default -> "the backend server is down";
+		};
+		return Refusal.notRun(reason, admission.retryAfterMs(), argument);
 	}
 
 	private BackendLink link(String service) {
--- a/daemons/src/main/java/org/wigeontally/agent/DispatchRequest.java
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchRequest.java
@@ -20,9 +20,11 @@
  * @param claim id of the claim; empty for none
  * @param priority priority of the request
  * @param deadlineMs time left, in milliseconds
+ * @param fingerprint fingerprint of the content, hexadecimal; empty if unknown
+ * @param suspect true if a backend server was lost while a request of the content ran
  */
 record DispatchRequest(String id, String service, HttpMethod method, String path, String organisation, String version,
-		long revision, String claim, String priority, long deadlineMs) {
+		long revision, String claim, String priority, long deadlineMs, String fingerprint, boolean suspect) {
 
 	private static final long DEFAULT_DEADLINE_MS = 60_000;
 
@@ -42,7 +44,8 @@
 			return Optional.of(new DispatchRequest(id, service, request.method(), path,
 					text(request, Headers.ORGANISATION), text(request, Headers.VERSION),
 					number(request, Headers.REVISION, 0), text(request, Headers.CLAIM), text(request, Headers.PRIORITY),
-					number(request, Headers.DEADLINE_MS, DEFAULT_DEADLINE_MS)));
+					number(request, Headers.DEADLINE_MS, DEFAULT_DEADLINE_MS), text(request, Headers.FINGERPRINT),
+					Boolean.parseBoolean(text(request, Headers.SUSPECT))));
 		}
 		catch (NumberFormatException ex) {
 			return Optional.empty();
--- a/daemons/src/main/java/org/wigeontally/control/ControlNode.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlNode.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
+import io.vertx.grpc.server.Service;
 
 import org.wigeontally.configuration.Configuration;
 import org.wigeontally.configuration.KeyRing;
@@ -79,6 +80,14 @@
 		return this.view;
 	}
 
+	/**
+	 * Adds a service between the project's own processes, before the server listens.
+	 * @param service the service
+	 */
+	public void addService(Service service) {
+		this.server.addService(service);
+	}
+
 	/**
 	 * Returns the handler of gRPC requests, to be mounted where the content type begins
 	 * with "application/grpc".
--- a/daemons/src/main/java/org/wigeontally/entry/AgentAnswer.java
+++ b/daemons/src/main/java/org/wigeontally/entry/AgentAnswer.java
@@ -22,8 +22,9 @@
 	 * No backend server got the request by this dispatch and none will.
 	 *
 	 * @param refusal the agent's refusal
+	 * @param load load of the backend server as the agent tells it; null if it does not
 	 */
-	record NotRun(Refusal refusal) implements AgentAnswer {
+	record NotRun(Refusal refusal, String load) implements AgentAnswer {
 
 	}
 
--- a/daemons/src/main/java/org/wigeontally/entry/AgentClient.java
+++ b/daemons/src/main/java/org/wigeontally/entry/AgentClient.java
@@ -1,5 +1,7 @@
 package org.wigeontally.entry;
 
+import java.util.HexFormat;
+
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -60,13 +62,14 @@
 	}
 
 	private static AgentAnswer notConnected(Throwable cause) {
-		return new AgentAnswer.NotRun(Refusal.notRun(ErrorType.NOT_SERVING, 0, cause.getMessage()));
+		return new AgentAnswer.NotRun(Refusal.notRun(ErrorType.NOT_SERVING, 0, cause.getMessage()), null);
 	}
 
 	private static Future<AgentAnswer> sendOn(HttpClientRequest request, Dispatch dispatch) {
 		if (!dispatch.begin(request)) {
 			request.reset();
-			return Future.succeededFuture(new AgentAnswer.NotRun(Refusal.notRun(ErrorType.DEADLINE, Refusal.NEVER)));
+			return Future
+				.succeededFuture(new AgentAnswer.NotRun(Refusal.notRun(ErrorType.DEADLINE, Refusal.NEVER), null));
 		}
 		request.putHeader(Headers.DISPATCH, dispatch.id())
 			.putHeader(Headers.ORGANISATION, dispatch.request().organisation().getName())
@@ -74,7 +77,9 @@
 			.putHeader(Headers.VERSION, dispatch.version())
 			.putHeader(Headers.REVISION, Long.toString(dispatch.revision()))
 			.putHeader(Headers.DEADLINE_MS, Long.toString(dispatch.leftMs()))
-			.putHeader(Headers.CLAIM, dispatch.claim());
+			.putHeader(Headers.CLAIM, dispatch.claim())
+			.putHeader(Headers.FINGERPRINT, HexFormat.of().formatHex(dispatch.fingerprint().bytes().toByteArray()))
+			.putHeader(Headers.SUSPECT, Boolean.toString(dispatch.suspect()));
 		return request.send(dispatch.request().body()).transform((answered) -> {
 			if (answered.failed()) {
 				return Future.succeededFuture(new AgentAnswer.Lost(answered.cause().getMessage()));
@@ -111,7 +116,8 @@
 		String after = response.getHeader(Headers.RETRY_AFTER_MS);
 		long retryAfterMs = (after != null) ? Long.parseLong(after) : Refusal.NEVER;
 		String message = (body != null) ? new JsonObject(body).getString("message", "") : "";
-		return new AgentAnswer.NotRun(new Refusal(error, message, Outcome.NOT_RUN, retryAfterMs));
+		return new AgentAnswer.NotRun(new Refusal(error, message, Outcome.NOT_RUN, retryAfterMs),
+				response.getHeader(Headers.LOAD));
 	}
 
 	@Override
--- a/daemons/src/main/java/org/wigeontally/entry/AnswerRelay.java
+++ b/daemons/src/main/java/org/wigeontally/entry/AnswerRelay.java
@@ -1,5 +1,8 @@
 package org.wigeontally.entry;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
@@ -8,6 +11,9 @@
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Outcome;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.metrics.EntryMetrics;
+import org.wigeontally.metrics.TrafficLabels;
+import org.wigeontally.misc.Clock;
 
 /**
  * Hands an agent's answer to the caller. A stream is passed on as it comes and ends with
@@ -18,27 +24,35 @@
 
 	private static final String EVENT_STREAM = "text/event-stream";
 
-	void relay(HttpClientResponse answer, HttpServerResponse response) {
+	private final EntryMetrics metrics;
+
+	private final Clock clock;
+
+	AnswerRelay(EntryMetrics metrics, Clock clock) {
+		this.metrics = metrics;
+		this.clock = clock;
+	}
+
+	/**
+	 * Hands an answer on.
+	 * @param answer the agent's answer, paused
+	 * @param response the response to the caller
+	 * @param labels labels of the metrics
+	 * @param arrivedMs when the request came
+	 * @return succeeds when the whole answer was handed on
+	 */
+	Future<Void> relay(HttpClientResponse answer, HttpServerResponse response, TrafficLabels labels, long arrivedMs) {
+		this.metrics.firstToken(labels, this.clock.monotonicMs() - arrivedMs);
 		String type = answer.getHeader("Content-Type");
 		if (type != null && type.startsWith(EVENT_STREAM)) {
-			stream(answer, response);
-			return;
+			return new Stream(answer, response, labels).start();
 		}
-		answer.body().onComplete((body) -> {
-			if (body.failed()) {
-				Refusal.unknown("the answer broke off").send(response);
-				return;
-			}
+		Future<Void> whole = answer.body().compose((body) -> {
 			head(answer, response);
-			response.end(body.result());
-		});
+			return response.end(body);
+		}).onFailure((failure) -> Refusal.unknown("the answer broke off").send(response));
 		answer.resume();
-	}
-
-	private static void stream(HttpClientResponse answer, HttpServerResponse response) {
-		head(answer, response);
-		response.setChunked(true);
-		answer.pipe().endOnFailure(false).to(response).onFailure((cause) -> cut(response, cause));
+		return whole;
 	}
 
 	private static void cut(HttpServerResponse response, Throwable cause) {
@@ -65,4 +79,53 @@
 		}
 	}
 
+	/**
+	 * A stream on its way, with the caller's pace.
+	 */
+	private final class Stream {
+
+		private final HttpClientResponse answer;
+
+		private final HttpServerResponse response;
+
+		private final TrafficLabels labels;
+
+		private final Promise<Void> whole = Promise.promise();
+
+		private long lastMs = -1;
+
+		Stream(HttpClientResponse answer, HttpServerResponse response, TrafficLabels labels) {
+			this.answer = answer;
+			this.response = response;
+			this.labels = labels;
+		}
+
+		Future<Void> start() {
+			head(this.answer, this.response);
+			this.response.setChunked(true);
+			this.answer.handler(this::part);
+			this.answer.endHandler((end) -> this.response.end().onComplete(this.whole));
+			this.answer.exceptionHandler((failure) -> {
+				cut(this.response, failure);
+				this.whole.tryFail(failure);
+			});
+			this.answer.resume();
+			return this.whole.future();
+		}
+
+		private void part(Buffer part) {
+			long nowMs = AnswerRelay.this.clock.monotonicMs();
+			if (this.lastMs >= 0) {
+				AnswerRelay.this.metrics.betweenTokens(this.labels, nowMs - this.lastMs);
+			}
+			this.lastMs = nowMs;
+			this.response.write(part);
+			if (this.response.writeQueueFull()) {
+				this.answer.pause();
+				this.response.drainHandler((drained) -> this.answer.resume());
+			}
+		}
+
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/entry/Dispatch.java
+++ b/daemons/src/main/java/org/wigeontally/entry/Dispatch.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.http.HttpClientRequest;
 
+import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.misc.Clock;
 
 /**
@@ -20,18 +21,25 @@
 
 	private final String claim;
 
+	private final Fingerprint fingerprint;
+
+	private final boolean suspect;
+
 	private final Clock clock;
 
 	private HttpClientRequest sent;
 
 	private boolean cancelled;
 
-	Dispatch(String id, CallerRequest request, String version, long revision, String claim, Clock clock) {
+	Dispatch(String id, CallerRequest request, String version, long revision, String claim, Fingerprint fingerprint,
+			boolean suspect, Clock clock) {
 		this.id = id;
 		this.request = request;
 		this.version = version;
 		this.revision = revision;
 		this.claim = claim;
+		this.fingerprint = fingerprint;
+		this.suspect = suspect;
 		this.clock = clock;
 	}
 
@@ -75,6 +83,14 @@
 		return this.revision;
 	}
 
+	Fingerprint fingerprint() {
+		return this.fingerprint;
+	}
+
+	boolean suspect() {
+		return this.suspect;
+	}
+
 	String claim() {
 		return this.claim;
 	}
--- a/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
+++ b/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
@@ -2,18 +2,26 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
 
 import org.wigeontally.configuration.Configuration;
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
+import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.harmful.Suspicion;
+import org.wigeontally.http.Headers;
+import org.wigeontally.http.Outcome;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.metrics.TrafficLabels;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.retries.AttemptOutcome;
+import org.wigeontally.routing.ChoiceRequest;
 import org.wigeontally.schema.generated.HostState;
 
 /**
@@ -29,8 +37,6 @@
  */
 final class Dispatcher {
 
-	private static final int MAX_ATTEMPTS = 3;
-
 	private static final long RETRY_SOON_MS = 500;
 
 	private final ControlView view;
@@ -41,19 +47,21 @@
 
 	private final Clock clock;
 
-	private final AtomicLong turn = new AtomicLong();
+	private final RequestPolicy policy;
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	Dispatcher(ControlView view, AgentClient agents, Clock clock) {
+	Dispatcher(ControlView view, AgentClient agents, RequestPolicy policy, Clock clock) {
 		this.view = view;
 		this.agents = agents;
-		this.relay = new AnswerRelay();
+		this.policy = policy;
+		this.relay = new AnswerRelay(policy.metrics(), clock);
 		this.clock = clock;
 	}
 
 	void dispatch(CallerRequest request, String claim, HttpServerResponse response) {
 		this.inFlight.incrementAndGet();
+		this.policy.arrived(request);
 		Attempts attempts = new Attempts(request, claim, response);
 		response.endHandler((end) -> attempts.finished());
 		response.closeHandler((closed) -> attempts.abandoned());
@@ -75,8 +83,18 @@
 
 		private final HttpServerResponse response;
 
+		private final Fingerprint fingerprint;
+
+		private final TrafficLabels labels;
+
+		private final long arrivedMs = Dispatcher.this.clock.monotonicMs();
+
+		private final List<Long> prefix;
+
 		private final Set<String> tried = new HashSet<>();
 
+		private String host = "";
+
 		private boolean mayHaveRun;
 
 		private boolean over;
@@ -87,6 +105,10 @@
 			this.request = request;
 			this.claim = claim;
 			this.response = response;
+			String service = request.service().getName();
+			this.fingerprint = Fingerprint.of(service, request.path(), request.body().getBytes());
+			this.labels = new TrafficLabels(request.organisation().getName(), service, request.priority());
+			this.prefix = request.service().getModel().isEmpty() ? List.of() : PrefixBlocks.of(request.body());
 		}
 
 		void next(Refusal last) {
@@ -98,18 +120,42 @@
 				refuse(Refusal.notRun(ErrorType.NOT_SERVING, RETRY_SOON_MS, "its configuration is not confirmed"));
 				return;
 			}
+			Suspicion suspicion = Dispatcher.this.policy.judge(this.fingerprint);
+			if (suspicion.level() == Suspicion.Level.HARMFUL) {
+				refuse(Refusal.notRun(ErrorType.HARMFUL_REQUEST, suspicion.remainingMs(), suspicion.losses()));
+				return;
+			}
 			Configuration configuration = view.configuration();
 			String version = Candidates.version(configuration, this.request.service());
 			List<HostState> candidates = Candidates.list(view, this.request.service(), version, this.tried);
-			if (candidates.isEmpty() || this.tried.size() >= MAX_ATTEMPTS) {
+			ChoiceRequest choice = ChoiceRequest.of(this.request.service().getName())
+				.withVersion(version)
+				.withPrefix(this.prefix);
+			Optional<HostState> chosen = Dispatcher.this.policy.choose(choice, candidates);
+			if (chosen.isEmpty()) {
 				refuse(last);
 				return;
 			}
-			HostState host = candidates.get((int) (Dispatcher.this.turn.getAndIncrement() % candidates.size()));
-			this.tried.add(host.getHost().getHost());
 			this.current = new Dispatch(UUID.randomUUID().toString(), this.request, version, configuration.revision(),
-					this.claim, Dispatcher.this.clock);
-			Dispatcher.this.agents.send(host.getHost().getAddress(), this.current).onSuccess(this::answered);
+					this.claim, this.fingerprint, suspicion.level() == Suspicion.Level.SUSPECT, Dispatcher.this.clock);
+			send(chosen.get());
+		}
+
+		private void send(HostState target) {
+			if (!this.tried.isEmpty()) {
+				Dispatcher.this.policy.metrics().retried(this.labels);
+			}
+			this.host = target.getHost().getHost();
+			this.tried.add(this.host);
+			Dispatcher.this.policy.loads().sent(this.host, this.labels.service());
+			Dispatcher.this.agents.send(target.getHost().getAddress(), this.current).onSuccess(this::answered);
+		}
+
+		private void attemptEnded() {
+			if (!this.host.isEmpty()) {
+				Dispatcher.this.policy.loads().ended(this.host, this.labels.service());
+				this.host = "";
+			}
 		}
 
 		private void answered(AgentAnswer answer) {
@@ -117,30 +163,51 @@
 				return;
 			}
 			if (answer instanceof AgentAnswer.Answered answered) {
-				Dispatcher.this.relay.relay(answered.response(), this.response);
+				relay(answered.response());
 				return;
 			}
+			String agent = this.host;
+			attemptEnded();
 			if (answer instanceof AgentAnswer.NotRun notRun) {
-				next(notRun.refusal());
+				Dispatcher.this.policy.loads().heard(agent, this.labels.service(), notRun.load());
+				nextOrRefuse(AttemptOutcome.NOT_RUN, notRun.refusal());
 				return;
 			}
-			String detail = ((AgentAnswer.Lost) answer).detail();
-			this.mayHaveRun = true;
-			if (this.request.repeatable()) {
-				next(Refusal.unknown(detail));
+			nextOrRefuse(AttemptOutcome.MAY_HAVE_RUN, Refusal.unknown(((AgentAnswer.Lost) answer).detail()));
+		}
+
+		private void relay(HttpClientResponse answer) {
+			Dispatcher.this.policy.loads().heard(this.host, this.labels.service(), answer.getHeader(Headers.LOAD));
+			Dispatcher.this.relay.relay(answer, this.response, this.labels, this.arrivedMs)
+				.onSuccess((whole) -> Dispatcher.this.policy.succeeded(this.fingerprint));
+		}
+
+		private void nextOrRefuse(AttemptOutcome outcome, Refusal last) {
+			boolean ranBefore = this.mayHaveRun;
+			this.mayHaveRun = ranBefore || outcome == AttemptOutcome.MAY_HAVE_RUN;
+			if (Dispatcher.this.policy.retry(outcome, this.request, this.tried.size(), ranBefore)) {
+				next(last);
 				return;
 			}
-			refuse(Refusal.unknown(detail));
+			refuse(last);
 		}
 
 		private void refuse(Refusal refusal) {
-			Refusal truth = this.mayHaveRun ? Refusal.unknown(refusal.message()) : refusal;
+			Refusal truth = refusal;
+			if (this.mayHaveRun && refusal.error() == ErrorType.HARMFUL_REQUEST) {
+				truth = new Refusal(refusal.error(), refusal.message(), Outcome.UNKNOWN, refusal.retryAfterMs());
+			}
+			else if (this.mayHaveRun) {
+				truth = Refusal.unknown(refusal.message());
+			}
+			Dispatcher.this.policy.metrics().refused(this.labels, truth.error().number());
 			truth.send(this.response);
 		}
 
 		void finished() {
 			if (!this.over) {
 				this.over = true;
+				attemptEnded();
 				Dispatcher.this.inFlight.decrementAndGet();
 			}
 		}
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -16,11 +16,13 @@
 import org.wigeontally.errors.InputException;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
+import org.wigeontally.metrics.EntryMetrics;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.HttpPlatformLog;
 import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.schema.generated.HarmfulGrpcService;
 import org.wigeontally.settings.Addresses;
 
 /**
@@ -66,15 +68,17 @@
 		AgentClient agents = closer.add(AgentClient.create(vertx));
 		return ControlNode.start(vertx, ControlSettings.of(settings), log, keys, clock).compose((control) -> {
 			closer.add(control::close);
-			Dispatcher dispatcher = new Dispatcher(control.view(), agents, clock);
+			PrometheusRegistry registry = new PrometheusRegistry();
+			RequestPolicy policy = new RequestPolicy(control.view(), EntryMetrics.create(registry), clock);
+			control.addService(HarmfulGrpcService.of(policy.harmfulService()));
+			Dispatcher dispatcher = new Dispatcher(control.view(), agents, policy, clock);
 			EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher);
-			return daemon.listen(clock).map(daemon);
+			return daemon.listen(registry, clock).map(daemon);
 		});
 	}
 
-	private Future<HttpServer> listen(Clock clock) {
+	private Future<HttpServer> listen(PrometheusRegistry registry, Clock clock) {
 		Router router = Router.router(this.vertx);
-		PrometheusRegistry registry = new PrometheusRegistry();
 		MetricsApi.mount(router, registry, this.control.view()::serving);
 		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher);
 		callers.mount(router, this.settings.getBodyLimitBytes());
--- a/daemons/src/main/java/org/wigeontally/http/Headers.java
+++ b/daemons/src/main/java/org/wigeontally/http/Headers.java
@@ -38,6 +38,12 @@
 	/** Load of the backend server after the answer: running, queued, limit. */
 	public static final String LOAD = "Wigeontally-Load";
 
+	/** Fingerprint of the request's content, hexadecimal. */
+	public static final String FINGERPRINT = "Wigeontally-Fingerprint";
+
+	/** True if the request's content is suspected of bringing backend servers down. */
+	public static final String SUSPECT = "Wigeontally-Suspect";
+
 	/** Key under which a request runs at most once. */
 	public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/metrics/EntryMetrics.java
@@ -0,0 +1,101 @@
+package org.wigeontally.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Traffic of an entry by organisation, service and class. The class is the priority of
+ * the request. Safe for use by several threads.
+ */
+public final class EntryMetrics {
+
+	private static final String[] LABELS = { "organisation", "service", "class" };
+
+	private static final double[] FIRST_TOKEN_BOUNDS_S = { 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.92, 1.5, 3, 10 };
+
+	private static final double[] BETWEEN_TOKENS_BOUNDS_S = { 0.005, 0.01, 0.02, 0.04, 0.06, 0.1, 0.25, 1 };
+
+	private static final double MS_PER_S = 1_000;
+
+	private final Histogram firstToken;
+
+	private final Histogram betweenTokens;
+
+	private final Counter refusals;
+
+	private final Counter retries;
+
+	private EntryMetrics(PrometheusRegistry registry) {
+		this.firstToken = Histogram.builder()
+			.name("wigeontally_first_token_seconds")
+			.help("Time from the request to the first part of its answer")
+			.labelNames(LABELS)
+			.classicOnly()
+			.classicUpperBounds(FIRST_TOKEN_BOUNDS_S)
+			.register(registry);
+		this.betweenTokens = Histogram.builder()
+			.name("wigeontally_between_tokens_seconds")
+			.help("Time between two parts of a stream")
+			.labelNames(LABELS)
+			.classicOnly()
+			.classicUpperBounds(BETWEEN_TOKENS_BOUNDS_S)
+			.register(registry);
+		this.refusals = Counter.builder()
+			.name("wigeontally_refusals_total")
+			.help("Refused requests by error number")
+			.labelNames("organisation", "service", "class", "error")
+			.register(registry);
+		this.retries = Counter.builder()
+			.name("wigeontally_retries_total")
+			.help("Dispatches after the first of a request")
+			.labelNames(LABELS)
+			.register(registry);
+	}
+
+	/**
+	 * Creates the metrics.
+	 * @param registry where they are registered
+	 * @return the metrics
+	 */
+	public static EntryMetrics create(PrometheusRegistry registry) {
+		return new EntryMetrics(registry);
+	}
+
+	/**
+	 * Counts the first part of an answer.
+	 * @param labels organisation, service and class
+	 * @param ms time since the request came, in milliseconds
+	 */
+	public void firstToken(TrafficLabels labels, double ms) {
+		this.firstToken.labelValues(labels.values()).observe(ms / MS_PER_S);
+	}
+
+	/**
+	 * Counts a later part of a stream.
+	 * @param labels organisation, service and class
+	 * @param ms time since the part before, in milliseconds
+	 */
+	public void betweenTokens(TrafficLabels labels, double ms) {
+		this.betweenTokens.labelValues(labels.values()).observe(ms / MS_PER_S);
+	}
+
+	/**
+	 * Counts a refusal.
+	 * @param labels organisation, service and class
+	 * @param error number of the error
+	 */
+	public void refused(TrafficLabels labels, int error) {
+		this.refusals.labelValues(labels.organisation(), labels.service(), labels.priority(), Integer.toString(error))
+			.inc();
+	}
+
+	/**
+	 * Counts a dispatch after the first.
+	 * @param labels organisation, service and class
+	 */
+	public void retried(TrafficLabels labels) {
+		this.retries.labelValues(labels.values()).inc();
+	}
+
+}
