--- a/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -1,5 +1,11 @@
 package org.wigeontally.entry;
 
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -7,10 +13,13 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import io.vertx.ext.web.handler.PlatformHandler;
 
+import org.wigeontally.addresses.AddressAnswer;
+import org.wigeontally.addresses.EntryPlace;
 import org.wigeontally.configuration.Configuration;
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
 import org.wigeontally.schema.generated.Role;
@@ -21,8 +30,6 @@
  */
 final class CallerApi {
 
-	private static final long KEEP_MS = 5000;
-
 	private static final long RETRY_SOON_MS = 500;
 
 	private final ControlView view;
@@ -31,6 +38,8 @@
 
 	private final Dispatcher dispatcher;
 
+	private final Random random = new Random();
+
 	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher) {
 		this.view = view;
 		this.reader = reader;
@@ -88,19 +97,41 @@
 	}
 
 	private void addresses(RoutingContext context) {
+		HostIdentity self = this.view.self();
+		String region = context.request().getParam("region", self.getRegion());
+		String zone = context.request().getParam("zone", self.getZone());
+		AddressAnswer answer = AddressAnswer.of(entries(), zonesOut(), region, zone, this.random);
 		JsonArray list = new JsonArray();
-		Configuration configuration = this.view.configuration();
+		for (EntryPlace entry : answer.entries()) {
+			list.add(new JsonObject().put("address", Addresses.format(entry.address()))
+				.put("zone", entry.zone())
+				.put("region", entry.region()));
+		}
+		context.json(new JsonObject().put("addresses", list).put("keep_ms", answer.keepMs()));
+	}
+
+	private List<EntryPlace> entries() {
+		List<EntryPlace> entries = new ArrayList<>();
+		for (HostState state : this.view.hosts()) {
+			HostIdentity host = state.getHost();
+			if (host.getRole() == Role.ENTRY) {
+				boolean serving = state.getLiveness() == Liveness.LIVE
+						&& !this.view.configuration().hostDraining(host.getHost());
+				entries.add(new EntryPlace(host.getHost(), host.getRegion(), host.getZone(), host.getAddress(), serving,
+						0));
+			}
+		}
+		return entries;
+	}
+
+	private Set<String> zonesOut() {
+		Set<String> out = new HashSet<>();
 		for (HostState state : this.view.hosts()) {
-			boolean takesWork = state.getHost().getRole() == Role.ENTRY && state.getLiveness() == Liveness.LIVE
-					&& !configuration.zoneOut(state.getHost().getZone())
-					&& !configuration.hostDraining(state.getHost().getHost());
-			if (takesWork) {
-				list.add(new JsonObject().put("address", Addresses.format(state.getHost().getAddress()))
-					.put("zone", state.getHost().getZone())
-					.put("region", state.getHost().getRegion()));
+			if (this.view.configuration().zoneOut(state.getHost().getZone())) {
+				out.add(state.getHost().getZone());
 			}
 		}
-		context.json(new JsonObject().put("addresses", list).put("keep_ms", KEEP_MS));
+		return out;
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/addresses/AddressAnswer.java
+++ b/library/src/main/java/org/wigeontally/addresses/AddressAnswer.java
@@ -8,8 +8,6 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.wigeontally.schema.generated.Address;
-
 /**
  * The answer to a caller who asks which entries to use. Immutable.
  *
@@ -22,10 +20,10 @@
  * when a zone returns they come over as their answers run out, not together. Keeping
  * times are spread for the same reason.
  *
- * @param addresses addresses in the order in which to try them
+ * @param entries entries in the order in which to try them
  * @param keepMs time for which the caller may keep the answer
  */
-public record AddressAnswer(List<Address> addresses, long keepMs) {
+public record AddressAnswer(List<EntryPlace> entries, long keepMs) {
 
 	/** Longest time for which an answer may be kept. */
 	public static final long KEEP_MAX_MS = 5_000;
@@ -59,7 +57,7 @@
 		}
 		taking.sort(Comparator.comparingDouble(rank::get));
 		long keepMs = KEEP_MIN_MS + random.nextInt((int) (KEEP_MAX_MS - KEEP_MIN_MS) + 1);
-		return new AddressAnswer(taking.stream().limit(ADDRESSES_MAX).map(EntryPlace::address).toList(), keepMs);
+		return new AddressAnswer(taking.stream().limit(ADDRESSES_MAX).toList(), keepMs);
 	}
 
 	private static int distance(EntryPlace entry, String region, String zone) {
--- a/testsuite/src/test/java/org/wigeontally/addresses/AddressAnswerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/addresses/AddressAnswerTests.java
@@ -24,16 +24,16 @@
 	public void leavesOutWhatTakesNoWork() {
 		List<EntryPlace> entries = List.of(entry(1, "z1", true, 0), entry(2, "z1", false, 0), entry(3, "z2", true, 0));
 		AddressAnswer answer = AddressAnswer.of(entries, Set.of("z2"), "r-z1", "z1", this.random);
-		assertThat(answer.addresses()).extracting(Address::getPort).containsExactly(1);
+		assertThat(answer.entries()).extracting((entry) -> entry.address().getPort()).containsExactly(1);
 	}
 
 	@Test
 	public void nearOnesComeFirstUnlessTheyAreBusy() {
 		List<EntryPlace> entries = List.of(entry(1, "z2", true, 0), entry(2, "z1", true, 0.5));
-		assertThat(AddressAnswer.of(entries, Set.of(), "r-z1", "z1", this.random).addresses().get(0).getPort())
+		assertThat(AddressAnswer.of(entries, Set.of(), "r-z1", "z1", this.random).entries().get(0).address().getPort())
 			.isEqualTo(2);
 		List<EntryPlace> busy = List.of(entry(1, "z1", true, 0), entry(2, "z1", true, 0.95));
-		assertThat(AddressAnswer.of(busy, Set.of(), "r-z1", "z1", this.random).addresses().get(0).getPort())
+		assertThat(AddressAnswer.of(busy, Set.of(), "r-z1", "z1", this.random).entries().get(0).address().getPort())
 			.isEqualTo(1);
 	}
 
@@ -47,7 +47,7 @@
 		Map<Long, Integer> keeps = new HashMap<>();
 		for (int i = 0; i < 3_000; i++) {
 			AddressAnswer answer = AddressAnswer.of(entries, Set.of(), "r-z1", "z1", this.random);
-			first.merge(answer.addresses().get(0).getPort(), 1, Integer::sum);
+			first.merge(answer.entries().get(0).address().getPort(), 1, Integer::sum);
 			keeps.merge(answer.keepMs() / 500, 1, Integer::sum);
 			assertThat(answer.keepMs()).isBetween(1L, AddressAnswer.KEEP_MAX_MS);
 		}
