--- a/daemons/src/main/java/org/wigeontally/metrics/RequestMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/metrics/RequestMetrics.java
@@ -16,16 +16,14 @@
  */
 public final class RequestMetrics {
 
-	private static final String[] CLASS_LABELS = { "service", "organisation", "priority" };
+	private static final String[] LABELS = { "organisation", "service", "class" };
 
 	private static final double[] BOUNDS_SECONDS = { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.92, 1.5, 3,
 			6, 12, 30, 60 };
 
 	private final Counter requests;
 
-	private final Counter refusals;
-
-	private final Histogram firstByte;
+	private final Counter errorAnswers;
 
 	private final Histogram whole;
 
@@ -33,15 +31,20 @@
 		this.requests = Counter.builder()
 			.name("wigeontally_requests_total")
 			.help("Answers begun to requests that passed the checks, by outcome: done, not-run or unknown")
-			.labelNames("service", "organisation", "priority", "outcome")
+			.labelNames("organisation", "service", "class", "outcome")
 			.register(registry);
-		this.refusals = Counter.builder()
-			.name("wigeontally_refusals_total")
-			.help("Answers without a result, by number in the error enumeration")
+		this.errorAnswers = Counter.builder()
+			.name("wigeontally_error_answers_total")
+			.help("Answers without a result to any request, by number in the error enumeration")
 			.labelNames("error")
 			.register(registry);
-		this.firstByte = histogram("wigeontally_first_byte_seconds", "Time to the first byte of the answer", registry);
-		this.whole = histogram("wigeontally_request_seconds", "Time to the end of the answer", registry);
+		this.whole = Histogram.builder()
+			.name("wigeontally_request_seconds")
+			.help("Time to the end of the answer")
+			.labelNames(LABELS)
+			.classicOnly()
+			.classicUpperBounds(BOUNDS_SECONDS)
+			.register(registry);
 	}
 
 	/**
@@ -53,25 +56,15 @@
 		return new RequestMetrics(registry);
 	}
 
-	private static Histogram histogram(String name, String help, PrometheusRegistry registry) {
-		return Histogram.builder()
-			.name(name)
-			.help(help)
-			.labelNames(CLASS_LABELS)
-			.classicOnly()
-			.classicUpperBounds(BOUNDS_SECONDS)
-			.register(registry);
-	}
-
 	/**
-	 * Follows any request, to count refusals.
+	 * Follows any request, to count errorAnswers.
 	 * @param context the request
 	 */
 	public void follow(RoutingContext context) {
 		context.addHeadersEndHandler((head) -> {
 			String error = context.response().headers().get(Headers.ERROR);
 			if (error != null) {
-				this.refusals.labelValues(error).inc();
+				this.errorAnswers.labelValues(error).inc();
 			}
 		});
 		context.next();
@@ -80,20 +73,19 @@
 	/**
 	 * Follows a request that passed the checks.
 	 * @param context the request
-	 * @param service name of the service
-	 * @param organisation name of the organisation
-	 * @param priority priority of the request
+	 * @param labels organisation, service and class
 	 */
-	public void follow(RoutingContext context, String service, String organisation, String priority) {
+	public void follow(RoutingContext context, TrafficLabels labels) {
 		long startNs = System.nanoTime();
 		HttpServerResponse response = context.response();
 		context.addHeadersEndHandler((head) -> {
 			String outcome = response.headers().get(Headers.OUTCOME);
-			this.requests.labelValues(service, organisation, priority, (outcome != null) ? outcome : "none").inc();
-			this.firstByte.labelValues(service, organisation, priority).observe(secondsSince(startNs));
+			this.requests
+				.labelValues(labels.organisation(), labels.service(), labels.priority(),
+						(outcome != null) ? outcome : "none")
+				.inc();
 		});
-		context.addBodyEndHandler(
-				(end) -> this.whole.labelValues(service, organisation, priority).observe(secondsSince(startNs)));
+		context.addBodyEndHandler((end) -> this.whole.labelValues(labels.values()).observe(secondsSince(startNs)));
 	}
 
 	private static double secondsSince(long startNs) {
