--- a/emulator/src/main/java/org/wigeontally/emulator/measure/RouteMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/RouteMeasurement.java
@@ -44,20 +44,23 @@
 		RouteResult alone = RouteRun.alone(ALONE_WINDOW_MS, seed);
 		double fullCapacity = alone.completedPerSecond() * size.replicas();
 		RouteSetting setting = setting(size, Policy.LEAST_LOADED_OF_FEW, fullCapacity, seed);
-		double capacity = fullCapacity * RouteRun.shareInWork(setting);
 		RouteResult policy = RouteRun.of(setting);
+		double servable = RouteRun.servablePerSecond(setting, policy.offeredPerSecond(), fullCapacity);
 		RouteResult plain = RouteRun.of(setting(size, Policy.PLAIN_ROUND_ROBIN, fullCapacity, seed));
 		RouteResult roundRobin = RouteRun.of(setting(size, Policy.ROUND_ROBIN, fullCapacity, seed));
 		RouteResult leastReported = RouteRun.of(setting(size, Policy.LEAST_REPORTED, fullCapacity, seed));
-		Figures figures = Figures.create().put("load", this.load).put("capacityPerSecond", capacity);
-		put(figures, policy, capacity);
+		Figures figures = Figures.create()
+			.put("load", this.load)
+			.put("capacityPerSecond", fullCapacity)
+			.put("servablePerSecond", servable);
+		put(figures, policy, servable);
 		figures.put("firstTokenP95VsRoundRobin", policy.firstTokenMs(95) / plain.firstTokenMs(95));
 		figures.put("firstTokenP95VsGatedRoundRobin", policy.firstTokenMs(95) / roundRobin.firstTokenMs(95));
 		figures.put("aloneFirstTokenP95Ms", alone.firstTokenMs(95));
 		figures.put("aloneBetweenTokensP95Ms", alone.betweenTokensMs(95));
-		putBaseline(figures, "roundRobin", plain, capacity);
-		putBaseline(figures, "gatedRoundRobin", roundRobin, capacity);
-		putBaseline(figures, "gatedLeastReported", leastReported, capacity);
+		putBaseline(figures, "roundRobin", plain, servable);
+		putBaseline(figures, "gatedRoundRobin", roundRobin, servable);
+		putBaseline(figures, "gatedLeastReported", leastReported, servable);
 		return figures;
 	}
 
@@ -66,10 +69,10 @@
 				seed);
 	}
 
-	private static void put(Figures figures, RouteResult result, double capacity) {
-		double[] shares = result.shares(capacity);
-		figures.put("goodputRatio", goodputRatio(result, capacity))
-			.put("completedRatio", result.completedPerSecond() / Math.min(result.offeredPerSecond(), capacity))
+	private static void put(Figures figures, RouteResult result, double servable) {
+		double[] shares = result.shares(servable);
+		figures.put("goodputRatio", goodputRatio(result, servable))
+			.put("completedRatio", result.completedPerSecond() / servable)
 			.put("firstTokenP50Ms", result.firstTokenMs(50))
 			.put("firstTokenP95Ms", result.firstTokenMs(95))
 			.put("firstTokenP99Ms", result.firstTokenMs(99))
@@ -84,15 +87,15 @@
 			.put("retriesPerRequest", result.retriesPerRequest());
 	}
 
-	private static void putBaseline(Figures figures, String name, RouteResult result, double capacity) {
-		figures.put(name + "GoodputRatio", goodputRatio(result, capacity))
+	private static void putBaseline(Figures figures, String name, RouteResult result, double servable) {
+		figures.put(name + "GoodputRatio", goodputRatio(result, servable))
 			.put(name + "FirstTokenP95Ms", result.firstTokenMs(95))
 			.put(name + "RefusalsPerRequest", result.refusalsPerRequest())
 			.put(name + "RefusalP99Ms", result.refusalMs(99));
 	}
 
-	private static double goodputRatio(RouteResult result, double capacity) {
-		return result.goodPerSecond() / Math.min(result.offeredPerSecond(), capacity);
+	private static double goodputRatio(RouteResult result, double servable) {
+		return result.goodPerSecond() / servable;
 	}
 
 	private static double jain(double[] shares) {
--- a/emulator/src/main/java/org/wigeontally/emulator/traffic/RouteRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/traffic/RouteRun.java
@@ -135,17 +135,22 @@
 	}
 
 	/**
-	 * Returns the share of all replicas that take work, on average over the window.
+	 * Returns the requests a second that can be served, on average over the window: the
+	 * lower of offered load and capacity, with and without the zone that goes.
 	 * @param setting what the run is made with
-	 * @return 1 if no zone is gone
+	 * @param offeredPerSecond requests a second that were offered
+	 * @param fullCapacity requests a second of all replicas
+	 * @return the rate
 	 */
-	public static double shareInWork(RouteSetting setting) {
+	public static double servablePerSecond(RouteSetting setting, double offeredPerSecond, double fullCapacity) {
+		double whole = Math.min(offeredPerSecond, fullCapacity);
 		if (!setting.zoneGone()) {
-			return 1;
+			return whole;
 		}
 		int replicas = setting.size().replicas();
 		int gone = (replicas - ZONE_GONE + UserSize.ZONES - 1) / UserSize.ZONES;
-		return 1 - gone / (3.0 * replicas);
+		double reduced = Math.min(offeredPerSecond, fullCapacity * (replicas - gone) / replicas);
+		return (2 * whole + reduced) / 3;
 	}
 
 }
