Overhead measurement; the limit grows while long streams stay open

Cause: bin/measure overhead opened 4 of 200 streams in 12 s. Each step of the ramp asked for as many prompt answers as the limit, but long streams leave only the new places to answer. A step now asks for as many as the step before added. Ruled out: a timer. The test was red on the old code.

--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,7 +11,8 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new PathMeasurement(), new FaultsMeasurement(), new ZonesMeasurement(), new RouteMeasurement());
+		return List.of(new PathMeasurement(), new FaultsMeasurement(), new ZonesMeasurement(), new RouteMeasurement(),
+				new OverheadMeasurement());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/admission/LearnedLimit.java
+++ b/library/src/main/java/org/wigeontally/admission/LearnedLimit.java
@@ -5,11 +5,12 @@
  *
  * <p>
  * It starts with the cold capacity and doubles after as many prompt answers in a row as
- * the limit is (slow start), provided that the limit was reached meanwhile; a timer would
- * grow it whether the backend server warms up or not. An answer is prompt if its first
- * part came within {@link #PROMPT_FACTOR} of the usual time, which is learnt while the
- * limit is at the capacity, or of the best time of this ramp while nothing better is
- * known.
+ * places were added by the step before (slow start), provided that the limit was reached
+ * meanwhile. Places that long streams occupy give no more answers, so all places cannot
+ * be asked for. A timer would grow the limit whether the backend server warms up or not.
+ * An answer is prompt if its first part came within {@link #PROMPT_FACTOR} of the usual
+ * time, which is learnt while the limit is at the capacity, or of the best time of this
+ * ramp while nothing better is known.
  *
  * <p>
  * A backend server may turn cold without a word. Two answers in a row, or two that are
@@ -40,6 +41,8 @@
 
 	private int prompt;
 
+	private int needed;
+
 	private int late;
 
 	private double usualMs;
@@ -49,6 +52,7 @@
 	LearnedLimit(GateLimits limits) {
 		this.limits = limits;
 		this.limit = limits.coldCapacity();
+		this.needed = this.limit;
 	}
 
 	int limit() {
@@ -95,6 +99,7 @@
 	void failed() {
 		this.prompt = 0;
 		this.limit = Math.max(this.limits.coldCapacity(), this.limit / 2);
+		this.needed = this.limit;
 	}
 
 	boolean beyondCold(double ms) {
@@ -103,6 +108,7 @@
 
 	void turnCold() {
 		this.limit = this.limits.coldCapacity();
+		this.needed = this.limit;
 		this.prompt = 0;
 		this.late = 0;
 		this.usedUp = false;
@@ -110,10 +116,12 @@
 	}
 
 	private void grow() {
-		if (this.saidCold || !this.usedUp || this.prompt < this.limit) {
+		if (this.saidCold || !this.usedUp || this.prompt < this.needed) {
 			return;
 		}
-		this.limit = Math.min(this.limits.capacity(), this.limit * 2);
+		int before = this.limit;
+		this.limit = Math.min(this.limits.capacity(), before * 2);
+		this.needed = this.limit - before;
 		this.prompt = 0;
 		this.usedUp = false;
 	}
--- a/testsuite/src/test/java/org/wigeontally/admission/AdmissionGateTests.java
+++ b/testsuite/src/test/java/org/wigeontally/admission/AdmissionGateTests.java
@@ -117,6 +117,21 @@
 		assertThat(gate.limit()).isEqualTo(2);
 	}
 
+	/**
+	 * Seen red when each step asked for as many answers as the limit: streams that stay
+	 * open leave only the new places to answer.
+	 */
+	@Test
+	public void limitGrowsWhileLongStreamsStayOpen() {
+		AdmissionGate gate = openGate(Warmth.WARM);
+		for (int i = 0; i < 16; i++) {
+			assertThat(gate.offer(request("s" + i)).verdict()).isEqualTo(Verdict.RUN);
+			this.clock.advance(100);
+			gate.answered("s" + i);
+		}
+		assertThat(gate.limit()).isEqualTo(16);
+	}
+
 	@Test
 	public void deadlineIsCheckedBeforeDispatch() {
 		AdmissionGate gate = openGate(Warmth.COLD);
