--- a/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
@@ -41,6 +41,8 @@
 
 	private static final long FOLLOW_RETRY_MS = 250;
 
+	private static final long FOLLOW_INTERVAL_MS = 120;
+
 	private static final long HOSTS_REFRESH_MS = 300;
 
 	private final NodeParts parts;
@@ -75,6 +77,8 @@
 
 	private long refreshAfterMs = Long.MIN_VALUE;
 
+	private long followAllAfterMs = Long.MIN_VALUE;
+
 	private volatile Manifest manifest;
 
 	private volatile int held;
@@ -120,7 +124,10 @@
 	void tick() {
 		refreshHosts();
 		if (this.scheduler != null && !this.scheduler.complete()) {
-			follow();
+			if (nowMs() >= this.followAllAfterMs) {
+				this.followAllAfterMs = nowMs() + FOLLOW_INTERVAL_MS;
+				follow();
+			}
 			pump();
 		}
 	}
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -46,7 +46,7 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(WeightNode.class);
 
-	private static final long TICK_MS = 30;
+	private static final long TICK_MS = 40;
 
 	private final NodeParts parts;
 
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -40,7 +40,7 @@
 
 	private static final int FETCHES_PER_PEER = 2;
 
-	private static final long BUSY_MS = 40;
+	private static final long BUSY_MS = 80;
 
 	private static final long TAKEOVER_MS = 1200;
 
--- a/library/src/main/java/org/wigeontally/weights/Neighbours.java
+++ b/library/src/main/java/org/wigeontally/weights/Neighbours.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
@@ -16,7 +17,7 @@
  */
 final class Neighbours {
 
-	private static final int IN_ZONE = 7;
+	private static final int IN_ZONE = 6;
 
 	private static final int IN_REGION = 2;
 
@@ -36,6 +37,9 @@
 
 	private Collection<HostPlace> live = List.of();
 
+	/** Sets that were filled since the last change and need no other look. */
+	private final Set<Set<String>> filled = Collections.newSetFromMap(new IdentityHashMap<>());
+
 	Neighbours(HostPlace self, Random random) {
 		this.self = self;
 		this.random = random;
@@ -45,6 +49,7 @@
 		Set<String> names = new HashSet<>();
 		places.forEach((place) -> names.add(place.host()));
 		this.live = places;
+		this.filled.clear();
 		this.zone.retainAll(names);
 		this.region.retainAll(names);
 		this.border.retainAll(names);
@@ -54,6 +59,7 @@
 		this.zone.remove(host);
 		this.region.remove(host);
 		this.border.remove(host);
+		this.filled.clear();
 	}
 
 	Set<String> toFollow(FetchDuty duty, ChunkScheduler.Lane[] lanes) {
@@ -91,7 +97,7 @@
 	}
 
 	private void fill(Set<String> chosen, int count, java.util.function.Predicate<HostPlace> fits) {
-		if (chosen.size() >= count) {
+		if (!this.filled.add(chosen) || chosen.size() >= count) {
 			return;
 		}
 		List<String> others = new ArrayList<>();
