--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,7 +11,8 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new WeightsMeasurement());
+		return List.of(new PathMeasurement(), new FaultsMeasurement(), new ZonesMeasurement(), new RouteMeasurement(),
+				new WeightsMeasurement());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/weights/Neighbours.java
+++ b/library/src/main/java/org/wigeontally/weights/Neighbours.java
@@ -62,7 +62,7 @@
 		this.filled.clear();
 	}
 
-	Set<String> toFollow(FetchDuty duty, ChunkScheduler.Lane[] lanes) {
+	Set<String> toFollow(FetchDuty duty, Lane[] lanes) {
 		fill(this.zone, IN_ZONE, (place) -> place.zone().equals(this.self.zone()));
 		fill(this.region, IN_REGION,
 				(place) -> place.region().equals(this.self.region()) && !place.zone().equals(this.self.zone()));
