--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
@@ -50,6 +51,8 @@
 
 	private final DispatchApi dispatches;
 
+	private final Optional<ModelSpread> spread;
+
 	private AgentDaemon(Vertx vertx, AgentSettings settings, Closer closer, ControlNode control,
 			List<BackendLink> links, Clock clock) {
 		this.vertx = vertx;
@@ -59,6 +62,8 @@
 		this.links = links;
 		this.dispatches = new DispatchApi(vertx, control.view(), links,
 				closer.add(LossNotices.create(vertx, control.view(), clock)), AgentMetrics.create(this.registry));
+		this.spread = ModelSpread.start(vertx, settings, control.view(), links, clock);
+		this.spread.ifPresent(closer::add);
 	}
 
 	/**
@@ -88,6 +93,7 @@
 		ControlMetrics.register(this.registry, this.control.view());
 		ControlMetrics.registerBackends(this.registry, this::states);
 		MetricsApi.mount(router, this.registry, this.control.view()::serving);
+		this.spread.ifPresent((weights) -> router.route("/*").subRouter(weights.router()));
 		this.dispatches.mount(router, BODY_LIMIT_BYTES);
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
@@ -98,7 +104,8 @@
 	}
 
 	private List<BackendState> states() {
-		return this.links.stream().map(BackendLink::stateWithLoad).toList();
+		List<BackendState> states = this.links.stream().map(BackendLink::stateWithLoad).toList();
+		return this.spread.map((weights) -> states.stream().map(weights::withProgress).toList()).orElse(states);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/spread/WeightLoader.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightLoader.java
@@ -25,19 +25,19 @@
 public final class WeightLoader {
 
 	/** Header with the fencing number. */
-	public static final String FENCE_HEADER = "wigeontally-fence";
+	public static final String FENCE_HEADER = "Fence";
 
 	/** Header with the name of the model. */
-	public static final String MODEL_HEADER = "wigeontally-model";
+	public static final String MODEL_HEADER = "Model";
 
 	/** Header with the version. */
-	public static final String VERSION_HEADER = "wigeontally-version";
+	public static final String VERSION_HEADER = "Version";
 
 	/** Header with the base that an adapter belongs to. */
-	public static final String BASE_HEADER = "wigeontally-base";
+	public static final String BASE_HEADER = "Base-Version";
 
 	/** Header with the digest of the manifest. */
-	public static final String MANIFEST_HEADER = "wigeontally-manifest";
+	public static final String MANIFEST_HEADER = "Manifest";
 
 	private static final long IDLE_TIMEOUT_MS = 30_000;
 
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -40,20 +40,10 @@
 
 	private static final int FETCHES_PER_PEER = 2;
 
-	private static final long BUSY_MS = 40;
-
-	private static final long TAKEOVER_MS = 1200;
-
-	private static final int TAKEOVER_INTERVALS = 5;
-
-	private static final double FIRST_INTERVAL_MS = 500;
-
-	private static final double INTERVAL_WEIGHT = 4;
+	private static final long BUSY_MS = 80;
 
 	private static final double TAKEOVER_JITTER = 0.5;
 
-	private static final int MOST_RANK_STEPS = 8;
-
 	private static final int ORIGIN_FALLBACK_STEPS = 3;
 
 	private static final long ORIGIN_RETRY_FIRST_MS = 200;
@@ -291,7 +281,7 @@
 		}
 		for (Map.Entry<Integer, Long> lost : this.lostSinceMs.entrySet()) {
 			int chunk = lost.getKey();
-			boolean due = nowMs - lost.getValue() >= TAKEOVER_MS * (1 + lane.steps()) * lane.jitter;
+			boolean due = nowMs - lost.getValue() >= Lane.TAKEOVER_MS * (1 + lane.steps()) * lane.jitter;
 			if (FetchDuty.lane(chunk) != number || !due || this.inFlight.get(chunk)) {
 				continue;
 			}
@@ -489,61 +479,4 @@
 				+ List.of(this.lanes);
 	}
 
-	/**
-	 * Standing of a lane in the own region.
-	 */
-	static final class Lane {
-
-		final double jitter;
-
-		int rank = -1;
-
-		int fetches;
-
-		boolean takenOver;
-
-		private long sinceMs;
-
-		private boolean idle = true;
-
-		private double intervalMs = FIRST_INTERVAL_MS;
-
-		Lane(long nowMs, double jitter) {
-			this.sinceMs = nowMs;
-			this.jitter = jitter;
-		}
-
-		void progress(long nowMs) {
-			this.intervalMs += (Math.min(nowMs - this.sinceMs, TAKEOVER_MS) - this.intervalMs) / INTERVAL_WEIGHT;
-			this.sinceMs = nowMs;
-			this.idle = true;
-		}
-
-		// Starts the wait when the first chunk comes into view outside the region.
-		void waiting(long nowMs) {
-			if (this.idle) {
-				this.sinceMs = Math.max(this.sinceMs, nowMs);
-				this.idle = false;
-			}
-		}
-
-		@Override
-		public String toString() {
-			return "rank " + this.rank + (this.takenOver ? " taken over" : "") + " fetches " + this.fetches + " since "
-					+ this.sinceMs;
-		}
-
-		int steps() {
-			return Math.min(this.rank, MOST_RANK_STEPS);
-		}
-
-		// Tells whether nothing came for some periods, which grow with the usual
-		// interval.
-		boolean stalledFor(long nowMs, int steps) {
-			double periodMs = Math.max(TAKEOVER_MS, TAKEOVER_INTERVALS * this.intervalMs);
-			return nowMs - this.sinceMs >= periodMs * steps * this.jitter;
-		}
-
-	}
-
 }
