--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -47,13 +47,13 @@
 	private final DispatchApi dispatches;
 
 	private AgentDaemon(Vertx vertx, AgentSettings settings, Closer closer, ControlNode control,
-			List<BackendLink> links) {
+			List<BackendLink> links, Clock clock) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.closer = closer;
 		this.control = control;
 		this.links = links;
-		this.dispatches = new DispatchApi(vertx, control.view(), links);
+		this.dispatches = new DispatchApi(vertx, control.view(), links, clock);
 	}
 
 	/**
@@ -72,7 +72,7 @@
 		ControlSettings controlSettings = ControlSettings.of(settings);
 		return ControlNode.start(vertx, controlSettings, null, KeyRing.trusting(), clock).compose((control) -> {
 			closer.add(control::close);
-			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links);
+			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links, clock);
 			control.localState(daemon::states);
 			return daemon.listen().map(daemon);
 		});
--- a/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
@@ -14,6 +14,7 @@
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.BackendState;
 
 /**
@@ -33,17 +34,21 @@
 
 	private final BackendProxy proxy;
 
+	private final OnceProxy once;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links) {
+	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links, Clock clock) {
 		this.view = view;
 		this.links = List.copyOf(links);
 		this.proxy = new BackendProxy(vertx);
+		this.once = new OnceProxy(vertx, view.self().getProcess(), clock);
 	}
 
 	void mount(Router router, int bodyLimitBytes) {
 		router.route(PREFIX + ":service/*").handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes));
 		router.route(PREFIX + ":service/*").handler(this::dispatch);
+		this.once.mount(router);
 	}
 
 	private void dispatch(RoutingContext context) {
@@ -58,6 +63,10 @@
 		context.response().putHeader(Headers.DISPATCH, request.id());
 		BackendLink link = link(service);
 		Optional<Refusal> refusal = check(request, link);
+		if (refusal.isPresent() && !request.claim().isEmpty()) {
+			this.once.refused(request, refusal.get(), context.response());
+			return;
+		}
 		if (refusal.isPresent()) {
 			refusal.get().send(context.response());
 			return;
@@ -65,7 +74,12 @@
 		this.inFlight.incrementAndGet();
 		context.addEndHandler((end) -> this.inFlight.decrementAndGet());
 		Buffer body = (context.body().buffer() != null) ? context.body().buffer() : Buffer.buffer();
-		this.proxy.forward(request, body, link, context.response());
+		if (request.claim().isEmpty()) {
+			this.proxy.forward(request, body, link, context.response());
+		}
+		else {
+			this.once.forward(request, body, link, context.response());
+		}
 	}
 
 	private BackendLink link(String service) {
--- a/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -31,10 +31,13 @@
 
 	private final Dispatcher dispatcher;
 
-	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher) {
+	private final OnceRequests once;
+
+	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, OnceRequests once) {
 		this.view = view;
 		this.reader = reader;
 		this.dispatcher = dispatcher;
+		this.once = once;
 	}
 
 	void mount(Router router, int bodyLimitBytes) {
@@ -76,6 +79,10 @@
 			ex.refusal().send(context.response());
 			return;
 		}
+		if (request.atMostOnce() && !request.key().isEmpty()) {
+			this.once.run(request, context.response());
+			return;
+		}
 		this.dispatcher.dispatch(request, "", context.response());
 	}
 
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -42,13 +42,16 @@
 
 	private final Dispatcher dispatcher;
 
-	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control,
-			Dispatcher dispatcher) {
+	private final OnceRequests once;
+
+	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control, Dispatcher dispatcher,
+			OnceRequests once) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.closer = closer;
 		this.control = control;
 		this.dispatcher = dispatcher;
+		this.once = once;
 	}
 
 	/**
@@ -67,8 +70,11 @@
 		return ControlNode.start(vertx, ControlSettings.of(settings), log, keys, clock).compose((control) -> {
 			closer.add(control::close);
 			Dispatcher dispatcher = new Dispatcher(control.view(), agents, clock);
-			EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher);
-			return daemon.listen(clock).map(daemon);
+			InquiryClient inquiries = closer.add(InquiryClient.create(vertx, control.view()));
+			return OnceRequests.start(vertx, log, control.view(), agents, inquiries, clock).compose((once) -> {
+				EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher, once);
+				return daemon.listen(clock).map(daemon);
+			});
 		});
 	}
 
@@ -76,7 +82,8 @@
 		Router router = Router.router(this.vertx);
 		PrometheusRegistry registry = new PrometheusRegistry();
 		MetricsApi.mount(router, registry, this.control.view()::serving);
-		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher);
+		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher, this.once);
+		this.once.mount(router);
 		callers.mount(router, this.settings.getBodyLimitBytes());
 		Administration administration = new ControlAdministration(this.control);
 		router.route("/v1/admin/*").subRouter(AdministrationApi.router(this.vertx, administration));
@@ -103,10 +110,12 @@
 	public Future<Integer> drain() {
 		logger.info("entry: {} leaves", this.settings.getHost());
 		this.control.leave();
-		return Drain.await(this.vertx, this.dispatcher::inFlight, this.settings.getDrainMs()).onSuccess((cut) -> {
-			logger.info("entry: {} left, {} requests cut", this.settings.getHost(), cut);
-			close();
-		});
+		return Drain
+			.await(this.vertx, () -> this.dispatcher.inFlight() + this.once.inFlight(), this.settings.getDrainMs())
+			.onSuccess((cut) -> {
+				logger.info("entry: {} left, {} requests cut", this.settings.getHost(), cut);
+				close();
+			});
 	}
 
 	@Override
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
@@ -0,0 +1,221 @@
+package org.wigeontally.entry;
+
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.common.primitives.Bytes;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+
+import org.wigeontally.claims.ClaimDecision;
+import org.wigeontally.claims.ClaimKey;
+import org.wigeontally.claims.ClaimRecovery;
+import org.wigeontally.claims.ClaimRequest;
+import org.wigeontally.claims.ClaimTicket;
+import org.wigeontally.claims.LogClaims;
+import org.wigeontally.claims.OnceDispatch;
+import org.wigeontally.control.ControlView;
+import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.Headers;
+import org.wigeontally.http.Refusal;
+import org.wigeontally.log.PlatformLog;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.ClaimInquiry;
+import org.wigeontally.schema.generated.ClaimReport;
+import org.wigeontally.schema.generated.ClaimState;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Outcome;
+
+/**
+ * Requests that carry an idempotency key and must run at most once. Claims live on a
+ * context of their own; a request comes to it and its answer goes back to the context of
+ * the request.
+ */
+final class OnceRequests extends VerticleBase {
+
+	private static final int MAX_AGENTS = 3;
+
+	private static final long TICK_MS = 5;
+
+	private static final long READ_WAIT_MS = 100;
+
+	private static final long RETRY_SOON_MS = 500;
+
+	private final PlatformLog log;
+
+	private final ControlView view;
+
+	private final AgentClient agents;
+
+	private final InquiryClient inquiries;
+
+	private final Clock clock;
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	private LogClaims claims;
+
+	private OnceDispatch dispatch;
+
+	private OnceRequests(PlatformLog log, ControlView view, AgentClient agents, InquiryClient inquiries, Clock clock) {
+		this.log = log;
+		this.view = view;
+		this.agents = agents;
+		this.inquiries = inquiries;
+		this.clock = clock;
+	}
+
+	static Future<OnceRequests> start(Vertx vertx, PlatformLog log, ControlView view, AgentClient agents,
+			InquiryClient inquiries, Clock clock) {
+		OnceRequests requests = new OnceRequests(log, view, agents, inquiries, clock);
+		return vertx.deployVerticle(requests).map(requests);
+	}
+
+	@Override
+	public Future<?> start() {
+		Executor control = (action) -> this.context.runOnContext((v) -> action.run());
+		this.claims = LogClaims.create(this.log, this.clock, control, this.view.self().getHost(),
+				() -> this.view.self().getIncarnation(), READ_WAIT_MS);
+		ClaimRecovery recovery = ClaimRecovery.create(this.claims, this.inquiries, this.clock, control);
+		this.dispatch = OnceDispatch.create(this.claims, recovery, control);
+		this.vertx.setPeriodic(TICK_MS, (id) -> {
+			this.claims.tick();
+			recovery.tick();
+		});
+		return Future.succeededFuture();
+	}
+
+	void mount(Router router) {
+		router.post(InquiryClient.REPORT_PATH).handler(this::report);
+	}
+
+	private void report(RoutingContext routing) {
+		Context caller = this.vertx.getOrCreateContext();
+		routing.request().body().onSuccess((body) -> this.context.runOnContext((v) -> {
+			ClaimReport report = this.claims.report(claim(body));
+			caller.runOnContext((w) -> routing.response().end(Buffer.buffer(report.toByteArray())));
+		}));
+	}
+
+	private static String claim(Buffer body) {
+		try {
+			return ClaimInquiry.parseFrom(body.getBytes()).getClaim();
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return "";
+		}
+	}
+
+	void run(CallerRequest request, HttpServerResponse response) {
+		String version = Candidates.version(this.view.configuration(), request.service());
+		List<HostState> hosts = Candidates.list(this.view, request.service(), version, Set.of());
+		if (hosts.isEmpty()) {
+			Refusal.notRun(ErrorType.OVERLOADED, RETRY_SOON_MS).send(response);
+			return;
+		}
+		List<String> processes = hosts.stream().limit(MAX_AGENTS).map((state) -> state.getHost().getProcess()).toList();
+		ClaimKey key = ClaimKey.of(request.organisation().getName(), request.service().getName(), request.key());
+		byte[] line = (request.method() + " " + request.path() + "\n")
+			.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		long content = ClaimKey.content(Bytes.concat(line, request.body().getBytes()));
+		ClaimRequest claim = new ClaimRequest(key, content, request.keyTimeMs(), processes, request.deadlineMs());
+		Context caller = this.vertx.getOrCreateContext();
+		this.inFlight.incrementAndGet();
+		this.context.runOnContext((v) -> this.dispatch.run(claim, (ticket) -> send(ticket, request, version, hosts))
+			.whenComplete((decision, failure) -> caller.runOnContext((w) -> {
+				this.inFlight.decrementAndGet();
+				answer(decision, response);
+			})));
+	}
+
+	private CompletionStage<ClaimReport> send(ClaimTicket ticket, CallerRequest request, String version,
+			List<HostState> hosts) {
+		Promise<ClaimReport> result = Promise.promise();
+		for (HostState host : hosts) {
+			if (host.getHost().getProcess().equals(ticket.process()) && this.view.serving()) {
+				Dispatch sent = new Dispatch(UUID.randomUUID().toString(), request, version,
+						this.view.configuration().revision(), ticket.header(), this.clock);
+				this.agents.send(host.getHost().getAddress(), sent).onSuccess((answer) -> word(answer, result));
+				return result.future().toCompletionStage();
+			}
+		}
+		result.complete(ClaimReport.newBuilder().setState(ClaimState.CLAIM_FENCED).build());
+		return result.future().toCompletionStage();
+	}
+
+	private static void word(AgentAnswer answer, Promise<ClaimReport> result) {
+		if (answer instanceof AgentAnswer.NotRun) {
+			result.complete(ClaimReport.newBuilder().setState(ClaimState.CLAIM_FENCED).build());
+			return;
+		}
+		if (answer instanceof AgentAnswer.Answered answered) {
+			HttpClientResponse response = answered.response();
+			response.body().map((body) -> done(response, body)).onComplete(result);
+			response.resume();
+			return;
+		}
+		result.fail(((AgentAnswer.Lost) answer).detail());
+	}
+
+	private static ClaimReport done(HttpClientResponse response, Buffer body) {
+		String type = response.getHeader("Content-Type");
+		Outcome outcome = Outcome.newBuilder()
+			.setStatus(response.statusCode())
+			.setAnswer(ByteString.copyFrom(body.getBytes()))
+			.setContentType((type != null) ? type : "")
+			.build();
+		return ClaimReport.newBuilder().setState(ClaimState.CLAIM_DONE).setOutcome(outcome).build();
+	}
+
+	private static void answer(ClaimDecision decision, HttpServerResponse response) {
+		if (decision instanceof ClaimDecision.AlreadyDone done) {
+			answer(done.outcome(), response);
+		}
+		else if (decision instanceof ClaimDecision.Unsettled unsettled) {
+			Refusal.notRun(ErrorType.CLAIM_UNSETTLED, unsettled.retryAfterMs()).send(response);
+		}
+		else if (decision instanceof ClaimDecision.KeyReused) {
+			Refusal.notRun(ErrorType.KEY_REUSED, Refusal.NEVER).send(response);
+		}
+		else if (decision instanceof ClaimDecision.KeyExpired) {
+			Refusal.notRun(ErrorType.KEY_EXPIRED, Refusal.NEVER).send(response);
+		}
+		else {
+			Refusal.unknown("an agent that may have run it gave no word").send(response);
+		}
+	}
+
+	private static void answer(Outcome outcome, HttpServerResponse response) {
+		if (response.closed()) {
+			return;
+		}
+		if (outcome.getAnswerDropped()) {
+			ErrorType error = ErrorType.ANSWER_DROPPED;
+			new Refusal(error, error.message(), org.wigeontally.http.Outcome.DONE, Refusal.NEVER).send(response);
+			return;
+		}
+		response.setStatusCode(outcome.getStatus())
+			.putHeader(Headers.OUTCOME, org.wigeontally.http.Outcome.DONE.text())
+			.putHeader("Content-Type", outcome.getContentType())
+			.end(Buffer.buffer(outcome.getAnswer().toByteArray()));
+	}
+
+	int inFlight() {
+		return this.inFlight.get();
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/http/Refusal.java
+++ b/daemons/src/main/java/org/wigeontally/http/Refusal.java
@@ -82,6 +82,7 @@
 			case NOT_APPROVED -> 403;
 			case UNKNOWN_SERVICE -> 404;
 			case KEY_REUSED, KEY_EXPIRED -> 409;
+			case ANSWER_DROPPED -> 410;
 			case BODY_TOO_LARGE -> 413;
 			case HARMFUL_REQUEST -> 422;
 			case OVER_SHARE -> 429;
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
@@ -60,7 +60,8 @@
 	public static CallerClient create(Vertx vertx, List<Address> known) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true);
 		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
-		CallerClient caller = new CallerClient(vertx, vertx.httpClientBuilder().with(options).with(pool).build(), known);
+		CallerClient caller = new CallerClient(vertx, vertx.httpClientBuilder().with(options).with(pool).build(),
+				known);
 		vertx.setPeriodic(1, TimeUnit.SECONDS.toMillis(2), (id) -> caller.refresh());
 		return caller;
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/ClaimsMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/ClaimsMeasurement.java
@@ -146,11 +146,11 @@
 		}
 
 		private void decided(LogClaims entry, ClaimDecision decision, long startedNs) {
-			if (decision instanceof ClaimDecision.Won won) {
+			if (decision instanceof ClaimDecision.Won granted) {
 				this.won++;
 				this.latencyMs.recordValue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs));
-				entry.startDispatch(won.holding());
-				entry.outcome(won.holding(), Outcome.newBuilder().setStatus(200).build());
+				entry.startDispatch(granted.holding());
+				entry.outcome(granted.holding(), Outcome.newBuilder().setStatus(200).build());
 				return;
 			}
 			this.refused++;
--- a/library/src/main/java/org/wigeontally/claims/DispatchGate.java
+++ b/library/src/main/java/org/wigeontally/claims/DispatchGate.java
@@ -114,7 +114,7 @@
 		Entry entry = this.entries.get(claim);
 		if (entry != null && entry.state == ClaimState.CLAIM_RUNNING) {
 			entry.state = ClaimState.CLAIM_DONE;
-			entry.outcome = outcome.toBuilder().setClaim(claim).build();
+			entry.outcome = LogClaims.kept(outcome).toBuilder().setClaim(claim).build();
 		}
 	}
 
--- a/library/src/main/java/org/wigeontally/claims/LogClaims.java
+++ b/library/src/main/java/org/wigeontally/claims/LogClaims.java
@@ -31,6 +31,9 @@
 	/** Longest wait for a claim to be read back. */
 	static final long SETTLE_MS = 2000;
 
+	/** Longest answer that is kept for a later sending of the same request. */
+	public static final int ANSWER_LIMIT_BYTES = 4096;
+
 	private static final long OWN_MEMORY_MS = ClaimFold.KEY_MEMORY_MS + ClaimFold.MAX_AHEAD_MS;
 
 	private final Clock clock;
@@ -118,7 +121,7 @@
 
 	@Override
 	public void outcome(ClaimHolding holding, Outcome outcome) {
-		Outcome named = outcome.toBuilder().setClaim(holding.claim().getId()).build();
+		Outcome named = kept(outcome).toBuilder().setClaim(holding.claim().getId()).build();
 		OwnClaim made = this.own.get(holding.claim().getId());
 		if (made != null) {
 			made.done(named);
@@ -127,6 +130,18 @@
 		batcher(holding.key()).add(record, ClaimBatcher.OUTCOME_LINGER_MS);
 	}
 
+	/**
+	 * Drops an answer that is too long to keep.
+	 * @param outcome an outcome
+	 * @return what is kept of it
+	 */
+	public static Outcome kept(Outcome outcome) {
+		if (outcome.getAnswer().size() <= ANSWER_LIMIT_BYTES) {
+			return outcome;
+		}
+		return outcome.toBuilder().clearAnswer().setAnswerDropped(true).build();
+	}
+
 	@Override
 	public void release(ClaimHolding holding) {
 		OwnClaim made = this.own.get(holding.claim().getId());
--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -92,6 +92,8 @@
 	STREAM_CUT(214, Severity.ERROR, "the stream ended early: %s"),
 	/** The backend server failed the request. */
 	BACKEND_FAILED(215, Severity.ERROR, "the backend server failed: %s"),
+	/** The request ran before and its answer was too long to keep. */
+	ANSWER_DROPPED(216, Severity.ERROR, "the request ran before and its answer was too long to keep"),
 
 	/** A chunk does not fit its digest. */
 	CORRUPT_CHUNK(300, Severity.WARNING, "chunk %s from %s is corrupt"),
--- a/testsuite/src/test/java/org/wigeontally/orders/OrderLedgerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/orders/OrderLedgerTests.java
@@ -34,6 +34,7 @@
 	public void engineIsNeverReadyWithWhatAnOldOrderBroughtWithinItsLife(boolean checks, long arrivesMs) {
 		ManualClock clock = ManualClock.startingAt(1000);
 		Engine engine = new Engine(checks);
+		engine.state = NEW;
 		Order late = orderOf(OrderLedger.create(OLD_INCARNATION, true, clock), OLD);
 		OrderLedger ledger = OrderLedger.create(NEW_INCARNATION, checks, clock);
 		boolean ready = false;
