--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/claims/BookingProcessTests.java
@@ -0,0 +1,90 @@
+package org.wigeontally.claims;
+
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Map;
+
+import io.vertx.core.http.HttpMethod;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import org.wigeontally.emulator.experiment.Bundles;
+import org.wigeontally.emulator.experiment.CallerAnswer;
+import org.wigeontally.emulator.experiment.Plan;
+import org.wigeontally.emulator.experiment.Scenario;
+import org.wigeontally.http.Headers;
+import org.wigeontally.schema.generated.Address;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Bookings with idempotency keys through entries and agents that run as processes. Seen
+ * red with the claims taken out of the callers' interface.
+ */
+public class BookingProcessTests {
+
+	private static final String PATH = "/v1/services/" + Bundles.PLAIN_SERVICE + "/bookings";
+
+	private Scenario scenario;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.scenario = Scenario.start(Plan.of(2, 1, 1), Files.createTempDirectory("wigeontally-bookings"));
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stop() throws Exception {
+		if (this.scenario != null) {
+			this.scenario.close();
+		}
+	}
+
+	@Test
+	public void bookingSentToBothEntriesAtOnceRunsOnce() throws Exception {
+		String keyTime = Long.toString(System.currentTimeMillis());
+		List<Address> entries = this.scenario.deployment().entryAddresses();
+		var one = send(entries.get(0), "both", keyTime);
+		var other = send(entries.get(1), "both", keyTime);
+		CallerAnswer first = Scenario.await(one);
+		CallerAnswer second = Scenario.await(other);
+		assertThat(first.kind()).as("%s", first).isEqualTo(CallerAnswer.Kind.DONE);
+		assertThat(second.body()).isEqualTo(first.body());
+		assertThat(this.scenario.bookingsRan()).containsEntry("both", 1);
+	}
+
+	@Test(dependsOnMethods = "bookingSentToBothEntriesAtOnceRunsOnce")
+	public void outageOfTheLogIsToldAsNotRunAndReadsGoOn() throws Exception {
+		List<Address> entries = this.scenario.deployment().entryAddresses();
+		String keyTime = Long.toString(System.currentTimeMillis());
+		this.scenario.fault("log", "outage=true");
+		CallerAnswer refused = Scenario.await(send(entries.get(0), "outage", keyTime));
+		CallerAnswer read = Scenario.await(this.scenario.caller()
+			.send(entries.get(0), HttpMethod.GET, "/v1/services/" + Bundles.PLAIN_SERVICE + "/stock",
+					Map.of("Authorization", "Bearer " + Bundles.credential(1)), ""));
+		this.scenario.fault("log", "outage=false");
+		assertThat(refused.kind()).as("%s", refused).isEqualTo(CallerAnswer.Kind.NOT_RUN);
+		assertThat(refused.retryAfterMs()).isPositive();
+		assertThat(read.kind()).isEqualTo(CallerAnswer.Kind.DONE);
+		assertThat(this.scenario.bookingsRan()).doesNotContainKey("outage");
+	}
+
+	@Test(dependsOnMethods = "outageOfTheLogIsToldAsNotRunAndReadsGoOn")
+	public void bookingSentAgainAfterItsEntryWasKilledGetsItsAnswer() throws Exception {
+		List<Address> entries = this.scenario.deployment().entryAddresses();
+		String keyTime = Long.toString(System.currentTimeMillis());
+		CallerAnswer first = Scenario.await(send(entries.get(0), "killed", keyTime));
+		this.scenario.deployment().process(this.scenario.deployment().entries().get(0)).kill();
+		CallerAnswer again = Scenario.await(send(entries.get(1), "killed", keyTime));
+		assertThat(first.kind()).as("%s", first).isEqualTo(CallerAnswer.Kind.DONE);
+		assertThat(again.body()).isEqualTo(first.body());
+		assertThat(this.scenario.bookingsRan()).containsEntry("killed", 1);
+	}
+
+	private io.vertx.core.Future<CallerAnswer> send(Address entry, String booking, String keyTime) {
+		Map<String, String> headers = Map.of("Authorization", "Bearer " + Bundles.credential(1),
+				Headers.IDEMPOTENCY_KEY, booking, Headers.KEY_TIME, keyTime, Headers.DEADLINE_MS, "8000");
+		return this.scenario.caller().send(entry, HttpMethod.POST, PATH, headers, "{\"booking\":\"" + booking + "\"}");
+	}
+
+}
--- a/testsuite/src/test/java/org/wigeontally/orders/OrderLedgerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/orders/OrderLedgerTests.java
@@ -85,6 +85,17 @@
 		assertThat(engine.state).isEqualTo(NEW);
 	}
 
+	@Test
+	public void pausedAgentDoesNotTrustAnOldReading() {
+		ManualClock clock = ManualClock.startingAt(1000);
+		Engine engine = new Engine(true);
+		OrderLedger ledger = OrderLedger.create(NEW_INCARNATION, true, clock);
+		drive(ledger, engine, clock, 1000);
+		assertThat(ledger.ready(NEW)).isTrue();
+		clock.advance(2 * OrderLedger.READ_BACK_MS);
+		assertThat(ledger.ready(NEW)).isFalse();
+	}
+
 	@Test
 	public void pausedAgentDoesNotSendAnOrderThatIsTooOld() {
 		ManualClock clock = ManualClock.startingAt(1000);
