Claims wait for the log's next append unless it cannot be read either

A claim was refused for 500 ms after any failed append of its partition. Now only a log that cannot be read either refuses at once, and it is read again every 100 ms.

--- a/library/src/main/java/org/wigeontally/claims/ClaimBatcher.java
+++ b/library/src/main/java/org/wigeontally/claims/ClaimBatcher.java
@@ -59,6 +59,8 @@
 
 	static final long IDLE_READ_MS = 1000;
 
+	static final long FAILED_READ_MS = 100;
+
 	private static final Logger log = LoggerFactory.getLogger(ClaimBatcher.class);
 
 	private final PlatformLog platform;
@@ -87,6 +89,8 @@
 
 	private boolean reading;
 
+	private boolean readFailed;
+
 	private long dueMs = Long.MAX_VALUE;
 
 	private long retryAtMs = Long.MIN_VALUE;
@@ -104,7 +108,8 @@
 	}
 
 	boolean takesClaims() {
-		return this.clock.monotonicMs() >= this.retryAtMs && this.queue.size() < MAX_QUEUED;
+		boolean down = this.readFailed && this.clock.monotonicMs() < this.retryAtMs;
+		return !down && this.queue.size() < MAX_QUEUED;
 	}
 
 	void claim(OwnClaim own) {
@@ -128,7 +133,8 @@
 		if (!this.appending && nowMs >= this.retryAtMs && due(nowMs)) {
 			append();
 		}
-		boolean idle = this.unsettled.isEmpty() && nowMs - IDLE_READ_MS < this.lastReadMs;
+		long restMs = this.readFailed ? FAILED_READ_MS : IDLE_READ_MS;
+		boolean idle = this.unsettled.isEmpty() && nowMs - restMs < this.lastReadMs;
 		if (!this.reading && !idle) {
 			read();
 		}
@@ -214,6 +220,7 @@
 
 	private void pageRead(LogPage page, Throwable failure) {
 		this.reading = false;
+		this.readFailed = failure != null;
 		if (failure != null) {
 			log.debug("claims: read of {} failed: {}", this.stream, failure.getMessage());
 			return;
