--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -37,6 +37,8 @@
 
 	private static final int BODY_LIMIT_BYTES = 16 << 20;
 
+	private static final long LEAVE_NOTICE_MS = 3000;
+
 	private final Vertx vertx;
 
 	private final AgentSettings settings;
@@ -61,7 +63,8 @@
 		this.control = control;
 		this.links = links;
 		this.dispatches = new DispatchApi(vertx, control.view(), links,
-				closer.add(LossNotices.create(vertx, control.view(), clock)), AgentMetrics.create(this.registry));
+				closer.add(LossNotices.create(vertx, control.view(), clock)), AgentMetrics.create(this.registry),
+				clock);
 		this.spread = ModelSpread.start(vertx, settings, control.view(), links, clock);
 		this.spread.ifPresent(closer::add);
 	}
@@ -123,10 +126,11 @@
 	public Future<Integer> drain() {
 		logger.info("agent: {} leaves", this.settings.getHost());
 		this.control.leave();
-		return Drain.await(this.vertx, this.dispatches::inFlight, this.settings.getDrainMs()).onSuccess((cut) -> {
-			logger.info("agent: {} left, {} requests cut", this.settings.getHost(), cut);
-			close();
-		});
+		return Drain.await(this.vertx, this.dispatches::inFlight, LEAVE_NOTICE_MS, this.settings.getDrainMs())
+			.onSuccess((cut) -> {
+				logger.info("agent: {} left, {} requests cut", this.settings.getHost(), cut);
+				close();
+			});
 	}
 
 	@Override
--- a/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
@@ -6,6 +6,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -18,6 +19,7 @@
 import org.wigeontally.http.Refusal;
 import org.wigeontally.metrics.AgentMetrics;
 import org.wigeontally.metrics.TrafficLabels;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.BackendState;
 
 /**
@@ -45,19 +47,24 @@
 
 	private final AgentMetrics metrics;
 
+	private final OnceProxy once;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links, LossNotices notices, AgentMetrics metrics) {
+	DispatchApi(Vertx vertx, ControlView view, List<BackendLink> links, LossNotices notices, AgentMetrics metrics,
+			Clock clock) {
 		this.view = view;
 		this.links = List.copyOf(links);
 		this.notices = notices;
 		this.metrics = metrics;
 		this.proxy = new BackendProxy(vertx);
+		this.once = new OnceProxy(vertx, view.self().getProcess(), clock);
 	}
 
 	void mount(Router router, int bodyLimitBytes) {
 		router.route(PREFIX + ":service/*").handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes));
 		router.route(PREFIX + ":service/*").handler(this::dispatch);
+		this.once.mount(router);
 	}
 
 	private void dispatch(RoutingContext context) {
@@ -73,7 +80,7 @@
 		BackendLink link = link(service);
 		Optional<Refusal> refusal = check(request, link);
 		if (refusal.isPresent()) {
-			refusal.get().send(context.response());
+			refuse(request, refusal.get(), context.response());
 			return;
 		}
 		this.inFlight.incrementAndGet();
@@ -86,15 +93,33 @@
 			if (admission.verdict() == Admission.Verdict.RUN) {
 				this.metrics.admitted(labels, admission.waitedMs(), load.cold());
 				this.notices.started(request.id(), request.fingerprint());
-				this.proxy.forward(request, body, link, context.response(), this.notices);
+				run(request, body, link, context.response());
 				return;
 			}
 			this.metrics.refused(labels, admission.reason().number());
 			context.response().putHeader(Headers.LOAD, load.header());
-			refused(admission).send(context.response());
+			refuse(request, refused(admission), context.response());
 		});
 	}
 
+	private void run(DispatchRequest request, Buffer body, BackendLink link, HttpServerResponse response) {
+		if (request.claim().isEmpty()) {
+			this.proxy.forward(request, body, link, response, this.notices);
+		}
+		else {
+			this.once.forward(request, body, link, response);
+		}
+	}
+
+	private void refuse(DispatchRequest request, Refusal refusal, HttpServerResponse response) {
+		if (request.claim().isEmpty()) {
+			refusal.send(response);
+		}
+		else {
+			this.once.refused(request, refusal, response);
+		}
+	}
+
 	private static AdmissionRequest admissionRequest(DispatchRequest request, BackendLink link) {
 		AdmissionRequest admission = AdmissionRequest.of(request.id(), request.organisation(), COST)
 			.withPriority(PRIORITIES.indexOf(request.priority()))
--- a/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -40,14 +40,18 @@
 
 	private final Dispatcher dispatcher;
 
+	private final OnceRequests once;
+
 	private final RequestMetrics metrics;
 
 	private final Random random = new Random();
 
-	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, RequestMetrics metrics) {
+	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, OnceRequests once,
+			RequestMetrics metrics) {
 		this.view = view;
 		this.reader = reader;
 		this.dispatcher = dispatcher;
+		this.once = once;
 		this.metrics = metrics;
 	}
 
@@ -93,6 +97,10 @@
 		}
 		this.metrics.follow(context,
 				new TrafficLabels(request.organisation().getName(), request.service().getName(), request.priority()));
+		if (request.atMostOnce() && !request.key().isEmpty()) {
+			this.once.run(request, context.response());
+			return;
+		}
 		this.dispatcher.dispatch(request, "", context.response());
 	}
 
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -36,6 +36,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryDaemon.class);
 
+	private static final long LEAVE_NOTICE_MS = 6000;
+
 	private final Vertx vertx;
 
 	private final EntrySettings settings;
@@ -46,13 +48,16 @@
 
 	private final Dispatcher dispatcher;
 
-	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control,
-			Dispatcher dispatcher) {
+	private final OnceRequests once;
+
+	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control, Dispatcher dispatcher,
+			OnceRequests once) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.closer = closer;
 		this.control = control;
 		this.dispatcher = dispatcher;
+		this.once = once;
 	}
 
 	/**
@@ -74,8 +79,11 @@
 			RequestPolicy policy = new RequestPolicy(control.view(), EntryMetrics.create(registry), clock);
 			control.addService(HarmfulGrpcService.of(policy.harmfulService()));
 			Dispatcher dispatcher = new Dispatcher(control.view(), agents, policy, clock);
-			EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher);
-			return daemon.listen(registry, clock).map(daemon);
+			InquiryClient inquiries = closer.add(InquiryClient.create(vertx, control.view()));
+			return OnceRequests.start(vertx, log, control.view(), agents, inquiries, clock).compose((once) -> {
+				EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher, once);
+				return daemon.listen(registry, clock).map(daemon);
+			});
 		});
 	}
 
@@ -83,8 +91,9 @@
 		Router router = Router.router(this.vertx);
 		MetricsApi.mount(router, registry, this.control.view()::serving);
 		ControlMetrics.register(registry, this.control.view());
-		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher,
+		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher, this.once,
 				RequestMetrics.register(registry));
+		this.once.mount(router);
 		callers.mount(router, this.settings.getBodyLimitBytes());
 		Administration administration = new ControlAdministration(this.control);
 		router.route("/v1/admin/*").subRouter(AdministrationApi.router(this.vertx, administration));
@@ -111,10 +120,13 @@
 	public Future<Integer> drain() {
 		logger.info("entry: {} leaves", this.settings.getHost());
 		this.control.leave();
-		return Drain.await(this.vertx, this.dispatcher::inFlight, this.settings.getDrainMs()).onSuccess((cut) -> {
-			logger.info("entry: {} left, {} requests cut", this.settings.getHost(), cut);
-			close();
-		});
+		return Drain
+			.await(this.vertx, () -> this.dispatcher.inFlight() + this.once.inFlight(), LEAVE_NOTICE_MS,
+					this.settings.getDrainMs())
+			.onSuccess((cut) -> {
+				logger.info("entry: {} left, {} requests cut", this.settings.getHost(), cut);
+				close();
+			});
 	}
 
 	@Override
--- a/daemons/src/main/java/org/wigeontally/http/Drain.java
+++ b/daemons/src/main/java/org/wigeontally/http/Drain.java
@@ -7,7 +7,9 @@
 import io.vertx.core.Vertx;
 
 /**
- * Waits until the requests in flight have ended.
+ * Waits until the requests in flight have ended and those who send requests have had time
+ * to learn that this process leaves. Until then it listens and answers "not run": closing
+ * earlier would cut requests that are on their way on open connections.
  */
 public final class Drain {
 
@@ -20,12 +22,14 @@
 	 * Waits.
 	 * @param vertx the Vert.x instance whose timers are used
 	 * @param inFlight counts the requests in flight
-	 * @param longestMs longest wait, in milliseconds
+	 * @param noticeMs time in which the word that this process leaves spreads, in
+	 * milliseconds
+	 * @param longestMs longest wait for requests after that, in milliseconds
 	 * @return succeeds with the requests still in flight at the end, 0 if all ended
 	 */
-	public static Future<Integer> await(Vertx vertx, IntSupplier inFlight, long longestMs) {
+	public static Future<Integer> await(Vertx vertx, IntSupplier inFlight, long noticeMs, long longestMs) {
 		Promise<Integer> done = Promise.promise();
-		poll(vertx, inFlight, longestMs, done);
+		vertx.setTimer(noticeMs, (id) -> poll(vertx, inFlight, longestMs, done));
 		return done.future();
 	}
 
