--- a/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
+++ b/daemons/src/main/java/org/wigeontally/entry/CallerApi.java
@@ -11,6 +11,7 @@
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.metrics.RequestMetrics;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
 import org.wigeontally.schema.generated.Role;
@@ -33,16 +34,21 @@
 
 	private final OnceRequests once;
 
-	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, OnceRequests once) {
+	private final RequestMetrics metrics;
+
+	CallerApi(ControlView view, RequestReader reader, Dispatcher dispatcher, OnceRequests once,
+			RequestMetrics metrics) {
 		this.view = view;
 		this.reader = reader;
 		this.dispatcher = dispatcher;
 		this.once = once;
+		this.metrics = metrics;
 	}
 
 	void mount(Router router, int bodyLimitBytes) {
 		router.get("/v1/addresses").handler(this::addresses);
 		router.route(RequestReader.PREFIX + ":service/*")
+			.handler((PlatformHandler) this.metrics::follow)
 			.handler((PlatformHandler) this::refuseIfNotServing)
 			.handler(BodyHandler.create(false).setBodyLimit(bodyLimitBytes))
 			.handler(this::request)
@@ -79,6 +85,7 @@
 			ex.refusal().send(context.response());
 			return;
 		}
+		this.metrics.follow(context, request.service().getName(), request.organisation().getName(), request.priority());
 		if (request.atMostOnce() && !request.key().isEmpty()) {
 			this.once.run(request, context.response());
 			return;
