--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -17,6 +17,7 @@
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
 import org.wigeontally.metrics.AgentMetrics;
+import org.wigeontally.metrics.ControlMetrics;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -85,6 +86,8 @@
 	private Future<HttpServer> listen() {
 		Router router = Router.router(this.vertx);
 		MetricsApi.mount(router, this.registry, this.control.view()::serving);
+		ControlMetrics.register(this.registry, this.control.view());
+		ControlMetrics.registerBackends(this.registry, this::states);
 		this.dispatches.mount(router, BODY_LIMIT_BYTES);
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,8 +11,9 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new PathMeasurement(), new FaultsMeasurement(), new ZonesMeasurement(), new RouteMeasurement(),
-				new OverheadMeasurement());
+		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(),
+				new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(),
+				new ZonesMeasurement());
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/platform/OriginServer.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/platform/OriginServer.java
@@ -140,7 +140,7 @@
 
 	private void send(RoutingContext context, String to, byte[] bytes) {
 		this.chunkBytesOut.addAndGet(bytes.length);
-		this.upload.send(context.response(), to, bytes);
+		this.upload.send(context.response(), to, true, bytes);
 	}
 
 	private Future<Void> delayed() {
