--- a/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
+++ b/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
@@ -200,7 +200,6 @@
 			else if (this.mayHaveRun) {
 				truth = Refusal.unknown(refusal.message());
 			}
-			Dispatcher.this.policy.metrics().refused(this.labels, truth.error().number());
 			truth.send(this.response);
 		}
 
--- a/daemons/src/main/java/org/wigeontally/metrics/EntryMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/metrics/EntryMetrics.java
@@ -22,8 +22,6 @@
 
 	private final Histogram betweenTokens;
 
-	private final Counter refusals;
-
 	private final Counter retries;
 
 	private EntryMetrics(PrometheusRegistry registry) {
@@ -41,11 +39,6 @@
 			.classicOnly()
 			.classicUpperBounds(BETWEEN_TOKENS_BOUNDS_S)
 			.register(registry);
-		this.refusals = Counter.builder()
-			.name("wigeontally_refusals_total")
-			.help("Refused requests by error number")
-			.labelNames("organisation", "service", "class", "error")
-			.register(registry);
 		this.retries = Counter.builder()
 			.name("wigeontally_retries_total")
 			.help("Dispatches after the first of a request")
@@ -80,16 +73,6 @@
 		this.betweenTokens.labelValues(labels.values()).observe(ms / MS_PER_S);
 	}
 
-	/**
-	 * Counts a refusal.
-	 * @param labels organisation, service and class
-	 * @param error number of the error
-	 */
-	public void refused(TrafficLabels labels, int error) {
-		this.refusals.labelValues(labels.organisation(), labels.service(), labels.priority(), Integer.toString(error))
-			.inc();
-	}
-
 	/**
 	 * Counts a dispatch after the first.
 	 * @param labels organisation, service and class
