--- a/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
@@ -35,11 +35,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Real nodes over loopback; engines check every byte. Seen red with the digest check left
- * out of {@code ChunkStore.put} (corruption, liar), with the stall check left out of
- * {@link ByteFetcher} (stalled paths), with {@code VerifiedWeights.of} giving out what is
- * there (nothing loads before it is whole), and with {@code retain} left out (memory of
- * versions no longer wanted).
+ * Real nodes over loopback; engines check every byte. Seen red: corrupt pieces with the
+ * digest check left out of {@code ChunkStore.put}, stalled paths with the stall check
+ * left out of {@link ByteFetcher}, the old version with {@code retain} left out, and one
+ * copy with every host on duty for every lane. The other tests were not seen red yet.
  */
 public class WeightNodeTests {
 
--- a/testsuite/src/test/java/org/wigeontally/weights/ActivationTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/ActivationTests.java
@@ -15,8 +15,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Seen red with the whole-check, the check of the engine's word and the failure stop left
- * out of {@link Activation} and {@link RollPlan}, one at a time.
+ * Seen red with the whole-check and the check of the engine's word left out of
+ * {@link Activation}, and with the failure stop left out of {@link RollPlan}.
  */
 public class ActivationTests {
 
