A rolled version reaches the engines: orders, pinned versions while it spreads

Cause: agents fetched weights but gave no orders, and entries asked only for the version in force, so a roll would have left a service without candidates until engines had loaded it.

--- a/daemons/src/main/java/org/wigeontally/agent/BackendLink.java
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendLink.java
@@ -49,6 +49,8 @@
 
 	private volatile BackendState state;
 
+	private volatile long reportAskedMs = Long.MIN_VALUE;
+
 	private int failures;
 
 	private boolean polling;
@@ -109,6 +111,7 @@
 			return;
 		}
 		this.state = next.build();
+		this.reportAskedMs = askedMs;
 		if (!wasUp) {
 			this.gate.up();
 			logger.info("agent: {} is up, version '{}'", this.settings.getService(), this.state.getVersion());
@@ -170,6 +173,14 @@
 			.build();
 	}
 
+	/**
+	 * Returns when the last report was asked for.
+	 * @return milliseconds on the monotonic clock
+	 */
+	long reportAskedMs() {
+		return this.reportAskedMs;
+	}
+
 	boolean isEngine() {
 		return this.settings.getKind() == BackendKind.MODEL_ENGINE;
 	}
--- a/daemons/src/main/java/org/wigeontally/agent/ModelSpread.java
+++ b/daemons/src/main/java/org/wigeontally/agent/ModelSpread.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.Router;
@@ -18,6 +20,7 @@
 import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.Model;
 import org.wigeontally.schema.generated.Service;
+import org.wigeontally.schema.generated.VersionProgress;
 import org.wigeontally.spread.ByteFetcher;
 import org.wigeontally.spread.HttpOriginClient;
 import org.wigeontally.spread.WeightNode;
@@ -26,7 +29,7 @@
 
 /**
  * Brings the models of the bundle in force to this host, for the engines that it runs,
- * and adds their progress to the state of these engines.
+ * has them loaded, and adds their progress to the state of these engines.
  */
 final class ModelSpread implements AutoCloseable {
 
@@ -38,12 +41,18 @@
 
 	private final WeightNode node;
 
+	private final Map<BackendLink, EngineOrders> orders = new ConcurrentHashMap<>();
+
+	private final Function<BackendLink, EngineOrders> newOrders;
+
 	private final Closer closer = Closer.create();
 
-	private ModelSpread(ControlView view, List<BackendLink> links, WeightNode node) {
+	private ModelSpread(ControlView view, List<BackendLink> links, WeightNode node,
+			Function<BackendLink, EngineOrders> newOrders) {
 		this.view = view;
 		this.links = links;
 		this.node = this.closer.add(node);
+		this.newOrders = newOrders;
 	}
 
 	/**
@@ -70,7 +79,7 @@
 				Map.of(), Wire.DIRECT);
 		WeightNode node = WeightNode.start(vertx, weights, view::hosts, HttpOriginClient.create(fetcher, sources),
 				clock, self.getHost().hashCode());
-		ModelSpread spread = new ModelSpread(view, links, node);
+		ModelSpread spread = new ModelSpread(view, links, node, (link) -> EngineOrders.create(link, view, node, clock));
 		spread.closer.add(fetcher);
 		long timer = vertx.setPeriodic(1, CHECK_MS, (id) -> spread.check());
 		spread.closer.add(() -> vertx.cancelTimer(timer));
@@ -85,6 +94,7 @@
 				continue;
 			}
 			this.node.want(model);
+			this.orders.computeIfAbsent(link, (each) -> this.newOrders.apply(each)).check(model);
 			if (link.state().getUp() && link.state().getVersion().equals(model.getVersion())) {
 				this.node.bearsLoad(model.getName(), model.getVersion());
 			}
@@ -108,7 +118,20 @@
 	 * @return the state with progress
 	 */
 	BackendState withProgress(BackendState state) {
-		return state.toBuilder().clearProgress().addAllProgress(this.node.progress()).build();
+		BackendState.Builder next = state.toBuilder().clearProgress();
+		for (VersionProgress progress : this.node.progress()) {
+			next.addProgress(withPhase(state.getService(), progress));
+		}
+		return next.build();
+	}
+
+	private VersionProgress withPhase(String service, VersionProgress progress) {
+		for (Map.Entry<BackendLink, EngineOrders> each : this.orders.entrySet()) {
+			if (each.getKey().settings().getService().equals(service)) {
+				return each.getValue().withPhase(progress);
+			}
+		}
+		return progress;
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/entry/Candidates.java
+++ b/daemons/src/main/java/org/wigeontally/entry/Candidates.java
@@ -10,7 +10,6 @@
 import org.wigeontally.schema.generated.BackendState;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
-import org.wigeontally.schema.generated.Model;
 import org.wigeontally.schema.generated.Role;
 import org.wigeontally.schema.generated.Service;
 
@@ -67,13 +66,29 @@
 	}
 
 	/**
-	 * Returns the version in force of a service's model.
-	 * @param configuration the configuration in force
+	 * Chooses the version that a request is pinned to. While engines still load the
+	 * version in force, requests share out over it and the versions before in proportion
+	 * to the hosts that have each.
+	 * @param view control of the entry
 	 * @param service the service
+	 * @param tried hosts that were tried already
+	 * @param draw a random number from 0 to below 1
 	 * @return the version; empty for a plain service
 	 */
-	static String version(Configuration configuration, Service service) {
-		return configuration.model(service.getModel()).map(Model::getVersion).orElse("");
+	static String version(ControlView view, Service service, Set<String> tried, double draw) {
+		List<String> versions = view.configuration().servableVersions(service.getModel());
+		if (versions.size() < 2) {
+			return versions.isEmpty() ? "" : versions.get(0);
+		}
+		List<Integer> counts = versions.stream().map((version) -> list(view, service, version, tried).size()).toList();
+		double left = draw * counts.stream().mapToInt(Integer::intValue).sum();
+		for (int i = 0; i < counts.size(); i++) {
+			left -= counts.get(i);
+			if (left < 0) {
+				return versions.get(i);
+			}
+		}
+		return versions.get(0);
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
+++ b/daemons/src/main/java/org/wigeontally/entry/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.http.HttpClientResponse;
@@ -126,7 +127,8 @@
 				return;
 			}
 			Configuration configuration = view.configuration();
-			String version = Candidates.version(configuration, this.request.service());
+			String version = Candidates.version(view, this.request.service(), this.tried,
+					ThreadLocalRandom.current().nextDouble());
 			List<HostState> candidates = Candidates.list(view, this.request.service(), version, this.tried);
 			ChoiceRequest choice = ChoiceRequest.of(this.request.service().getName())
 				.withVersion(version)
--- a/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
+++ b/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
@@ -5,6 +5,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.common.primitives.Bytes;
@@ -122,7 +123,8 @@
 	}
 
 	void run(CallerRequest request, HttpServerResponse response) {
-		String version = Candidates.version(this.view.configuration(), request.service());
+		String version = Candidates.version(this.view, request.service(), Set.of(),
+				ThreadLocalRandom.current().nextDouble());
 		List<HostState> hosts = Candidates.list(this.view, request.service(), version, Set.of());
 		if (hosts.isEmpty()) {
 			Refusal.notRun(ErrorType.OVERLOADED, RETRY_SOON_MS).send(response);
--- a/daemons/src/main/java/org/wigeontally/spread/WeightLoader.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightLoader.java
@@ -39,6 +39,8 @@
 	/** Header with the digest of the manifest. */
 	public static final String MANIFEST_HEADER = "Manifest";
 
+	private static final int CONFLICT = 409;
+
 	private static final long IDLE_TIMEOUT_MS = 30_000;
 
 	private final HttpClient client;
@@ -72,7 +74,7 @@
 			.putHeader(MANIFEST_HEADER, Manifests.digest(manifest))
 			.putHeader("Content-Length", Long.toString(weights.totalBytes()));
 		return this.client.request(options).compose((request) -> {
-			Future<Void> answered = request.response().compose((response) -> accepted(response.statusCode()));
+			Future<Void> answered = request.response().compose((response) -> accepted(response.statusCode(), fence));
 			return write(request, weights.chunks(), 0).compose((written) -> answered);
 		});
 	}
@@ -84,7 +86,10 @@
 		return request.write(Buffer.buffer(chunks.get(next))).compose((done) -> write(request, chunks, next + 1));
 	}
 
-	private static Future<Void> accepted(int status) {
+	private static Future<Void> accepted(int status, long fence) {
+		if (status == CONFLICT) {
+			return Future.failedFuture(WeightsException.of(ErrorType.ORDER_FENCED, fence));
+		}
 		if (status != 200) {
 			return Future.failedFuture(WeightsException.of(ErrorType.ORDER_FAILED, "status " + status));
 		}
--- a/emulator/src/main/java/org/wigeontally/emulator/Emulator.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/Emulator.java
@@ -1,5 +1,7 @@
 package org.wigeontally.emulator;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 
@@ -16,12 +18,16 @@
 import org.wigeontally.emulator.backend.PlainServiceServer;
 import org.wigeontally.emulator.platform.LogServer;
 import org.wigeontally.emulator.platform.MemoryLog;
+import org.wigeontally.emulator.platform.OriginServer;
+import org.wigeontally.emulator.platform.SyntheticWeights;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.settings.Addresses;
+import org.wigeontally.spread.Wire;
 
 /**
- * Runs one stand-in as a process of its own: the log, a model engine or a plain service.
+ * Runs one stand-in as a process of its own: the log, the origin of weights, a model
+ * engine or a plain service.
  */
 public final class Emulator {
 
@@ -39,11 +45,13 @@
 		StandIn log = new LogStandIn();
 		StandIn engine = new EngineStandIn();
 		StandIn service = new ServiceStandIn();
+		StandIn origin = new OriginStandIn();
 		JCommander commander = JCommander.newBuilder()
 			.programName("bin/emulator")
 			.addCommand("log", log)
 			.addCommand("engine", engine)
 			.addCommand("service", service)
+			.addCommand("origin", origin)
 			.build();
 		try {
 			commander.parse(args);
@@ -130,6 +138,35 @@
 
 	}
 
+	/**
+	 * The origin of weights.
+	 */
+	private static final class OriginStandIn extends StandIn {
+
+		@Parameter(names = "--model", description = "Name of the model")
+		private String model = "assist";
+
+		@Parameter(names = "--version", description = "Versions to publish")
+		private List<String> versions = new ArrayList<>();
+
+		@Parameter(names = "--bytes", description = "Size of each version")
+		private int bytes = 1 << 20;
+
+		@Parameter(names = "--kbps", description = "Rate limit in kbit/s; 0 for none")
+		private int kbps;
+
+		@Override
+		Future<?> start(Vertx vertx) {
+			OriginServer server = OriginServer.create(vertx, Clock.system(), this.kbps, Wire.DIRECT);
+			for (String version : this.versions) {
+				SyntheticWeights weights = new SyntheticWeights(this.model, version, this.bytes);
+				server.publish(weights.manifest(), weights.bytes());
+			}
+			return server.listen(listen());
+		}
+
+	}
+
 	/**
 	 * Reads addresses on the command line.
 	 */
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Deployment.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Deployment.java
@@ -37,6 +37,8 @@
 
 	private static final int AGENT_HEAP_MB = 128;
 
+	private static final int CHUNK_MEMORY_MB = 32;
+
 	private static final int DRAIN_MS = 10_000;
 
 	private static final int BODY_LIMIT_BYTES = 1 << 20;
@@ -102,6 +104,8 @@
 
 	private void startPlatform() throws IOException {
 		emulator("log", "log");
+		emulator("origin", "origin", "--model", Plan.MODEL, "--version", Plan.SECOND_VERSION, "--version",
+				Plan.THIRD_VERSION, "--bytes", Integer.toString(Plan.WEIGHT_BYTES));
 	}
 
 	private void startHosts() throws IOException {
@@ -126,6 +130,7 @@
 			.addAllEntries(entryAddresses())
 			.setPlatform(platform())
 			.setDrainMs(DRAIN_MS)
+			.setChunkMemoryMb(CHUNK_MEMORY_MB)
 			.addBackends(backend(Bundles.MODEL_SERVICE, BackendKind.MODEL_ENGINE, "engine-" + host,
 					this.plan.engineCapacity()))
 			.addBackends(backend(Bundles.PLAIN_SERVICE, BackendKind.PLAIN_SERVICE, "service-" + host,
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Plan.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Plan.java
@@ -19,6 +19,15 @@
 	/** Version that engines have at the start unless the plan says otherwise. */
 	public static final String FIRST_VERSION = "v1";
 
+	/** Version that the origin has too. */
+	public static final String SECOND_VERSION = "v2";
+
+	/** Another version that the origin has. */
+	public static final String THIRD_VERSION = "v3";
+
+	/** Size of each version at the origin, in bytes. */
+	public static final int WEIGHT_BYTES = 4 << 20;
+
 	/** The model. */
 	public static final String MODEL = "assist";
 
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
@@ -12,10 +12,12 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 
+import org.wigeontally.emulator.platform.SyntheticWeights;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.Bundle;
 import org.wigeontally.schema.generated.Model;
+import org.wigeontally.schema.generated.VersionStatus;
 
 /**
  * A deployment with a bundle in force, a caller and operators: what most experiments
@@ -102,6 +104,35 @@
 		return this.operators.roll(bundle, author, other);
 	}
 
+	/**
+	 * Rolls a version that the origin has and waits until every engine has loaded it.
+	 * @param name name of the bundle
+	 * @param buildsOn name of the bundle in force
+	 * @param version the version
+	 * @return time from the accepted roll to the last engine, in milliseconds
+	 * @throws Exception if it is not loaded in time
+	 */
+	public long rollVersion(String name, String buildsOn, String version) throws Exception {
+		roll(name, buildsOn, new SyntheticWeights(Plan.MODEL, version, Plan.WEIGHT_BYTES).modelInBundle());
+		long startNs = System.nanoTime();
+		while (!isLoaded(version)) {
+			if (System.nanoTime() - startNs > TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS)) {
+				throw new IllegalStateException(version + " is not loaded in time: " + this.operators.status());
+			}
+			Thread.sleep(POLL_MS);
+		}
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+	}
+
+	private boolean isLoaded(String version) throws Exception {
+		for (VersionStatus status : this.operators.status().getVersionsList()) {
+			if (status.getVersion().equals(version) && status.getHostsLoaded() == this.deployment.hosts().size()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private void awaitReady() throws Exception {
 		long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
 		for (String host : this.deployment.hosts()) {
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/TryRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/TryRun.java
@@ -8,13 +8,14 @@
 
 /**
  * The main job: a deployment of three availability zones, a bundle rolled, requests
- * served while a zone leaves and returns, a summary, everything stopped.
+ * served while a zone leaves and returns and a new version of the model spreads, a
+ * summary, everything stopped.
  */
 public final class TryRun {
 
 	private static final double REQUESTS_PER_SECOND = 60;
 
-	private static final long LOAD_MS = 15_000;
+	private static final long LOAD_MS = 25_000;
 
 	private static final long STEP_MS = 4000;
 
@@ -40,6 +41,8 @@
 			say("zone-3 out, revision " + scenario.operators().zone("zone-3", true, operator));
 			Thread.sleep(STEP_MS);
 			say("zone-3 back, revision " + scenario.operators().zone("zone-3", false, operator));
+			long loadedMs = scenario.rollVersion("second", "first", Plan.SECOND_VERSION);
+			say("bundle 'second' rolled; all engines had version v2 after " + loadedMs + " ms");
 			LoadResult result = Scenario.await(load);
 			System.exit(report(result, scenario.bookingsRan()));
 		}
--- a/library/src/main/java/org/wigeontally/configuration/Configuration.java
+++ b/library/src/main/java/org/wigeontally/configuration/Configuration.java
@@ -1,5 +1,6 @@
 package org.wigeontally.configuration;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -202,6 +203,23 @@
 		return this.snapshot.getInForce().getConfirmingHostsList();
 	}
 
+	/**
+	 * Returns the versions of a model that its engines may serve: the one in force and,
+	 * until they have loaded it, those in force before.
+	 * @param name name of the model
+	 * @return names of versions, newest first; empty if the model is not in force
+	 */
+	public List<String> servableVersions(String name) {
+		List<String> versions = new ArrayList<>();
+		model(name).ifPresent((model) -> versions.add(model.getVersion()));
+		for (Model previous : this.snapshot.getPreviousModelsList()) {
+			if (previous.getName().equals(name) && !versions.isEmpty()) {
+				versions.add(previous.getVersion());
+			}
+		}
+		return versions;
+	}
+
 	/**
 	 * Returns the confirming hosts before the last roll that changed them.
 	 * @return names of hosts; empty if that roll is settled
--- a/library/src/main/java/org/wigeontally/configuration/SnapshotEdits.java
+++ b/library/src/main/java/org/wigeontally/configuration/SnapshotEdits.java
@@ -1,11 +1,14 @@
 package org.wigeontally.configuration;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.wigeontally.schema.generated.Bundle;
 import org.wigeontally.schema.generated.Change;
 import org.wigeontally.schema.generated.ConfigurationSnapshot;
 import org.wigeontally.schema.generated.HostRule;
+import org.wigeontally.schema.generated.Model;
 import org.wigeontally.schema.generated.ProposedBundle;
 import org.wigeontally.schema.generated.SetHost;
 import org.wigeontally.schema.generated.SetZone;
@@ -16,6 +19,8 @@
  */
 final class SnapshotEdits {
 
+	private static final int PREVIOUS_MODELS_KEPT = 16;
+
 	private SnapshotEdits() {
 	}
 
@@ -43,6 +48,7 @@
 			after.clearPreviousConfirmingHosts().addAllPreviousConfirmingHosts(previous);
 			after.setListRolledAt(offset);
 		}
+		rememberModels(after, proposed.getBundle().getModelsList());
 		// Every proposal builds on the bundle that was in force, so none can be rolled
 		// now.
 		after.clearProposed();
@@ -50,6 +56,18 @@
 		after.setRolledAt(offset);
 	}
 
+	private static void rememberModels(ConfigurationSnapshot.Builder after, List<Model> next) {
+		Set<Model> previous = new LinkedHashSet<>(after.getInForce().getModelsList());
+		previous.addAll(after.getPreviousModelsList());
+		previous.removeAll(next);
+		after.clearPreviousModels();
+		for (Model model : previous) {
+			if (after.getPreviousModelsCount() < PREVIOUS_MODELS_KEPT) {
+				after.addPreviousModels(model);
+			}
+		}
+	}
+
 	static void settle(ConfigurationSnapshot.Builder after, long listRolledAt) {
 		if (listRolledAt == after.getListRolledAt()) {
 			after.clearPreviousConfirmingHosts();
--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -101,6 +101,8 @@
 	BAD_MANIFEST(301, Severity.ERROR, "manifest of %s does not verify"),
 	/** The engine refused or failed an order. */
 	ORDER_FAILED(302, Severity.ERROR, "the engine failed the order: %s"),
+	/** The engine has seen a higher fencing number. */
+	ORDER_FENCED(303, Severity.ERROR, "the engine has seen a higher fencing number than %s"),
 
 	/** The platform's log cannot be reached. */
 	LOG_UNAVAILABLE(400, Severity.WARNING, "the log cannot be reached: %s"),
--- a/library/src/main/java/org/wigeontally/weights/Activation.java
+++ b/library/src/main/java/org/wigeontally/weights/Activation.java
@@ -141,6 +141,13 @@
 		}
 	}
 
+	/**
+	 * Takes an order back that was due but must wait; it is due again at the next call.
+	 */
+	public void orderDeferred() {
+		this.ordered = false;
+	}
+
 	/**
 	 * Returns how far the target is.
 	 * @return the phase
