--- a/library/src/main/java/org/wigeontally/admission/LearnedLimit.java
+++ b/library/src/main/java/org/wigeontally/admission/LearnedLimit.java
@@ -4,13 +4,13 @@
  * Learns how many requests at once a backend server bears.
  *
  * <p>
- * It starts with the cold capacity and doubles after as many prompt answers in a row as
- * places were added by the step before (slow start), provided that the limit was reached
- * meanwhile. Places that long streams occupy give no more answers, so all places cannot
- * be asked for. A timer would grow the limit whether the backend server warms up or not.
- * An answer is prompt if its first part came within {@link #PROMPT_FACTOR} of the usual
- * time, which is learnt while the limit is at the capacity, or of the best time of this
- * ramp while nothing better is known.
+ * It starts with the cold capacity and doubles once there were as many more prompt
+ * answers than late ones as places were added by the step before (slow start), provided
+ * that the limit was reached meanwhile. Places that long streams occupy give no more
+ * answers, so all places cannot be asked for. A timer would grow the limit whether the
+ * backend server warms up or not. An answer is prompt if its first part came within
+ * {@link #PROMPT_FACTOR} of the usual time, which is learnt while the limit is at the
+ * capacity, or of the best time of this ramp while nothing better is known.
  *
  * <p>
  * A backend server may turn cold without a word. Two answers in a row, or two that are
@@ -92,7 +92,8 @@
 			learnUsual(ms);
 			return;
 		}
-		this.prompt = (ms <= PROMPT_FACTOR * reference() + COLD_MARGIN_MS) ? this.prompt + 1 : 0;
+		boolean isPrompt = ms <= PROMPT_FACTOR * reference() + COLD_MARGIN_MS;
+		this.prompt = isPrompt ? this.prompt + 1 : Math.max(0, this.prompt - 1);
 		grow();
 	}
 
