Operators' keys are part of the bundle, so that verdicts do not depend on settings

Cause: each entry judged changes with the keys of its own settings; while keys were changed host by host, readers of the same log would have reached different verdicts and never met again. The keys of the bundle in force count now; settings only before the first such bundle. Also: capacity measurement.

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Bundles.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Bundles.java
@@ -44,17 +44,20 @@
 	 * @param buildsOn name of the bundle in force; empty for the first
 	 * @param model the model and its version
 	 * @param confirmingHosts entry hosts that confirm configuration
-	 * @param owner owner of both services, who approves every organisation
+	 * @param operators operators; the first owns both services and approves every
+	 * organisation
 	 * @return the bundle
 	 * @throws GeneralSecurityException if an approval cannot be signed
 	 */
-	public static Bundle bundle(String name, String buildsOn, Model model, List<String> confirmingHosts, Keys owner)
-			throws GeneralSecurityException {
+	public static Bundle bundle(String name, String buildsOn, Model model, List<String> confirmingHosts,
+			List<Keys> operators) throws GeneralSecurityException {
+		Keys owner = operators.get(0);
 		Bundle.Builder bundle = Bundle.newBuilder()
 			.setName(name)
 			.setBuildsOn(buildsOn)
 			.addAllConfirmingHosts(confirmingHosts)
 			.addModels(model)
+			.addAllOperators(operators.stream().map(Keys::operatorKey).toList())
 			.addServices(Service.newBuilder()
 				.setName(MODEL_SERVICE)
 				.setKind(BackendKind.MODEL_ENGINE)
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Scenario.java
@@ -100,7 +100,7 @@
 	public long roll(String name, String buildsOn, Model model) throws Exception {
 		Keys author = this.deployment.operators().get(0);
 		Keys other = this.deployment.operators().get(1);
-		Bundle bundle = Bundles.bundle(name, buildsOn, model, this.deployment.entries(), author);
+		Bundle bundle = Bundles.bundle(name, buildsOn, model, this.deployment.entries(), this.deployment.operators());
 		return this.operators.roll(bundle, author, other);
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
@@ -119,7 +119,7 @@
 	private void roll(ControlCluster cluster) throws Exception {
 		List<String> confirming = cluster.names().subList(0, Math.min(MAX_CONFIRMING, entries(cluster.names().size())));
 		Bundle bundle = Bundles.bundle("first", "", Model.newBuilder().setName("m").setVersion("1").build(), confirming,
-				this.author);
+				List.of(this.author, this.signer));
 		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
 		while (notServing(cluster) > 0 && System.nanoTime() < deadline) {
 			sleep(50);
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,9 +11,9 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new ClaimsMeasurement(), new ControlMeasurement(), new FaultsMeasurement(),
-				new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(),
-				new ZonesMeasurement());
+		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ControlMeasurement(),
+				new FaultsMeasurement(), new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(),
+				new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/configuration/BundleCheck.java
+++ b/library/src/main/java/org/wigeontally/configuration/BundleCheck.java
@@ -40,12 +40,15 @@
 	 * Checks a bundle.
 	 * @param bundle the bundle
 	 * @param inForce the bundle in force
-	 * @param keys keys of the services' owners
+	 * @param keys keys of the services' owners, if the bundle names no operators
 	 * @param findings receives what is found
 	 */
 	public static void check(Bundle bundle, Optional<Bundle> inForce, KeyRing keys, Findings findings) {
-		BundleCheck check = new BundleCheck(bundle, keys, findings);
+		KeyRing ring = bundle.getOperatorsList().isEmpty() ? keys
+				: KeyRing.of(bundle.getOperatorsList(), "operators", findings);
+		BundleCheck check = new BundleCheck(bundle, ring, findings);
 		check.checkNames(inForce);
+		check.checkOperators(inForce);
 		check.checkModels();
 		check.checkServices();
 		check.checkOrganisations();
@@ -64,6 +67,13 @@
 		}
 	}
 
+	private void checkOperators(Optional<Bundle> inForce) {
+		boolean hadOperators = inForce.map((before) -> before.getOperatorsCount() > 0).orElse(false);
+		if (hadOperators && this.bundle.getOperatorsCount() == 0) {
+			this.findings.add("operators", ErrorType.MISSING_VALUE, "operators");
+		}
+	}
+
 	static void checkBuildsOn(Bundle bundle, Optional<Bundle> inForce, Findings findings) {
 		String newest = inForce.map(Bundle::getName).orElse("");
 		if (!bundle.getBuildsOn().equals(newest)) {
--- a/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
+++ b/library/src/main/java/org/wigeontally/configuration/ConfigurationFold.java
@@ -1,5 +1,6 @@
 package org.wigeontally.configuration;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.wigeontally.errors.ErrorType;
@@ -8,6 +9,7 @@
 import org.wigeontally.schema.generated.Change;
 import org.wigeontally.schema.generated.ConfigurationSnapshot;
 import org.wigeontally.schema.generated.OffsetRecord;
+import org.wigeontally.schema.generated.OperatorKey;
 import org.wigeontally.schema.generated.ProposedBundle;
 import org.wigeontally.schema.generated.RollBundle;
 import org.wigeontally.schema.generated.SignOffBundle;
@@ -95,10 +97,11 @@
 	 */
 	public Findings judge(Configuration before, Change change) {
 		Findings findings = Findings.create();
-		if (!this.keys.knows(change.getAuthor())) {
+		KeyRing ring = ring(before);
+		if (!ring.knows(change.getAuthor())) {
 			findings.add("author", ErrorType.UNKNOWN_OPERATOR, change.getAuthor());
 		}
-		else if (!this.keys.verifies(change.getAuthor(), Signatures.content(change), change.getSignature())) {
+		else if (!ring.verifies(change.getAuthor(), Signatures.content(change), change.getSignature())) {
 			findings.add("signature", ErrorType.BAD_SIGNATURE, change.getAuthor());
 		}
 		switch (change.getSubjectCase()) {
@@ -127,11 +130,23 @@
 				&& change.getBuildsOn() < held.snapshot().getVerdicts(0).getOffset();
 	}
 
+	/**
+	 * Returns the keys that judge the next change. Once a bundle is in force its
+	 * operators count and no process's settings, so that readers with other settings
+	 * reach the same verdicts.
+	 * @param before the configuration before the change
+	 * @return the key ring
+	 */
+	private KeyRing ring(Configuration before) {
+		List<OperatorKey> operators = before.bundle().map(Bundle::getOperatorsList).orElse(List.of());
+		return operators.isEmpty() ? this.keys : KeyRing.of(operators, "operators", Findings.create());
+	}
+
 	private void judgeProposal(Configuration before, Change change, Findings findings) {
 		Bundle bundle = change.getPropose().getBundle();
 		long newest = before.proposed(bundle.getName()).map(ProposedBundle::getRevision).orElse(0L);
 		judgeRevision(change, "bundle " + bundle.getName(), newest, findings);
-		BundleCheck.check(bundle, before.bundle(), this.keys, findings);
+		BundleCheck.check(bundle, before.bundle(), ring(before), findings);
 	}
 
 	private static void judgeSignOff(Configuration before, Change change, Findings findings) {
--- a/library/src/main/java/org/wigeontally/configuration/KeyRing.java
+++ b/library/src/main/java/org/wigeontally/configuration/KeyRing.java
@@ -36,10 +36,23 @@
 	 */
 	public static KeyRing of(List<OperatorKey> operatorKeys) throws InputException {
 		Findings findings = Findings.create();
+		KeyRing ring = of(operatorKeys, "operator_keys", findings);
+		findings.throwIfAny();
+		return ring;
+	}
+
+	/**
+	 * Creates a key ring from keys that can be read; the others are findings.
+	 * @param operatorKeys names and keys
+	 * @param field field path of the keys
+	 * @param findings receives what is found
+	 * @return the key ring
+	 */
+	static KeyRing of(List<OperatorKey> operatorKeys, String field, Findings findings) {
 		Map<String, PublicKey> keys = new LinkedHashMap<>();
 		for (int i = 0; i < operatorKeys.size(); i++) {
 			OperatorKey each = operatorKeys.get(i);
-			String place = "operator_keys[" + i + "]";
+			String place = field + "[" + i + "]";
 			try {
 				if (keys.put(each.getName(), Signatures.publicKey(each.getPublicKey())) != null) {
 					findings.add(place, ErrorType.DUPLICATE_NAME, "operator", each.getName());
@@ -49,7 +62,6 @@
 				findings.add(place, ErrorType.WRONG_TYPE, "public_key", "an Ed25519 public key in hexadecimal");
 			}
 		}
-		findings.throwIfAny();
 		return new KeyRing(keys, false);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/configuration/ConfigurationFoldTests.java
+++ b/testsuite/src/test/java/org/wigeontally/configuration/ConfigurationFoldTests.java
@@ -19,7 +19,8 @@
 /**
  * Seen red with: no check of builds_on (race), no check of known ids (repeated append),
  * no comparison of the digest, verdicts taken as never forgotten, a second change of the
- * confirming hosts let through, a checkpoint that replaces what was folded.
+ * confirming hosts let through, a checkpoint that replaces what was folded, operators of
+ * the bundle in force left out of account.
  */
 public class ConfigurationFoldTests {
 
@@ -58,6 +59,30 @@
 		assertThat(this.held.applied()).isEqualTo(4);
 	}
 
+	@Test
+	public void readersWithOtherSettingsReachTheSameVerdictsOnceABundleNamesOperators() {
+		Operators later = Operators.create();
+		Bundle first = this.operators.bundle("b1", "", List.of("e1"))
+			.toBuilder()
+			.addAllOperators(later.operatorKeys())
+			.clearOrganisations()
+			.build();
+		apply(1, this.operators.propose("ann", "c1", first));
+		apply(2, this.operators.signOff("ben", "c2", 1, first));
+		assertThat(apply(3, this.operators.roll("ann", "c3", 2, "b1")).getAccepted()).isTrue();
+		ConfigurationFold other = ConfigurationFold.create(Operators.create().keys());
+		for (Operators signers : List.of(this.operators, later)) {
+			Change change = signers.zone("ann", "c4", 0, "z", true);
+			OffsetRecord record = OffsetRecord.newBuilder()
+				.setOffset(4)
+				.setRecord(LogRecord.newBuilder().setChange(change))
+				.build();
+			boolean accepted = this.fold.apply(this.held, record).verdict().orElseThrow().getAccepted();
+			assertThat(accepted).isEqualTo(signers == later);
+			assertThat(other.apply(this.held, record).verdict().orElseThrow().getAccepted()).isEqualTo(accepted);
+		}
+	}
+
 	@Test
 	public void reportsAllFaultsOfABundleTogether() {
 		Bundle good = this.operators.bundle("b", "", List.of("e1"));
--- a/testsuite/src/test/java/org/wigeontally/configuration/Operators.java
+++ b/testsuite/src/test/java/org/wigeontally/configuration/Operators.java
@@ -49,18 +49,26 @@
 	}
 
 	/**
-	 * Returns their public keys.
-	 * @return the key ring
+	 * Returns their names and public keys.
+	 * @return the keys as a bundle names them
 	 */
-	public KeyRing keys() {
+	public List<OperatorKey> operatorKeys() {
 		List<OperatorKey> keys = new ArrayList<>();
 		this.pairs.forEach((name,
 				pair) -> keys.add(OperatorKey.newBuilder()
 					.setName(name)
 					.setPublicKey(HexFormat.of().formatHex(pair.getPublic().getEncoded()))
 					.build()));
+		return keys;
+	}
+
+	/**
+	 * Returns their public keys.
+	 * @return the key ring
+	 */
+	public KeyRing keys() {
 		try {
-			return KeyRing.of(keys);
+			return KeyRing.of(operatorKeys());
 		}
 		catch (InputException ex) {
 			throw new IllegalStateException(ex);
--- a/testsuite/src/test/java/org/wigeontally/entry/CallerDoorFuzzTests.java
+++ b/testsuite/src/test/java/org/wigeontally/entry/CallerDoorFuzzTests.java
@@ -124,7 +124,7 @@
 		this.agent = await(AgentDaemon.start(this.vertx, agentSettings, Clock.system()));
 		try (OperatorSession operators = OperatorSession.open(this.vertx, List.of(this.address))) {
 			Model model = Model.newBuilder().setName("assist").setVersion("v1").setManifest("00".repeat(32)).build();
-			operators.roll(Bundles.bundle("b1", "", model, List.of("entry-1"), olive), olive, piet);
+			operators.roll(Bundles.bundle("b1", "", model, List.of("entry-1"), List.of(olive, piet)), olive, piet);
 		}
 		long endMs = System.currentTimeMillis() + START_TIMEOUT_MS;
 		while (statusOf(good(UUID.randomUUID().toString())) != 200 && System.currentTimeMillis() < endMs) {
