--- a/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
+++ b/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
@@ -1,5 +1,6 @@
 package org.wigeontally.entry;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
@@ -126,6 +127,7 @@
 		String version = Candidates.version(this.view, request.service(), Set.of(),
 				ThreadLocalRandom.current().nextDouble());
 		List<HostState> hosts = Candidates.list(this.view, request.service(), version, Set.of());
+		Collections.shuffle(hosts, ThreadLocalRandom.current());
 		if (hosts.isEmpty()) {
 			Refusal.notRun(ErrorType.OVERLOADED, RETRY_SOON_MS).send(response);
 			return;
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/CallerClient.java
@@ -30,6 +30,8 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 1000;
 
+	private static final long REFRESH_MS = 2000;
+
 	private static final int MAX_CONNECTIONS = 512;
 
 	private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -44,6 +46,8 @@
 
 	private volatile List<Address> addresses;
 
+	private long timer;
+
 	private CallerClient(Vertx vertx, HttpClient client, List<Address> known) {
 		this.vertx = vertx;
 		this.client = client;
@@ -62,7 +66,7 @@
 		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
 		CallerClient caller = new CallerClient(vertx, vertx.httpClientBuilder().with(options).with(pool).build(),
 				known);
-		vertx.setPeriodic(1, TimeUnit.SECONDS.toMillis(2), (id) -> caller.refresh());
+		caller.timer = vertx.setPeriodic(1, REFRESH_MS, (id) -> caller.refresh());
 		return caller;
 	}
 
@@ -175,6 +179,7 @@
 
 	@Override
 	public void close() {
+		this.vertx.cancelTimer(this.timer);
 		this.client.close();
 	}
 
