--- a/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
+++ b/daemons/src/main/java/org/wigeontally/entry/OnceRequests.java
@@ -54,6 +54,8 @@
 
 	private static final long TICK_MS = 5;
 
+	private static final long IDLE_TICK_MS = 100;
+
 	private static final long READ_WAIT_MS = 100;
 
 	private static final long RETRY_SOON_MS = 500;
@@ -72,8 +74,12 @@
 
 	private LogClaims claims;
 
+	private ClaimRecovery recovery;
+
 	private OnceDispatch dispatch;
 
+	private boolean busy;
+
 	private OnceRequests(PlatformLog log, ControlView view, AgentClient agents, InquiryClient inquiries, Clock clock) {
 		this.log = log;
 		this.view = view;
@@ -93,15 +99,25 @@
 		Executor control = (action) -> this.context.runOnContext((v) -> action.run());
 		this.claims = LogClaims.create(this.log, this.clock, control, this.view.self().getHost(),
 				() -> this.view.self().getIncarnation(), READ_WAIT_MS);
-		ClaimRecovery recovery = ClaimRecovery.create(this.claims, this.inquiries, this.clock, control);
-		this.dispatch = OnceDispatch.create(this.claims, recovery, control);
-		this.vertx.setPeriodic(TICK_MS, (id) -> {
-			this.claims.tick();
-			recovery.tick();
-		});
+		this.recovery = ClaimRecovery.create(this.claims, this.inquiries, this.clock, control);
+		this.dispatch = OnceDispatch.create(this.claims, this.recovery, control);
+		this.vertx.setPeriodic(IDLE_TICK_MS, (id) -> tick());
 		return Future.succeededFuture();
 	}
 
+	private void tick() {
+		this.claims.tick();
+		this.recovery.tick();
+	}
+
+	private void tickWhileBusy() {
+		tick();
+		this.busy = this.inFlight.get() > 0;
+		if (this.busy) {
+			this.vertx.setTimer(TICK_MS, (id) -> tickWhileBusy());
+		}
+	}
+
 	void mount(Router router) {
 		router.post(InquiryClient.REPORT_PATH).handler(this::report);
 	}
@@ -140,11 +156,16 @@
 		ClaimRequest claim = new ClaimRequest(key, content, request.keyTimeMs(), processes, request.deadlineMs());
 		Context caller = this.vertx.getOrCreateContext();
 		this.inFlight.incrementAndGet();
-		this.context.runOnContext((v) -> this.dispatch.run(claim, (ticket) -> send(ticket, request, version, hosts))
-			.whenComplete((decision, failure) -> caller.runOnContext((w) -> {
-				this.inFlight.decrementAndGet();
-				answer(decision, response);
-			})));
+		this.context.runOnContext((v) -> {
+			this.dispatch.run(claim, (ticket) -> send(ticket, request, version, hosts))
+				.whenComplete((decision, failure) -> caller.runOnContext((w) -> {
+					this.inFlight.decrementAndGet();
+					answer(decision, response);
+				}));
+			if (!this.busy) {
+				tickWhileBusy();
+			}
+		});
 	}
 
 	private CompletionStage<ClaimReport> send(ClaimTicket ticket, CallerRequest request, String version,
