The platform's list of hosts; capacity page with measured slopes; launcher of the emulator

Cause: a process whose settings name only replaced hosts found nobody. A first version of the test failed once with 'Pool closed': its HTTP client was collected as garbage; it is kept in a field now.

--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -15,6 +15,7 @@
 import org.wigeontally.configuration.KeyRing;
 import org.wigeontally.control.ControlNode;
 import org.wigeontally.control.ControlSettings;
+import org.wigeontally.control.HostListFollower;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
 import org.wigeontally.metrics.AgentMetrics;
@@ -85,6 +86,7 @@
 		ControlSettings controlSettings = ControlSettings.of(settings);
 		return ControlNode.start(vertx, controlSettings, null, KeyRing.trusting(), clock).compose((control) -> {
 			closer.add(control::close);
+			closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
 			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links, clock);
 			control.localState(daemon::states);
 			return daemon.listen().map(daemon);
--- a/daemons/src/main/java/org/wigeontally/agent/EngineOrders.java
+++ b/daemons/src/main/java/org/wigeontally/agent/EngineOrders.java
@@ -128,12 +128,18 @@
 			ended(OrderResult.FAILED);
 			return;
 		}
-		logger.info("agent: {} is ordered to load version {}", this.link.settings().getService(), model.getVersion());
+		logger.info("agent: {} is ordered to load version {}, {} bytes", this.link.settings().getService(),
+				model.getVersion(), weights.totalBytes());
 		this.loader.load(this.link.settings().getAddress(), order.fence(), weights)
-			.onSuccess((done) -> ended(OrderResult.DONE))
+			.onSuccess((done) -> loaded(model))
 			.onFailure((cause) -> failed(model, cause));
 	}
 
+	private void loaded(Model model) {
+		logger.info("agent: {} took version {}", this.link.settings().getService(), model.getVersion());
+		ended(OrderResult.DONE);
+	}
+
 	private void failed(Model model, Throwable cause) {
 		logger.warn("agent: {} did not load version {}: {}", this.link.settings().getService(), model.getVersion(),
 				cause.getMessage());
--- a/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
@@ -24,6 +24,7 @@
 import org.wigeontally.replication.ExchangeProtocol;
 import org.wigeontally.replication.LogCursor;
 import org.wigeontally.replication.PeerSession;
+import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.BackendState;
 import org.wigeontally.schema.generated.ExchangeReply;
 import org.wigeontally.schema.generated.ExchangeRequest;
@@ -268,6 +269,10 @@
 		exchangeRound();
 	}
 
+	void know(List<Address> entries) {
+		this.plan.know(entries.stream().map(Addresses::format).toList());
+	}
+
 	void backends(Supplier<List<BackendState>> supplier) {
 		this.backends = supplier;
 	}
--- a/daemons/src/main/java/org/wigeontally/control/ControlNode.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlNode.java
@@ -19,6 +19,7 @@
 import org.wigeontally.configuration.KeyRing;
 import org.wigeontally.log.PlatformLog;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.BackendState;
 import org.wigeontally.schema.generated.Change;
 import org.wigeontally.schema.generated.ControlGrpcService;
@@ -129,6 +130,14 @@
 		this.loop.backends(supplier);
 	}
 
+	/**
+	 * Tells control of entry hosts to exchange with, besides those that it knows.
+	 * @param entries their addresses
+	 */
+	public void know(List<Address> entries) {
+		this.context.runOnContext((v) -> this.loop.know(entries));
+	}
+
 	/**
 	 * Tells the other processes that this one leaves; from now on it does not serve.
 	 * @return a future that completes when the word is on its way
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -13,6 +13,7 @@
 import org.wigeontally.configuration.KeyRing;
 import org.wigeontally.control.ControlNode;
 import org.wigeontally.control.ControlSettings;
+import org.wigeontally.control.HostListFollower;
 import org.wigeontally.errors.InputException;
 import org.wigeontally.http.DaemonServer;
 import org.wigeontally.http.Drain;
@@ -75,6 +76,7 @@
 		AgentClient agents = closer.add(AgentClient.create(vertx));
 		return ControlNode.start(vertx, ControlSettings.of(settings), log, keys, clock).compose((control) -> {
 			closer.add(control::close);
+			closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
 			PrometheusRegistry registry = new PrometheusRegistry();
 			RequestPolicy policy = new RequestPolicy(control.view(), EntryMetrics.create(registry), clock);
 			control.addService(HarmfulGrpcService.of(policy.harmfulService()));
--- a/emulator/src/main/java/org/wigeontally/emulator/Emulator.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/Emulator.java
@@ -16,6 +16,7 @@
 import org.wigeontally.emulator.backend.EngineOptions;
 import org.wigeontally.emulator.backend.EngineServer;
 import org.wigeontally.emulator.backend.PlainServiceServer;
+import org.wigeontally.emulator.platform.HostListServer;
 import org.wigeontally.emulator.platform.LogServer;
 import org.wigeontally.emulator.platform.MemoryLog;
 import org.wigeontally.emulator.platform.OriginServer;
@@ -46,12 +47,14 @@
 		StandIn engine = new EngineStandIn();
 		StandIn service = new ServiceStandIn();
 		StandIn origin = new OriginStandIn();
+		StandIn hosts = new HostsStandIn();
 		JCommander commander = JCommander.newBuilder()
 			.programName("bin/emulator")
 			.addCommand("log", log)
 			.addCommand("engine", engine)
 			.addCommand("service", service)
 			.addCommand("origin", origin)
+			.addCommand("hosts", hosts)
 			.build();
 		try {
 			commander.parse(args);
@@ -138,6 +141,21 @@
 
 	}
 
+	/**
+	 * The list of hosts.
+	 */
+	private static final class HostsStandIn extends StandIn {
+
+		@Parameter(names = "--lag-ms", description = "Time until a change shows")
+		private long lagMs = 2000;
+
+		@Override
+		Future<?> start(Vertx vertx) {
+			return HostListServer.start(vertx, listen(), this.lagMs);
+		}
+
+	}
+
 	/**
 	 * The origin of weights.
 	 */
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/Deployment.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/Deployment.java
@@ -104,6 +104,7 @@
 
 	private void startPlatform() throws IOException {
 		emulator("log", "log");
+		emulator("hosts", "hosts");
 		emulator("origin", "origin", "--model", Plan.MODEL, "--version", Plan.SECOND_VERSION, "--version",
 				Plan.THIRD_VERSION, "--bytes", Integer.toString(Plan.WEIGHT_BYTES));
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/CapacityMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/CapacityMeasurement.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.Map;
 
+import com.beust.jcommander.Parameter;
+
 import org.wigeontally.emulator.experiment.ManagedProcess;
 import org.wigeontally.emulator.experiment.Plan;
 import org.wigeontally.emulator.experiment.Scenario;
@@ -30,6 +32,9 @@
 
 	private static final String RESIDENT = "VmRSS:";
 
+	@Parameter(names = "--hosts", description = "Hosts of the larger of the two runs that give the slopes")
+	private int hosts = 200;
+
 	@Override
 	public String name() {
 		return "capacity";
@@ -37,7 +42,7 @@
 
 	@Override
 	public Figures run(long seed) throws Exception {
-		Map<String, Double> control = new ControlMeasurement().run(seed).values();
+		Map<String, Double> control = ControlMeasurement.of(this.hosts).run(seed).values();
 		double hosts = control.get("hosts");
 		double bytes = control.get("bytesPerSecond");
 		double bytesSlope = control.get("slopeBytesPerSecond");
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/ControlMeasurement.java
@@ -65,6 +65,17 @@
 
 	private final Keys signer = Keys.create("signer");
 
+	/**
+	 * Creates the measurement with other than its default options.
+	 * @param hosts number of hosts
+	 * @return the measurement
+	 */
+	static ControlMeasurement of(int hosts) {
+		ControlMeasurement measurement = new ControlMeasurement();
+		measurement.hosts = hosts;
+		return measurement;
+	}
+
 	@Override
 	public String name() {
 		return "control";
--- a/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
+++ b/library/src/main/java/org/wigeontally/replication/ExchangePlan.java
@@ -85,6 +85,14 @@
 		}
 	}
 
+	/**
+	 * Adds entry hosts that somebody else knows of.
+	 * @param addresses their addresses
+	 */
+	public void know(Collection<String> addresses) {
+		addresses.forEach(this::add);
+	}
+
 	/**
 	 * Takes note of an exchange that failed.
 	 * @param peer the session
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/platform/HostListTests.java
@@ -0,0 +1,96 @@
+package org.wigeontally.platform;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.configuration.KeyRing;
+import org.wigeontally.control.ControlNode;
+import org.wigeontally.control.ControlSettings;
+import org.wigeontally.control.HostListFollower;
+import org.wigeontally.emulator.experiment.Ports;
+import org.wigeontally.emulator.platform.HostListServer;
+import org.wigeontally.emulator.platform.MemoryLog;
+import org.wigeontally.http.DaemonServer;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.Closer;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.schema.generated.Role;
+import org.wigeontally.settings.Addresses;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Seen red with the addresses of the list left out of the plan of exchanges.
+ */
+public class HostListTests {
+
+	private static final long TIMEOUT_MS = 10_000;
+
+	private Closer closer;
+
+	private Vertx vertx;
+
+	private HttpClient client;
+
+	@BeforeMethod
+	public void start() {
+		this.closer = Closer.create();
+		this.vertx = Vertx.vertx();
+		this.closer.add(() -> await(this.vertx.close()));
+		this.client = this.vertx.createHttpClient();
+	}
+
+	@AfterMethod
+	public void stop() throws Exception {
+		this.closer.close();
+	}
+
+	@Test
+	public void processesWithoutPeersInTheirSettingsMeetThroughTheLaggingList() throws Exception {
+		Address list = Ports.free();
+		await(HostListServer.start(this.vertx, list, 200));
+		MemoryLog log = MemoryLog.create(Clock.system(), 1);
+		ControlNode first = entry("e1", log, list);
+		ControlNode second = entry("e2", log, list);
+		long endMs = System.currentTimeMillis() + TIMEOUT_MS;
+		while ((first.view().hosts().size() < 2 || second.view().hosts().size() < 2)
+				&& System.currentTimeMillis() < endMs) {
+			Thread.sleep(50);
+		}
+		assertThat(first.view().hosts()).extracting((row) -> row.getHost().getHost()).contains("e1", "e2");
+		assertThat(second.view().hosts()).extracting((row) -> row.getHost().getHost()).contains("e1", "e2");
+	}
+
+	private ControlNode entry(String name, MemoryLog log, Address list) throws Exception {
+		Address address = Ports.free();
+		HostIdentity self = HostIdentity.newBuilder()
+			.setHost(name)
+			.setRegion("r")
+			.setZone("z")
+			.setRole(Role.ENTRY)
+			.setAddress(address)
+			.build();
+		ControlSettings settings = new ControlSettings(self, List.of(), TimeUnit.HOURS.toMillis(1));
+		ControlNode node = await(ControlNode.start(this.vertx, settings, log, KeyRing.trusting(), Clock.system()));
+		await(DaemonServer.start(this.vertx, address, node.handler(), (request) -> request.response().end()));
+		this.closer.add(HostListFollower.start(this.vertx, list, node));
+		String query = "/hosts?host=" + name + "&role=entry&address=" + Addresses.format(address);
+		await(this.client.request(HttpMethod.POST, list.getPort(), list.getIp(), query)
+			.compose((request) -> request.send()));
+		return node;
+	}
+
+	private static <T> T await(Future<T> future) throws Exception {
+		return future.toCompletionStage().toCompletableFuture().get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+	}
+
+}
