bin/try ends every process that it started

Cause: the main job called exit inside the block that closes the deployment, so each run left its 13 to 15 processes behind; 68 were found and ended by id. A process that an experiment started now also ends with the experiment's own. Ruled out: bin/measure (it returns through the closing block).

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
@@ -50,6 +50,8 @@
 		Process process = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(output))
 			.start();
+		// A process must not outlive an experiment that is itself ended early.
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
 		return new ManagedProcess(name, process);
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/TryRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/TryRun.java
@@ -30,6 +30,10 @@
 	 * @throws Exception if the deployment does not come up
 	 */
 	public static void main(String[] args) throws Exception {
+		System.exit(run());
+	}
+
+	static int run() throws Exception {
 		Path directory = Files.createTempDirectory("wigeontally-try");
 		say("settings and output in " + directory);
 		try (Scenario scenario = Scenario.start(Plan.of(3, 1, 1), directory)) {
@@ -44,7 +48,7 @@
 			long loadedMs = scenario.rollVersion("second", "first", Plan.SECOND_VERSION);
 			say("bundle 'second' rolled; all engines had version v2 after " + loadedMs + " ms");
 			LoadResult result = Scenario.await(load);
-			System.exit(report(result, scenario.bookingsRan()));
+			return report(result, scenario.bookingsRan());
 		}
 	}
 
