--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -86,7 +86,9 @@
 		ControlSettings controlSettings = ControlSettings.of(settings);
 		return ControlNode.start(vertx, controlSettings, null, KeyRing.trusting(), clock).compose((control) -> {
 			closer.add(control::close);
-			closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
+			if (settings.getPlatform().hasHostList()) {
+				closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
+			}
 			AgentDaemon daemon = new AgentDaemon(vertx, settings, closer, control, links, clock);
 			control.localState(daemon::states);
 			return daemon.listen().map(daemon);
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -76,7 +76,9 @@
 		AgentClient agents = closer.add(AgentClient.create(vertx));
 		return ControlNode.start(vertx, ControlSettings.of(settings), log, keys, clock).compose((control) -> {
 			closer.add(control::close);
-			closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
+			if (settings.getPlatform().hasHostList()) {
+				closer.add(HostListFollower.start(vertx, settings.getPlatform().getHostList(), control));
+			}
 			PrometheusRegistry registry = new PrometheusRegistry();
 			RequestPolicy policy = new RequestPolicy(control.view(), EntryMetrics.create(registry), clock);
 			control.addService(HarmfulGrpcService.of(policy.harmfulService()));
