Requests under claims give back what they take at the agent

Cause: three slips of merging claims with the gate. A malformed claim kept its place at the gate for ever; the answer of a claimed request was not told to the gate, so the limit of a service with bookings alone never grew out of its cold start; each booking left its content in the notices of losses, whose end it never tells, so that map grew with every booking.

--- a/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
+++ b/daemons/src/main/java/org/wigeontally/agent/DispatchApi.java
@@ -92,7 +92,6 @@
 			TrafficLabels labels = new TrafficLabels(request.organisation(), service, request.priority());
 			if (admission.verdict() == Admission.Verdict.RUN) {
 				this.metrics.admitted(labels, admission.waitedMs(), load.cold());
-				this.notices.started(request.id(), request.fingerprint());
 				run(request, body, link, context.response());
 				return;
 			}
@@ -104,6 +103,7 @@
 
 	private void run(DispatchRequest request, Buffer body, BackendLink link, HttpServerResponse response) {
 		if (request.claim().isEmpty()) {
+			this.notices.started(request.id(), request.fingerprint());
 			this.proxy.forward(request, body, link, response, this.notices);
 		}
 		else {
--- a/daemons/src/main/java/org/wigeontally/agent/OnceProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/OnceProxy.java
@@ -89,6 +89,7 @@
 	void forward(DispatchRequest request, Buffer body, BackendLink link, HttpServerResponse response) {
 		Optional<ClaimTicket> ticket = ClaimTicket.parse(request.claim());
 		if (ticket.isEmpty()) {
+			link.gate().ended(request.id(), AdmissionGate.End.CANCELLED);
 			Refusal.notRun(ErrorType.BAD_REQUEST, Refusal.NEVER, "claim header").send(response);
 			return;
 		}
@@ -118,6 +119,7 @@
 			.putHeader("Content-Type", "application/json");
 		long timer = this.vertx.setTimer(Math.max(1, request.deadlineMs()), (id) -> toBackend.reset());
 		toBackend.send(body)
+			.onSuccess((answer) -> link.gate().answered(request.id()))
 			.compose((answer) -> answer.body().map((answered) -> outcome(answer, answered)))
 			.onComplete((ended) -> {
 				this.vertx.cancelTimer(timer);
