--- a/testsuite/src/test/java/org/wigeontally/entry/TrafficTests.java
+++ b/testsuite/src/test/java/org/wigeontally/entry/TrafficTests.java
@@ -20,6 +20,7 @@
 import org.wigeontally.emulator.experiment.Plan;
 import org.wigeontally.emulator.experiment.Scenario;
 import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.Headers;
 import org.wigeontally.schema.generated.Address;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -152,6 +153,25 @@
 		}
 	}
 
+	/**
+	 * Seen red while a claim that cannot be read kept its place at the gate.
+	 */
+	@Test(priority = 2)
+	public void claimsThatCannotBeReadTakeNoPlaceAtTheGate() throws Exception {
+		Address agent = this.scenario.deployment().address(this.scenario.deployment().hosts().get(0));
+		String path = "/dispatch/" + Bundles.PLAIN_SERVICE;
+		for (int i = 0; i < 40; i++) {
+			Map<String, String> headers = Map.of(Headers.DISPATCH, "bad-" + i, Headers.CLAIM, "not a ticket");
+			CallerAnswer refused = Scenario
+				.await(this.scenario.caller().send(agent, HttpMethod.POST, path + "/bookings", headers, "{}"));
+			assertThat(error(refused)).isEqualTo(ErrorType.BAD_REQUEST.number());
+		}
+		Map<String, String> headers = Map.of(Headers.DISPATCH, "good");
+		CallerAnswer served = Scenario
+			.await(this.scenario.caller().send(agent, HttpMethod.GET, path + "/stock", headers, ""));
+		assertThat(served.kind()).isEqualTo(CallerAnswer.Kind.DONE);
+	}
+
 	private static String raw(Address entry, String text) throws IOException {
 		try (Socket socket = new Socket(entry.getIp(), entry.getPort())) {
 			socket.setSoTimeout(READ_TIMEOUT_MS);
