--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/eventlog/EventLog.java
@@ -0,0 +1,104 @@
+package org.wigeontally.eventlog;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.wigeontally.misc.Clock;
+
+/**
+ * Writes events as lines of {@code key=value}. Each event has a budget of lines a second;
+ * lines beyond it are counted and the count is written with the event's next line. Never
+ * blocks: the appender behind it drops lines when standard output is not read. Safe for
+ * use by several threads.
+ */
+public final class EventLog {
+
+	private static final Logger logger = LoggerFactory.getLogger("wigeontally");
+
+	private static final long SECOND_MS = 1_000;
+
+	private final Clock clock;
+
+	private final String host;
+
+	private final Map<LogEvent, Window> windows = new EnumMap<>(LogEvent.class);
+
+	private EventLog(Clock clock, String host) {
+		this.clock = clock;
+		this.host = host;
+		for (LogEvent event : LogEvent.values()) {
+			this.windows.put(event, new Window());
+		}
+	}
+
+	/**
+	 * Creates the log of a process.
+	 * @param clock source of time
+	 * @param host name of the host, written on each line
+	 * @return the log
+	 */
+	public static EventLog create(Clock clock, String host) {
+		return new EventLog(clock, host);
+	}
+
+	/**
+	 * Writes an event.
+	 * @param event the event
+	 * @param fields names and values by turns
+	 */
+	public void write(LogEvent event, Object... fields) {
+		int leftOut = this.windows.get(event).enter(this.clock.monotonicMs(), event.linesPerSecond());
+		if (leftOut < 0) {
+			return;
+		}
+		StringBuilder line = new StringBuilder(160);
+		line.append("event=").append(event.text()).append(" host=").append(this.host);
+		for (int i = 0; i + 1 < fields.length; i += 2) {
+			line.append(' ').append(fields[i]).append('=');
+			append(line, String.valueOf(fields[i + 1]));
+		}
+		if (leftOut > 0) {
+			line.append(" left-out=").append(leftOut);
+		}
+		logger.info(line.toString());
+	}
+
+	private static void append(StringBuilder line, String value) {
+		if (value.isEmpty() || value.chars().anyMatch((c) -> c <= ' ' || c == '"' || c == '=')) {
+			line.append('"').append(value.replace('"', '\'').replace('\n', ' ').replace('\r', ' ')).append('"');
+		}
+		else {
+			line.append(value);
+		}
+	}
+
+	private static final class Window {
+
+		private long startMs = Long.MIN_VALUE / 2;
+
+		private int lines;
+
+		private int leftOut;
+
+		// Returns how many lines were left out before this one, or -1 to leave it out.
+		private synchronized int enter(long nowMs, int budget) {
+			if (nowMs - this.startMs >= SECOND_MS) {
+				this.startMs = nowMs;
+				this.lines = 0;
+			}
+			if (this.lines >= budget) {
+				this.leftOut++;
+				return -1;
+			}
+			this.lines++;
+			int before = this.leftOut;
+			this.leftOut = 0;
+			return before;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -0,0 +1,89 @@
+package org.wigeontally.eventlog;
+
+/**
+ * All events that are logged. The name of an event on a line is its name here in lower
+ * case with hyphens; names stay the same between versions.
+ */
+public enum LogEvent {
+
+	/** The process takes up work. */
+	START(Budget.RARE),
+	/** The process was asked to end, or has ended its work. */
+	STOP(Budget.RARE),
+	/** The settings were read again. */
+	RELOAD(Budget.RARE),
+	/** The store does not answer any more. */
+	STORE_LOST(Budget.RARE),
+	/** The store answers again. */
+	STORE_REGAINED(Budget.RARE),
+	/** A record of the store cannot be read. */
+	RECORD_UNREADABLE(Budget.SOME),
+	/** A version of the configuration came into force. */
+	CONFIGURATION(Budget.MANY),
+	/** An availability zone was taken out or taken back. */
+	ZONE(Budget.SOME),
+	/** A version of weights was named, or requests are bound to it from now on. */
+	VERSION(Budget.SOME),
+	/** A backend server joined, changed its state or left. */
+	BACKEND(Budget.MANY),
+	/** An entry or agent was heard of again, leaves, or fell silent. */
+	PEER(Budget.SOME),
+	/** A backend server crashed while requests ran there. */
+	BACKEND_CRASH(Budget.SOME),
+	/** A request was sent to a backend server. */
+	REQUEST_PLACED(Budget.REQUESTS),
+	/** An attempt at a backend server did not lead to an answer. */
+	ATTEMPT_FAILED(Budget.REQUESTS),
+	/** A request was answered by a backend server. */
+	REQUEST_DONE(Budget.REQUESTS),
+	/** A request was answered by this process without a result. */
+	REQUEST_REFUSED(Budget.REQUESTS),
+	/** The caller left before its answer was complete. */
+	CALLER_LEFT(Budget.REQUESTS),
+	/** A stream goes on at another backend server. */
+	STREAM_RESUMED(Budget.REQUESTS),
+	/** Progress of weights on this host. */
+	WEIGHTS(Budget.SOME),
+	/** A piece of weights did not arrive or did not verify. */
+	PIECE_FAILED(Budget.SOME),
+	/** An order to the engine and its outcome. */
+	ORDER(Budget.SOME),
+	/** The engine on this host answers again, or does not answer. */
+	ENGINE(Budget.SOME),
+	/** A fault inside the process. */
+	FAULT(Budget.SOME);
+
+	private final int linesPerSecond;
+
+	private final String text;
+
+	LogEvent(int linesPerSecond) {
+		this.linesPerSecond = linesPerSecond;
+		this.text = name().toLowerCase().replace('_', '-');
+	}
+
+	int linesPerSecond() {
+		return this.linesPerSecond;
+	}
+
+	String text() {
+		return this.text;
+	}
+
+	/**
+	 * Most lines of one event in a second. They bound the volume at any load; what is
+	 * left out is counted on the event's next line.
+	 */
+	private static final class Budget {
+
+		private static final int RARE = 5;
+
+		private static final int SOME = 20;
+
+		private static final int MANY = 40;
+
+		private static final int REQUESTS = 100;
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -0,0 +1,110 @@
+package org.wigeontally.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.wigeontally.fleet.EngineModel;
+import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.Service;
+import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.schema.generated.AgentPlace;
+import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * Tells agents what they need to know: the newest version of their model, the origin, the
+ * other agents and the entries. Agents ask entries rather than the store, since a
+ * configuration with many routes is large for the link that they share with streams. Runs
+ * on the event loop.
+ */
+final class AgentBriefings {
+
+	/** Silence after which an agent is not named to others any more. */
+	private static final long SILENCE_LIMIT_MS = 1_500;
+
+	private final GatewayContext context;
+
+	private final EntryTable entries;
+
+	private final CandidateSelection selection;
+
+	private final Map<String, Heard> agents = new HashMap<>();
+
+	AgentBriefings(GatewayContext context, EntryTable entries, CandidateSelection selection) {
+		this.context = context;
+		this.entries = entries;
+		this.selection = selection;
+	}
+
+	AgentBriefing answer(EngineStatus status) {
+		String agent = Addresses.format(status.getAgent());
+		if (status.getLeaving()) {
+			this.agents.remove(agent);
+		}
+		else {
+			this.agents.put(agent, new Heard(status, this.context.nowMs()));
+		}
+		this.context.fleet().agentReported(status);
+		AgentBriefing.Builder briefing = briefing(status);
+		long digest = briefing.build().hashCode();
+		if (digest == status.getBriefingDigest()) {
+			return AgentBriefing.newBuilder().setDigest(digest).setUnchanged(true).build();
+		}
+		return briefing.setDigest(digest).build();
+	}
+
+	private AgentBriefing.Builder briefing(EngineStatus status) {
+		AgentBriefing.Builder briefing = AgentBriefing.newBuilder();
+		FleetConfiguration configuration = this.context.fleet().configuration();
+		if (configuration == null) {
+			return briefing;
+		}
+		configuration.origin().ifPresent((origin) -> {
+			Addresses.parse(origin.address()).ifPresent(briefing::setOrigin);
+			briefing.setOriginRegion(this.selection.region(origin.zone()));
+			briefing.setOriginConnections(origin.maxConnections());
+		});
+		for (Service service : configuration.services()) {
+			if (service.engine().isPresent()) {
+				engine(briefing, service.engine().get());
+			}
+		}
+		long nowMs = this.context.nowMs();
+		this.agents.values().removeIf((heard) -> nowMs - heard.atMs() > SILENCE_LIMIT_MS);
+		this.agents.entrySet()
+			.stream()
+			.sorted(Map.Entry.comparingByKey())
+			.map((entry) -> entry.getValue().status())
+			.filter((other) -> !other.getAgent().equals(status.getAgent()))
+			.forEach((other) -> briefing.addAgents(AgentPlace.newBuilder()
+				.setAddress(other.getAgent())
+				.setZone(other.getZone())
+				.setRegion(other.getRegion())
+				.setLoadedVersion(other.getLoadedVersion())
+				.setWholeVersion(other.getWholeVersion())
+				.setLoading(other.getLoading())));
+		this.entries.heardOf(nowMs).stream().map(EntryNews::getControl).forEach(briefing::addEntries);
+		return briefing.addEntries(this.context.settings().getControl())
+			.setVersionBoundMs((long) this.context.settings().getBounds().getVersionMs());
+	}
+
+	private void engine(AgentBriefing.Builder briefing, EngineModel engine) {
+		if (engine.models().isEmpty()) {
+			return;
+		}
+		String model = engine.models().get(0);
+		FleetState.NamedVersion named = this.context.fleet().version(model);
+		briefing.setModel(model)
+			.setVersion((named != null) ? named.version() : 0)
+			.setChunks(engine.chunks())
+			.setChunkBytes(engine.chunkBytes())
+			.setLayers(engine.layers());
+	}
+
+	private record Heard(EngineStatus status, long atMs) {
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/AnswerRelay.java
@@ -0,0 +1,66 @@
+package org.wigeontally.gateway;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+
+import org.wigeontally.fleet.EventFrames;
+
+/**
+ * Passes whole events of a stream on to the caller, each once and in order. The head is
+ * that of the first backend server, also if others go on with the stream.
+ */
+final class AnswerRelay {
+
+	private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "transfer-encoding",
+			"content-length", "trailer", "upgrade", "proxy-connection");
+
+	private final HttpServerResponse response;
+
+	private long lastId = EventFrames.Event.NO_ID;
+
+	AnswerRelay(HttpServerResponse response, AnswerReader first, boolean leaving) {
+		this.response = response;
+		copyHead(first.status(), first.headers(), response, leaving);
+		response.setChunked(true);
+	}
+
+	static void copyHead(int status, HttpHeaders headers, HttpServerResponse response, boolean leaving) {
+		response.setStatusCode(status);
+		for (Map.Entry<String, String> header : headers) {
+			if (!NOT_PASSED_ON.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+				response.headers().add(header.getKey(), header.getValue());
+			}
+		}
+		if (leaving) {
+			response.putHeader("Connection", "close");
+		}
+	}
+
+	void passOn(AnswerReader reader) {
+		EventFrames.Event event = reader.takeEvent();
+		while (event != null) {
+			boolean repeated = event.id() != EventFrames.Event.NO_ID && event.id() <= this.lastId;
+			if (!repeated) {
+				if (event.id() != EventFrames.Event.NO_ID) {
+					this.lastId = event.id();
+				}
+				this.response.write(Buffer.buffer(event.bytes()));
+			}
+			event = reader.takeEvent();
+		}
+	}
+
+	String lastEventId() {
+		return (this.lastId == EventFrames.Event.NO_ID) ? null : Long.toString(this.lastId);
+	}
+
+	void end() {
+		this.response.end();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -0,0 +1,119 @@
+package org.wigeontally.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.wigeontally.fleet.BackendHealth;
+import org.wigeontally.fleet.BackendLoad;
+import org.wigeontally.fleet.BackendRecord;
+import org.wigeontally.fleet.ColdShare;
+import org.wigeontally.harmful.Fingerprint;
+
+/**
+ * A registered backend server with what this entry knows of it. Runs on the event loop.
+ */
+final class Backend {
+
+	private final BackendLoad load = BackendLoad.create();
+
+	private final BackendHealth health = BackendHealth.create();
+
+	private final BackendPool pool;
+
+	private final ColdShare coldShare = ColdShare.create();
+
+	// Requests that run there now, for the case that it crashes.
+	private final Map<Fingerprint, Integer> running = new HashMap<>();
+
+	private BackendRecord record;
+
+	private boolean gone;
+
+	// Loaded version as its agent says; newer than the registration.
+	private long agentVersion;
+
+	private boolean loading;
+
+	private boolean hasAgent;
+
+	private long agentHeardAtMs;
+
+	Backend(BackendRecord record, BackendPool pool) {
+		this.record = record;
+		this.pool = pool;
+	}
+
+	BackendRecord record() {
+		return this.record;
+	}
+
+	void record(BackendRecord newest) {
+		this.record = newest;
+	}
+
+	BackendLoad load() {
+		return this.load;
+	}
+
+	BackendHealth health() {
+		return this.health;
+	}
+
+	BackendPool pool() {
+		return this.pool;
+	}
+
+	ColdShare coldShare() {
+		return this.coldShare;
+	}
+
+	boolean gone() {
+		return this.gone;
+	}
+
+	void gone(boolean isGone) {
+		this.gone = isGone;
+	}
+
+	boolean loading(long nowMs) {
+		return this.loading && hasFreshAgent(nowMs);
+	}
+
+	boolean hasFreshAgent(long nowMs) {
+		return this.hasAgent && nowMs - this.agentHeardAtMs <= BackendLoad.REPORT_AGE_LIMIT_MS;
+	}
+
+	boolean agentFellSilent(long nowMs) {
+		return this.hasAgent && !hasFreshAgent(nowMs);
+	}
+
+	void agentSaid(long version, boolean isLoading, long nowMs) {
+		this.agentVersion = version;
+		this.loading = isLoading;
+		this.hasAgent = true;
+		this.agentHeardAtMs = nowMs;
+	}
+
+	/**
+	 * Returns the version of weights that the backend server holds.
+	 * @param model name of the model
+	 * @param nowMs the time
+	 * @return the version; 0 for none
+	 */
+	long version(String model, long nowMs) {
+		return hasFreshAgent(nowMs) ? this.agentVersion : this.record.loadedVersions().getOrDefault(model, 0L);
+	}
+
+	void begin(Fingerprint fingerprint) {
+		this.running.merge(fingerprint, 1, Integer::sum);
+	}
+
+	void end(Fingerprint fingerprint) {
+		this.running.computeIfPresent(fingerprint, (key, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	Map<Fingerprint, Integer> running() {
+		return this.running;
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAnswer.java
@@ -0,0 +1,35 @@
+package org.wigeontally.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * What comes back for one call to a backend server. Called on the event loop; after
+ * {@link #ended()} or {@link #broken} nothing more is called.
+ */
+interface BackendAnswer {
+
+	/**
+	 * The head of the answer arrived.
+	 * @param status status of the answer
+	 * @param headers all headers
+	 */
+	void head(int status, HttpHeaders headers);
+
+	/**
+	 * Bytes of the body arrived.
+	 * @param bytes the bytes
+	 */
+	void body(byte[] bytes);
+
+	/**
+	 * The answer is complete.
+	 */
+	void ended();
+
+	/**
+	 * The connection broke or spoke nonsense before the answer was complete.
+	 * @param reason what happened
+	 */
+	void broken(String reason);
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendPool.java
@@ -0,0 +1,122 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+
+import io.vertx.core.Future;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+
+import org.wigeontally.misc.Clock;
+
+/**
+ * Connections to one backend server. The newest idle one is taken first, so that those
+ * that are not needed reach the end of their idle time. Runs on the event loop.
+ */
+final class BackendPool {
+
+	private final NetClient client;
+
+	private final SocketAddress address;
+
+	private final Clock clock;
+
+	private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
+
+	private final Set<BackendConnection> open = new HashSet<>();
+
+	private int most = 1;
+
+	private int connecting;
+
+	BackendPool(NetClient client, SocketAddress address, Clock clock) {
+		this.client = client;
+		this.address = address;
+		this.clock = clock;
+	}
+
+	void most(int connections) {
+		this.most = connections;
+	}
+
+	/**
+	 * Returns whether another call can be sent.
+	 * @return true if a connection is idle or may be opened
+	 */
+	boolean hasRoom() {
+		return !this.idle.isEmpty() || this.open.size() + this.connecting < this.most;
+	}
+
+	/**
+	 * Takes an idle connection.
+	 * @param margin part of the kept idle time that may have passed
+	 * @return the connection, or null if there is none
+	 */
+	BackendConnection takeIdle(double margin) {
+		long nowMs = this.clock.monotonicMs();
+		while (!this.idle.isEmpty()) {
+			BackendConnection connection = this.idle.pollLast();
+			if (connection.isUsable(nowMs, margin)) {
+				return connection;
+			}
+			if (!connection.isUsable(nowMs, 1)) {
+				connection.close();
+			}
+			else {
+				this.idle.addFirst(connection);
+				return null;
+			}
+		}
+		return null;
+	}
+
+	Future<BackendConnection> connect() {
+		this.connecting++;
+		return this.client.connect(this.address).onComplete((done) -> this.connecting--).map((socket) -> {
+			BackendConnection[] self = new BackendConnection[1];
+			self[0] = new BackendConnection(socket, this.clock, () -> {
+				this.open.remove(self[0]);
+				this.idle.remove(self[0]);
+			});
+			this.open.add(self[0]);
+			return self[0];
+		});
+	}
+
+	/**
+	 * Connects to see whether the backend server listens.
+	 * @return the connection, to be closed
+	 */
+	Future<NetSocket> probe() {
+		return this.client.connect(this.address);
+	}
+
+	void giveBack(BackendConnection connection) {
+		this.idle.addLast(connection);
+	}
+
+	/**
+	 * Closes connections whose idle time has passed.
+	 */
+	void closeExpired() {
+		long nowMs = this.clock.monotonicMs();
+		this.idle.removeIf((connection) -> {
+			boolean expired = !connection.isUsable(nowMs, 1);
+			if (expired) {
+				connection.close();
+			}
+			return expired;
+		});
+	}
+
+	/**
+	 * Closes idle connections; those in use close by themselves.
+	 */
+	void closeIdle() {
+		new ArrayDeque<>(this.idle).forEach(BackendConnection::close);
+		this.idle.clear();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelection.java
@@ -0,0 +1,125 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.wigeontally.fleet.EngineCandidate;
+import org.wigeontally.fleet.EngineModel;
+import org.wigeontally.fleet.Service;
+import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.ZonePlace;
+
+/**
+ * Finds the backend servers that may take a request now: registered for its service, not
+ * draining, in a zone that is in work and a region that is allowed, with room for a
+ * connection, and with the weights that are in force. Runs on the event loop.
+ */
+final class CandidateSelection {
+
+	/**
+	 * Time before the bound of a version from which only the newest is used: a request
+	 * that is sent may wait at the engine for some time before it begins.
+	 */
+	private static final long VERSION_MARGIN_MS = 2_000;
+
+	private final FleetState fleet;
+
+	private final HostSettings settings;
+
+	private final Map<String, String> regions;
+
+	CandidateSelection(FleetState fleet, HostSettings settings) {
+		this.fleet = fleet;
+		this.settings = settings;
+		this.regions = settings.getZonesList()
+			.stream()
+			.collect(Collectors.toMap(ZonePlace::getZone, ZonePlace::getRegion, (first, second) -> first));
+	}
+
+	String region(String zone) {
+		return this.regions.getOrDefault(zone, "");
+	}
+
+	/**
+	 * Finds candidates.
+	 * @param request the request
+	 * @param service its service
+	 * @param tried backend servers that it was sent to already
+	 * @param nowMs the time
+	 * @return the candidates, with what placement needs to know
+	 */
+	List<Backend> find(CallerRequest request, Service service, Set<String> tried, long nowMs) {
+		List<Backend> found = new ArrayList<>();
+		for (Backend backend : this.fleet.backends()) {
+			if (backend.record().service().equals(service.name()) && mayTake(request, service, backend, nowMs)
+					&& !tried.contains(backend.record().id())) {
+				found.add(backend);
+			}
+		}
+		return found;
+	}
+
+	private boolean mayTake(CallerRequest request, Service service, Backend backend, long nowMs) {
+		String zone = backend.record().zone();
+		if (backend.record().draining() || this.fleet.isOut(zone) || !request.isRegionAllowed(region(zone))) {
+			return false;
+		}
+		if (backend.health().isPaused(nowMs) || !backend.pool().hasRoom() || !backend.coldShare().hasRoom(nowMs)) {
+			return false;
+		}
+		if (service.engine().isEmpty()) {
+			return true;
+		}
+		if (backend.loading(nowMs)) {
+			return false;
+		}
+		for (String model : service.engine().get().models()) {
+			long version = backend.version(model, nowMs);
+			if (version <= 0 || version < requiredVersion(model, nowMs)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Returns the version of weights below which no request may be sent.
+	 * @param model name of the model
+	 * @param nowMs the time
+	 * @return the version; 0 if any will do
+	 */
+	long requiredVersion(String model, long nowMs) {
+		FleetState.NamedVersion newest = this.fleet.version(model);
+		if (newest == null) {
+			return 0;
+		}
+		long boundMs = (long) this.settings.getBounds().getVersionMs();
+		return (nowMs - newest.namedAtMs() >= boundMs - VERSION_MARGIN_MS) ? newest.version() : 0;
+	}
+
+	long requiredVersion(EngineModel model, long nowMs) {
+		long required = 0;
+		for (String name : model.models()) {
+			required = Math.max(required, requiredVersion(name, nowMs));
+		}
+		return required;
+	}
+
+	EngineCandidate candidate(Backend backend, long nowMs) {
+		int distance = distance(backend.record().zone());
+		return new EngineCandidate(backend.record().id(), distance,
+				backend.load().estimate(nowMs, this.fleet.entries()), backend.load().pace(),
+				backend.health().failureShare(nowMs));
+	}
+
+	private int distance(String zone) {
+		if (zone.equals(this.settings.getZone())) {
+			return 0;
+		}
+		return region(zone).equals(this.settings.getRegion()) ? 1 : 2;
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -0,0 +1,232 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.grpc.client.GrpcClient;
+import io.vertx.grpc.client.GrpcClientOptions;
+import io.vertx.grpc.client.GrpcClientRequest;
+
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.schema.generated.FleetGrpcClient;
+import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.RecordUpdate;
+import org.wigeontally.schema.generated.StoreRecord;
+import org.wigeontally.schema.generated.SuspectSummary;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * Exchanges news with the other entries: who takes callers, the store's records that one
+ * side lacks, and requests suspected of bringing backend servers down. An entry that the
+ * store turns away learns in this way what the others know. Runs on the event loop.
+ */
+final class EntryExchange {
+
+	/** Longest message; a snapshot of all records must fit. */
+	static final long MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024;
+
+	/** Time between two exchanges with each entry. */
+	static final long INTERVAL_MS = 500;
+
+	private static final long TIMEOUT_MS = 700;
+
+	/** Failures in a row after which the connection is given up. */
+	private static final int OVERDUE_LIMIT = 2;
+
+	/** Age of the store's last answer from which registrations are asked of others. */
+	private static final long STORE_AGE_LIMIT_MS = 2_600;
+
+	private final GatewayContext context;
+
+	private final EntryTable table;
+
+	private final GrpcClient client;
+
+	private final Map<String, Integer> overdue = new HashMap<>();
+
+	private final Map<String, Boolean> open = new HashMap<>();
+
+	private final long incarnation;
+
+	private java.util.function.LongSupplier backendStoreAgeMs = () -> 0;
+
+	EntryExchange(GatewayContext context, EntryTable table, long incarnation) {
+		this.context = context;
+		this.table = table;
+		this.incarnation = incarnation;
+		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
+			.setHttp2ClearTextUpgrade(false)
+			.setConnectTimeout((int) TIMEOUT_MS);
+		this.client = GrpcClient.client(context.vertx(), new GrpcClientOptions().setMaxMessageSize(MESSAGE_LIMIT_BYTES),
+				options);
+	}
+
+	void backendStoreAge(java.util.function.LongSupplier age) {
+		this.backendStoreAgeMs = age;
+	}
+
+	/**
+	 * Exchanges with all entries that are due.
+	 */
+	void tick() {
+		String self = Addresses.format(this.context.settings().getControl());
+		for (Address entry : this.table.due(this.context.nowMs())) {
+			String key = Addresses.format(entry);
+			if (!key.equals(self) && !this.open.getOrDefault(key, false)) {
+				exchange(entry, key);
+			}
+		}
+	}
+
+	private void exchange(Address entry, String key) {
+		this.open.put(key, true);
+		EntryNews message = news(null).build();
+		Future.succeededFuture()
+			.compose((start) -> this.client.request(socketAddress(entry), FleetGrpcClient.Exchange))
+			.compose((request) -> send(request, message, key))
+			.onComplete((result) -> {
+				this.open.remove(key);
+				if (result.succeeded()) {
+					take(result.result());
+				}
+				else {
+					this.table.failed(entry, this.context.nowMs());
+				}
+			});
+	}
+
+	private Future<EntryNews> send(GrpcClientRequest<EntryNews, EntryNews> request, EntryNews message, String key) {
+		return request.end(message)
+			.compose((sent) -> request.response())
+			.compose((response) -> response.last())
+			.timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
+			.onSuccess((reply) -> this.overdue.remove(key))
+			.onFailure((failure) -> {
+				if (this.overdue.merge(key, 1, Integer::sum) >= OVERDUE_LIMIT) {
+					this.overdue.remove(key);
+					request.connection().close();
+				}
+			});
+	}
+
+	static SocketAddress socketAddress(Address address) {
+		return SocketAddress.inetSocketAddress(address.getPort(), address.getIp());
+	}
+
+	/**
+	 * Answers another entry.
+	 * @param theirs its news
+	 * @return what it lacks, and the news of this entry
+	 */
+	EntryNews answer(EntryNews theirs) {
+		take(theirs);
+		return news(theirs).build();
+	}
+
+	private EntryNews.Builder news(EntryNews theirs) {
+		FleetState fleet = this.context.fleet();
+		HostSettings settings = this.context.settings();
+		EntryNews.Builder news = own().setWantsBackends(this.backendStoreAgeMs.getAsLong() > STORE_AGE_LIMIT_MS);
+		SuspectSummary suspects = this.context.harmful().summary();
+		if (suspects.getContentsCount() > 0) {
+			news.setSuspects(suspects);
+		}
+		if (theirs == null) {
+			return news;
+		}
+		if (theirs.getOperatorEnd() < fleet.operatorRecords().end()) {
+			news.setOperatorUpdate(update(fleet.operatorRecords(), theirs.getOperatorEnd()));
+		}
+		if (theirs.getWantsBackends() && theirs.getBackendEnd() < fleet.backendRecords().end()) {
+			news.setBackendUpdate(update(fleet.backendRecords(), theirs.getBackendEnd()));
+		}
+		for (EntryNews known : this.table.heardOf(this.context.nowMs())) {
+			if (!known.getControl().equals(settings.getControl())) {
+				news.addEntries(known.getControl());
+			}
+		}
+		return news;
+	}
+
+	/**
+	 * Returns what this entry says of itself.
+	 * @return the news, without records
+	 */
+	EntryNews.Builder own() {
+		FleetState fleet = this.context.fleet();
+		HostSettings settings = this.context.settings();
+		return EntryNews.newBuilder()
+			.setHost(settings.getHost())
+			.setFront(settings.getFront())
+			.setControl(settings.getControl())
+			.setZone(settings.getZone())
+			.setRegion(settings.getRegion())
+			.setIncarnation(this.incarnation)
+			.setReady(isReady())
+			.setOperatorEnd(fleet.operatorRecords().end())
+			.setBackendEnd(fleet.backendRecords().end());
+	}
+
+	boolean isReady() {
+		return !this.context.leaving() && this.context.fleet().configuration() != null;
+	}
+
+	private static RecordUpdate update(KeyedRecords records, long theirEnd) {
+		RecordUpdate.Builder update = RecordUpdate.newBuilder()
+			.setFrom((theirEnd < records.base()) ? 0 : theirEnd)
+			.setEnd(records.end());
+		for (KeyedRecords.Entry entry : records.since(theirEnd)) {
+			update.addRecords(StoreRecord.newBuilder()
+				.setKey(entry.key())
+				.setOffset(entry.offset())
+				.setRemoved(entry.removed())
+				.setValue(ByteString.copyFrom(entry.value())));
+		}
+		return update.build();
+	}
+
+	private void take(EntryNews theirs) {
+		boolean regained = this.table.heard(theirs, this.context.nowMs());
+		if (regained) {
+			this.context.log()
+				.write(LogEvent.PEER, "entry", theirs.getHost(), "zone", theirs.getZone(), "ready", theirs.getReady(),
+						"incarnation", theirs.getIncarnation());
+		}
+		theirs.getEntriesList().forEach(this.table::know);
+		FleetState fleet = this.context.fleet();
+		String source = "entry:" + theirs.getHost();
+		if (theirs.hasOperatorUpdate()) {
+			fleet.operatorRecordsChanged(merge(fleet.operatorRecords(), theirs.getOperatorUpdate()), source);
+		}
+		if (theirs.hasBackendUpdate()) {
+			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source);
+		}
+		if (theirs.hasSuspects()) {
+			this.context.harmful().merge(theirs.getSuspects());
+		}
+		fleet.entries(this.table.heardOf(this.context.nowMs()).size() + 1);
+	}
+
+	private static List<String> merge(KeyedRecords records, RecordUpdate update) {
+		List<KeyedRecords.Entry> entries = new ArrayList<>();
+		for (StoreRecord record : update.getRecordsList()) {
+			entries.add(new KeyedRecords.Entry(record.getKey(), record.getOffset(), record.getValue().toByteArray(),
+					record.getRemoved()));
+		}
+		return (update.getFrom() == 0) ? records.takeSnapshot(entries, update.getEnd())
+				: records.takeUpdate(update.getFrom(), entries, update.getEnd());
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -0,0 +1,328 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.SocketAddress;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.BackendRecord;
+import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.Service;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.wire.BackendDecoder;
+import org.wigeontally.platform.wire.ConfigurationDecoder;
+import org.wigeontally.platform.wire.PlatformException;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * What this entry believes of the platform: the configuration in force, zones that are
+ * out, versions of weights, backend servers. Fed with the store's records, whether they
+ * come from the store or from another entry. Runs on the event loop.
+ */
+final class FleetState {
+
+	/**
+	 * Most entries that share what all entries together may do. Deployments name no
+	 * number; entries that cannot be heard count too, so a floor stands below those
+	 * known.
+	 */
+	static final int ENTRIES_FLOOR = 9;
+
+	/** Part of a backend server's connections that all entries together may open. */
+	private static final double CONNECTIONS_PART = 0.9;
+
+	private static final int CONNECTIONS_MIN = 2;
+
+	private final HostSettings settings;
+
+	private final NetClient client;
+
+	private final Clock clock;
+
+	private final EventLog log;
+
+	private final KeyedRecords operatorRecords = KeyedRecords.create();
+
+	private final KeyedRecords backendRecords = KeyedRecords.create();
+
+	private final Map<String, Backend> backends = new HashMap<>();
+
+	private final Map<String, Backend> backendsByAddress = new HashMap<>();
+
+	private final Set<String> zonesOut = new HashSet<>();
+
+	private final Map<String, NamedVersion> versions = new HashMap<>();
+
+	private final Map<String, Long> lapsedAtMs = new HashMap<>();
+
+	private FleetConfiguration configuration;
+
+	private int entries = ENTRIES_FLOOR;
+
+	private long lapseGraceUntilMs = Long.MIN_VALUE;
+
+	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
+		this.settings = settings;
+		this.client = client;
+		this.clock = clock;
+		this.log = log;
+	}
+
+	FleetConfiguration configuration() {
+		return this.configuration;
+	}
+
+	KeyedRecords operatorRecords() {
+		return this.operatorRecords;
+	}
+
+	KeyedRecords backendRecords() {
+		return this.backendRecords;
+	}
+
+	int entries() {
+		return this.entries;
+	}
+
+	void entries(int known) {
+		int counted = Math.max(ENTRIES_FLOOR, known);
+		if (counted != this.entries) {
+			this.entries = counted;
+			this.backends.values().forEach(this::applyLimits);
+		}
+	}
+
+	Iterable<Backend> backends() {
+		return this.backends.values();
+	}
+
+	boolean isOut(String zone) {
+		return this.zonesOut.contains(zone);
+	}
+
+	NamedVersion version(String model) {
+		return this.versions.get(model);
+	}
+
+	/**
+	 * Takes note of changed operator records.
+	 * @param keys keys that changed
+	 * @param source who told them
+	 */
+	void operatorRecordsChanged(List<String> keys, String source) {
+		for (String key : keys) {
+			KeyedRecords.Entry entry = this.operatorRecords.entry(key);
+			try {
+				operatorRecordChanged(entry, source);
+			}
+			catch (PlatformException ex) {
+				this.log.write(LogEvent.RECORD_UNREADABLE, "key", key, "offset", entry.offset(), "source", source,
+						"reason", ex.getMessage());
+			}
+		}
+	}
+
+	private void operatorRecordChanged(KeyedRecords.Entry entry, String source) throws PlatformException {
+		if (ConfigurationDecoder.isConfiguration(entry.key())) {
+			if (!entry.removed()) {
+				takeConfiguration(ConfigurationDecoder.configuration(entry.value()), entry.offset(), source);
+			}
+			return;
+		}
+		String zone = ConfigurationDecoder.zoneTakenOut(entry.key()).orElse(null);
+		if (zone != null) {
+			boolean changed = entry.removed() ? this.zonesOut.remove(zone) : this.zonesOut.add(zone);
+			if (changed) {
+				this.log.write(LogEvent.ZONE, "zone", zone, "out", !entry.removed(), "offset", entry.offset(), "source",
+						source);
+			}
+			return;
+		}
+		String model = ConfigurationDecoder.versionedModel(entry.key()).orElse(null);
+		if (model != null && !entry.removed()) {
+			nameVersion(model, ConfigurationDecoder.version(entry.value()), this.clock.monotonicMs(), source);
+		}
+	}
+
+	private void takeConfiguration(FleetConfiguration newest, long offset, String source) {
+		if (this.configuration != null && newest.version() <= this.configuration.version()) {
+			return;
+		}
+		this.configuration = newest;
+		this.backends.values().forEach(this::applyLimits);
+		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
+	}
+
+	/**
+	 * Takes note of a version of weights.
+	 * @param model name of the model
+	 * @param version the version
+	 * @param namedAtMs time at which it was learnt, or earlier if a peer learnt it before
+	 * @param source who told it
+	 */
+	void nameVersion(String model, long version, long namedAtMs, String source) {
+		NamedVersion known = this.versions.get(model);
+		if (known != null && known.version() >= version) {
+			if (known.version() == version && namedAtMs < known.namedAtMs()) {
+				this.versions.put(model, new NamedVersion(version, namedAtMs));
+			}
+			return;
+		}
+		this.versions.put(model, new NamedVersion(version, namedAtMs));
+		this.log.write(LogEvent.VERSION, "model", model, "version", version, "source", source);
+	}
+
+	/**
+	 * Takes note of changed registrations.
+	 * @param keys ids that changed
+	 * @param source who told them
+	 */
+	void backendRecordsChanged(List<String> keys, String source) {
+		long nowMs = this.clock.monotonicMs();
+		for (String id : keys) {
+			KeyedRecords.Entry entry = this.backendRecords.entry(id);
+			if (!entry.removed()) {
+				this.lapsedAtMs.remove(id);
+				register(id, entry, source);
+				continue;
+			}
+			if (nowMs < this.lapseGraceUntilMs) {
+				// May have lapsed with the store; it comes back soon or is gone.
+				this.lapsedAtMs.put(id, nowMs);
+				continue;
+			}
+			remove(id, entry.offset(), source);
+		}
+	}
+
+	/**
+	 * Starts the time in which registrations that lapsed while the store was away may
+	 * come back.
+	 * @param graceMs length of that time
+	 */
+	void storeRegained(long graceMs) {
+		this.lapseGraceUntilMs = this.clock.monotonicMs() + graceMs;
+	}
+
+	/**
+	 * Removes registrations that lapsed and did not come back.
+	 */
+	void removeLapsed() {
+		if (this.lapsedAtMs.isEmpty() || this.clock.monotonicMs() < this.lapseGraceUntilMs) {
+			return;
+		}
+		for (String id : new ArrayList<>(this.lapsedAtMs.keySet())) {
+			remove(id, this.backendRecords.end(), "lapsed");
+		}
+		this.lapsedAtMs.clear();
+	}
+
+	private void register(String id, KeyedRecords.Entry entry, String source) {
+		BackendRecord record;
+		try {
+			record = BackendDecoder.record(id, entry.value());
+		}
+		catch (PlatformException ex) {
+			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "offset", entry.offset(), "source", source, "reason",
+					ex.getMessage());
+			remove(id, entry.offset(), "unreadable");
+			return;
+		}
+		Backend known = this.backends.get(id);
+		if (known != null && known.record().address().equals(record.address())
+				&& known.record().bornMs() == record.bornMs() && known.record().service().equals(record.service())) {
+			if (known.record().draining() != record.draining()) {
+				this.log.write(LogEvent.BACKEND, "backend", id, "draining", record.draining(), "offset", entry.offset(),
+						"source", source);
+			}
+			known.record(record);
+			return;
+		}
+		Address address = Addresses.parse(record.address()).orElse(null);
+		if (address == null) {
+			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "offset", entry.offset(), "source", source, "reason",
+					"address \"" + record.address() + "\"");
+			remove(id, entry.offset(), "unreadable");
+			return;
+		}
+		remove(id, entry.offset(), "restarted");
+		BackendPool pool = new BackendPool(this.client,
+				SocketAddress.inetSocketAddress(address.getPort(), address.getIp()), this.clock);
+		Backend backend = new Backend(record, pool);
+		applyLimits(backend);
+		this.backends.put(id, backend);
+		this.backendsByAddress.put(record.address(), backend);
+		this.log.write(LogEvent.BACKEND, "backend", id, "service", record.service(), "address", record.address(),
+				"zone", record.zone(), "draining", record.draining(), "cold-ms", record.coldMs(), "offset",
+				entry.offset(), "source", source);
+	}
+
+	private void applyLimits(Backend backend) {
+		Service service = service(backend.record().service());
+		if (service == null) {
+			return;
+		}
+		backend.pool()
+			.most(Math.max(CONNECTIONS_MIN, (int) (service.maxConnections() * CONNECTIONS_PART / this.entries)));
+		if (service.warmupPerSecond() > 0) {
+			double bound = service.warmupPerSecond() * this.settings.getBounds().getColdFactor()
+					+ this.settings.getBounds().getColdSlack();
+			backend.coldShare().most(bound, this.entries);
+		}
+	}
+
+	private Service service(String name) {
+		return (this.configuration == null) ? null : this.configuration.service(name).orElse(null);
+	}
+
+	private void remove(String id, long offset, String reason) {
+		Backend backend = this.backends.remove(id);
+		if (backend == null) {
+			return;
+		}
+		backend.gone(true);
+		backend.pool().closeIdle();
+		this.backendsByAddress.remove(backend.record().address(), backend);
+		this.log.write(LogEvent.BACKEND, "backend", id, "gone", true, "offset", offset, "reason", reason);
+	}
+
+	/**
+	 * Takes an agent's report.
+	 * @param status the report
+	 */
+	void agentReported(EngineStatus status) {
+		Backend backend = this.backendsByAddress.get(Addresses.format(status.getBackend()));
+		if (backend == null) {
+			return;
+		}
+		if (!status.getReachable() || (backend.record().bornMs() != 0 && status.getEngineBorn() != 0
+				&& backend.record().bornMs() != status.getEngineBorn())) {
+			return;
+		}
+		long nowMs = this.clock.monotonicMs();
+		backend.agentSaid(status.getLoadedVersion(), status.getLoading(), nowMs);
+		backend.load().report(status.getActive() + status.getQueued(), status.getPace(), nowMs);
+	}
+
+	/**
+	 * A version of weights that operators named.
+	 *
+	 * @param version the version
+	 * @param namedAtMs time at which it was learnt
+	 */
+	record NamedVersion(long version, long namedAtMs) {
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -0,0 +1,163 @@
+package org.wigeontally.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import io.vertx.core.Vertx;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.fleet.EngineModel;
+import org.wigeontally.fleet.EnginePlacement;
+import org.wigeontally.fleet.PlainPlacement;
+import org.wigeontally.fleet.RetryAllowance;
+import org.wigeontally.harmful.HarmfulRequests;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.HostBounds;
+import org.wigeontally.schema.generated.HostSettings;
+
+/**
+ * What all requests of an entry share. Runs on the event loop.
+ */
+final class GatewayContext {
+
+	private final Vertx vertx;
+
+	private final Clock clock;
+
+	private final HostSettings settings;
+
+	private final EventLog log;
+
+	private final FleetState fleet;
+
+	private final GatewayMetrics metrics;
+
+	private final HarmfulRequests harmful;
+
+	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+
+	private final PlainPlacement plainPlacement = PlainPlacement.create(this.random);
+
+	private final Map<EngineModel, EnginePlacement> enginePlacements = new HashMap<>();
+
+	private final Map<String, RetryAllowance> allowances = new HashMap<>();
+
+	private final Map<String, Long> fullDeadlines = new HashMap<>();
+
+	private Runnable suspectsChanged = () -> {
+	};
+
+	private int inFlight;
+
+	private boolean leaving;
+
+	private long refuseFromMs = Long.MAX_VALUE;
+
+	GatewayContext(Vertx vertx, Clock clock, HostSettings settings, EventLog log, FleetState fleet,
+			GatewayMetrics metrics) {
+		this.vertx = vertx;
+		this.clock = clock;
+		this.settings = settings;
+		this.log = log;
+		this.fleet = fleet;
+		this.metrics = metrics;
+		this.harmful = HarmfulRequests.create(clock);
+	}
+
+	Vertx vertx() {
+		return this.vertx;
+	}
+
+	long nowMs() {
+		return this.clock.monotonicMs();
+	}
+
+	HostSettings settings() {
+		return this.settings;
+	}
+
+	EventLog log() {
+		return this.log;
+	}
+
+	FleetState fleet() {
+		return this.fleet;
+	}
+
+	GatewayMetrics metrics() {
+		return this.metrics;
+	}
+
+	HarmfulRequests harmful() {
+		return this.harmful;
+	}
+
+	RandomGenerator random() {
+		return this.random;
+	}
+
+	PlainPlacement plainPlacement() {
+		return this.plainPlacement;
+	}
+
+	EnginePlacement enginePlacement(EngineModel model) {
+		return this.enginePlacements.computeIfAbsent(model, (key) -> EnginePlacement.of(key, this.random));
+	}
+
+	RetryAllowance allowance(String service) {
+		HostBounds bounds = this.settings.getBounds();
+		return this.allowances.computeIfAbsent(service, (key) -> RetryAllowance.of(bounds.getRetryRatio(),
+				bounds.getRetrySlack(), this.fleet.entries(), (long) (bounds.getRetryWindowS() * 1000)));
+	}
+
+	/**
+	 * Tells how long ago a caller first asked. Callers of a route all have the same
+	 * deadline, so one with less time left has come back.
+	 * @param route name of the route
+	 * @param deadlineMs time that the caller has left
+	 * @return milliseconds since its first attempt
+	 */
+	long elapsedBeforeMs(String route, long deadlineMs) {
+		long full = this.fullDeadlines.merge(route, deadlineMs, Math::max);
+		return full - deadlineMs;
+	}
+
+	void onSuspectsChanged(Runnable action) {
+		this.suspectsChanged = action;
+	}
+
+	void suspectsChanged() {
+		this.suspectsChanged.run();
+	}
+
+	int inFlight() {
+		return this.inFlight;
+	}
+
+	void begin() {
+		this.inFlight++;
+	}
+
+	void end() {
+		this.inFlight--;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * Marks the process as leaving.
+	 * @param acceptMs time for which requests are still taken
+	 */
+	void leave(long acceptMs) {
+		this.leaving = true;
+		this.refuseFromMs = nowMs() + acceptMs;
+	}
+
+	boolean takesRequests() {
+		return nowMs() < this.refuseFromMs;
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -0,0 +1,366 @@
+package org.wigeontally.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerOptions;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.DirectoryAnswer;
+import org.wigeontally.fleet.DirectoryQuestion;
+import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.Closer;
+import org.wigeontally.platform.wire.DirectoryCodec;
+import org.wigeontally.platform.wire.EntryRecord;
+import org.wigeontally.platform.wire.StoreClient;
+import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.platform.wire.WireNames;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.schema.generated.FleetGrpcService;
+import org.wigeontally.schema.generated.FleetService;
+import org.wigeontally.schema.generated.HostSettings;
+
+/**
+ * The process on an entry host of the platform. All of it runs on one event loop, so that
+ * a decision never sees half of a change.
+ */
+public final class GatewayDaemon implements AutoCloseable {
+
+	private static final int CONNECT_TIMEOUT_MS = 700;
+
+	private static final int BACKLOG = 1_024;
+
+	/** Above the limit of any configuration, so that the configuration's holds. */
+	private static final int HEADER_LIMIT_BYTES = 64 * 1024;
+
+	/**
+	 * Gap between two reads of registrations; each backend server writes every second or
+	 * so.
+	 */
+	private static final long BACKEND_READ_GAP_MS = 400;
+
+	private static final long OPERATOR_READ_GAP_MS = 30;
+
+	/** Entries seldom start, so their records are seldom read. */
+	private static final long ENTRY_READ_INTERVAL_MS = 5_000;
+
+	/** Time in which registrations that lapsed with the store are back if they live. */
+	private static final long LAPSE_GRACE_MS = 2_200;
+
+	private static final long HOUSEKEEPING_MS = 250;
+
+	/** Time after SIGTERM for which requests are still taken: callers keep addresses. */
+	private static final long ACCEPT_AFTER_TERM_MS = 4_000;
+
+	/** Least time between SIGTERM and the end, for callers that still connect. */
+	private static final long STAY_AFTER_TERM_MS = 6_300;
+
+	/** Kept off the end of the grace time. */
+	private static final long GRACE_MARGIN_MS = 400;
+
+	private static final long DRAIN_CHECK_MS = 50;
+
+	private static final double DIRECTORY_TTL_S = 2;
+
+	private final Vertx vertx;
+
+	private final Context loop;
+
+	private final HostSettings settings;
+
+	private final EventLog log;
+
+	private final Closer closer = Closer.create();
+
+	private final GatewayContext context;
+
+	private final EntryTable entries = EntryTable.create();
+
+	private final EntryExchange exchange;
+
+	private final AgentBriefings briefings;
+
+	private final Front front;
+
+	private final StoreClient store;
+
+	private final KeyedRecords entryRecords = KeyedRecords.create();
+
+	private final StoreFollower operatorFollower;
+
+	private final StoreFollower backendFollower;
+
+	private GatewayDaemon(Vertx vertx, Context loop, HostSettings settings, Clock clock, EventLog log) {
+		this.vertx = vertx;
+		this.loop = loop;
+		this.settings = settings;
+		this.log = log;
+		NetClientOptions clientOptions = new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS)
+			.setTcpNoDelay(true);
+		FleetState fleet = new FleetState(settings, vertx.createNetClient(clientOptions), clock, log);
+		this.context = new GatewayContext(vertx, clock, settings, log, fleet, new GatewayMetrics());
+		CandidateSelection selection = new CandidateSelection(fleet, settings);
+		this.front = new Front(this.context, selection);
+		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
+		this.briefings = new AgentBriefings(this.context, this.entries, selection);
+		this.store = StoreClient.create(vertx, settings.getStore());
+		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
+				fleet.operatorRecords(), OPERATOR_READ_GAP_MS, this::operatorChanged, () -> {
+				});
+		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
+				fleet.backendRecords(), BACKEND_READ_GAP_MS, fleet::backendRecordsChanged,
+				() -> fleet.storeRegained(LAPSE_GRACE_MS));
+		this.exchange.backendStoreAge(this.backendFollower::ageMs);
+		this.context.onSuspectsChanged(this.exchange::tick);
+	}
+
+	/**
+	 * Starts the process.
+	 * @param vertx the Vert.x instance to run on
+	 * @param settings checked settings
+	 * @param clock source of time
+	 * @param log where events are written
+	 * @return the running process, once it listens
+	 */
+	public static Future<GatewayDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
+		Promise<GatewayDaemon> started = Promise.promise();
+		Context loop = vertx.getOrCreateContext();
+		loop.runOnContext((v) -> {
+			GatewayDaemon daemon = new GatewayDaemon(vertx, loop, settings, clock, log);
+			daemon.listen().map(daemon).onComplete(started);
+		});
+		return started.future();
+	}
+
+	private Future<Void> listen() {
+		this.settings.getSeedsList().forEach(this.entries::know);
+		GrpcServer grpc = GrpcServer.server(this.vertx,
+				new GrpcServerOptions().setMaxMessageSize(EntryExchange.MESSAGE_LIMIT_BYTES));
+		grpc.addService(FleetGrpcService.of(new Service()));
+		HttpServerOptions callers = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
+			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
+			.setHandle100ContinueAutomatically(true)
+			.setAcceptBacklog(BACKLOG)
+			.setTcpNoDelay(true);
+		Address metrics = Address.newBuilder()
+			.setIp(this.settings.getIp())
+			.setPort(this.settings.getMetricsPort())
+			.build();
+		List<Future<HttpServer>> servers = new ArrayList<>();
+		servers.add(this.vertx.createHttpServer(callers)
+			.connectionHandler(this.front::connected)
+			.requestHandler(this.front::handle)
+			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
+		servers.add(serve(this.settings.getReady(), this::ready));
+		servers.add(serve(this.settings.getDirectory(), this::directory));
+		servers.add(serve(this.settings.getControl(), grpc::handle));
+		servers.add(serve(metrics, this::metrics));
+		return Future.all(servers).onSuccess((all) -> {
+			servers.forEach((server) -> this.closer.add(server.result()::close));
+			begin();
+		}).mapEmpty();
+	}
+
+	private Future<HttpServer> serve(Address address, io.vertx.core.Handler<HttpServerRequest> handler) {
+		HttpServerOptions options = new HttpServerOptions().setAcceptBacklog(BACKLOG).setTcpNoDelay(true);
+		return this.vertx.createHttpServer(options).requestHandler(handler).listen(address.getPort(), address.getIp());
+	}
+
+	private void begin() {
+		this.log.write(LogEvent.START, "role", "entry", "zone", this.settings.getZone(), "front",
+				this.settings.getFront().getPort());
+		this.operatorFollower.start();
+		this.backendFollower.start();
+		registerSelf();
+		readEntries();
+		this.vertx.setPeriodic(0, EntryExchange.INTERVAL_MS, (id) -> this.exchange.tick());
+		this.vertx.setPeriodic(ENTRY_READ_INTERVAL_MS, (id) -> readEntries());
+		this.vertx.setPeriodic(HOUSEKEEPING_MS, (id) -> housekeeping());
+	}
+
+	private void registerSelf() {
+		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), EntryRecord.encode(this.settings.getControl()))
+			.onFailure((failure) -> {
+				this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason", failure.getMessage());
+				this.vertx.setTimer(StoreClient.CALL_TIMEOUT_MS, (id) -> registerSelf());
+			});
+	}
+
+	private void readEntries() {
+		this.store.newest(StoreTopic.ENTRIES).onSuccess((page) -> {
+			this.entryRecords.takeSnapshot(page.records(), page.end());
+			this.entryRecords.entries()
+				.stream()
+				.filter((entry) -> !entry.removed())
+				.forEach((entry) -> EntryRecord.decode(entry.value()).ifPresent(this.entries::know));
+		})
+			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
+					failure.getMessage()));
+	}
+
+	private void operatorChanged(List<String> keys, String source) {
+		this.context.fleet().operatorRecordsChanged(keys, source);
+		this.exchange.tick();
+	}
+
+	private void housekeeping() {
+		FleetState fleet = this.context.fleet();
+		fleet.removeLapsed();
+		fleet.backends().forEach((backend) -> backend.pool().closeExpired());
+		this.front.closeIdle();
+		int known = this.entries.heardOf(this.context.nowMs()).size() + 1;
+		fleet.entries(known);
+		FleetConfiguration configuration = fleet.configuration();
+		this.context.metrics()
+			.beliefs((configuration != null) ? configuration.version() : 0, this.context.inFlight(), known);
+		this.context.metrics().storeAge(StoreTopic.OPERATOR.name(), this.operatorFollower.ageMs());
+		this.context.metrics().storeAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
+	}
+
+	private void ready(HttpServerRequest request) {
+		boolean ready = WireNames.isReadyCall(request.path()) && this.exchange.isReady();
+		request.response().setStatusCode(ready ? 200 : 503).end();
+	}
+
+	private void directory(HttpServerRequest request) {
+		FleetConfiguration configuration = this.context.fleet().configuration();
+		if (!WireNames.isDirectoryCall(request.path())) {
+			request.response().setStatusCode(404).end();
+			return;
+		}
+		DirectoryQuestion question = DirectoryCodec.question(request);
+		List<EntryNews> known = new ArrayList<>(this.entries.heardOf(this.context.nowMs()));
+		known.add(this.exchange.own().build());
+		Set<String> regions = (configuration != null) ? regions(configuration, question.host()) : Set.of();
+		List<String> addresses = DirectoryAnswer.addresses(question, known, regions);
+		if (addresses.isEmpty()) {
+			request.response().setStatusCode(503).end();
+			return;
+		}
+		double ttlS = Math.min(DIRECTORY_TTL_S, this.settings.getBounds().getDirectoryTtlS());
+		request.response().putHeader("Content-Type", "application/json").end(DirectoryCodec.answer(addresses, ttlS));
+	}
+
+	private static Set<String> regions(FleetConfiguration configuration, String host) {
+		Set<String> regions = new HashSet<>();
+		for (org.wigeontally.fleet.Route route : configuration.routes(host)) {
+			if (route.regions().isEmpty()) {
+				return Set.of();
+			}
+			regions.addAll(route.regions());
+		}
+		return regions;
+	}
+
+	private void metrics(HttpServerRequest request) {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			PrometheusTextFormatWriter.create().write(out, this.context.metrics().registry().scrape());
+		}
+		catch (IOException ex) {
+			request.response().setStatusCode(500).end(ex.getMessage());
+			return;
+		}
+		request.response()
+			.putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
+			.end(Buffer.buffer(out.toByteArray()));
+	}
+
+	/**
+	 * Leaves: tells the directory and the other entries, serves what still comes for a
+	 * while, and ends once nothing is in flight.
+	 * @return requests that were not answered at the end
+	 */
+	public Future<Integer> drain() {
+		Promise<Integer> drained = Promise.promise();
+		this.loop.runOnContext((v) -> leave(drained));
+		return drained.future();
+	}
+
+	private void leave(Promise<Integer> drained) {
+		long startMs = this.context.nowMs();
+		this.context.leave(ACCEPT_AFTER_TERM_MS);
+		this.log.write(LogEvent.STOP, "phase", "draining", "in-flight", this.context.inFlight());
+		this.exchange.tick();
+		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
+			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
+					failure.getMessage()));
+		long graceMs = (long) (this.settings.getBounds().getGraceS() * 1000) - GRACE_MARGIN_MS;
+		this.vertx.setPeriodic(DRAIN_CHECK_MS, (id) -> {
+			long passedMs = this.context.nowMs() - startMs;
+			boolean empty = this.context.inFlight() == 0 && passedMs >= Math.min(STAY_AFTER_TERM_MS, graceMs);
+			if (empty || passedMs >= graceMs) {
+				this.vertx.cancelTimer(id);
+				this.log.write(LogEvent.STOP, "phase", "ended", "in-flight", this.context.inFlight());
+				drained.tryComplete(this.context.inFlight());
+			}
+		});
+	}
+
+	/**
+	 * Takes changed settings over. Addresses stay as they were at the start.
+	 * @param changed checked settings
+	 */
+	public void reload(HostSettings changed) {
+		this.loop.runOnContext((v) -> {
+			changed.getSeedsList().forEach(this.entries::know);
+			this.log.write(LogEvent.RELOAD, "changed", !changed.equals(this.settings), "seeds",
+					changed.getSeedsCount());
+		});
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.closer.close();
+	}
+
+	/**
+	 * What the project's own processes call.
+	 */
+	private final class Service extends FleetService {
+
+		@Override
+		public Future<EntryNews> exchange(EntryNews request) {
+			return onLoop(() -> GatewayDaemon.this.exchange.answer(request));
+		}
+
+		@Override
+		public Future<AgentBriefing> report(EngineStatus request) {
+			return onLoop(() -> GatewayDaemon.this.briefings.answer(request));
+		}
+
+		private <T> Future<T> onLoop(java.util.function.Supplier<T> work) {
+			Context caller = GatewayDaemon.this.vertx.getOrCreateContext();
+			Promise<T> promise = Promise.promise();
+			GatewayDaemon.this.loop.runOnContext((v) -> {
+				T result = work.get();
+				caller.runOnContext((w) -> promise.complete(result));
+			});
+			return promise.future();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -0,0 +1,99 @@
+package org.wigeontally.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Counters and histograms of an entry. Labels are bounded by the configuration: routes,
+ * organisations and services, and outcomes of a fixed list.
+ */
+final class GatewayMetrics {
+
+	private static final double[] BOUNDS_SECONDS = { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 6 };
+
+	private static final double MS_PER_SECOND = 1000.0;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter answers = Counter.builder()
+		.name("wigeontally_answers_total")
+		.help("Answers to callers by route, organisation and outcome")
+		.labelNames("route", "organisation", "outcome")
+		.register(this.registry);
+
+	private final Counter attempts = Counter.builder()
+		.name("wigeontally_attempts_total")
+		.help("Attempts at backend servers by service and outcome")
+		.labelNames("service", "outcome")
+		.register(this.registry);
+
+	private final Histogram first = Histogram.builder()
+		.name("wigeontally_first_byte_seconds")
+		.help("Time from the request to the first byte or event that was passed on")
+		.labelNames("service")
+		.classicOnly()
+		.classicUpperBounds(BOUNDS_SECONDS)
+		.register(this.registry);
+
+	private final Histogram whole = Histogram.builder()
+		.name("wigeontally_answer_seconds")
+		.help("Time from the request to the end of its answer")
+		.labelNames("service")
+		.classicOnly()
+		.classicUpperBounds(BOUNDS_SECONDS)
+		.register(this.registry);
+
+	private final Gauge configuration = Gauge.builder()
+		.name("wigeontally_configuration_version")
+		.help("Version of the configuration in force")
+		.register(this.registry);
+
+	private final Gauge inFlight = Gauge.builder()
+		.name("wigeontally_requests_in_flight")
+		.help("Requests that were taken and are not answered")
+		.register(this.registry);
+
+	private final Gauge storeAge = Gauge.builder()
+		.name("wigeontally_store_age_seconds")
+		.help("Time since the store last answered, by topic")
+		.labelNames("topic")
+		.register(this.registry);
+
+	private final Gauge entries = Gauge.builder()
+		.name("wigeontally_entries")
+		.help("Entries heard of lately, this one included")
+		.register(this.registry);
+
+	PrometheusRegistry registry() {
+		return this.registry;
+	}
+
+	void answered(String route, String organisation, String outcome) {
+		this.answers.labelValues(route, organisation, outcome).inc();
+	}
+
+	void attempted(String service, String outcome) {
+		this.attempts.labelValues(service, outcome).inc();
+	}
+
+	void firstByte(String service, long ms) {
+		this.first.labelValues(service).observe(ms / MS_PER_SECOND);
+	}
+
+	void whole(String service, long ms) {
+		this.whole.labelValues(service).observe(ms / MS_PER_SECOND);
+	}
+
+	void beliefs(long configurationVersion, int requestsInFlight, int knownEntries) {
+		this.configuration.set(configurationVersion);
+		this.inFlight.set(requestsInFlight);
+		this.entries.set(knownEntries);
+	}
+
+	void storeAge(String topic, long ms) {
+		this.storeAge.labelValues(topic).set(ms / MS_PER_SECOND);
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/LoadHeader.java
@@ -0,0 +1,38 @@
+package org.wigeontally.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+import org.wigeontally.platform.wire.WireNames;
+
+/**
+ * Takes the load that a backend server tells with its answers, where no agent reports it.
+ */
+final class LoadHeader {
+
+	private static final int PARTS = 3;
+
+	private LoadHeader() {
+	}
+
+	static void report(HttpHeaders headers, Backend backend, long nowMs) {
+		String value = headers.get(WireNames.LOAD);
+		if (value == null || backend.hasFreshAgent(nowMs)) {
+			return;
+		}
+		String[] parts = value.split(",");
+		if (parts.length != PARTS) {
+			return;
+		}
+		try {
+			int running = Integer.parseInt(parts[0].strip());
+			int waiting = Integer.parseInt(parts[1].strip());
+			backend.load().report(running + waiting, 1, nowMs);
+		}
+		catch (NumberFormatException ex) {
+			// A load that cannot be read is no reason to doubt the answer; the last one
+			// holds.
+			return;
+		}
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -0,0 +1,154 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+
+import io.vertx.core.Vertx;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.wire.PlatformException;
+import org.wigeontally.platform.wire.RecordPage;
+import org.wigeontally.platform.wire.StoreClient;
+import org.wigeontally.platform.wire.StoreTopic;
+
+/**
+ * Keeps the records of one topic up to date with the store: a snapshot first, then what
+ * follows it by long polls; a snapshot again when records were dropped before they were
+ * read. Runs on the event loop.
+ */
+final class StoreFollower {
+
+	/** Longest wait of a poll; a connection that fell silent is noticed after it. */
+	private static final long POLL_WAIT_MS = 1_000;
+
+	private static final long FIRST_PAUSE_MS = 150;
+
+	private static final long LONGEST_PAUSE_MS = 600;
+
+	private final Vertx vertx;
+
+	private final Clock clock;
+
+	private final EventLog log;
+
+	private final StoreClient store;
+
+	private final StoreTopic topic;
+
+	private final KeyedRecords records;
+
+	private final long gapMs;
+
+	private final BiConsumer<List<String>, String> changed;
+
+	private final Runnable regained;
+
+	private boolean snapshotNeeded = true;
+
+	private int failures;
+
+	private long okAtMs;
+
+	private boolean stopped;
+
+	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, KeyedRecords records,
+			long gapMs, BiConsumer<List<String>, String> changed, Runnable regained) {
+		this.vertx = vertx;
+		this.clock = clock;
+		this.log = log;
+		this.store = store;
+		this.topic = topic;
+		this.records = records;
+		this.gapMs = gapMs;
+		this.changed = changed;
+		this.regained = regained;
+		this.okAtMs = clock.monotonicMs();
+	}
+
+	void start() {
+		next();
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Returns how long ago the store last answered.
+	 * @return milliseconds
+	 */
+	long ageMs() {
+		return this.clock.monotonicMs() - this.okAtMs;
+	}
+
+	private void next() {
+		if (this.stopped) {
+			return;
+		}
+		// Another entry may have brought a snapshot meanwhile.
+		if (this.snapshotNeeded && this.failures > 0 && this.records.end() > 0) {
+			this.snapshotNeeded = false;
+		}
+		if (this.snapshotNeeded) {
+			this.store.newest(this.topic).onSuccess(this::snapshot).onFailure(this::failed);
+			return;
+		}
+		long from = this.records.end();
+		this.store.read(this.topic, from, POLL_WAIT_MS).onSuccess((page) -> update(from, page)).onFailure(this::failed);
+	}
+
+	private void snapshot(RecordPage page) {
+		this.snapshotNeeded = false;
+		List<String> keys = this.records.takeSnapshot(page.records(), page.end());
+		answered();
+		this.changed.accept(keys, "store");
+		pause(this.gapMs);
+	}
+
+	private void update(long from, RecordPage page) {
+		List<String> keys = this.records.takeUpdate(from, page.records(), page.end());
+		answered();
+		if (!keys.isEmpty()) {
+			this.changed.accept(keys, "store");
+		}
+		pause(page.records().isEmpty() ? 0 : this.gapMs);
+	}
+
+	private void answered() {
+		if (this.failures > 1) {
+			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms", ageMs());
+			this.regained.run();
+		}
+		this.failures = 0;
+		this.okAtMs = this.clock.monotonicMs();
+	}
+
+	private void failed(Throwable failure) {
+		if (failure instanceof PlatformException platform && platform.recordsGone()) {
+			this.snapshotNeeded = true;
+			this.failures = 0;
+			pause(0);
+			return;
+		}
+		this.failures++;
+		if (this.failures == 2) {
+			this.log.write(LogEvent.STORE_LOST, "topic", this.topic, "age-ms", ageMs(), "reason", failure.getMessage());
+		}
+		pause(Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * this.failures));
+	}
+
+	private void pause(long ms) {
+		if (this.stopped) {
+			return;
+		}
+		if (ms <= 0) {
+			this.vertx.runOnContext((v) -> next());
+			return;
+		}
+		this.vertx.setTimer(ms, (id) -> next());
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -0,0 +1,310 @@
+package org.wigeontally.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerOptions;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.Closer;
+import org.wigeontally.platform.wire.EngineClient;
+import org.wigeontally.platform.wire.EngineState;
+import org.wigeontally.platform.wire.EntryRecord;
+import org.wigeontally.platform.wire.StoreClient;
+import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.AgentPlace;
+import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.settings.Addresses;
+import org.wigeontally.weights.LoadTurn;
+import org.wigeontally.weights.VerifiedWeights;
+
+/**
+ * The process beside an engine. All of it runs on one event loop.
+ */
+public final class SidecarDaemon implements AutoCloseable {
+
+	/**
+	 * Time between two looks at the engine, which answers its own host with fresh
+	 * figures.
+	 */
+	private static final long LOOK_MS = 75;
+
+	/** Time between two reports while the engine's load does not change. */
+	private static final long REPORT_MS = 225;
+
+	/** Time between two reads of the store while no entry answers. */
+	private static final long FIND_ENTRIES_MS = 1_500;
+
+	private static final double LEAVE_MS = 300;
+
+	/** Used before any entry gave a bound. */
+	private static final long DEFAULT_BOUND_MS = 8_000;
+
+	/** Time for an engine to end what runs and to load. */
+	private static final long LOAD_ALLOWANCE_MS = 2_600;
+
+	/** Looks in a row without an answer after which the engine counts as away. */
+	private static final int MISSED_LOOKS = 3;
+
+	private final Vertx vertx;
+
+	private final Context loop;
+
+	private final Clock clock;
+
+	private final EventLog log;
+
+	private final HostSettings settings;
+
+	private final Closer closer = Closer.create();
+
+	private final FleetView view = new FleetView();
+
+	private final EntryReports reports;
+
+	private final EngineClient client;
+
+	private final WeightCollection collector;
+
+	private final EngineLoader loader;
+
+	private final StoreClient store;
+
+	private final long incarnation;
+
+	private EngineState state;
+
+	private int missedLooks;
+
+	private boolean looking;
+
+	private boolean announced;
+
+	private boolean leaving;
+
+	private long sequence;
+
+	private long reportedAtMs = Long.MIN_VALUE / 2;
+
+	private int reportedLoad = -1;
+
+	private SidecarDaemon(Vertx vertx, Context loop, HostSettings settings, Clock clock, EventLog log) {
+		this.vertx = vertx;
+		this.loop = loop;
+		this.settings = settings;
+		this.clock = clock;
+		this.log = log;
+		this.incarnation = clock.wallMs();
+		this.client = EngineClient.create(vertx);
+		this.reports = new EntryReports(vertx, clock, log, this.view);
+		this.collector = new WeightCollection(vertx, clock, log, settings, this.view, this.client);
+		this.loader = new EngineLoader(vertx, log, this.client, settings.getBackend());
+		this.store = StoreClient.create(vertx, settings.getStore());
+	}
+
+	/**
+	 * Starts the process.
+	 * @param vertx the Vert.x instance to run on
+	 * @param settings checked settings
+	 * @param clock source of time
+	 * @param log where events are written
+	 * @return the running process, once it listens
+	 */
+	public static Future<SidecarDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
+		Promise<SidecarDaemon> started = Promise.promise();
+		Context loop = vertx.getOrCreateContext();
+		loop.runOnContext((v) -> {
+			SidecarDaemon daemon = new SidecarDaemon(vertx, loop, settings, clock, log);
+			daemon.listen().map(daemon).onComplete(started);
+		});
+		return started.future();
+	}
+
+	private Future<Void> listen() {
+		this.settings.getSeedsList().forEach(this.reports::know);
+		this.reports.onNamed(this::work);
+		return this.vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true))
+			.requestHandler(this.collector.router())
+			.listen(this.settings.getInternalPort(), this.settings.getIp())
+			.onSuccess((listening) -> {
+				this.closer.add(listening::close);
+				this.log.write(LogEvent.START, "role", "agent", "zone", this.settings.getZone(), "engine",
+						Addresses.format(this.settings.getBackend()));
+				this.vertx.setPeriodic(0, LOOK_MS, (id) -> look());
+				this.vertx.setPeriodic(FIND_ENTRIES_MS, (id) -> findEntries());
+			})
+			.mapEmpty();
+	}
+
+	private void findEntries() {
+		if (this.reports.hearsAny()) {
+			return;
+		}
+		this.store.newest(StoreTopic.ENTRIES)
+			.onSuccess((page) -> page.records()
+				.forEach((entry) -> EntryRecord.decode(entry.value()).ifPresent(this.reports::know)))
+			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
+					failure.getMessage()));
+	}
+
+	private void look() {
+		if (this.looking) {
+			return;
+		}
+		this.looking = true;
+		this.client.state(this.settings.getBackend()).onComplete((result) -> {
+			this.looking = false;
+			if (result.succeeded()) {
+				seen(result.result());
+			}
+			else {
+				missed(result.cause());
+			}
+			report(false);
+			work();
+		});
+	}
+
+	private void seen(EngineState seen) {
+		boolean restarted = this.state != null && this.state.bornMs() != seen.bornMs();
+		if (this.state == null || this.missedLooks >= MISSED_LOOKS || restarted) {
+			this.log.write(LogEvent.ENGINE, "answers", true, "born", seen.bornMs(), "versions", seen.loadedVersions());
+		}
+		this.missedLooks = 0;
+		this.state = seen;
+	}
+
+	private void missed(Throwable cause) {
+		this.missedLooks++;
+		if (this.missedLooks == MISSED_LOOKS) {
+			this.log.write(LogEvent.ENGINE, "answers", false, "reason", cause.getMessage());
+		}
+	}
+
+	private boolean reachable() {
+		return this.state != null && this.missedLooks < MISSED_LOOKS;
+	}
+
+	private long loadedVersion() {
+		return (this.state == null) ? 0 : this.state.loadedVersions().getOrDefault(this.view.model(), 0L);
+	}
+
+	private void report(boolean now) {
+		long nowMs = this.clock.monotonicMs();
+		int load = (this.state == null) ? 0 : this.state.active() + this.state.queued();
+		if (!now && load == this.reportedLoad && nowMs - this.reportedAtMs < REPORT_MS) {
+			return;
+		}
+		this.reportedAtMs = nowMs;
+		this.reportedLoad = load;
+		this.sequence++;
+		this.reports.send(status());
+	}
+
+	private EngineStatus.Builder status() {
+		EngineStatus.Builder status = EngineStatus.newBuilder()
+			.setAgent(Address.newBuilder().setIp(this.settings.getIp()).setPort(this.settings.getInternalPort()))
+			.setBackend(this.settings.getBackend())
+			.setZone(this.settings.getZone())
+			.setRegion(this.settings.getRegion())
+			.setSequence(this.sequence)
+			.setIncarnation(this.incarnation)
+			.setLoadedVersion(loadedVersion())
+			.setWholeVersion(this.collector.wholeVersion())
+			.setPieces(this.collector.held())
+			.setReachable(reachable())
+			.setLeaving(this.leaving);
+		if (this.state != null) {
+			status.setEngineBorn(this.state.bornMs())
+				.setActive(this.state.active())
+				.setQueued(this.state.queued())
+				.setPace(this.state.pace())
+				.setLoading(this.announced || this.state.busy());
+		}
+		return status;
+	}
+
+	// Takes the next step towards the version that the engine should hold.
+	private void work() {
+		if (!this.view.isKnown() || !reachable() || this.leaving) {
+			return;
+		}
+		long target = this.view.targetVersion();
+		this.collector.collect(target);
+		if (loadedVersion() >= target || this.state.busy()) {
+			this.announced = this.announced && this.loader.isRunning();
+			if (loadedVersion() >= target) {
+				this.collector.loaded(loadedVersion());
+			}
+			return;
+		}
+		Optional<VerifiedWeights> weights = this.collector.weights(target);
+		if (weights.isEmpty() || this.loader.isRunning() || !mayLoad(target)) {
+			return;
+		}
+		this.announced = true;
+		this.loader.load(this.view.model(), target, weights.get(), () -> report(true)).onComplete((result) -> {
+			if (result.failed() || !result.result()) {
+				this.announced = false;
+			}
+		});
+	}
+
+	private boolean mayLoad(long target) {
+		String self = this.settings.getIp() + ":" + this.settings.getInternalPort();
+		List<String> ready = new ArrayList<>();
+		int engines = 1;
+		for (AgentPlace agent : this.view.briefing().getAgentsList()) {
+			engines++;
+			if (agent.getLoadedVersion() < target && agent.getWholeVersion() == target) {
+				ready.add(Addresses.format(agent.getAddress()));
+			}
+		}
+		long boundMs = this.view.briefing().getVersionBoundMs();
+		long pressMs = ((boundMs > 0) ? boundMs : DEFAULT_BOUND_MS) - LOAD_ALLOWANCE_MS;
+		boolean pressing = this.view.sinceNamedMs(this.clock.monotonicMs()) >= pressMs;
+		return LoadTurn.mayLoad(self, loadedVersion(), ready, engines, pressing);
+	}
+
+	/**
+	 * Leaves: tells the entries that this process ends. The engine goes on.
+	 * @return success once they were told
+	 */
+	public Future<Integer> drain() {
+		Promise<Integer> drained = Promise.promise();
+		this.loop.runOnContext((v) -> {
+			this.log.write(LogEvent.STOP, "phase", "draining");
+			this.leaving = true;
+			report(true);
+			this.vertx.setTimer((long) LEAVE_MS, (id) -> drained.complete(0));
+		});
+		return drained.future();
+	}
+
+	/**
+	 * Takes changed settings over. Addresses stay as they were at the start.
+	 * @param changed checked settings
+	 */
+	public void reload(HostSettings changed) {
+		this.loop.runOnContext((v) -> {
+			changed.getSeedsList().forEach(this.reports::know);
+			this.log.write(LogEvent.RELOAD, "changed", !changed.equals(this.settings), "seeds",
+					changed.getSeedsCount());
+		});
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.closer.close();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -0,0 +1,280 @@
+package org.wigeontally.sidecar;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.Router;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.wire.EngineClient;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.schema.generated.AgentPlace;
+import org.wigeontally.schema.generated.ChunkEntry;
+import org.wigeontally.schema.generated.HostIdentity;
+import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.HostState;
+import org.wigeontally.schema.generated.Liveness;
+import org.wigeontally.schema.generated.Manifest;
+import org.wigeontally.schema.generated.Model;
+import org.wigeontally.schema.generated.Role;
+import org.wigeontally.schema.generated.VersionProgress;
+import org.wigeontally.spread.OriginClient;
+import org.wigeontally.spread.WeightNode;
+import org.wigeontally.spread.WeightSettings;
+import org.wigeontally.spread.Wire;
+import org.wigeontally.weights.Manifests;
+import org.wigeontally.weights.VerifiedWeights;
+
+/**
+ * Collects the version that the engine should hold. The digests come from the origin; all
+ * agents make the same manifest of them, so that their pieces fit each other. What the
+ * engine has staged already is verified and used, so that a restart of this process
+ * fetches nothing. Runs on the event loop.
+ */
+final class WeightCollection {
+
+	/** Part of the host's link that weights may take; the rest is for streams. */
+	private static final double LINK_PART = 0.85;
+
+	private static final int KBIT_PER_MBIT = 1_000;
+
+	private static final int MEMORY_MB = 48;
+
+	private static final long DIGESTS_TIMEOUT_MS = 1_500;
+
+	private static final long PIECE_TIMEOUT_MS = 2_500;
+
+	private static final long FIRST_PAUSE_MS = 100;
+
+	private static final long LONGEST_PAUSE_MS = 600;
+
+	private final Clock clock;
+
+	private final EventLog log;
+
+	private final HostSettings settings;
+
+	private final FleetView view;
+
+	private final EngineClient engine;
+
+	private final WeightNode node;
+
+	private final Map<String, Integer> indexes = new HashMap<>();
+
+	private long version;
+
+	private Manifest manifest;
+
+	private boolean digestsOpen;
+
+	private int digestsFailures;
+
+	private long digestsNextMs = Long.MIN_VALUE;
+
+	private long startedAtMs;
+
+	private boolean wholeLogged;
+
+	private int fromOrigin;
+
+	WeightCollection(Vertx vertx, Clock clock, EventLog log, HostSettings settings, FleetView view,
+			EngineClient engine) {
+		this.clock = clock;
+		this.log = log;
+		this.settings = settings;
+		this.view = view;
+		this.engine = engine;
+		int kbps = (int) (settings.getLinkMbps() * KBIT_PER_MBIT * LINK_PART);
+		WeightSettings weights = new WeightSettings(self(), "", MEMORY_MB, kbps, Map.of(), Wire.DIRECT);
+		this.node = WeightNode.start(vertx, weights, this::peers, new PlatformOrigin(), clock,
+				settings.getHost().hashCode());
+	}
+
+	Router router() {
+		return this.node.router();
+	}
+
+	/**
+	 * Goes on collecting.
+	 * @param wanted the version to collect
+	 */
+	void collect(long wanted) {
+		if (this.version < wanted) {
+			fetchDigests(wanted);
+			return;
+		}
+		if (!this.wholeLogged && weights(wanted).isPresent()) {
+			this.wholeLogged = true;
+			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", wanted, "after-ms",
+					this.clock.monotonicMs() - this.startedAtMs, "from-origin", this.fromOrigin, "pieces",
+					this.manifest.getChunksCount());
+		}
+	}
+
+	/**
+	 * Returns a version whose pieces are all held and verified.
+	 * @param wanted the version
+	 * @return the weights; empty if pieces are missing
+	 */
+	Optional<VerifiedWeights> weights(long wanted) {
+		return (this.version == wanted) ? this.node.verified(this.view.model(), Long.toString(wanted))
+				: Optional.empty();
+	}
+
+	/**
+	 * Drops older versions, once the engine holds this one.
+	 * @param loaded the version that the engine holds
+	 */
+	void loaded(long loaded) {
+		this.node.bearsLoad(this.view.model(), Long.toString(loaded));
+	}
+
+	long wholeVersion() {
+		return weights(this.version).isPresent() ? this.version : 0;
+	}
+
+	int held() {
+		for (VersionProgress progress : this.node.progress()) {
+			if (progress.getVersion().equals(Long.toString(this.version))) {
+				return progress.getChunksVerified();
+			}
+		}
+		return 0;
+	}
+
+	private void fetchDigests(long wanted) {
+		if (this.digestsOpen || this.clock.monotonicMs() < this.digestsNextMs) {
+			return;
+		}
+		this.digestsOpen = true;
+		AgentBriefing briefing = this.view.briefing();
+		this.engine.digests(briefing.getOrigin(), this.view.model(), wanted, DIGESTS_TIMEOUT_MS)
+			.onComplete((result) -> {
+				this.digestsOpen = false;
+				if (result.succeeded() && result.result().size() == briefing.getChunks()) {
+					this.digestsFailures = 0;
+					begin(wanted, result.result());
+					return;
+				}
+				this.digestsFailures++;
+				this.digestsNextMs = this.clock.monotonicMs()
+						+ Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * this.digestsFailures);
+				this.log.write(LogEvent.PIECE_FAILED, "piece", "digests", "version", wanted, "source", "origin",
+						"reason", result.failed() ? result.cause().getMessage() : "wrong number of digests");
+			});
+	}
+
+	private void begin(long wanted, List<String> digests) {
+		if (wanted != this.view.targetVersion()) {
+			return;
+		}
+		Manifest.Builder made = Manifest.newBuilder()
+			.setModel(this.view.model())
+			.setVersion(Long.toString(wanted))
+			.setChunkBytes(this.view.briefing().getChunkBytes());
+		this.indexes.clear();
+		for (int i = 0; i < digests.size(); i++) {
+			this.indexes.put(digests.get(i), i);
+			made.addChunks(ChunkEntry.newBuilder()
+				.setDigest(ByteString.copyFrom(org.wigeontally.weights.Digests.bytes(digests.get(i))))
+				.setSize(this.view.briefing().getChunkBytes()));
+		}
+		this.manifest = made.build();
+		this.version = wanted;
+		this.wholeLogged = false;
+		this.fromOrigin = 0;
+		this.startedAtMs = this.clock.monotonicMs();
+		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size());
+		readStaged(digests);
+		this.node.want(Model.newBuilder()
+			.setName(this.view.model())
+			.setVersion(Long.toString(wanted))
+			.setManifest(Manifests.digest(this.manifest))
+			.build());
+	}
+
+	private void readStaged(List<String> digests) {
+		Address backend = this.settings.getBackend();
+		this.engine.stagedPieces(backend, this.view.model()).onSuccess((staged) -> {
+			for (int index : staged) {
+				if (index < digests.size()) {
+					this.engine.staged(backend, this.view.model(), index)
+						.onSuccess((bytes) -> this.node.found(digests.get(index), bytes.getBytes()))
+						.onFailure((failure) -> stagedFailed(index, failure));
+				}
+			}
+		}).onFailure((failure) -> stagedFailed(-1, failure));
+	}
+
+	private void stagedFailed(int index, Throwable failure) {
+		this.log.write(LogEvent.PIECE_FAILED, "piece", index, "version", this.version, "source", "staged", "reason",
+				failure.getMessage());
+	}
+
+	private HostIdentity self() {
+		return HostIdentity.newBuilder()
+			.setHost(this.settings.getIp())
+			.setRegion(this.settings.getRegion())
+			.setZone(this.settings.getZone())
+			.setRole(Role.AGENT)
+			.setAddress(Address.newBuilder().setIp(this.settings.getIp()).setPort(this.settings.getInternalPort()))
+			.build();
+	}
+
+	private List<HostState> peers() {
+		return this.view.briefing().getAgentsList().stream().map(WeightCollection::state).toList();
+	}
+
+	private static HostState state(AgentPlace agent) {
+		return HostState.newBuilder()
+			.setHost(HostIdentity.newBuilder()
+				.setHost(agent.getAddress().getIp())
+				.setRegion(agent.getRegion())
+				.setZone(agent.getZone())
+				.setRole(Role.AGENT)
+				.setAddress(agent.getAddress()))
+			.setLiveness(Liveness.LIVE)
+			.build();
+	}
+
+	/**
+	 * The platform's origin, which names pieces by their number.
+	 */
+	private final class PlatformOrigin implements OriginClient {
+
+		@Override
+		public Future<byte[]> manifest(String digest) {
+			byte[] bytes = WeightCollection.this.manifest.toByteArray();
+			return Manifests.digest(WeightCollection.this.manifest).equals(digest) ? Future.succeededFuture(bytes)
+					: Future.failedFuture("manifest of another version");
+		}
+
+		@Override
+		public Future<byte[]> chunk(String digest, int size) {
+			WeightCollection weights = WeightCollection.this;
+			Integer index = weights.indexes.get(digest);
+			if (index == null) {
+				return Future.failedFuture("piece of another version");
+			}
+			weights.fromOrigin++;
+			return weights.engine
+				.piece(weights.view.briefing().getOrigin(), weights.view.model(), weights.version, index,
+						PIECE_TIMEOUT_MS)
+				.map(Buffer::getBytes)
+				.onFailure((failure) -> weights.log.write(LogEvent.PIECE_FAILED, "piece", index, "version",
+						weights.version, "source", "origin", "reason", failure.getMessage()));
+		}
+
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -107,6 +107,19 @@
 		});
 	}
 
+	/**
+	 * Takes a chunk that was found on this host, such as one that the engine has staged.
+	 * @param digest digest that the chunk should have, hexadecimal
+	 * @param bytes the bytes; dropped if they do not fit
+	 */
+	public void found(String digest, byte[] bytes) {
+		this.parts.control().runOnContext((now) -> {
+			if (this.parts.store().put(digest, bytes) == ChunkStore.Outcome.STORED) {
+				chunksChanged(digest);
+			}
+		});
+	}
+
 	private boolean superseded(VersionSpread spread, Model model) {
 		if (!spread.model().getName().equals(model.getName()) || spread.whole()) {
 			return false;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
@@ -0,0 +1,103 @@
+package org.wigeontally.fleet;
+
+/**
+ * What an entry knows of the load of one backend server: the newest report of its agent
+ * or of its answers, and the entry's own requests since. Used by one thread.
+ */
+public final class BackendLoad {
+
+	/** Age from which a report says nothing any more; agents report every 150 ms. */
+	public static final long REPORT_AGE_LIMIT_MS = 700;
+
+	private int reported;
+
+	private long reportedAtMs = Long.MIN_VALUE / 2;
+
+	private int sentSince;
+
+	private int endedSince;
+
+	private int inFlight;
+
+	private double pace = 1;
+
+	private BackendLoad() {
+	}
+
+	/**
+	 * Creates the knowledge of a backend server that nothing was heard of.
+	 * @return the load
+	 */
+	public static BackendLoad create() {
+		return new BackendLoad();
+	}
+
+	/**
+	 * Takes a report.
+	 * @param requests requests in the batch and waiting
+	 * @param reportedPace pace of the engine, 1 if normal
+	 * @param nowMs time of arrival
+	 */
+	public void report(int requests, double reportedPace, long nowMs) {
+		this.reported = requests;
+		this.pace = Math.max(1, reportedPace);
+		this.reportedAtMs = nowMs;
+		this.sentSince = 0;
+		this.endedSince = 0;
+	}
+
+	/**
+	 * Counts a request that is sent.
+	 */
+	public void sent() {
+		this.inFlight++;
+		this.sentSince++;
+	}
+
+	/**
+	 * Counts a request that has ended, whatever its outcome.
+	 */
+	public void ended() {
+		this.inFlight--;
+		this.endedSince++;
+	}
+
+	/**
+	 * Returns the entry's own requests at the backend server.
+	 * @return number of requests
+	 */
+	public int inFlight() {
+		return this.inFlight;
+	}
+
+	/**
+	 * Returns the pace of the engine.
+	 * @return 1 if normal, more if slow
+	 */
+	public double pace() {
+		return this.pace;
+	}
+
+	/**
+	 * Returns the age of the report.
+	 * @param nowMs the time
+	 * @return milliseconds
+	 */
+	public long reportAgeMs(long nowMs) {
+		return nowMs - this.reportedAtMs;
+	}
+
+	/**
+	 * Estimates the requests that all entries together have at the backend server.
+	 * @param nowMs the time
+	 * @param entries number of entries, for the case that no report is fresh
+	 * @return number of requests
+	 */
+	public int estimate(long nowMs, int entries) {
+		if (reportAgeMs(nowMs) > REPORT_AGE_LIMIT_MS) {
+			return this.inFlight * Math.max(1, entries);
+		}
+		return Math.max(this.inFlight, this.reported + this.sentSince - this.endedSince);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/ColdShare.java
@@ -0,0 +1,59 @@
+package org.wigeontally.fleet;
+
+/**
+ * One entry's part of the requests that a cold backend server bears in a second. Used by
+ * one thread.
+ *
+ * <p>
+ * The load pattern: a zone comes back cold and empty, and every entry sees idle backend
+ * servers at the same moment. A backend server may turn cold without a word, and entries
+ * may not hear each other, so the part is fixed: the bound over all entries divided by
+ * the most entries that there can be. It holds at all times; a warm engine gets less than
+ * that by itself.
+ */
+public final class ColdShare {
+
+	private static final long WINDOW_MS = 1_100;
+
+	private int most = Integer.MAX_VALUE;
+
+	private final SlidingCount sent = new SlidingCount(WINDOW_MS);
+
+	private ColdShare() {
+	}
+
+	/**
+	 * Creates a share without a bound.
+	 * @return the share
+	 */
+	public static ColdShare create() {
+		return new ColdShare();
+	}
+
+	/**
+	 * Sets the bound.
+	 * @param bound requests a second that all entries together may send
+	 * @param entries most entries that there can be
+	 */
+	public void most(double bound, int entries) {
+		this.most = Math.max(1, (int) (bound / Math.max(1, entries)));
+	}
+
+	/**
+	 * Returns whether the share has room.
+	 * @param nowMs the time
+	 * @return true if a request may be sent
+	 */
+	public boolean hasRoom(long nowMs) {
+		return this.sent.count(nowMs) < this.most;
+	}
+
+	/**
+	 * Counts a request.
+	 * @param nowMs the time
+	 */
+	public void sent(long nowMs) {
+		this.sent.add(nowMs);
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/DirectoryAnswer.java
@@ -0,0 +1,57 @@
+package org.wigeontally.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * Decides which entries a caller is sent to: those of its zone; if there are fewer than
+ * two, those of its region too; if there are still fewer, all others whose region may
+ * receive the requests of the host name.
+ */
+public final class DirectoryAnswer {
+
+	private static final int ENOUGH = 2;
+
+	private static final int MOST = 64;
+
+	private DirectoryAnswer() {
+	}
+
+	/**
+	 * Decides on one caller.
+	 * @param question where the caller is
+	 * @param entries entries that may be named, this one included
+	 * @param regions regions that may receive the requests; empty for all
+	 * @return addresses to connect to
+	 */
+	public static List<String> addresses(DirectoryQuestion question, List<EntryNews> entries, Set<String> regions) {
+		LinkedHashSet<String> found = new LinkedHashSet<>();
+		for (EntryNews entry : entries) {
+			if (entry.getReady() && entry.getZone().equals(question.zone())) {
+				found.add(Addresses.format(entry.getFront()));
+			}
+		}
+		if (found.size() < ENOUGH) {
+			for (EntryNews entry : entries) {
+				if (entry.getReady() && entry.getRegion().equals(question.region())) {
+					found.add(Addresses.format(entry.getFront()));
+				}
+			}
+		}
+		if (found.isEmpty() || (found.size() < ENOUGH && regions.isEmpty())) {
+			for (EntryNews entry : entries) {
+				if (entry.getReady() && (regions.isEmpty() || regions.contains(entry.getRegion()))) {
+					found.add(Addresses.format(entry.getFront()));
+				}
+			}
+		}
+		List<String> listed = new ArrayList<>(found);
+		return (listed.size() > MOST) ? listed.subList(0, MOST) : listed;
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/DirectoryQuestion.java
@@ -0,0 +1,12 @@
+package org.wigeontally.fleet;
+
+/**
+ * A caller's question where to connect.
+ *
+ * @param host host name that the caller wants to use
+ * @param region region of the caller
+ * @param zone availability zone of the caller
+ */
+public record DirectoryQuestion(String host, String region, String zone) {
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -0,0 +1,120 @@
+package org.wigeontally.fleet;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Places requests on model engines, each with a batch of fixed size.
+ *
+ * <p>
+ * The load pattern: traffic steps up to or beyond what the engines carry, while some of
+ * them are lost or load weights. An engine whose batch is full ends a request about every
+ * tenth of a second, so a queue of a few requests uses up the whole time within which a
+ * first event counts as on time. With a bound on the requests at each engine that is too
+ * high, every request is late; with one too low, places stay empty between two reports.
+ *
+ * <p>
+ * So the time to the first event is predicted for each engine from its estimated load:
+ * what is left of the running pass, the requests that wait before this one, reading the
+ * prompt, and the pass that writes the first event. Requests go where that time is
+ * shortest; a small difference is not worth a border between regions. A request that is
+ * on time there gets a rank in front of those that are late anyway. Late requests still
+ * have a value, so a bounded number of them may wait behind: the engine takes them only
+ * when none that can be on time waits. Beyond that number a request is turned away at
+ * once, with the time after which the queue has room again.
+ */
+public final class EnginePlacement {
+
+	/** Requests behind a full batch that may wait although they are late. */
+	static final int LATE_QUEUE = 5;
+
+	/** Rank of requests that are late already. */
+	static final int LATE_RANK = 8;
+
+	/** Rank of the most urgent requests that can be on time. */
+	static final int FIRST_RANK = 2;
+
+	private static final int RANKED_PRIORITIES = 4;
+
+	/** Time for which a caller is served by another region rather than wait longer. */
+	private static final double[] DISTANCE_COST_MS = { 0, 6, 18 };
+
+	/** Time added for an engine that fails all its requests; a share of it for less. */
+	private static final double FAILURE_COST_MS = 600;
+
+	/** Predictions that differ by less are equal; the choice among them is random. */
+	private static final double TIE_MS = 8;
+
+	/** Margin for the way to the caller and for loads that other entries add. */
+	private static final double MARGIN_MS = 40;
+
+	private static final double COME_BACK_MIN_MS = 150;
+
+	private final EngineModel model;
+
+	private final RandomGenerator random;
+
+	private EnginePlacement(EngineModel model, RandomGenerator random) {
+		this.model = model;
+		this.random = random;
+	}
+
+	/**
+	 * Creates the placement of a service.
+	 * @param model figures of its engines
+	 * @param random breaks ties, so that entries do not all choose the same engine
+	 * @return the placement
+	 */
+	public static EnginePlacement of(EngineModel model, RandomGenerator random) {
+		return new EnginePlacement(model, random);
+	}
+
+	/**
+	 * Decides on one request.
+	 * @param request the request
+	 * @param candidates engines that may take it; not empty
+	 * @return where it goes
+	 */
+	public EngineDecision decide(EngineRequest request, List<EngineCandidate> candidates) {
+		EngineCandidate best = null;
+		double bestCost = Double.MAX_VALUE;
+		double shortestQueueMs = Double.MAX_VALUE;
+		for (EngineCandidate candidate : candidates) {
+			double cost = firstEventMs(request, candidate) + DISTANCE_COST_MS[candidate.distance()]
+					+ candidate.failureShare() * FAILURE_COST_MS + this.random.nextDouble() * TIE_MS;
+			if (cost < bestCost) {
+				best = candidate;
+				bestCost = cost;
+			}
+			shortestQueueMs = Math.min(shortestQueueMs, queueMs(candidate));
+		}
+		double firstEventMs = firstEventMs(request, best);
+		boolean onTime = firstEventMs + MARGIN_MS <= request.targetLeftMs();
+		if (onTime || best.load() < this.model.slots()) {
+			return new EngineDecision.Place(best.id(), onTime ? rank(request) : LATE_RANK, firstEventMs);
+		}
+		boolean tooLate = firstEventMs > request.deadlineLeftMs();
+		if (tooLate || best.load() >= this.model.slots() + LATE_QUEUE) {
+			return new EngineDecision.TurnAway(Math.max(COME_BACK_MIN_MS, shortestQueueMs));
+		}
+		return new EngineDecision.Place(best.id(), LATE_RANK, firstEventMs);
+	}
+
+	private static int rank(EngineRequest request) {
+		return FIRST_RANK + Math.min(request.priority(), RANKED_PRIORITIES - 1);
+	}
+
+	double firstEventMs(EngineRequest request, EngineCandidate candidate) {
+		int active = Math.min(candidate.load() + 1, this.model.slots());
+		double passMs = this.model.passMs(active);
+		double running = (candidate.load() == 0) ? 0 : passMs / 2;
+		double own = this.model.readMs(request.promptTokens()) + passMs;
+		return queueMs(candidate) + (running + own) * candidate.pace();
+	}
+
+	private double queueMs(EngineCandidate candidate) {
+		int before = candidate.load() + 1 - this.model.slots();
+		return (before <= 0) ? 0 : before * this.model.slotIntervalMs() * candidate.pace();
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -0,0 +1,137 @@
+package org.wigeontally.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * The entries that this entry knows, by what they said last. Used by one thread.
+ *
+ * <p>
+ * An entry is named to callers while it was heard of within {@link #SILENCE_LIMIT_MS};
+ * one that says that it leaves is dropped at once. Addresses that were told by others but
+ * never answered are kept for trying, with a pause that grows.
+ */
+public final class EntryTable {
+
+	/** Silence after which an entry is not named any more; exchanges are 500 ms apart. */
+	public static final long SILENCE_LIMIT_MS = 2_000;
+
+	private static final long LONGEST_TRY_PAUSE_MS = 4_000;
+
+	private static final long FIRST_TRY_PAUSE_MS = 500;
+
+	/** Failed tries after which an address that never answered is forgotten. */
+	private static final int TRIES_MAX = 40;
+
+	private final Map<String, Row> rows = new HashMap<>();
+
+	private EntryTable() {
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @return the table
+	 */
+	public static EntryTable create() {
+		return new EntryTable();
+	}
+
+	/**
+	 * Takes an address from settings, the store or another entry.
+	 * @param control control address
+	 */
+	public void know(Address control) {
+		this.rows.computeIfAbsent(Addresses.format(control), (key) -> new Row(control));
+	}
+
+	/**
+	 * Takes what an entry said.
+	 * @param news its message
+	 * @param nowMs time of arrival
+	 * @return true if it was not heard of lately
+	 */
+	public boolean heard(EntryNews news, long nowMs) {
+		know(news.getControl());
+		Row row = this.rows.get(Addresses.format(news.getControl()));
+		boolean regained = row.news == null || nowMs - row.heardAtMs > SILENCE_LIMIT_MS;
+		row.news = news;
+		row.heardAtMs = nowMs;
+		row.failures = 0;
+		return regained;
+	}
+
+	/**
+	 * Notes that an entry did not answer.
+	 * @param control its control address
+	 * @param nowMs the time
+	 */
+	public void failed(Address control, long nowMs) {
+		Row row = this.rows.get(Addresses.format(control));
+		if (row == null) {
+			return;
+		}
+		row.failures++;
+		if (row.failures > 2) {
+			long pauseMs = Math.min(LONGEST_TRY_PAUSE_MS, FIRST_TRY_PAUSE_MS << Math.min(row.failures - 3, 8));
+			row.nextTryMs = nowMs + pauseMs;
+		}
+		if (row.failures > TRIES_MAX) {
+			this.rows.remove(Addresses.format(control));
+		}
+	}
+
+	/**
+	 * Returns the entries to exchange with now.
+	 * @param nowMs the time
+	 * @return control addresses
+	 */
+	public List<Address> due(long nowMs) {
+		List<Address> due = new ArrayList<>();
+		for (Row row : this.rows.values()) {
+			if (nowMs >= row.nextTryMs) {
+				due.add(row.control);
+			}
+		}
+		return due;
+	}
+
+	/**
+	 * Returns the entries that were heard of lately, leaving ones included.
+	 * @param nowMs the time
+	 * @return what they said last
+	 */
+	public List<EntryNews> heardOf(long nowMs) {
+		List<EntryNews> found = new ArrayList<>();
+		for (Row row : this.rows.values()) {
+			if (row.news != null && nowMs - row.heardAtMs <= SILENCE_LIMIT_MS) {
+				found.add(row.news);
+			}
+		}
+		return found;
+	}
+
+	private static final class Row {
+
+		private final Address control;
+
+		private EntryNews news;
+
+		private long heardAtMs;
+
+		private int failures;
+
+		private long nextTryMs;
+
+		private Row(Address control) {
+			this.control = control;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/EventFrames.java
@@ -0,0 +1,109 @@
+package org.wigeontally.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Cuts a stream of bytes into whole events, so that nothing but whole events is passed on
+ * and a stream that breaks in the middle of one can go on elsewhere. Used by one thread.
+ */
+public final class EventFrames {
+
+	private static final int FIRST_CAPACITY_BYTES = 512;
+
+	private byte[] bytes = new byte[FIRST_CAPACITY_BYTES];
+
+	private int length;
+
+	private int scanned;
+
+	private EventFrames() {
+	}
+
+	/**
+	 * Creates an empty splitter.
+	 * @return the splitter
+	 */
+	public static EventFrames create() {
+		return new EventFrames();
+	}
+
+	/**
+	 * Adds bytes as they arrive.
+	 * @param added the bytes
+	 */
+	public void add(byte[] added) {
+		if (this.length + added.length > this.bytes.length) {
+			this.bytes = Arrays.copyOf(this.bytes, Math.max(this.bytes.length * 2, this.length + added.length));
+		}
+		System.arraycopy(added, 0, this.bytes, this.length, added.length);
+		this.length += added.length;
+	}
+
+	/**
+	 * Takes the next whole event.
+	 * @return the event with the empty line that ends it, or null if none is whole
+	 */
+	public Event next() {
+		for (int i = Math.max(1, this.scanned); i < this.length; i++) {
+			if (this.bytes[i] == '\n' && endsEvent(i)) {
+				return take(i + 1);
+			}
+		}
+		this.scanned = this.length;
+		return null;
+	}
+
+	/**
+	 * Returns whether bytes of an event that is not whole are left.
+	 * @return true if there are
+	 */
+	public boolean hasRest() {
+		return this.length > 0;
+	}
+
+	private boolean endsEvent(int index) {
+		int before = index - 1;
+		if (this.bytes[before] == '\r') {
+			before--;
+		}
+		return before >= 0 && this.bytes[before] == '\n';
+	}
+
+	private Event take(int end) {
+		byte[] event = Arrays.copyOf(this.bytes, end);
+		System.arraycopy(this.bytes, end, this.bytes, 0, this.length - end);
+		this.length -= end;
+		this.scanned = 0;
+		return new Event(event, id(event));
+	}
+
+	private static long id(byte[] event) {
+		String text = new String(event, StandardCharsets.ISO_8859_1);
+		int start = text.startsWith("id:") ? 0 : text.indexOf("\nid:") + 1;
+		if (start == 0 && !text.startsWith("id:")) {
+			return Event.NO_ID;
+		}
+		int end = text.indexOf('\n', start);
+		try {
+			return Long.parseLong(text.substring(start + "id:".length(), end).strip());
+		}
+		catch (NumberFormatException ex) {
+			return Event.NO_ID;
+		}
+	}
+
+	/**
+	 * A whole event.
+	 *
+	 * @param bytes its bytes, with the empty line that ends it
+	 * @param id its number, or {@link #NO_ID}
+	 */
+	public record Event(byte[] bytes, long id) {
+
+		/** Number of an event without one. */
+		public static final long NO_ID = -1;
+
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
@@ -0,0 +1,144 @@
+package org.wigeontally.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration. Immutable.
+ */
+public final class FleetConfiguration {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost;
+
+	private final Map<String, Service> services;
+
+	private final Optional<WeightOrigin> origin;
+
+	private final Map<String, Organisation> organisationsByKey;
+
+	private final CallerLimits limits;
+
+	private FleetConfiguration(long version, Map<String, List<Route>> routesByHost, Map<String, Service> services,
+			Optional<WeightOrigin> origin, Map<String, Organisation> organisationsByKey, CallerLimits limits) {
+		this.version = version;
+		this.routesByHost = routesByHost;
+		this.services = services;
+		this.origin = origin;
+		this.organisationsByKey = organisationsByKey;
+		this.limits = limits;
+	}
+
+	/**
+	 * Creates a configuration.
+	 * @param version its version
+	 * @param routes all routes
+	 * @param services all services
+	 * @param origin the origin of weights, if there is one
+	 * @param organisationsByKey who holds each key; empty if no keys are asked for
+	 * @param limits bounds on what callers may send
+	 * @return the configuration
+	 */
+	public static FleetConfiguration of(long version, List<Route> routes, List<Service> services,
+			Optional<WeightOrigin> origin, Map<String, Organisation> organisationsByKey, CallerLimits limits) {
+		Map<String, List<Route>> byHost = new HashMap<>();
+		for (Route route : routes) {
+			byHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+		}
+		Comparator<Route> longestFirst = Comparator.comparingInt((Route route) -> route.pathPrefix().length());
+		byHost.values().forEach((list) -> list.sort(longestFirst.reversed()));
+		Map<String, Service> byName = new HashMap<>();
+		for (Service service : services) {
+			byName.put(service.name(), service);
+		}
+		return new FleetConfiguration(version, byHost, byName, origin, Map.copyOf(organisationsByKey), limits);
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Finds the route of a request.
+	 * @param host host name that the caller used
+	 * @param path path of the request, without its query
+	 * @return the route with the longest fitting prefix
+	 */
+	public Optional<Route> route(String host, String path) {
+		for (Route route : this.routesByHost.getOrDefault(host, List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns the routes of a host name.
+	 * @param host host name that callers use
+	 * @return its routes, longest prefix first
+	 */
+	public List<Route> routes(String host) {
+		return this.routesByHost.getOrDefault(host, List.of());
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name its name
+	 * @return the service
+	 */
+	public Optional<Service> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns all services.
+	 * @return the services
+	 */
+	public Iterable<Service> services() {
+		return this.services.values();
+	}
+
+	/**
+	 * Returns the origin of weights.
+	 * @return the origin, if there is one
+	 */
+	public Optional<WeightOrigin> origin() {
+		return this.origin;
+	}
+
+	/**
+	 * Returns whether requests need a key unless their route exempts them.
+	 * @return true if they do
+	 */
+	public boolean asksForKeys() {
+		return !this.organisationsByKey.isEmpty();
+	}
+
+	/**
+	 * Finds the holder of a key.
+	 * @param key the key; may be null
+	 * @return the organisation
+	 */
+	public Optional<Organisation> organisation(String key) {
+		return (key != null) ? Optional.ofNullable(this.organisationsByKey.get(key)) : Optional.empty();
+	}
+
+	/**
+	 * Returns the bounds on what callers may send.
+	 * @return the bounds
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/weights/LoadTurn.java
@@ -0,0 +1,42 @@
+package org.wigeontally.weights;
+
+import java.util.Collection;
+
+/**
+ * Decides when an engine loads a version that is staged.
+ *
+ * <p>
+ * The load pattern: a version arrives at all hosts at about the same time, and an engine
+ * takes no requests from the order until what runs has ended and the weights are loaded.
+ * If all engines did so at once, nobody would serve. So a part of them goes at a time, in
+ * the order of their addresses, until the bound of the version presses. An engine that
+ * holds no weights serves nobody and has nothing to wait for.
+ */
+public final class LoadTurn {
+
+	/** Part of the engines that may load at the same time. */
+	private static final double PART = 0.4;
+
+	private LoadTurn() {
+	}
+
+	/**
+	 * Decides for one engine.
+	 * @param self address of its agent
+	 * @param loadedVersion version that it holds; 0 for none
+	 * @param before agents that have the version staged or are loading it, without those
+	 * that hold it already
+	 * @param engines number of engines
+	 * @param pressing true if the bound of the version is near
+	 * @return true if it may load now
+	 */
+	public static boolean mayLoad(String self, long loadedVersion, Collection<String> before, int engines,
+			boolean pressing) {
+		if (loadedVersion == 0 || pressing) {
+			return true;
+		}
+		long rank = before.stream().filter((agent) -> agent.compareTo(self) < 0).count();
+		return rank < Math.max(1, Math.round(engines * PART));
+	}
+
+}
