Entry: strict framing, placement by batch size; tests of the entry against stand-ins of store and backend servers

Cause: a request with both a length and chunks was read by its chunks, and bytes behind it became a request of their own (RequestRelayTests#bodyIsNeverTakenForARequest failed first). Placement queued up to five late requests behind a full batch. Ruled out for placement, in the replay of EnginePlacementTests: waiting at the entry for up to 60 or 120 ms, return after 100 or 500 ms, a bound of 15 or 17 requests. Conclusion: nothing waits at an engine; four places of sixteen are kept for requests that can be on time.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -162,6 +162,9 @@
 		HttpServerOptions callers = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
 			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
 			.setHandle100ContinueAutomatically(true)
+			.setHttp2ClearTextEnabled(false)
+			.setPerFrameWebSocketCompressionSupported(false)
+			.setPerMessageWebSocketCompressionSupported(false)
 			.setAcceptBacklog(BACKLOG)
 			.setTcpNoDelay(true);
 		Address metrics = Address.newBuilder()
@@ -169,8 +172,10 @@
 			.setPort(this.settings.getMetricsPort())
 			.build();
 		List<Future<HttpServer>> servers = new ArrayList<>();
-		servers.add(this.vertx.createHttpServer(callers)
-			.connectionHandler(this.front::connected)
+		servers.add(this.vertx.createHttpServer(callers).connectionHandler((connection) -> {
+			StrictFraming.apply(connection, callers);
+			this.front.connected(connection);
+		})
 			.requestHandler(this.front::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
 		servers.add(serve(this.settings.getReady(), this::ready));
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -58,8 +58,11 @@
 
 	private static final long SILENCE_CHECK_MS = 200;
 
-	/** Returns of callers for whom no backend server is known at all. */
-	private static final double NO_BACKEND_RETURN_MS = 400;
+	/**
+	 * Return of callers for whom there is no backend server; it takes seconds for one to
+	 * come.
+	 */
+	private static final double NO_BACKEND_RETURN_MS = 1_200;
 
 	/**
 	 * Part of a connection's idle time that may have passed for a request that must not
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -39,7 +39,7 @@
 	private static final long LOOK_MS = 75;
 
 	/** Time between two reports while the engine's load does not change. */
-	private static final long REPORT_MS = 225;
+	private static final long REPORT_MS = 300;
 
 	/** Time between two reads of the store while no entry answers. */
 	private static final long FIND_ENTRIES_MS = 1_500;
--- a/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
+++ b/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
@@ -6,7 +6,9 @@
  */
 public final class BackendLoad {
 
-	/** Age from which a report says nothing any more; agents report every 150 ms. */
+	/**
+	 * Age from which a report says nothing any more; agents report at least every 300 ms.
+	 */
 	public static final long REPORT_AGE_LIMIT_MS = 700;
 
 	private int reported;
--- a/library/src/main/java/org/wigeontally/fleet/EngineDecision.java
+++ b/library/src/main/java/org/wigeontally/fleet/EngineDecision.java
@@ -17,8 +17,8 @@
 	}
 
 	/**
-	 * The request is turned away: no engine can serve it in the time that it has, or so
-	 * much late work waits already that more of it would only be held in vain.
+	 * The request is turned away: all places are taken, or those that are left are kept
+	 * for requests that can still be on time.
 	 *
 	 * @param comeBackMs time after which room is expected
 	 */
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -10,23 +10,23 @@
  * The load pattern: traffic steps up to or beyond what the engines carry, while some of
  * them are lost or load weights. An engine whose batch is full ends a request about every
  * tenth of a second, so a queue of a few requests uses up the whole time within which a
- * first event counts as on time. With a bound on the requests at each engine that is too
- * high, every request is late; with one too low, places stay empty between two reports.
+ * first event counts as on time, and then every request is late. With too low a bound on
+ * the requests at an engine, places stay empty between two reports.
  *
  * <p>
- * So the time to the first event is predicted for each engine from its estimated load:
- * what is left of the running pass, the requests that wait before this one, reading the
- * prompt, and the pass that writes the first event. Requests go where that time is
- * shortest; a small difference is not worth a border between regions. A request that is
- * on time there gets a rank in front of those that are late anyway. Late requests still
- * have a value, so a bounded number of them may wait behind: the engine takes them only
- * when none that can be on time waits. Beyond that number a request is turned away at
- * once, with the time after which the queue has room again.
+ * So the bound is the size of the batch: nothing waits at an engine. The time to the
+ * first event is predicted for each engine from its estimated load: what is left of the
+ * running pass, reading the prompt, and the pass that writes the first event. Requests go
+ * where that time is shortest; a small difference is not worth a border between regions.
+ * A request that is late already, or would be, has a small part of its worth left, so it
+ * gets a place only while some are left over for those that can be on time. Whoever finds
+ * no place is turned away at once, with a time after which a burst has passed: a caller
+ * who returns sooner meets the same load and takes a place from a fresh request.
  */
 public final class EnginePlacement {
 
-	/** Requests behind a full batch that may wait although they are late. */
-	static final int LATE_QUEUE = 5;
+	/** Places at each engine that only requests that can be on time may take. */
+	static final int KEPT_PLACES = 4;
 
 	/** Rank of requests that are late already. */
 	static final int LATE_RANK = 8;
@@ -48,7 +48,8 @@
 	/** Margin for the way to the caller and for loads that other entries add. */
 	private static final double MARGIN_MS = 40;
 
-	private static final double COME_BACK_MIN_MS = 150;
+	/** Time after which a caller that was turned away comes back. */
+	private static final double COME_BACK_MS = 1_000;
 
 	private final EngineModel model;
 
@@ -78,7 +79,6 @@
 	public EngineDecision decide(EngineRequest request, List<EngineCandidate> candidates) {
 		EngineCandidate best = null;
 		double bestCost = Double.MAX_VALUE;
-		double shortestQueueMs = Double.MAX_VALUE;
 		for (EngineCandidate candidate : candidates) {
 			double cost = firstEventMs(request, candidate) + DISTANCE_COST_MS[candidate.distance()]
 					+ candidate.failureShare() * FAILURE_COST_MS + this.random.nextDouble() * TIE_MS;
@@ -86,18 +86,14 @@
 				best = candidate;
 				bestCost = cost;
 			}
-			shortestQueueMs = Math.min(shortestQueueMs, queueMs(candidate));
 		}
 		double firstEventMs = firstEventMs(request, best);
 		boolean onTime = firstEventMs + MARGIN_MS <= request.targetLeftMs();
-		if (onTime || best.load() < this.model.slots()) {
-			return new EngineDecision.Place(best.id(), onTime ? rank(request) : LATE_RANK, firstEventMs);
+		int bound = onTime ? this.model.slots() : this.model.slots() - KEPT_PLACES;
+		if (best.load() >= bound || firstEventMs > request.deadlineLeftMs()) {
+			return new EngineDecision.TurnAway(COME_BACK_MS);
 		}
-		boolean tooLate = firstEventMs > request.deadlineLeftMs();
-		if (tooLate || best.load() >= this.model.slots() + LATE_QUEUE) {
-			return new EngineDecision.TurnAway(Math.max(COME_BACK_MIN_MS, shortestQueueMs));
-		}
-		return new EngineDecision.Place(best.id(), LATE_RANK, firstEventMs);
+		return new EngineDecision.Place(best.id(), onTime ? rank(request) : LATE_RANK, firstEventMs);
 	}
 
 	private static int rank(EngineRequest request) {
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/fleet/AllowanceTests.java
@@ -0,0 +1,70 @@
+package org.wigeontally.fleet;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Bounds that hold over all entries without a word between them.
+ */
+public class AllowanceTests {
+
+	/**
+	 * Every entry fails everything at once; the sum of repeats stays within the bound.
+	 */
+	@Test
+	public void repeatsOfAllEntriesStayWithinTheBound() {
+		int entries = 9;
+		double ratio = 0.2;
+		double slack = 104;
+		int requests = 0;
+		int repeats = 0;
+		for (int entry = 0; entry < entries; entry++) {
+			RetryAllowance allowance = RetryAllowance.of(ratio, slack, entries, 10_000);
+			for (long nowMs = 0; nowMs < 10_000; nowMs += 100) {
+				allowance.request(nowMs);
+				requests++;
+				repeats += allowance.tryRepeat(nowMs) ? 1 : 0;
+			}
+		}
+		assertThat(repeats).isPositive().isLessThanOrEqualTo((int) (ratio * requests + slack));
+	}
+
+	@Test
+	public void repeatsComeBackAfterTheWindow() {
+		RetryAllowance allowance = RetryAllowance.of(0, 2, 1, 1_000);
+		assertThat(allowance.tryRepeat(0)).isTrue();
+		assertThat(allowance.tryRepeat(10)).isFalse();
+		assertThat(allowance.tryRepeat(1_100)).isTrue();
+	}
+
+	/** A zone returns cold and all entries send it what they may. */
+	@Test
+	public void coldBackendServerBearsWhatAllEntriesSend() {
+		int entries = 12;
+		double bound = 36 * 1.5 + 5;
+		int sent = 0;
+		for (int entry = 0; entry < entries; entry++) {
+			ColdShare share = ColdShare.create();
+			share.most(bound, entries);
+			for (long nowMs = 0; nowMs < 1_000; nowMs += 5) {
+				if (share.hasRoom(nowMs)) {
+					share.sent(nowMs);
+					sent++;
+				}
+			}
+		}
+		assertThat(sent).isPositive().isLessThanOrEqualTo((int) bound);
+	}
+
+	@Test
+	public void callerComesBackWithinAThirdOfItsTime() {
+		java.util.random.RandomGenerator random = new java.util.Random(1);
+		for (int i = 0; i < 100; i++) {
+			double seconds = ReturnTime.seconds(5_000, 1_500, random);
+			assertThat(seconds).isLessThanOrEqualTo(0.5);
+		}
+		assertThat(ReturnTime.seconds(100, -5, random)).isZero();
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/fleet/DirectoryTests.java
@@ -0,0 +1,95 @@
+package org.wigeontally.fleet;
+
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EntryNews;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Which entries callers are sent to.
+ */
+public class DirectoryTests {
+
+	@Test
+	public void callerStaysInItsZone() {
+		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(2, "a", "r1", true),
+				entry(3, "b", "r2", true));
+		assertThat(DirectoryAnswer.addresses(new DirectoryQuestion("h", "r1", "a"), entries, Set.of()))
+			.containsExactlyInAnyOrder("10.0.0.1:80", "10.0.0.2:80");
+	}
+
+	@Test
+	public void leavingEntryIsNotNamed() {
+		List<EntryNews> entries = List.of(entry(1, "a", "r1", false), entry(2, "a", "r1", true),
+				entry(3, "a", "r1", true));
+		assertThat(DirectoryAnswer.addresses(new DirectoryQuestion("h", "r1", "a"), entries, Set.of()))
+			.containsExactlyInAnyOrder("10.0.0.2:80", "10.0.0.3:80");
+	}
+
+	/** With one entry left in its zone a caller would have nowhere to turn. */
+	@Test
+	public void othersAreNamedWhereTheZoneHasTooFew() {
+		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(3, "b", "r2", true));
+		assertThat(DirectoryAnswer.addresses(new DirectoryQuestion("h", "r1", "a"), entries, Set.of()))
+			.containsExactlyInAnyOrder("10.0.0.1:80", "10.0.0.3:80");
+	}
+
+	@Test
+	public void requestsWithHomesAreNotSentElsewhere() {
+		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(3, "b", "r2", true),
+				entry(4, "c", "r3", true));
+		assertThat(DirectoryAnswer.addresses(new DirectoryQuestion("h", "r1", "a"), entries, Set.of("r1")))
+			.containsExactly("10.0.0.1:80");
+		assertThat(DirectoryAnswer.addresses(new DirectoryQuestion("h", "r9", "z"), entries, Set.of("r3")))
+			.containsExactly("10.0.0.4:80");
+	}
+
+	/** An entry that was killed is not named for longer than its silence is bounded. */
+	@Test
+	public void silentEntryIsForgotten() {
+		EntryTable table = EntryTable.create();
+		table.heard(entry(1, "a", "r1", true), 1_000);
+		assertThat(table.heardOf(1_000 + EntryTable.SILENCE_LIMIT_MS)).hasSize(1);
+		assertThat(table.heardOf(1_001 + EntryTable.SILENCE_LIMIT_MS)).isEmpty();
+		assertThat(table.heard(entry(1, "a", "r1", true), 9_000)).isTrue();
+	}
+
+	@Test
+	public void addressThatNeverAnswersIsTriedLessOftenAndForgotten() {
+		EntryTable table = EntryTable.create();
+		Address seed = address(7);
+		table.know(seed);
+		long nowMs = 0;
+		int tries = 0;
+		while (!table.due(Long.MAX_VALUE).isEmpty()) {
+			if (!table.due(nowMs).isEmpty()) {
+				table.failed(seed, nowMs);
+				tries++;
+			}
+			nowMs += 500;
+		}
+		assertThat(tries).isLessThan(60);
+		assertThat(nowMs).isGreaterThan(60_000);
+	}
+
+	private static EntryNews entry(int number, String zone, String region, boolean ready) {
+		return EntryNews.newBuilder()
+			.setHost("e" + number)
+			.setZone(zone)
+			.setRegion(region)
+			.setReady(ready)
+			.setFront(address(number))
+			.setControl(address(number).toBuilder().setPort(81))
+			.build();
+	}
+
+	private static Address address(int number) {
+		return Address.newBuilder().setIp("10.0.0." + number).setPort(80).build();
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
@@ -0,0 +1,318 @@
+package org.wigeontally.gateway;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.BackendStandIn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * One request on its way through an entry while backend servers misbehave.
+ */
+public class RequestRelayTests {
+
+	private GatewayFixture fixture;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.fixture = new GatewayFixture();
+		this.fixture.configure();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	@Test
+	public void answerIsTheBackendServersOwn() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("hello"));
+		ready("plain");
+		GatewayFixture.Answer answer = this.fixture.call(0, "plain", "a1", GatewayFixture.KEY, "order");
+		assertThat(answer.status()).isEqualTo(200);
+		assertThat(answer.body()).isEqualTo("hello");
+		assertThat(answer.signature()).isEqualTo("s1");
+		BackendStandIn.Arrival arrival = last(desk);
+		assertThat(arrival.uri()).isEqualTo("/plain/x?q=1");
+		assertThat(arrival.body()).isEqualTo("order");
+		assertThat(arrival.headers()).containsEntry("x-tenant", "org-a")
+			.containsEntry("x-expect-replica", "desk-1")
+			.containsEntry("x-attempt-id", "a1")
+			.doesNotContainKey("x-credential");
+		assertThat(Long.parseLong(arrival.headers().get("x-deadline-ms"))).isBetween(1L, 1_500L);
+	}
+
+	@Test
+	public void unknownKeyAndRouteAreRejected() throws Exception {
+		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("hello"));
+		ready("plain");
+		assertThat(this.fixture.call(0, "plain", "a1", "no-such-key", "").status()).isEqualTo(401);
+		assertThat(this.fixture.call(0, "plain", "a1", null, "").status()).isEqualTo(401);
+		assertThat(this.fixture.call(0, "nowhere", "a1", GatewayFixture.KEY, "").status()).isEqualTo(404);
+	}
+
+	/** A region that is not allowed gets nothing, however few others there are. */
+	@Test
+	public void allowedRegionsBind() throws Exception {
+		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("wrong"));
+		ready("plain");
+		assertThat(this.fixture.call("homed").status()).isEqualTo(503);
+		this.fixture.startBackend("desk-2", "desk", "zone-b", GatewayFixture.success("right"));
+		this.fixture.awaitStatus(0, "homed", 200);
+		assertThat(this.fixture.call("homed").body()).isEqualTo("right");
+	}
+
+	/** The connection breaks after the request was sent: it may have run. */
+	@Test
+	public void onceIsNotSentAgainAfterABreak() throws Exception {
+		BackendStandIn first = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		BackendStandIn second = this.fixture.startBackend("desk-2", "desk", "zone-b", GatewayFixture.success("ok"));
+		ready("once");
+		int before = first.arrivals().size() + second.arrivals().size();
+		first.behaviour((arrival, socket) -> socket.close());
+		second.behaviour((arrival, socket) -> socket.close());
+		assertThat(this.fixture.call("once").status()).isEqualTo(502);
+		assertThat(first.arrivals().size() + second.arrivals().size()).isEqualTo(before + 1);
+	}
+
+	@Test
+	public void onceIsRefusedAsNotRunOnlyIfTheBackendServerSaysSo() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("once");
+		desk.behaviour((arrival, socket) -> socket
+			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")));
+		GatewayFixture.Answer answer = this.fixture.call("once");
+		assertThat(answer.status()).isEqualTo(503);
+		assertThat(answer.retryAfter()).isNotNull();
+		desk.behaviour((arrival, socket) -> socket
+			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", "X-Replica-Signature: s1\r\n", "busy")));
+		assertThat(this.fixture.call("once").signature()).isEqualTo("s1");
+	}
+
+	@Test
+	public void idempotentIsSentAgainAfterAFailure() throws Exception {
+		AtomicInteger calls = new AtomicInteger();
+		BackendStandIn.Behaviour failsFirst = (arrival, socket) -> {
+			if (calls.getAndIncrement() == 0) {
+				socket.write(BackendStandIn.answer(arrival, "500 Error", "X-Replica-Signature: s0\r\n", "failed"));
+			}
+			else {
+				socket.write(BackendStandIn.success(arrival, "good"));
+			}
+		};
+		BackendStandIn first = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		BackendStandIn second = this.fixture.startBackend("desk-2", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("plain");
+		GatewayFixture.awaitTrue(() -> !first.arrivals().isEmpty() && !second.arrivals().isEmpty() || probe());
+		first.behaviour(failsFirst);
+		second.behaviour(failsFirst);
+		assertThat(this.fixture.call("plain").body()).isEqualTo("good");
+		assertThat(calls.get()).isEqualTo(2);
+	}
+
+	private boolean probe() {
+		try {
+			this.fixture.call("plain");
+			return false;
+		}
+		catch (Exception ex) {
+			return false;
+		}
+	}
+
+	@Test
+	public void backendServersOwnFailureIsDeliveredIfNoTryDoesBetter() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("plain");
+		desk.behaviour((arrival, socket) -> socket
+			.write(BackendStandIn.answer(arrival, "500 Error", "X-Replica-Signature: s0\r\n", "failed")));
+		GatewayFixture.Answer answer = this.fixture.call("plain");
+		assertThat(answer.status()).isEqualTo(500);
+		assertThat(answer.signature()).isEqualTo("s0");
+		assertThat(answer.body()).isEqualTo("failed");
+	}
+
+	/** A second answer to an earlier call stands where the next answer is expected. */
+	@Test
+	public void lateExtraAnswerReachesNobody() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("plain");
+		String[] earlier = { null };
+		desk.behaviour((arrival, socket) -> {
+			String extra = (earlier[0] != null) ? earlier[0] : "";
+			earlier[0] = BackendStandIn.success(arrival, "of " + arrival.attemptId());
+			socket.write(extra + earlier[0]);
+		});
+		for (int i = 0; i < 5; i++) {
+			GatewayFixture.Answer answer = this.fixture.call(0, "plain", "id" + i, GatewayFixture.KEY, "");
+			assertThat(answer.body()).isEqualTo("of id" + i);
+		}
+	}
+
+	@Test
+	public void successWithoutSignatureOrWithoutItsEndIsNoSuccess() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("once");
+		desk.behaviour((arrival, socket) -> socket.write(BackendStandIn.answer(arrival, "200 OK", "", "forged")));
+		assertThat(this.fixture.call("once").status()).isEqualTo(502);
+		desk.behaviour((arrival, socket) -> socket
+			.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.attemptId()
+					+ "\r\nX-Replica-Signature: s\r\nContent-Length: 10\r\n\r\nshort")
+			.onComplete((written) -> socket.close()));
+		assertThat(this.fixture.call("once").status()).isEqualTo(502);
+		desk.behaviour((arrival, socket) -> socket.write("this is no answer\r\n\r\n"));
+		assertThat(this.fixture.call("once").status()).isEqualTo(502);
+	}
+
+	@Test
+	public void answerThatEndsWithItsConnectionIsWhole() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("once");
+		desk.behaviour((arrival, socket) -> socket
+			.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.attemptId()
+					+ "\r\nX-Replica-Signature: s\r\n\r\nall of it")
+			.onComplete((written) -> socket.close()));
+		GatewayFixture.Answer answer = this.fixture.call("once");
+		assertThat(answer.status()).isEqualTo(200);
+		assertThat(answer.body()).isEqualTo("all of it");
+	}
+
+	@Test
+	public void silentBackendServerEndsWithTheRoutesTimeout() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("once");
+		desk.behaviour((arrival, socket) -> {
+		});
+		long startNs = System.nanoTime();
+		assertThat(this.fixture.call("once").status()).isEqualTo(504);
+		assertThat((System.nanoTime() - startNs) / 1_000_000).isBetween(1_400L, 1_750L);
+	}
+
+	/** The stream breaks after some events; another backend server goes on with it. */
+	@Test
+	public void brokenStreamGoesOnElsewhereWithinOneAnswer() throws Exception {
+		BackendStandIn.Behaviour breaks = (arrival, socket) -> {
+			String last = arrival.headers().get("last-event-id");
+			int from = (last != null) ? Integer.parseInt(last) + 1 : 0;
+			String events = BackendStandIn.events(arrival, "s" + from, from, (from == 0) ? 3 : 6);
+			if (from == 0) {
+				// Half of an event more, then the end of the connection.
+				socket.write(events + "9\r\nid: 3\nda").onComplete((written) -> socket.close());
+			}
+			else {
+				socket.write(events + "0\r\n\r\n");
+			}
+		};
+		this.fixture.startBackend("engine-1", "engines", "zone-a", breaks);
+		this.fixture.startBackend("engine-2", "engines", "zone-a", breaks);
+		ready("events");
+		GatewayFixture.Answer answer = this.fixture.call("events");
+		assertThat(answer.status()).isEqualTo(200);
+		assertThat(answer.signature()).isEqualTo("s0");
+		StringBuilder expected = new StringBuilder();
+		for (int number = 0; number < 6; number++) {
+			expected.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
+		}
+		assertThat(answer.body()).isEqualTo(expected.toString());
+	}
+
+	/** Nobody can go on with the stream: the caller sees that it is not whole. */
+	@Test
+	public void brokenStreamNeverLooksWhole() throws Exception {
+		this.fixture.startBackend("engine-1", "engines", "zone-a", (arrival, socket) -> {
+			if (arrival.attemptId().startsWith("probe")) {
+				socket.write(BackendStandIn.events(arrival, "s", 0, 1) + "0\r\n\r\n");
+				return;
+			}
+			socket.write(BackendStandIn.events(arrival, "s", 0, 2)).onComplete((written) -> socket.close());
+		});
+		ready("events");
+		assertThatThrownBy(() -> this.fixture.call("events")).hasMessageContaining("closed");
+	}
+
+	/** The caller leaves: the backend server must see its connection close. */
+	@Test
+	public void callersDepartureStopsTheWork() throws Exception {
+		AtomicInteger closed = new AtomicInteger();
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("plain");
+		desk.behaviour((arrival, socket) -> socket.closeHandler((v) -> closed.incrementAndGet()));
+		Future<NetSocket> caller = this.fixture.vertx()
+			.createNetClient()
+			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1");
+		NetSocket socket = GatewayFixture.await(caller);
+		socket.write(
+				"GET /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: z\r\nX-Deadline-Ms: 3000\r\nX-Credential: "
+						+ GatewayFixture.KEY + "\r\n\r\n");
+		GatewayFixture.awaitTrue(() -> last(desk).attemptId().equals("z"));
+		socket.close();
+		long startNs = System.nanoTime();
+		GatewayFixture.awaitTrue(() -> closed.get() == 1);
+		assertThat((System.nanoTime() - startNs) / 1_000_000).isLessThan(500);
+	}
+
+	/** The same content brings down one backend server after the other. */
+	@Test
+	public void requestThatCrashesBackendServersIsStopped() throws Exception {
+		BackendStandIn[] desks = new BackendStandIn[4];
+		for (int i = 0; i < desks.length; i++) {
+			int number = i;
+			desks[i] = this.fixture.startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
+				if (arrival.body().equals("deadly")) {
+					desks[number].crash();
+					return;
+				}
+				socket.write(Buffer.buffer(BackendStandIn.success(arrival, "ok")));
+			});
+		}
+		ready("plain");
+		for (int i = 0; i < 6; i++) {
+			this.fixture.call(0, "plain", "deadly-" + i, GatewayFixture.KEY, "deadly");
+			Thread.sleep(150);
+		}
+		long deadly = java.util.Arrays.stream(desks)
+			.flatMap((desk) -> desk.arrivals().stream())
+			.filter((arrival) -> arrival.body().equals("deadly"))
+			.count();
+		assertThat(deadly).isLessThanOrEqualTo(3);
+		assertThat(this.fixture.call("plain").status()).isEqualTo(200);
+	}
+
+	/** Bytes of a second request inside the body of the first never become a request. */
+	@Test
+	public void bodyIsNeverTakenForARequest() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		ready("plain");
+		int before = desk.arrivals().size();
+		String inner = "GET /plain/inner HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: inner\r\nX-Credential: "
+				+ GatewayFixture.KEY + "\r\n\r\n";
+		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
+			.createNetClient()
+			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
+		socket.write("POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: outer\r\nX-Deadline-Ms: 900\r\n"
+				+ "X-Credential: " + GatewayFixture.KEY + "\r\nContent-Length: " + inner.length()
+				+ "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner);
+		Thread.sleep(400);
+		assertThat(desk.arrivals().subList(before, desk.arrivals().size()))
+			.noneMatch((arrival) -> arrival.attemptId().equals("inner"));
+		socket.close();
+	}
+
+	private void ready(String route) throws Exception {
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, route, 200);
+	}
+
+	private static BackendStandIn.Arrival last(BackendStandIn backend) {
+		return backend.arrivals().get(backend.arrivals().size() - 1);
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the entry on the platform, against stand-ins of the store and backend servers.
+ */
+package org.wigeontally.gateway;
