--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -25,6 +25,7 @@
 import org.wigeontally.schema.generated.RecordUpdate;
 import org.wigeontally.schema.generated.StoreRecord;
 import org.wigeontally.schema.generated.SuspectSummary;
+import org.wigeontally.schema.generated.VersionAge;
 import org.wigeontally.settings.Addresses;
 
 /**
@@ -143,6 +144,15 @@
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
 		}
+		long nowMs = this.context.nowMs();
+		fleet.versions().forEach((model, named) -> {
+			if (named.seen()) {
+				news.addVersions(VersionAge.newBuilder()
+					.setModel(model)
+					.setVersion(named.version())
+					.setAgeMs(nowMs - named.namedAtMs()));
+			}
+		});
 		if (theirs == null) {
 			return news;
 		}
@@ -213,6 +223,8 @@
 		if (theirs.hasBackendUpdate()) {
 			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source);
 		}
+		theirs.getVersionsList()
+			.forEach((named) -> fleet.versionAge(named.getModel(), named.getVersion(), named.getAgeMs(), source));
 		if (theirs.hasSuspects()) {
 			this.context.harmful().merge(theirs.getSuspects());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -151,7 +151,8 @@
 		}
 		String model = ConfigurationDecoder.versionedModel(entry.key()).orElse(null);
 		if (model != null && !entry.removed()) {
-			nameVersion(model, ConfigurationDecoder.version(entry.value()), this.clock.monotonicMs(), source);
+			boolean seen = entry.offset() >= this.operatorRecords.base();
+			nameVersion(model, ConfigurationDecoder.version(entry.value()), seen, source);
 		}
 	}
 
@@ -164,23 +165,39 @@
 		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
 	}
 
+	// A version that stood in the first snapshot may have been named at any time before, so
+	// it binds at once, unless somebody who saw its naming says how old it is.
+	private void nameVersion(String model, long version, boolean seen, String source) {
+		NamedVersion known = this.versions.get(model);
+		if (known != null && known.version() >= version) {
+			return;
+		}
+		long namedAtMs = seen ? this.clock.monotonicMs() : Long.MIN_VALUE / 2;
+		this.versions.put(model, new NamedVersion(version, namedAtMs, seen));
+		this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen", seen, "source", source);
+	}
+
 	/**
-	 * Takes note of a version of weights.
+	 * Takes note of the age of a version of weights that another entry saw being named.
 	 * @param model name of the model
 	 * @param version the version
-	 * @param namedAtMs time at which it was learnt, or earlier if a peer learnt it before
+	 * @param ageMs time since it was named
 	 * @param source who told it
 	 */
-	void nameVersion(String model, long version, long namedAtMs, String source) {
+	void versionAge(String model, long version, long ageMs, String source) {
 		NamedVersion known = this.versions.get(model);
-		if (known != null && known.version() >= version) {
-			if (known.version() == version && namedAtMs < known.namedAtMs()) {
-				this.versions.put(model, new NamedVersion(version, namedAtMs));
-			}
+		long namedAtMs = this.clock.monotonicMs() - ageMs;
+		if (known == null || known.version() != version || (known.seen() && known.namedAtMs() <= namedAtMs)) {
 			return;
 		}
-		this.versions.put(model, new NamedVersion(version, namedAtMs));
-		this.log.write(LogEvent.VERSION, "model", model, "version", version, "source", source);
+		if (!known.seen()) {
+			this.log.write(LogEvent.VERSION, "model", model, "version", version, "age-ms", ageMs, "source", source);
+		}
+		this.versions.put(model, new NamedVersion(version, namedAtMs, true));
+	}
+
+	Map<String, NamedVersion> versions() {
+		return this.versions;
 	}
 
 	/**
@@ -319,9 +336,10 @@
 	 * A version of weights that operators named.
 	 *
 	 * @param version the version
-	 * @param namedAtMs time at which it was learnt
+	 * @param namedAtMs time at which it was learnt, at the latest
+	 * @param seen true if this entry or one that told it saw the naming
 	 */
-	record NamedVersion(long version, long namedAtMs) {
+	record NamedVersion(long version, long namedAtMs, boolean seen) {
 
 	}
 
