--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -218,10 +218,13 @@
 		FleetState fleet = this.context.fleet();
 		String source = "entry:" + theirs.getHost();
 		if (theirs.hasOperatorUpdate()) {
-			fleet.operatorRecordsChanged(merge(fleet.operatorRecords(), theirs.getOperatorUpdate()), source);
+			boolean first = fleet.operatorRecords().end() == 0;
+			long sinceMs = first ? Long.MIN_VALUE / 2 : this.context.nowMs() - INTERVAL_MS;
+			fleet.operatorRecordsChanged(merge(fleet.operatorRecords(), theirs.getOperatorUpdate()), source, sinceMs);
 		}
 		if (theirs.hasBackendUpdate()) {
-			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source);
+			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source,
+					this.context.nowMs() - INTERVAL_MS);
 		}
 		theirs.getVersionsList()
 			.forEach((named) -> fleet.versionAge(named.getModel(), named.getVersion(), named.getAgeMs(), source));
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -119,12 +119,13 @@
 	 * Takes note of changed operator records.
 	 * @param keys keys that changed
 	 * @param source who told them
+	 * @param sinceMs time after which they changed
 	 */
-	void operatorRecordsChanged(List<String> keys, String source) {
+	void operatorRecordsChanged(List<String> keys, String source, long sinceMs) {
 		for (String key : keys) {
 			KeyedRecords.Entry entry = this.operatorRecords.entry(key);
 			try {
-				operatorRecordChanged(entry, source);
+				operatorRecordChanged(entry, source, sinceMs);
 			}
 			catch (PlatformException ex) {
 				this.log.write(LogEvent.RECORD_UNREADABLE, "key", key, "offset", entry.offset(), "source", source,
@@ -133,7 +134,7 @@
 		}
 	}
 
-	private void operatorRecordChanged(KeyedRecords.Entry entry, String source) throws PlatformException {
+	private void operatorRecordChanged(KeyedRecords.Entry entry, String source, long sinceMs) throws PlatformException {
 		if (ConfigurationDecoder.isConfiguration(entry.key())) {
 			if (!entry.removed()) {
 				takeConfiguration(ConfigurationDecoder.configuration(entry.value()), entry.offset(), source);
@@ -151,8 +152,7 @@
 		}
 		String model = ConfigurationDecoder.versionedModel(entry.key()).orElse(null);
 		if (model != null && !entry.removed()) {
-			boolean seen = entry.offset() >= this.operatorRecords.base();
-			nameVersion(model, ConfigurationDecoder.version(entry.value()), seen, source);
+			nameVersion(model, ConfigurationDecoder.version(entry.value()), sinceMs, source);
 		}
 	}
 
@@ -165,15 +165,16 @@
 		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
 	}
 
-	// A version that stood in the first snapshot may have been named at any time before, so
+	// A version that stood in the first snapshot may have been named at any time before,
+	// so
 	// it binds at once, unless somebody who saw its naming says how old it is.
-	private void nameVersion(String model, long version, boolean seen, String source) {
+	private void nameVersion(String model, long version, long sinceMs, String source) {
 		NamedVersion known = this.versions.get(model);
 		if (known != null && known.version() >= version) {
 			return;
 		}
-		long namedAtMs = seen ? this.clock.monotonicMs() : Long.MIN_VALUE / 2;
-		this.versions.put(model, new NamedVersion(version, namedAtMs, seen));
+		boolean seen = sinceMs > Long.MIN_VALUE / 2;
+		this.versions.put(model, new NamedVersion(version, sinceMs, seen));
 		this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen", seen, "source", source);
 	}
 
@@ -204,8 +205,9 @@
 	 * Takes note of changed registrations.
 	 * @param keys ids that changed
 	 * @param source who told them
+	 * @param sinceMs time after which they changed
 	 */
-	void backendRecordsChanged(List<String> keys, String source) {
+	void backendRecordsChanged(List<String> keys, String source, long sinceMs) {
 		long nowMs = this.clock.monotonicMs();
 		for (String id : keys) {
 			KeyedRecords.Entry entry = this.backendRecords.entry(id);
@@ -336,7 +338,7 @@
 	 * A version of weights that operators named.
 	 *
 	 * @param version the version
-	 * @param namedAtMs time at which it was learnt, at the latest
+	 * @param namedAtMs time at which it was named, or an earlier one
 	 * @param seen true if this entry or one that told it saw the naming
 	 */
 	record NamedVersion(long version, long namedAtMs, boolean seen) {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -225,8 +225,8 @@
 					failure.getMessage()));
 	}
 
-	private void operatorChanged(List<String> keys, String source) {
-		this.context.fleet().operatorRecordsChanged(keys, source);
+	private void operatorChanged(List<String> keys, String source, long sinceMs) {
+		this.context.fleet().operatorRecordsChanged(keys, source, sinceMs);
 		this.exchange.tick();
 	}
 
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/RecordsListener.java
@@ -0,0 +1,19 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+
+/**
+ * Gets the keys of records that changed.
+ */
+@FunctionalInterface
+interface RecordsListener {
+
+	/**
+	 * Records changed.
+	 * @param keys their keys
+	 * @param source who told them
+	 * @param sinceMs time after which the change happened; far in the past if unknown
+	 */
+	void changed(List<String> keys, String source, long sinceMs);
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -1,7 +1,6 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
-import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 
@@ -42,7 +41,7 @@
 
 	private final long gapMs;
 
-	private final BiConsumer<List<String>, String> changed;
+	private final RecordsListener changed;
 
 	private final Runnable regained;
 
@@ -52,10 +51,12 @@
 
 	private long okAtMs;
 
+	private boolean everAnswered;
+
 	private boolean stopped;
 
 	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, KeyedRecords records,
-			long gapMs, BiConsumer<List<String>, String> changed, Runnable regained) {
+			long gapMs, RecordsListener changed, Runnable regained) {
 		this.vertx = vertx;
 		this.clock = clock;
 		this.log = log;
@@ -102,17 +103,20 @@
 
 	private void snapshot(RecordPage page) {
 		this.snapshotNeeded = false;
+		long sinceMs = this.everAnswered ? this.okAtMs : Long.MIN_VALUE / 2;
 		List<String> keys = this.records.takeSnapshot(page.records(), page.end());
 		answered();
-		this.changed.accept(keys, "store");
+		this.changed.changed(keys, "store", sinceMs);
 		pause(this.gapMs);
 	}
 
 	private void update(long from, RecordPage page) {
+		// A poll that follows another one returns as soon as there is a record.
+		long sinceMs = (this.failures > 0) ? this.okAtMs : this.clock.monotonicMs();
 		List<String> keys = this.records.takeUpdate(from, page.records(), page.end());
 		answered();
 		if (!keys.isEmpty()) {
-			this.changed.accept(keys, "store");
+			this.changed.changed(keys, "store", sinceMs);
 		}
 		pause(page.records().isEmpty() ? 0 : this.gapMs);
 	}
@@ -123,6 +127,7 @@
 			this.regained.run();
 		}
 		this.failures = 0;
+		this.everAnswered = true;
 		this.okAtMs = this.clock.monotonicMs();
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
@@ -162,6 +162,37 @@
 		assertThat(this.fixture.call(1, "plain", "late", GatewayFixture.KEY, "").status()).isEqualTo(200);
 	}
 
+	/**
+	 * An entry that starts after a version was named must not take its start for the time
+	 * of naming.
+	 */
+	@Test
+	public void versionNamedBeforeTheStartBindsAtOnce() throws Exception {
+		BackendStandIn old = this.fixture.startBackend("engine-1", "engines", "zone-a",
+				(arrival, socket) -> socket.write(BackendStandIn.events(arrival, "s", 0, 1) + "0\r\n\r\n"));
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.startEntry();
+		GatewayFixture.awaitTrue(() -> directory(0).contains("127.0.0.1"));
+		assertThat(this.fixture.call("events").status()).isEqualTo(503);
+		assertThat(old.arrivals()).isEmpty();
+		this.fixture.store().write("servers", "engine-1", old.registration("engines", "zone-a", "ready", 2));
+		this.fixture.awaitStatus(0, "events", 200);
+		assertThat(old.arrivals().get(0).headers()).containsEntry("x-expect-version", "2");
+	}
+
+	/** Before the bound presses, engines with the older version still serve. */
+	@Test
+	public void versionNamedWhileServingBindsLater() throws Exception {
+		this.fixture.startBackend("engine-1", "engines", "zone-a",
+				(arrival, socket) -> socket.write(BackendStandIn.events(arrival, "s", 0, 1) + "0\r\n\r\n"));
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "events", 200);
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		Thread.sleep(500);
+		assertThat(this.fixture.call("events").status()).isEqualTo(200);
+		this.fixture.awaitStatus(0, "events", 503);
+	}
+
 	private String directory(int entry) {
 		try {
 			return this.fixture
