Registrations with fields of another type name nobody; weights are collected while the engine starts; explain command

Cause: a number as the name of a service was taken as text (DecoderTests#registrationOfAForeignWriterNamesNobody, failed first).

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -59,7 +59,7 @@
 	 * Gap between two reads of registrations; each backend server writes every second or
 	 * so.
 	 */
-	private static final long BACKEND_READ_GAP_MS = 400;
+	private static final long BACKEND_READ_GAP_MS = 700;
 
 	private static final long OPERATOR_READ_GAP_MS = 30;
 
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -235,11 +235,16 @@
 
 	// Takes the next step towards the version that the engine should hold.
 	private void work() {
-		if (!this.view.isKnown() || !reachable() || this.leaving) {
+		boolean starting = this.state == null && this.missedLooks < MISSED_LOOKS;
+		if (!this.view.isKnown() || starting || this.leaving) {
 			return;
 		}
 		long target = this.view.targetVersion();
+		// Pieces are collected also while the engine is still starting.
 		this.collector.collect(target);
+		if (!reachable()) {
+			return;
+		}
 		if (loadedVersion() >= target || this.state.busy()) {
 			this.announced = this.announced && this.loader.isRunning();
 			if (loadedVersion() >= target) {
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -36,8 +36,8 @@
 
 	private static final int RANKED_PRIORITIES = 4;
 
-	/** Time for which a caller is served by another region rather than wait longer. */
-	private static final double[] DISTANCE_COST_MS = { 0, 6, 18 };
+	/** Time that another zone or region must save; traffic between regions has a price. */
+	private static final double[] DISTANCE_COST_MS = { 0, 6, 30 };
 
 	/** Time added for an engine that fails all its requests; a share of it for less. */
 	private static final double FAILURE_COST_MS = 600;
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
@@ -0,0 +1,127 @@
+package org.wigeontally.platform.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import io.vertx.core.buffer.Buffer;
+import org.testng.annotations.Test;
+
+import org.wigeontally.fleet.BackendRecord;
+import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.RequestKind;
+import org.wigeontally.fleet.Route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Records as the platform writes them, and as foreign writers do.
+ */
+public class DecoderTests {
+
+	private static final String CONFIGURATION = """
+			{"version":7,"routes":[
+			{"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming","timeout-ms":6000,
+			"target-latency-ms":402,"priority":1,"service":"s1","max-attempts":2,"resume-streams":true,
+			"allowed-regions":["viti-west"]},
+			{"name":"r2","host":"a.example","path-prefix":"/x/y/","kind":"non_idempotent","timeout-ms":800,
+			"target-latency-ms":100,"priority":2,"max-attempts":1,
+			"weighted-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+			"services":[{"name":"s1","max-connections":434,"cold-start-s":3.0,"warmup-per-s":36.0,
+			"engine":{"slots":16,"kv-capacity-tokens":317000,"step_ms":9.27,"read_per_s":20700.0,"stride":5,
+			"models":[{"name":"m","pace":1.0}],"layers":16,"chunks":96,"chunk-bytes":24576,
+			"usual":{"prompt":979,"answer":92}}},
+			{"name":"s3","origin":"172.20.0.3:8006","zone":"suva-a","max-connections":48}],
+			"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"idle-timeout-ms":15000},
+			"tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"allowed-regions":[]}]}""";
+
+	@Test
+	public void configurationIsDecodedOnce() throws Exception {
+		FleetConfiguration configuration = ConfigurationDecoder.configuration(bytes(CONFIGURATION));
+		assertThat(configuration.version()).isEqualTo(7);
+		Route longest = configuration.route("a.example", "/x/y/z").orElseThrow();
+		assertThat(longest.name()).isEqualTo("r2");
+		assertThat(longest.kind()).isEqualTo(RequestKind.ONCE);
+		assertThat(longest.service(0.89)).isEqualTo("s1");
+		assertThat(longest.service(0.95)).isEqualTo("s2");
+		Route stream = configuration.route("a.example", "/x/z").orElseThrow();
+		assertThat(stream.repeatable()).isTrue();
+		assertThat(stream.regions()).containsExactly("viti-west");
+		assertThat(configuration.route("a.example", "/w")).isEmpty();
+		assertThat(configuration.organisation("k2").orElseThrow().name()).isEqualTo("t1");
+		assertThat(configuration.service("s1").orElseThrow().engine().orElseThrow().chunks()).isEqualTo(96);
+		assertThat(configuration.origin().orElseThrow().maxConnections()).isEqualTo(48);
+	}
+
+	@Test
+	public void unknownKindIsNeverRepeated() throws Exception {
+		FleetConfiguration configuration = ConfigurationDecoder
+			.configuration(bytes(CONFIGURATION.replace("streaming", "something-new")));
+		assertThat(configuration.route("a.example", "/x/z").orElseThrow().repeatable()).isFalse();
+	}
+
+	@Test
+	public void registrationOfAForeignWriterNamesNobody() {
+		for (String record : List.of("", "x", "[]", "{}", "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\"}",
+				"{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"resting\"}",
+				"{\"service\":7,\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\"}",
+				"{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":\"many\"}",
+				"{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"models\":{}}")) {
+			assertThatThrownBy(() -> BackendDecoder.record("i", bytes(record))).as(record)
+				.isInstanceOf(PlatformException.class);
+		}
+	}
+
+	@Test
+	public void versionCountsOnlyWithLayers() throws Exception {
+		String record = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\",\"models\":["
+				+ "{\"name\":\"m\",\"version\":2,\"layers\":[]},{\"name\":\"n\",\"version\":3}]}";
+		BackendRecord decoded = BackendDecoder.record("i", bytes(record));
+		assertThat(decoded.loadedVersions()).doesNotContainKey("m").containsEntry("n", 3L);
+	}
+
+	@Test
+	public void recordsSurviveTheirFormat() {
+		Buffer page = Buffer.buffer()
+			.appendLong(9)
+			.appendLong(0)
+			.appendBuffer(RecordCodec.encode("config", bytes("v")))
+			.appendBuffer(RecordCodec.encode("gone", new byte[0]));
+		RecordPage decoded = RecordCodec.decode(page, 5);
+		assertThat(decoded.end()).isEqualTo(7);
+		assertThat(decoded.records()).extracting(KeyedRecords.Entry::key).containsExactly("config", "gone");
+		assertThat(decoded.records()).extracting(KeyedRecords.Entry::removed).containsExactly(false, true);
+		assertThat(decoded.records()).extracting(KeyedRecords.Entry::offset).containsExactly(5L, 6L);
+	}
+
+	/** Spoilt configurations and registrations fail as a whole and never otherwise. */
+	@Test
+	public void spoiltRecordsAreRefusedCleanly() {
+		Random random = new Random(20_261_204);
+		byte[] good = bytes(CONFIGURATION);
+		for (int i = 0; i < 3_000; i++) {
+			byte[] spoilt = good.clone();
+			for (int change = 0; change <= random.nextInt(4); change++) {
+				spoilt[random.nextInt(spoilt.length)] = (byte) random.nextInt(256);
+			}
+			assertThat(outcome(spoilt)).as("round %s", i).isNotNull();
+		}
+	}
+
+	private static Optional<Long> outcome(byte[] record) {
+		try {
+			return Optional.of(ConfigurationDecoder.configuration(record).version());
+		}
+		catch (PlatformException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the platform's formats and calls.
+ */
+package org.wigeontally.platform.wire;
--- a/tool/src/main/java/org/wigeontally/tool/CheckCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/CheckCommand.java
@@ -7,9 +7,11 @@
 import org.wigeontally.errors.WigeontallyException;
 import org.wigeontally.schema.generated.AgentSettings;
 import org.wigeontally.schema.generated.EntrySettings;
+import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.OperatorSettings;
 import org.wigeontally.settings.AgentSettingsCheck;
 import org.wigeontally.settings.EntrySettingsCheck;
+import org.wigeontally.settings.HostSettingsCheck;
 import org.wigeontally.settings.OperatorSettingsCheck;
 import org.wigeontally.settings.SettingsReader;
 
@@ -23,7 +25,7 @@
 	@Parameter(description = "FILE", required = true)
 	private String file;
 
-	@Parameter(names = "--kind", description = "What the file holds: entry, agent, operator or bundle", required = true)
+	@Parameter(names = "--kind", description = "What the file holds: entry, agent, operator, bundle, platform_entry or platform_agent", required = true)
 	private Kind kind;
 
 	CheckCommand(Console console) {
@@ -46,6 +48,10 @@
 		switch (this.kind) {
 			case ENTRY -> SettingsReader.readFile(path, EntrySettings.newBuilder(), EntrySettingsCheck.create());
 			case AGENT -> SettingsReader.readFile(path, AgentSettings.newBuilder(), AgentSettingsCheck.create());
+			case PLATFORM_ENTRY ->
+				SettingsReader.readFile(path, HostSettings.newBuilder(), HostSettingsCheck.create(true));
+			case PLATFORM_AGENT ->
+				SettingsReader.readFile(path, HostSettings.newBuilder(), HostSettingsCheck.create(false));
 			case OPERATOR ->
 				SettingsReader.readFile(path, OperatorSettings.newBuilder(), OperatorSettingsCheck.create(false));
 			default -> BundleFile.read(path);
@@ -66,7 +72,11 @@
 		/** Settings of the operators' command line. */
 		OPERATOR,
 		/** A bundle. */
-		BUNDLE
+		BUNDLE,
+		/** Settings of an entry on the platform. */
+		PLATFORM_ENTRY,
+		/** Settings of an agent on the platform. */
+		PLATFORM_AGENT
 
 	}
 
--- a/tool/src/main/java/org/wigeontally/tool/Commands.java
+++ b/tool/src/main/java/org/wigeontally/tool/Commands.java
@@ -17,7 +17,8 @@
 				new BundleRollCommand(console), new BundleListCommand(console), new BundleShowCommand(console),
 				new ZoneCommand(console, true), new ZoneCommand(console, false), new HostRuleCommand(console, true),
 				new HostRuleCommand(console, false), new HostListCommand(console), new ChangeShowCommand(console),
-				new StatusCommand(console), new WatchCommand(console), new SettingsPageCommand(console));
+				new StatusCommand(console), new WatchCommand(console), new ExplainCommand(console),
+				new SettingsPageCommand(console));
 	}
 
 }
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
@@ -0,0 +1,114 @@
+package org.wigeontally.tool;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.errors.WigeontallyException;
+
+/**
+ * Prints the story of one request from the logs of all processes: its own lines, and what
+ * the processes that handled it came to believe of the backend servers that it met.
+ */
+final class ExplainCommand implements Command {
+
+	private final Console console;
+
+	@Parameter(description = "ID [FILE...]; standard input if no file is given", required = true)
+	private List<String> arguments = new ArrayList<>();
+
+	ExplainCommand(Console console) {
+		this.console = console;
+	}
+
+	@Override
+	public String name() {
+		return "explain";
+	}
+
+	@Override
+	public String description() {
+		return "Print the story of one request from the processes' logs";
+	}
+
+	@Override
+	public int run() throws WigeontallyException {
+		String id = this.arguments.get(0);
+		List<LogLine> lines = new ArrayList<>();
+		try {
+			for (String file : this.arguments.subList(1, this.arguments.size())) {
+				try (Stream<String> read = Files.lines(Path.of(file), StandardCharsets.UTF_8)) {
+					read.forEach((line) -> LogLine.parse(line).ifPresent(lines::add));
+				}
+			}
+			if (this.arguments.size() == 1) {
+				BufferedReader input = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+				input.lines().forEach((line) -> LogLine.parse(line).ifPresent(lines::add));
+			}
+		}
+		catch (IOException ex) {
+			throw new UsageException("cannot read " + ex.getMessage());
+		}
+		List<LogLine> story = story(id, lines);
+		if (story.isEmpty()) {
+			this.console.err().println("no line of " + id + "; its event may have exceeded its lines a second, see left-out");
+			return ExitCode.REFUSED;
+		}
+		story.forEach((line) -> this.console.out().println(line.format()));
+		return ExitCode.DONE;
+	}
+
+	/**
+	 * Gathers the lines that belong to a request.
+	 * @param id id of the request
+	 * @param lines lines of all processes
+	 * @return the lines in order of their time
+	 */
+	static List<LogLine> story(String id, List<LogLine> lines) {
+		List<LogLine> own = lines.stream().filter((line) -> line.field("id").equals(id)).toList();
+		if (own.isEmpty()) {
+			return List.of();
+		}
+		Set<String> hosts = new HashSet<>();
+		Set<String> backends = new HashSet<>();
+		own.forEach((line) -> {
+			hosts.add(line.field("host"));
+			backends.add(line.field("backend"));
+		});
+		backends.remove("");
+		String last = own.stream().map((line) -> line.field("time")).max(Comparator.naturalOrder()).orElse("");
+		List<LogLine> story = new ArrayList<>(own);
+		for (String host : hosts) {
+			newestBefore(lines, host, last, "configuration", null).ifPresent(story::add);
+			newestBefore(lines, host, last, "store-lost", null).ifPresent(story::add);
+			for (String backend : backends) {
+				newestBefore(lines, host, last, "backend", backend).ifPresent(story::add);
+				newestBefore(lines, host, last, "backend-crash", backend).ifPresent(story::add);
+			}
+		}
+		story.sort(Comparator.comparing((LogLine line) -> line.field("time")));
+		return story;
+	}
+
+	private static Optional<LogLine> newestBefore(List<LogLine> lines, String host, String time, String event,
+			String backend) {
+		return lines.stream()
+			.filter((line) -> line.field("event").equals(event) && line.field("host").equals(host))
+			.filter((line) -> backend == null || line.field("backend").equals(backend))
+			.filter((line) -> line.field("time").compareTo(time) <= 0)
+			.max(Comparator.comparing((LogLine line) -> line.field("time")));
+	}
+
+}
