--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -133,7 +133,7 @@
 		this.settings.getSeedsList().forEach(this.reports::know);
 		this.reports.onNamed(this::work);
 		return this.vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true))
-			.requestHandler(this.collector.router())
+			.requestHandler(this.collector::handle)
 			.listen(this.settings.getInternalPort(), this.settings.getIp())
 			.onSuccess((listening) -> {
 				this.closer.add(listening::close);
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -9,7 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.ext.web.Router;
+import io.vertx.core.http.HttpServerRequest;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
@@ -67,7 +67,10 @@
 
 	private final EngineClient engine;
 
-	private final WeightNode node;
+	private final Vertx vertx;
+
+	// Made once the region of the origin is known, since that decides who fetches from it.
+	private WeightNode node;
 
 	private final Map<String, Integer> indexes = new HashMap<>();
 
@@ -94,14 +97,27 @@
 		this.settings = settings;
 		this.view = view;
 		this.engine = engine;
-		int kbps = (int) (settings.getLinkMbps() * KBIT_PER_MBIT * LINK_PART);
-		WeightSettings weights = new WeightSettings(self(), "", MEMORY_MB, kbps, Map.of(), Wire.DIRECT);
-		this.node = WeightNode.start(vertx, weights, this::peers, new PlatformOrigin(), clock,
-				settings.getHost().hashCode());
+		this.vertx = vertx;
 	}
 
-	Router router() {
-		return this.node.router();
+	private void startNode() {
+		int kbps = (int) (this.settings.getLinkMbps() * KBIT_PER_MBIT * LINK_PART);
+		WeightSettings weights = new WeightSettings(self(), this.view.briefing().getOriginRegion(), MEMORY_MB, kbps,
+				Map.of(), Wire.DIRECT);
+		this.node = WeightNode.start(this.vertx, weights, this::peers, new PlatformOrigin(), this.clock,
+				this.settings.getHost().hashCode());
+	}
+
+	/**
+	 * Answers another agent.
+	 * @param request a request for pieces
+	 */
+	void handle(HttpServerRequest request) {
+		if (this.node == null) {
+			request.response().setStatusCode(404).end();
+			return;
+		}
+		this.node.router().handle(request);
 	}
 
 	/**
@@ -109,6 +125,9 @@
 	 * @param wanted the version to collect
 	 */
 	void collect(long wanted) {
+		if (this.node == null) {
+			startNode();
+		}
 		if (this.version < wanted) {
 			fetchDigests(wanted);
 			return;
@@ -127,7 +146,7 @@
 	 * @return the weights; empty if pieces are missing
 	 */
 	Optional<VerifiedWeights> weights(long wanted) {
-		return (this.version == wanted) ? this.node.verified(this.view.model(), Long.toString(wanted))
+		return (this.version == wanted && this.version > 0) ? this.node.verified(this.view.model(), Long.toString(wanted))
 				: Optional.empty();
 	}
 
@@ -136,6 +155,9 @@
 	 * @param loaded the version that the engine holds
 	 */
 	void loaded(long loaded) {
+		if (this.node == null) {
+			return;
+		}
 		this.node.bearsLoad(this.view.model(), Long.toString(loaded));
 	}
 
@@ -144,6 +166,9 @@
 	}
 
 	int held() {
+		if (this.node == null) {
+			return 0;
+		}
 		for (VersionProgress progress : this.node.progress()) {
 			if (progress.getVersion().equals(Long.toString(this.version))) {
 				return progress.getChunksVerified();
