--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -1,5 +1,6 @@
 package org.wigeontally.sidecar;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.AgentPlace;
+import org.wigeontally.schema.generated.BackendState;
 import org.wigeontally.schema.generated.ChunkEntry;
 import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.HostSettings;
@@ -26,7 +28,9 @@
 import org.wigeontally.schema.generated.Manifest;
 import org.wigeontally.schema.generated.Model;
 import org.wigeontally.schema.generated.Role;
+import org.wigeontally.schema.generated.VersionPhase;
 import org.wigeontally.schema.generated.VersionProgress;
+import org.wigeontally.settings.Addresses;
 import org.wigeontally.spread.OriginClient;
 import org.wigeontally.spread.WeightNode;
 import org.wigeontally.spread.WeightSettings;
@@ -220,24 +224,32 @@
 		this.fromOrigin = 0;
 		this.startedAtMs = this.clock.monotonicMs();
 		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size());
-		readStaged(digests);
-		this.node.want(Model.newBuilder()
+		Model model = Model.newBuilder()
 			.setName(this.view.model())
 			.setVersion(Long.toString(wanted))
 			.setManifest(Manifests.digest(this.manifest))
-			.build());
+			.build();
+		readStaged(digests).onComplete((read) -> {
+			if (this.version == wanted) {
+				this.node.want(model);
+			}
+		});
 	}
 
-	private void readStaged(List<String> digests) {
+	// Done before anything is fetched, so that nothing comes over the link that is here.
+	private Future<Void> readStaged(List<String> digests) {
 		Address backend = this.settings.getBackend();
-		this.engine.stagedPieces(backend, this.view.model()).onSuccess((staged) -> {
+		return this.engine.stagedPieces(backend, this.view.model()).compose((staged) -> {
+			List<Future<Void>> reads = new ArrayList<>();
 			for (int index : staged) {
 				if (index < digests.size()) {
-					this.engine.staged(backend, this.view.model(), index)
+					reads.add(this.engine.staged(backend, this.view.model(), index)
 						.onSuccess((bytes) -> this.node.found(digests.get(index), bytes.getBytes()))
-						.onFailure((failure) -> stagedFailed(index, failure));
+						.onFailure((failure) -> stagedFailed(index, failure))
+						.mapEmpty());
 				}
 			}
+			return Future.join(reads).<Void>mapEmpty();
 		}).onFailure((failure) -> stagedFailed(-1, failure));
 	}
 
@@ -248,7 +260,7 @@
 
 	private HostIdentity self() {
 		return HostIdentity.newBuilder()
-			.setHost(this.settings.getIp())
+			.setHost(this.settings.getIp() + ":" + this.settings.getInternalPort())
 			.setRegion(this.settings.getRegion())
 			.setZone(this.settings.getZone())
 			.setRole(Role.AGENT)
@@ -257,18 +269,23 @@
 	}
 
 	private List<HostState> peers() {
-		return this.view.briefing().getAgentsList().stream().map(WeightCollection::state).toList();
+		return this.view.briefing().getAgentsList().stream().map(this::state).toList();
 	}
 
-	private static HostState state(AgentPlace agent) {
+	private HostState state(AgentPlace agent) {
 		return HostState.newBuilder()
 			.setHost(HostIdentity.newBuilder()
-				.setHost(agent.getAddress().getIp())
+				.setHost(Addresses.format(agent.getAddress()))
 				.setRegion(agent.getRegion())
 				.setZone(agent.getZone())
 				.setRole(Role.AGENT)
 				.setAddress(agent.getAddress()))
 			.setLiveness(Liveness.LIVE)
+			.addBackends(BackendState.newBuilder()
+				.addProgress(VersionProgress.newBuilder()
+					.setModel(this.view.model())
+					.setVersion(Long.toString(agent.getWholeVersion()))
+					.setPhase(VersionPhase.VERIFIED)))
 			.build();
 	}
 
--- a/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
@@ -16,6 +16,7 @@
 
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.BackendState;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
 import org.wigeontally.schema.generated.Manifest;
@@ -71,6 +72,8 @@
 
 	private FetchDuty duty;
 
+	private boolean heldNearby;
+
 	private ChunkScheduler scheduler;
 
 	private boolean closed;
@@ -106,6 +109,7 @@
 		this.scheduler = ChunkScheduler.create(received.getChunksCount(), this.parts.place(), this.parts.random(),
 				nowMs);
 		this.scheduler.hosts(this.places, this.duty, nowMs);
+		this.scheduler.heldNearby(this.heldNearby);
 		for (int chunk = 0; chunk < received.getChunksCount(); chunk++) {
 			String digest = Digests.hex(received.getChunks(chunk).getDigest().toByteArray());
 			this.indexes.putIfAbsent(digest, chunk);
@@ -138,13 +142,19 @@
 		}
 		this.refreshAfterMs = nowMs() + HOSTS_REFRESH_MS;
 		Map<String, HostPlace> live = new LinkedHashMap<>();
+		this.heldNearby = false;
 		live.put(this.parts.place().host(), this.parts.place());
 		for (HostState state : this.peers.get()) {
 			if (state.getHost().getRole() == Role.AGENT && serving(state.getLiveness())) {
 				live.put(state.getHost().getHost(), HostPlace.of(state.getHost()));
 				this.addresses.put(state.getHost().getHost(), state.getHost().getAddress());
+				boolean near = state.getHost().getRegion().equals(this.parts.place().region());
+				this.heldNearby = this.heldNearby || near && holdsAll(state);
 			}
 		}
+		if (this.scheduler != null) {
+			this.scheduler.heldNearby(this.heldNearby);
+		}
 		if (live.equals(this.places)) {
 			return;
 		}
@@ -155,6 +165,19 @@
 		}
 	}
 
+	private boolean holdsAll(HostState state) {
+		for (BackendState backend : state.getBackendsList()) {
+			for (VersionProgress progress : backend.getProgressList()) {
+				if (progress.getModel().equals(this.model.getName())
+						&& progress.getVersion().equals(this.model.getVersion())
+						&& progress.getPhase() == VersionPhase.VERIFIED) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
 	private static boolean serving(Liveness liveness) {
 		return liveness == Liveness.LIVE || liveness == Liveness.LEAVING;
 	}
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -78,6 +78,8 @@
 
 	private FetchDuty duty;
 
+	private boolean heldNearby;
+
 	private int peerFetches;
 
 	private ChunkScheduler(int chunkCount, HostPlace self, Random random, long nowMs) {
@@ -126,6 +128,15 @@
 		this.neighbours.hosts(places.values());
 	}
 
+	/**
+	 * Says whether another host of the region holds the whole version. Then nothing has to
+	 * come into the region, unless that host turns out not to give any.
+	 * @param held true if one does
+	 */
+	public void heldNearby(boolean held) {
+		this.heldNearby = held;
+	}
+
 	/**
 	 * Says whose chunk maps to follow.
 	 * @param nowMs current time
@@ -314,6 +325,9 @@
 	}
 
 	private boolean onDuty(Lane lane, long nowMs) {
+		if (this.heldNearby && !lane.stalledFor(nowMs, 1 + lane.steps())) {
+			return false;
+		}
 		if (lane.rank > 0 && !lane.takenOver) {
 			lane.takenOver = lane.stalledFor(nowMs, lane.steps());
 		}
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -27,7 +27,7 @@
 /**
  * Entries over real sockets beside a store and backend servers of the test's own.
  */
-final class GatewayFixture implements AutoCloseable {
+public final class GatewayFixture implements AutoCloseable {
 
 	static final String KEY = "key-of-org-a";
 
@@ -45,19 +45,19 @@
 
 	private int version = 1;
 
-	GatewayFixture() throws Exception {
+	public GatewayFixture() throws Exception {
 		this.store = await(StoreStandIn.start(this.vertx));
 	}
 
-	StoreStandIn store() {
+	public StoreStandIn store() {
 		return this.store;
 	}
 
-	Vertx vertx() {
+	public Vertx vertx() {
 		return this.vertx;
 	}
 
-	HostSettings settings(int entry) {
+	public HostSettings settings(int entry) {
 		return this.settings.get(entry);
 	}
 
@@ -65,7 +65,7 @@
 		return this.entries.get(number);
 	}
 
-	void startEntry() throws Exception {
+	public void startEntry() throws Exception {
 		HostSettings.Builder made = HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
 			.setZone("zone-a")
@@ -97,7 +97,7 @@
 				EventLog.create(Clock.system(), done.getHost()))));
 	}
 
-	private static Address freeAddress() throws IOException {
+	public static Address freeAddress() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
 			return Address.newBuilder().setIp("127.0.0.1").setPort(socket.getLocalPort()).build();
 		}
@@ -201,7 +201,7 @@
 		});
 	}
 
-	static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
+	public static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
 		long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > untilNs) {
@@ -211,7 +211,7 @@
 		}
 	}
 
-	static <T> T await(Future<T> future) throws Exception {
+	public static <T> T await(Future<T> future) throws Exception {
 		return future.toCompletionStage().toCompletableFuture().get(WAIT_MS, TimeUnit.MILLISECONDS);
 	}
 
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
@@ -0,0 +1,214 @@
+package org.wigeontally.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.standin.EngineStandIn;
+import org.wigeontally.platform.standin.WeightsStandIn;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.HostSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Versions on their way to engines while the origin, engines and agents fail. After each
+ * test no engine may ever have been ordered to load a set that was not whole.
+ */
+public class WeightsOnThePlatformTests {
+
+	private GatewayFixture fixture;
+
+	private WeightsStandIn origin;
+
+	private final List<EngineStandIn> engines = new ArrayList<>();
+
+	private final List<SidecarDaemon> agents = new ArrayList<>();
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.engines.clear();
+		this.agents.clear();
+		this.fixture = new GatewayFixture();
+		this.origin = GatewayFixture.await(WeightsStandIn.start(this.fixture.vertx()));
+		JsonObject engine = new JsonObject().put("slots", 16)
+			.put("kv-capacity-tokens", 317_000)
+			.put("step_ms", 9.27)
+			.put("read_per_s", 20_700)
+			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
+			.put("layers", 4)
+			.put("chunks", WeightsStandIn.PIECES)
+			.put("chunk-bytes", WeightsStandIn.PIECE_BYTES);
+		JsonArray services = new JsonArray()
+			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", engine))
+			.add(new JsonObject().put("name", "weights")
+				.put("origin", "127.0.0.1:" + this.origin.port())
+				.put("zone", "zone-a")
+				.put("max-connections", 48));
+		this.fixture.store()
+			.write("op", "config", new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+		this.fixture.startEntry();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		for (SidecarDaemon agent : this.agents) {
+			agent.close();
+		}
+		this.fixture.close();
+		for (EngineStandIn engine : this.engines) {
+			assertThat(engine.violations()).isEmpty();
+		}
+	}
+
+	@Test
+	public void namedVersionReachesEveryEngineWithAboutOneCopyFromTheOrigin() throws Exception {
+		startEngines(4, 1);
+		name(2);
+		awaitLoaded(2);
+		// Pieces that both versions share are not fetched again.
+		assertThat(this.origin.sent()).isLessThanOrEqualTo((int) (1.5 * WeightsStandIn.PIECES));
+	}
+
+	/** An added engine holds nothing; the others have what it needs. */
+	@Test
+	public void addedEngineIsFilledWithoutTheOrigin() throws Exception {
+		startEngines(2, 1);
+		Thread.sleep(600);
+		startEngine(0);
+		awaitLoaded(1);
+		assertThat(this.origin.sent()).isZero();
+	}
+
+	@Test
+	public void everythingComesFromTheOriginAfterALossOfPower() throws Exception {
+		startEngines(3, 0);
+		awaitLoaded(1);
+		assertThat(this.origin.sent()).isLessThanOrEqualTo(2 * WeightsStandIn.PIECES);
+	}
+
+	@Test
+	public void spoiltPiecesAreFetchedAgain() throws Exception {
+		this.origin.spoils(0.3);
+		startEngines(3, 0);
+		awaitLoaded(1);
+	}
+
+	@Test
+	public void originThatIsAwayForAWhileIsWaitedFor() throws Exception {
+		this.origin.away(true);
+		startEngines(3, 1);
+		name(2);
+		Thread.sleep(1_500);
+		assertThat(this.engines).allMatch((engine) -> engine.loaded() == 1);
+		this.origin.away(false);
+		awaitLoaded(2);
+	}
+
+	/** Staged bytes turn bad between arrival and order. */
+	@Test
+	public void rottenPiecesAreStagedAgainBeforeTheOrder() throws Exception {
+		startEngines(2, 1);
+		long timer = this.fixture.vertx().setPeriodic(7, (id) -> this.engines.forEach((engine) -> {
+			if (System.nanoTime() / 1_000_000 % 400 < 7) {
+				engine.rot(5);
+			}
+		}));
+		name(2);
+		Thread.sleep(1_200);
+		this.fixture.vertx().cancelTimer(timer);
+		awaitLoaded(2);
+	}
+
+	@Test
+	public void newerVersionReplacesOneThatIsOnItsWay() throws Exception {
+		startEngines(3, 1);
+		name(2);
+		Thread.sleep(80);
+		name(3);
+		awaitLoaded(3);
+		assertThat(this.engines.get(0).loads()).contains(3L);
+	}
+
+	@Test
+	public void crashedEngineIsFilledFromItsAgentsMemory() throws Exception {
+		startEngines(2, 1);
+		name(2);
+		awaitLoaded(2);
+		int before = this.origin.sent();
+		this.engines.get(0).crash();
+		awaitLoaded(2);
+		assertThat(this.origin.sent()).isEqualTo(before);
+	}
+
+	/** The order is taken and its answer lost: it must not be given a second time. */
+	@Test
+	public void orderWithoutAnswerIsNotRepeatedBlindly() throws Exception {
+		startEngines(1, 1);
+		this.engines.get(0).losesAnswers(true);
+		name(2);
+		awaitLoaded(2);
+		assertThat(this.engines.get(0).loads()).containsExactly(2L);
+	}
+
+	@Test
+	public void restartedAgentUsesWhatIsStaged() throws Exception {
+		startEngines(1, 1);
+		name(2);
+		awaitLoaded(2);
+		int before = this.origin.sent();
+		this.agents.get(0).close();
+		this.engines.get(0).crash();
+		startAgent(this.engines.get(0));
+		awaitLoaded(2);
+		assertThat(this.origin.sent()).isLessThanOrEqualTo(before + WeightsStandIn.PIECES / 4);
+	}
+
+	private void name(long version) {
+		this.fixture.store()
+			.write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
+	}
+
+	private void startEngines(int count, long version) throws Exception {
+		for (int i = 0; i < count; i++) {
+			startEngine(version);
+		}
+	}
+
+	private void startEngine(long version) throws Exception {
+		EngineStandIn engine = GatewayFixture.await(EngineStandIn.start(this.fixture.vertx(), version));
+		this.engines.add(engine);
+		startAgent(engine);
+	}
+
+	private void startAgent(EngineStandIn engine) throws Exception {
+		int port = GatewayFixture.freeAddress().getPort();
+		HostSettings settings = HostSettings.newBuilder()
+			.setHost("agent-" + port)
+			.setZone("zone-a")
+			.setRegion("region-a")
+			.setIp("127.0.0.1")
+			.setInternalPort(port)
+			.setMetricsPort(GatewayFixture.freeAddress().getPort())
+			.addSeeds(this.fixture.settings(0).getControl())
+			.setStore(this.fixture.settings(0).getStore())
+			.setBackend(Address.newBuilder().setIp("127.0.0.1").setPort(engine.port()))
+			.setBounds(this.fixture.settings(0).getBounds())
+			.build();
+		this.agents.add(GatewayFixture.await(SidecarDaemon.start(this.fixture.vertx(), settings, Clock.system(),
+				EventLog.create(Clock.system(), settings.getHost()))));
+	}
+
+	private void awaitLoaded(long version) throws InterruptedException {
+		GatewayFixture.awaitTrue(() -> this.engines.stream().allMatch((engine) -> engine.loaded() == version));
+	}
+
+}
