--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -47,7 +47,7 @@
 final class WeightCollection {
 
 	/** Part of the host's link that weights may take; the rest is for streams. */
-	private static final double LINK_PART = 0.93;
+	private static final double LINK_PART = 0.8;
 
 	private static final int KBIT_PER_MBIT = 1_000;
 
