--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
@@ -74,6 +74,14 @@
 		this.targets.computeIfAbsent(Addresses.format(entry), (key) -> new Target(entry));
 	}
 
+	/**
+	 * Returns the entries that are reported to.
+	 * @return the number
+	 */
+	int count() {
+		return this.targets.size();
+	}
+
 	boolean hearsAny() {
 		return this.targets.values().stream().anyMatch((target) -> target.heard && target.failures == 0);
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -41,6 +41,12 @@
 	/** Time between two reports while the engine's load does not change. */
 	private static final long REPORT_MS = 300;
 
+	/**
+	 * Least time between two reports for each entry, so that many entries cost no more
+	 * messages.
+	 */
+	private static final long GAP_PER_ENTRY_MS = 8;
+
 	/** Time between two reads of the store while no entry answers. */
 	private static final long FIND_ENTRIES_MS = 1_500;
 
@@ -201,7 +207,8 @@
 	private void report(boolean now) {
 		long nowMs = this.clock.monotonicMs();
 		int load = (this.state == null) ? 0 : this.state.active() + this.state.queued();
-		if (!now && load == this.reportedLoad && nowMs - this.reportedAtMs < REPORT_MS) {
+		long gapMs = (load == this.reportedLoad) ? REPORT_MS : this.reports.count() * GAP_PER_ENTRY_MS;
+		if (!now && nowMs - this.reportedAtMs < gapMs) {
 			return;
 		}
 		this.reportedAtMs = nowMs;
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -73,7 +73,8 @@
 
 	private final Vertx vertx;
 
-	// Made once the region of the origin is known, since that decides who fetches from it.
+	// Made once the region of the origin is known, since that decides who fetches from
+	// it.
 	private WeightNode node;
 
 	private final Map<String, Integer> indexes = new HashMap<>();
@@ -107,7 +108,7 @@
 	private void startNode() {
 		int kbps = (int) (this.settings.getLinkMbps() * KBIT_PER_MBIT * LINK_PART);
 		WeightSettings weights = new WeightSettings(self(), this.view.briefing().getOriginRegion(), MEMORY_MB, kbps,
-				Map.of(), Wire.DIRECT);
+				Map.of(), Wire.DIRECT, true);
 		this.node = WeightNode.start(this.vertx, weights, this::peers, new PlatformOrigin(), this.clock,
 				this.settings.getHost().hashCode());
 	}
@@ -150,8 +151,8 @@
 	 * @return the weights; empty if pieces are missing
 	 */
 	Optional<VerifiedWeights> weights(long wanted) {
-		return (this.version == wanted && this.version > 0) ? this.node.verified(this.view.model(), Long.toString(wanted))
-				: Optional.empty();
+		return (this.version == wanted && this.version > 0)
+				? this.node.verified(this.view.model(), Long.toString(wanted)) : Optional.empty();
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionSpread.java
@@ -159,7 +159,8 @@
 			return;
 		}
 		this.places = live;
-		this.duty = FetchDuty.of(this.model.getManifest(), live.values(), this.parts.settings().originRegion());
+		this.duty = FetchDuty.of(this.model.getManifest(), live.values(), this.parts.settings().originRegion(),
+				this.parts.settings().sharedEntry());
 		if (this.scheduler != null) {
 			this.scheduler.hosts(live, this.duty, nowMs());
 		}
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -36,12 +36,15 @@
 
 	private static final int RANKED_PRIORITIES = 4;
 
-	/** Time that another zone or region must save; traffic between regions has a price. */
+	/**
+	 * Time that another zone or region must save; traffic between regions has a price.
+	 */
 	private static final double[] DISTANCE_COST_MS = { 0, 6, 30 };
 
 	/**
-	 * Time by which an engine with a full batch seems slower: prompts of others are read in
-	 * the same passes, and a crowded engine is the first to fill up between two reports.
+	 * Time by which an engine with a full batch seems slower: prompts of others are read
+	 * in the same passes, and a crowded engine is the first to fill up between two
+	 * reports.
 	 */
 	private static final double CROWDING_MS = 80;
 
@@ -90,7 +93,8 @@
 		double bestCost = Double.MAX_VALUE;
 		for (EngineCandidate candidate : candidates) {
 			double cost = firstEventMs(request, candidate) + DISTANCE_COST_MS[candidate.distance()]
-					+ crowdingMs(candidate) + candidate.failureShare() * FAILURE_COST_MS + this.random.nextDouble() * SPREAD_MS;
+					+ crowdingMs(candidate) + candidate.failureShare() * FAILURE_COST_MS
+					+ this.random.nextDouble() * SPREAD_MS;
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -129,8 +129,8 @@
 	}
 
 	/**
-	 * Says whether another host of the region holds the whole version. Then nothing has to
-	 * come into the region, unless that host turns out not to give any.
+	 * Says whether another host of the region holds the whole version. Then nothing has
+	 * to come into the region, unless that host turns out not to give any.
 	 * @param held true if one does
 	 */
 	public void heldNearby(boolean held) {
@@ -267,7 +267,7 @@
 		if (lane.rank < 0 || lane.fetches >= LANE_FETCHES || !onDuty(lane, nowMs)) {
 			return null;
 		}
-		boolean atOrigin = this.self.region().equals(this.duty.originRegion());
+		boolean atOrigin = this.self.region().equals(this.duty.entryRegion(number));
 		boolean fallBack = lane.stalledFor(nowMs, lane.steps() + ORIGIN_FALLBACK_STEPS);
 		for (int chunk = number; chunk < this.chunkCount; chunk += FetchDuty.LANES) {
 			if (this.seenInRegion.get(chunk) || this.inFlight.get(chunk)) {
--- a/library/src/main/java/org/wigeontally/weights/FetchDuty.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -30,8 +30,11 @@
 
 	private final String originRegion;
 
-	private FetchDuty(String originRegion) {
+	private final List<String> entryRegions;
+
+	private FetchDuty(String originRegion, List<String> entryRegions) {
 		this.originRegion = originRegion;
+		this.entryRegions = entryRegions;
 	}
 
 	/**
@@ -42,12 +45,27 @@
 	 * @return the duties
 	 */
 	public static FetchDuty of(String manifest, Iterable<HostPlace> hosts, String originRegion) {
+		return of(manifest, hosts, originRegion, false);
+	}
+
+	/**
+	 * Ranks the hosts.
+	 * @param manifest digest of the manifest
+	 * @param hosts live hosts, the own one among them
+	 * @param originRegion region of the origin
+	 * @param shared true if all regions fetch from the origin, each the lanes that are
+	 * its share of the hosts; the hosts near the origin then need not send every chunk
+	 * over every border themselves
+	 * @return the duties
+	 */
+	public static FetchDuty of(String manifest, Iterable<HostPlace> hosts, String originRegion, boolean shared) {
 		Map<String, List<String>> byRegion = new java.util.TreeMap<>();
 		for (HostPlace place : hosts) {
 			byRegion.computeIfAbsent(place.region(), (region) -> new ArrayList<>()).add(place.host());
 		}
 		String first = byRegion.containsKey(originRegion) ? originRegion : byRegion.keySet().iterator().next();
-		FetchDuty duty = new FetchDuty(first);
+		List<String> entries = shared ? entryRegions(byRegion, first) : java.util.Collections.nCopies(LANES, first);
+		FetchDuty duty = new FetchDuty(first, entries);
 		byRegion.forEach((region, names) -> {
 			List<List<String>> lanes = new ArrayList<>();
 			for (int lane = 0; lane < LANES; lane++) {
@@ -58,6 +76,25 @@
 		return duty;
 	}
 
+	// Deals the lanes to the regions one by one, each to the region that has the most
+	// hosts
+	// for the lanes that it would then have. The region of the origin wins ties.
+	private static List<String> entryRegions(Map<String, List<String>> byRegion, String first) {
+		Map<String, Integer> dealt = new HashMap<>();
+		List<String> entries = new ArrayList<>();
+		for (int lane = 0; lane < LANES; lane++) {
+			String best = first;
+			for (String region : byRegion.keySet()) {
+				double hosts = (double) byRegion.get(region).size() / (dealt.getOrDefault(region, 0) + 1);
+				double most = (double) byRegion.get(best).size() / (dealt.getOrDefault(best, 0) + 1);
+				best = (hosts > most) ? region : best;
+			}
+			dealt.merge(best, 1, Integer::sum);
+			entries.add(best);
+		}
+		return List.copyOf(entries);
+	}
+
 	private static List<String> ranked(String prefix, List<String> names) {
 		Map<String, Long> scores = new HashMap<>();
 		for (String name : names) {
@@ -77,6 +114,15 @@
 		return chunk % LANES;
 	}
 
+	/**
+	 * Returns the region whose hosts fetch the chunks of a lane from the origin.
+	 * @param lane the lane
+	 * @return name of the region
+	 */
+	public String entryRegion(int lane) {
+		return this.entryRegions.get(lane);
+	}
+
 	/**
 	 * Returns the region whose hosts fetch from the origin: the origin's own, or the
 	 * first one if no host is live there.
--- a/library/src/main/java/org/wigeontally/weights/Neighbours.java
+++ b/library/src/main/java/org/wigeontally/weights/Neighbours.java
@@ -73,7 +73,7 @@
 				continue;
 			}
 			follow.addAll(firstOf(duty.order(this.self.region(), lane), WATCHED_RANKS));
-			if (!this.self.region().equals(duty.originRegion())) {
+			if (!this.self.region().equals(duty.entryRegion(lane))) {
 				followOutside(duty, lane, follow);
 			}
 		}
@@ -82,13 +82,13 @@
 	}
 
 	private void followOutside(FetchDuty duty, int lane, Set<String> follow) {
-		follow.addAll(firstOf(duty.order(duty.originRegion(), lane), WATCHED_RANKS));
+		follow.addAll(firstOf(duty.order(duty.entryRegion(lane), lane), WATCHED_RANKS));
 		for (String other : duty.regions()) {
 			if (!other.equals(this.self.region())) {
 				follow.addAll(firstOf(duty.order(other, lane), 1));
 			}
 		}
-		fill(this.border, OVER_BORDER, (place) -> place.region().equals(duty.originRegion()));
+		fill(this.border, OVER_BORDER, (place) -> place.region().equals(duty.entryRegion(lane)));
 		follow.addAll(this.border);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/fleet/EnginePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/EnginePlacementTests.java
@@ -62,7 +62,9 @@
 		assertThat(((EngineDecision.Place) fresh).rank()).isLessThan(((EngineDecision.Place) late).rank());
 	}
 
-	/** A region with few engines and as many callers as the others spills over in time. */
+	/**
+	 * A region with few engines and as many callers as the others spills over in time.
+	 */
 	@Test
 	public void crowdedEnginesNearbyAreLeftForEmptyOnesFarAway() {
 		assertThat(shareSentNear(15, 2)).isLessThan(0.25);
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
@@ -54,7 +54,8 @@
 				.put("zone", "zone-a")
 				.put("max-connections", 48));
 		this.fixture.store()
-			.write("op", "config", new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+			.write("op", "config",
+					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
 		this.fixture.startEntry();
 	}
 
@@ -173,8 +174,7 @@
 	}
 
 	private void name(long version) {
-		this.fixture.store()
-			.write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
 	}
 
 	private void startEngines(int count, long version) throws Exception {
--- a/tool/src/main/java/org/wigeontally/tool/CheckCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/CheckCommand.java
@@ -25,7 +25,9 @@
 	@Parameter(description = "FILE", required = true)
 	private String file;
 
-	@Parameter(names = "--kind", description = "What the file holds: entry, agent, operator, bundle, platform_entry or platform_agent", required = true)
+	@Parameter(names = "--kind",
+			description = "What the file holds: entry, agent, operator, bundle, platform_entry or platform_agent",
+			required = true)
 	private Kind kind;
 
 	CheckCommand(Console console) {
--- a/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
@@ -63,7 +63,8 @@
 		}
 		List<LogLine> story = story(id, lines);
 		if (story.isEmpty()) {
-			this.console.err().println("no line of " + id + "; its event may have exceeded its lines a second, see left-out");
+			this.console.err()
+				.println("no line of " + id + "; its event may have exceeded its lines a second, see left-out");
 			return ExitCode.REFUSED;
 		}
 		story.forEach((line) -> this.console.out().println(line.format()));
