--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -38,7 +38,11 @@
 		this.selection = selection;
 	}
 
-	AgentBriefing answer(EngineStatus status) {
+	/**
+	 * Takes a report.
+	 * @param status the report
+	 */
+	void heard(EngineStatus status) {
 		String agent = Addresses.format(status.getAgent());
 		if (status.getLeaving()) {
 			this.agents.remove(agent);
@@ -47,6 +51,10 @@
 			this.agents.put(agent, new Heard(status, this.context.nowMs()));
 		}
 		this.context.fleet().agentReported(status);
+	}
+
+	AgentBriefing answer(EngineStatus status) {
+		heard(status);
 		AgentBriefing.Builder briefing = briefing(status);
 		long digest = briefing.build().hashCode();
 		if (digest == status.getBriefingDigest()) {
--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -36,6 +36,10 @@
 
 	private boolean hasAgent;
 
+	private long agentIncarnation;
+
+	private long agentSequence;
+
 	private long agentHeardAtMs;
 
 	Backend(BackendRecord record, BackendPool pool) {
@@ -75,6 +79,21 @@
 		this.gone = isGone;
 	}
 
+	/**
+	 * Drops reports that were overtaken on their way.
+	 * @param incarnation start of the agent
+	 * @param sequence number of the report, which grows within one incarnation
+	 * @return true if the report is to be used
+	 */
+	boolean isNewer(long incarnation, long sequence) {
+		if (incarnation == this.agentIncarnation && sequence <= this.agentSequence) {
+			return false;
+		}
+		this.agentIncarnation = incarnation;
+		this.agentSequence = sequence;
+		return true;
+	}
+
 	boolean loading(long nowMs) {
 		return this.loading && hasFreshAgent(nowMs);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -325,6 +325,9 @@
 		if (backend == null) {
 			return;
 		}
+		if (!backend.isNewer(status.getIncarnation(), status.getSequence())) {
+			return;
+		}
 		if (!status.getReachable() || (backend.record().bornMs() != 0 && status.getEngineBorn() != 0
 				&& backend.record().bornMs() != status.getEngineBorn())) {
 			return;
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import java.util.Set;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -182,7 +185,11 @@
 		servers.add(serve(this.settings.getDirectory(), this::directory));
 		servers.add(serve(this.settings.getControl(), grpc::handle));
 		servers.add(serve(metrics, this::metrics));
-		return Future.all(servers).onSuccess((all) -> {
+		DatagramSocket reports = this.vertx.createDatagramSocket();
+		reports.handler(this::reported);
+		Future<DatagramSocket> bound = reports.listen(this.settings.getInternalPort(), this.settings.getIp());
+		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
+			this.closer.add(reports::close);
 			servers.forEach((server) -> this.closer.add(server.result()::close));
 			begin();
 		}).mapEmpty();
@@ -244,6 +251,15 @@
 		this.context.metrics().storeAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
 	}
 
+	private void reported(DatagramPacket packet) {
+		try {
+			this.briefings.heard(EngineStatus.parseFrom(packet.data().getBytes()));
+		}
+		catch (InvalidProtocolBufferException ex) {
+			this.log.write(LogEvent.FAULT, "datagram-from", packet.sender(), "reason", ex.getMessage());
+		}
+	}
+
 	private void ready(HttpServerRequest request) {
 		boolean ready = WireNames.isReadyCall(request.path()) && this.exchange.isReady();
 		request.response().setStatusCode(ready ? 200 : 503).end();
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
@@ -7,6 +7,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.net.SocketAddress;
@@ -51,15 +53,21 @@
 
 	private final GrpcClient client;
 
+	private final DatagramSocket datagrams;
+
+	private final int entryPort;
+
 	private final Map<String, Target> targets = new LinkedHashMap<>();
 
 	private Runnable onNamed = () -> {
 	};
 
-	EntryReports(Vertx vertx, Clock clock, EventLog log, FleetView view) {
+	EntryReports(Vertx vertx, Clock clock, EventLog log, FleetView view, int entryPort) {
 		this.clock = clock;
 		this.log = log;
 		this.view = view;
+		this.entryPort = entryPort;
+		this.datagrams = vertx.createDatagramSocket();
 		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
 			.setHttp2ClearTextUpgrade(false)
 			.setConnectTimeout((int) TIMEOUT_MS);
@@ -87,10 +95,24 @@
 	}
 
 	/**
-	 * Sends the state to all entries that have answered the last report.
+	 * Sends the state to all entries that were heard of, without an answer. A datagram
+	 * costs a small part of a call; one that is lost is made up for by the next.
+	 * @param status the state
+	 */
+	void tell(EngineStatus status) {
+		Buffer bytes = Buffer.buffer(status.toByteArray());
+		for (Target target : this.targets.values()) {
+			if (target.heard && target.failures == 0) {
+				this.datagrams.send(bytes, this.entryPort, target.address.getIp());
+			}
+		}
+	}
+
+	/**
+	 * Calls all entries that have answered the last call, for their briefings.
 	 * @param status the state
 	 */
-	void send(EngineStatus.Builder status) {
+	void call(EngineStatus.Builder status) {
 		long nowMs = this.clock.monotonicMs();
 		for (Target target : new HashMap<>(this.targets).values()) {
 			if (!target.open && nowMs >= target.nextTryMs) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -47,6 +47,9 @@
 	 */
 	private static final long GAP_PER_ENTRY_MS = 8;
 
+	/** Time between two calls for briefings; a new version is learnt that much later at most. */
+	private static final long CALL_MS = 400;
+
 	/** Time between two reads of the store while no entry answers. */
 	private static final long FIND_ENTRIES_MS = 1_500;
 
@@ -101,6 +104,8 @@
 
 	private long reportedAtMs = Long.MIN_VALUE / 2;
 
+	private long calledAtMs = Long.MIN_VALUE / 2;
+
 	private int reportedLoad = -1;
 
 	private SidecarDaemon(Vertx vertx, Context loop, HostSettings settings, Clock clock, EventLog log) {
@@ -111,7 +116,7 @@
 		this.log = log;
 		this.incarnation = clock.wallMs();
 		this.client = EngineClient.create(vertx);
-		this.reports = new EntryReports(vertx, clock, log, this.view);
+		this.reports = new EntryReports(vertx, clock, log, this.view, settings.getInternalPort());
 		this.collector = new WeightCollection(vertx, clock, log, settings, this.view, this.client);
 		this.loader = new EngineLoader(vertx, log, this.client, settings.getBackend());
 		this.store = StoreClient.create(vertx, settings.getStore());
@@ -214,7 +219,12 @@
 		this.reportedAtMs = nowMs;
 		this.reportedLoad = load;
 		this.sequence++;
-		this.reports.send(status());
+		EngineStatus.Builder status = status();
+		this.reports.tell(status.build());
+		if (now || nowMs - this.calledAtMs >= CALL_MS) {
+			this.calledAtMs = nowMs;
+			this.reports.call(status);
+		}
 	}
 
 	private EngineStatus.Builder status() {
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -78,7 +78,7 @@
 			.setControl(freeAddress())
 			.setDirectory(freeAddress())
 			.setMetricsPort(freeAddress().getPort())
-			.setInternalPort(1)
+			.setInternalPort(freeAddress().getPort())
 			.setStore(Address.newBuilder().setIp("127.0.0.1").setPort(this.store.port()))
 			.setBounds(HostBounds.newBuilder()
 				.setGraceS(8)
