--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/eventlog/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the structured log.
+ */
+package org.wigeontally.eventlog;
--- a/tool/src/main/java/org/wigeontally/tool/SettingsPage.java
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsPage.java
@@ -28,7 +28,7 @@
  */
 final class SettingsPage {
 
-	private static final List<String> DOCUMENTS = List.of("EntrySettings", "AgentSettings", "OperatorSettings",
+	private static final List<String> DOCUMENTS = List.of("EntrySettings", "AgentSettings", "HostSettings", "OperatorSettings",
 			"Bundle");
 
 	private final Map<String, DescriptorProto> messages = new HashMap<>();
@@ -100,7 +100,7 @@
 	String format() {
 		StringBuilder page = new StringBuilder("# Settings\n\n"
 				+ "Made from the schema by `bin/settings-page`. Files are YAML; unknown keys are errors. "
-				+ "Check a file with `bin/wigeontally check --kind entry|agent|operator|bundle FILE`.\n");
+				+ "Check a file with `bin/wigeontally check --kind entry|agent|platform_entry|platform_agent|operator|bundle FILE`.\n");
 		Set<String> written = new LinkedHashSet<>();
 		Deque<String> waiting = new ArrayDeque<>(DOCUMENTS);
 		while (!waiting.isEmpty()) {
