--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -32,6 +32,8 @@
 	BACKEND_CRASH(Budget.SOME),
 	/** A request was sent to a backend server. */
 	REQUEST_PLACED(Budget.REQUESTS),
+	/** No backend server was found for a request; what the decision was made on. */
+	REQUEST_NOT_PLACED(Budget.REQUESTS),
 	/** An attempt at a backend server did not lead to an answer. */
 	ATTEMPT_FAILED(Budget.REQUESTS),
 	/** A request was answered by a backend server. */
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelection.java
@@ -23,7 +23,7 @@
 	 * Time before the bound of a version from which only the newest is used: a request
 	 * that is sent may wait at the engine for some time before it begins.
 	 */
-	private static final long VERSION_MARGIN_MS = 2_000;
+	private static final long VERSION_MARGIN_MS = 1_300;
 
 	private final FleetState fleet;
 
@@ -62,6 +62,19 @@
 		return found;
 	}
 
+	/**
+	 * Counts the backend servers of a service, usable or not.
+	 * @param service name of the service
+	 * @return the number
+	 */
+	int count(String service) {
+		int count = 0;
+		for (Backend backend : this.fleet.backends()) {
+			count += backend.record().service().equals(service) ? 1 : 0;
+		}
+		return count;
+	}
+
 	private boolean mayTake(CallerRequest request, Service service, Backend backend, long nowMs) {
 		String zone = backend.record().zone();
 		if (backend.record().draining() || this.fleet.isOut(zone) || !request.isRegionAllowed(region(zone))) {
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -134,6 +134,10 @@
 		List<Backend> candidates = (service != null) ? this.selection.find(this.request, service, this.tried, nowMs)
 				: List.of();
 		if (candidates.isEmpty()) {
+			this.context.log()
+				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
+						"candidates", 0, "known", this.selection.count(this.request.service()), "tried",
+						this.tried.size());
 			giveUp("no-backend", NO_BACKEND_RETURN_MS);
 			return;
 		}
@@ -150,6 +154,11 @@
 				this.endMs - nowMs, this.request.priority());
 		EngineDecision decision = this.context.enginePlacement(model).decide(wanted, rows);
 		if (decision instanceof EngineDecision.TurnAway turnAway) {
+			this.context.log()
+				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
+						"candidates", rows.size(), "best-load", turnAway.leastLoad(), "first-event-ms",
+						Math.round(turnAway.firstEventMs()), "target-left-ms", Math.round(wanted.targetLeftMs()),
+						"deadline-left-ms", Math.round(wanted.deadlineLeftMs()));
 			giveUp("engines-full", turnAway.comeBackMs());
 			return;
 		}
--- a/library/src/main/java/org/wigeontally/fleet/EngineDecision.java
+++ b/library/src/main/java/org/wigeontally/fleet/EngineDecision.java
@@ -21,8 +21,10 @@
 	 * for requests that can still be on time.
 	 *
 	 * @param comeBackMs time after which room is expected
+	 * @param leastLoad requests at the engine that would have been chosen
+	 * @param firstEventMs predicted time to the first event there
 	 */
-	record TurnAway(double comeBackMs) implements EngineDecision {
+	record TurnAway(double comeBackMs, int leastLoad, double firstEventMs) implements EngineDecision {
 
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -104,7 +104,7 @@
 		boolean onTime = firstEventMs + MARGIN_MS <= request.targetLeftMs();
 		int bound = onTime ? this.model.slots() : this.model.slots() - KEPT_PLACES;
 		if (best.load() >= bound || firstEventMs > request.deadlineLeftMs()) {
-			return new EngineDecision.TurnAway(COME_BACK_MS);
+			return new EngineDecision.TurnAway(COME_BACK_MS, best.load(), firstEventMs);
 		}
 		return new EngineDecision.Place(best.id(), onTime ? rank(request) : LATE_RANK, firstEventMs);
 	}
--- a/testsuite/src/test/java/org/wigeontally/fleet/EnginePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/EnginePlacementTests.java
@@ -147,7 +147,7 @@
 				}
 			}
 			return (best.load() < places) ? new EngineDecision.Place(best.id(), 5, 0)
-					: new EngineDecision.TurnAway(200);
+					: new EngineDecision.TurnAway(200, 0, 0);
 		};
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/fleet/EngineReplay.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/EngineReplay.java
@@ -107,7 +107,7 @@
 		}
 		double elapsedMs = nowMs - arrival.firstMs();
 		EngineRequest request = new EngineRequest(arrival.prompt(), TARGET_MS - elapsedMs, DEADLINE_MS - elapsedMs, 1);
-		EngineDecision decision = candidates.isEmpty() ? new EngineDecision.TurnAway(200)
+		EngineDecision decision = candidates.isEmpty() ? new EngineDecision.TurnAway(200, 0, 0)
 				: this.chooser.decide(request, candidates);
 		if (decision instanceof EngineDecision.TurnAway away) {
 			double backMs = nowMs + Math.min(away.comeBackMs(), (DEADLINE_MS - elapsedMs) / 3);
