--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -414,6 +414,11 @@
 						Math.min(this.backend.load().reportAgeMs(nowMs), 999_999), "rank", this.engineRank, "left-ms",
 						leftMs, "elapsed-before-ms", relay.elapsedBeforeMs, "configuration",
 						relay.context.fleet().configuration().version());
+			if (begun != null) {
+				relay.context.log()
+					.write(LogEvent.STREAM_RESUMED, "id", relay.request.attemptId(), "backend",
+							this.backend.record().id(), "last-event", lastEvent);
+			}
 			opened.send(call, this, () -> this.backend.pool().giveBack(opened));
 			watchSilence();
 		}
