--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -103,9 +103,8 @@
 			return;
 		}
 		String model = engine.models().get(0);
-		FleetState.NamedVersion named = this.context.fleet().version(model);
 		briefing.setModel(model)
-			.setVersion((named != null) ? named.version() : 0)
+			.setVersion(this.context.fleet().versions(model).newest())
 			.setChunks(engine.chunks())
 			.setChunkBytes(engine.chunkBytes())
 			.setLayers(engine.layers());
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -0,0 +1,281 @@
+package org.wigeontally.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vertx.core.Future;
+
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.RequestKind;
+import org.wigeontally.harmful.Fingerprint;
+
+/**
+ * One sending of a request to one backend server. It ends exactly once: with an answer, by
+ * {@link #cancel()}, or with a failure of which it says what is known. Runs on the event
+ * loop.
+ */
+final class BackendAttempt implements BackendAnswer {
+
+	/** Silence of a plain backend server after which another is tried, in targets. */
+	private static final double SILENCE_TARGETS = 2.5;
+
+	/** Silence in a stream, or of an engine whose agent is silent too. */
+	private static final long STREAM_SILENCE_MS = 1_200;
+
+	/** Longest wait for a first event before another engine is tried. */
+	private static final long FIRST_EVENT_SILENCE_MS = 2_200;
+
+	private static final long SILENCE_CHECK_MS = 200;
+
+	/**
+	 * Part of a connection's idle time that may have passed for a request that must not be
+	 * repeated: a connection that closes while the request is on its way proves nothing.
+	 */
+	private static final double FRESH_MARGIN = 0.4;
+
+	private static final double ANY_MARGIN = 0.95;
+
+	/** Written for a load that was never reported. */
+	private static final long UNKNOWN_AGE_MS = 999_999;
+
+	private static final int SERVER_ERROR = 500;
+
+	private final GatewayContext context;
+
+	private final CallerRequest request;
+
+	private final Fingerprint fingerprint;
+
+	private final Backend backend;
+
+	private final int engineRank;
+
+	private final long version;
+
+	private final AttemptListener listener;
+
+	private final long startMs;
+
+	private long heardMs;
+
+	private BackendConnection connection;
+
+	private boolean sent;
+
+	private boolean over;
+
+	private long silenceTimer = -1;
+
+	private AnswerReader reader;
+
+	/**
+	 * Creates an attempt.
+	 * @param context what all requests share
+	 * @param request the request
+	 * @param fingerprint its content
+	 * @param backend where it goes
+	 * @param engineRank rank at the engine; negative for none
+	 * @param version version of weights without which it must not run; 0 for any
+	 * @param listener learns what becomes of it
+	 */
+	BackendAttempt(GatewayContext context, CallerRequest request, Fingerprint fingerprint, Backend backend,
+			int engineRank, long version, AttemptListener listener) {
+		this.context = context;
+		this.request = request;
+		this.fingerprint = fingerprint;
+		this.backend = backend;
+		this.engineRank = engineRank;
+		this.version = version;
+		this.listener = listener;
+		this.startMs = context.nowMs();
+		this.heardMs = this.startMs;
+	}
+
+	void start() {
+		this.backend.load().sent();
+		double margin = (this.request.route().kind() == RequestKind.ONCE) ? FRESH_MARGIN : ANY_MARGIN;
+		BackendConnection idle = this.backend.pool().takeIdle(margin);
+		Future<BackendConnection> connected = (idle != null) ? Future.succeededFuture(idle)
+				: this.backend.pool().connect();
+		connected.onComplete((result) -> {
+			if (result.failed()) {
+				connectFailed(result.cause());
+			}
+			else if (this.over) {
+				this.backend.pool().giveBack(result.result());
+			}
+			else {
+				send(result.result());
+			}
+		});
+	}
+
+	String backendId() {
+		return this.backend.record().id();
+	}
+
+	long ageMs() {
+		return this.context.nowMs() - this.startMs;
+	}
+
+	boolean isSent() {
+		return this.sent;
+	}
+
+	/**
+	 * Gives the attempt up. The connection is closed, which stops the work there.
+	 */
+	void cancel() {
+		if (this.over) {
+			return;
+		}
+		end();
+		if (this.connection != null) {
+			this.connection.close();
+		}
+	}
+
+	private void connectFailed(Throwable cause) {
+		if (this.over) {
+			return;
+		}
+		end();
+		this.backend.health().unreachable(this.context.nowMs());
+		this.listener.failed(this, AttemptEnd.NOT_SENT, "connect: " + cause.getMessage());
+	}
+
+	private void send(BackendConnection opened) {
+		if (this.backend.gone() || this.backend.record().draining()) {
+			this.backend.pool().giveBack(opened);
+			end();
+			this.listener.failed(this, AttemptEnd.NOT_SENT, "backend server left");
+			return;
+		}
+		long nowMs = this.context.nowMs();
+		this.connection = opened;
+		this.sent = true;
+		this.heardMs = nowMs;
+		this.listener.sent();
+		this.backend.coldShare().sent(nowMs);
+		this.backend.begin(this.fingerprint);
+		String lastEvent = this.listener.lastEventId();
+		long leftMs = this.listener.leftMs();
+		logSending(nowMs, leftMs, lastEvent);
+		BackendCall call = this.request.call(backendId(), leftMs, this.engineRank, this.version, lastEvent);
+		opened.send(call, this, () -> this.backend.pool().giveBack(opened));
+		if (this.request.route().repeatable()) {
+			this.silenceTimer = this.context.vertx().setPeriodic(SILENCE_CHECK_MS, (id) -> checkSilence());
+		}
+	}
+
+	private void logSending(long nowMs, long leftMs, String lastEvent) {
+		if (this.listener.hasBegun()) {
+			this.context.log()
+				.write(LogEvent.STREAM_RESUMED, "id", this.request.attemptId(), "backend", backendId(), "last-event",
+						lastEvent);
+		}
+		this.context.log()
+			.write(LogEvent.REQUEST_PLACED, "id", this.request.attemptId(), "backend", backendId(), "zone",
+					this.backend.record().zone(), "load",
+					this.backend.load().estimate(nowMs, this.context.fleet().entries()), "load-age-ms",
+					Math.min(this.backend.load().reportAgeMs(nowMs), UNKNOWN_AGE_MS), "rank", this.engineRank,
+					"left-ms", leftMs, "configuration", this.context.fleet().configuration().version());
+	}
+
+	// A backend server that was silent for too long is left for another one.
+	private void checkSilence() {
+		if (!this.over && this.context.nowMs() - this.heardMs > silenceLimitMs() && this.listener.canMove()) {
+			leave("silence");
+		}
+	}
+
+	private long silenceLimitMs() {
+		if (this.request.route().kind() == RequestKind.IDEMPOTENT) {
+			return (long) (this.request.route().targetMs() * SILENCE_TARGETS);
+		}
+		boolean agentSilent = this.backend.agentFellSilent(this.context.nowMs());
+		return (this.listener.hasBegun() || agentSilent) ? STREAM_SILENCE_MS : FIRST_EVENT_SILENCE_MS;
+	}
+
+	private void leave(String reason) {
+		cancel();
+		this.backend.health().failure(this.context.nowMs());
+		this.listener.failed(this, AttemptEnd.MAY_HAVE_RUN, reason);
+	}
+
+	private void end() {
+		this.over = true;
+		this.backend.load().ended();
+		if (this.sent) {
+			this.backend.end(this.fingerprint);
+		}
+		if (this.silenceTimer >= 0) {
+			this.context.vertx().cancelTimer(this.silenceTimer);
+		}
+	}
+
+	@Override
+	public void head(int status, HttpHeaders headers) {
+		this.heardMs = this.context.nowMs();
+		LoadHeader.report(headers, this.backend, this.heardMs);
+		this.reader = new AnswerReader(status, headers, this.request.route().kind());
+		String fault = this.reader.fault();
+		if (fault != null) {
+			leave(fault);
+		}
+	}
+
+	@Override
+	public void body(byte[] bytes) {
+		this.heardMs = this.context.nowMs();
+		this.reader.add(bytes);
+		if (this.reader.isEventStream()) {
+			this.listener.eventsArrived(this.reader);
+		}
+	}
+
+	@Override
+	public void ended() {
+		if (this.over) {
+			return;
+		}
+		end();
+		long nowMs = this.context.nowMs();
+		if (this.reader.isNotRun()) {
+			this.listener.failed(this, AttemptEnd.NOT_RUN, "status " + this.reader.status());
+			return;
+		}
+		if (this.reader.isEventStream() && this.reader.hasRest()) {
+			this.backend.health().failure(nowMs);
+			this.listener.failed(this, AttemptEnd.MAY_HAVE_RUN, "stream ended within an event");
+			return;
+		}
+		if (this.reader.status() >= SERVER_ERROR) {
+			this.backend.health().failure(nowMs);
+			this.context.metrics().attempted(this.request.service(), AttemptEnd.FAILED.text());
+			this.listener.answered(this.reader.whole());
+			return;
+		}
+		this.backend.health().success(nowMs);
+		this.context.metrics().attempted(this.request.service(), "done");
+		if (this.context.harmful().succeeded(this.fingerprint)) {
+			this.context.suspectsChanged();
+		}
+		if (this.reader.isEventStream()) {
+			this.listener.streamEnded(this.reader);
+		}
+		else {
+			this.listener.answered(this.reader.whole());
+		}
+	}
+
+	@Override
+	public void broken(String reason) {
+		if (this.over) {
+			return;
+		}
+		this.backend.health().failure(this.context.nowMs());
+		CrashWatch.suspect(this.context, this.backend);
+		end();
+		this.listener.failed(this, AttemptEnd.MAY_HAVE_RUN, reason);
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelection.java
@@ -105,12 +105,8 @@
 	 * @return the version; 0 if any will do
 	 */
 	long requiredVersion(String model, long nowMs) {
-		FleetState.NamedVersion newest = this.fleet.version(model);
-		if (newest == null) {
-			return 0;
-		}
-		long boundMs = (long) this.settings.getBounds().getVersionMs();
-		return (nowMs - newest.namedAtMs() >= boundMs - VERSION_MARGIN_MS) ? newest.version() : 0;
+		long boundMs = (long) this.settings.getBounds().getVersionMs() - VERSION_MARGIN_MS;
+		return this.fleet.versions(model).required(nowMs, boundMs);
 	}
 
 	long requiredVersion(EngineModel model, long nowMs) {
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -145,14 +145,10 @@
 			news.setSuspects(suspects);
 		}
 		long nowMs = this.context.nowMs();
-		fleet.versions().forEach((model, named) -> {
-			if (named.seen()) {
-				news.addVersions(VersionAge.newBuilder()
-					.setModel(model)
-					.setVersion(named.version())
-					.setAgeMs(nowMs - named.namedAtMs()));
-			}
-		});
+		fleet.versions()
+			.forEach((model, named) -> named.known()
+				.forEach((version, atMs) -> news.addVersions(
+						VersionAge.newBuilder().setModel(model).setVersion(version).setAgeMs(nowMs - atMs))));
 		if (theirs == null) {
 			return news;
 		}
@@ -226,8 +222,9 @@
 			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source,
 					this.context.nowMs() - INTERVAL_MS);
 		}
+		long nowMs = this.context.nowMs();
 		theirs.getVersionsList()
-			.forEach((named) -> fleet.versionAge(named.getModel(), named.getVersion(), named.getAgeMs(), source));
+			.forEach((named) -> fleet.versions(named.getModel()).seen(named.getVersion(), nowMs - named.getAgeMs()));
 		if (theirs.hasSuspects()) {
 			this.context.harmful().merge(theirs.getSuspects());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -15,6 +15,7 @@
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.NamedVersions;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
@@ -62,7 +63,7 @@
 
 	private final Set<String> zonesOut = new HashSet<>();
 
-	private final Map<String, NamedVersion> versions = new HashMap<>();
+	private final Map<String, NamedVersions> versions = new HashMap<>();
 
 	private final Map<String, Long> lapsedAtMs = new HashMap<>();
 
@@ -111,8 +112,13 @@
 		return this.zonesOut.contains(zone);
 	}
 
-	NamedVersion version(String model) {
-		return this.versions.get(model);
+	/**
+	 * Returns the versions of weights that were named for a model.
+	 * @param model name of the model
+	 * @return the versions, none if the model is not known
+	 */
+	NamedVersions versions(String model) {
+		return this.versions.computeIfAbsent(model, (key) -> NamedVersions.create());
 	}
 
 	/**
@@ -165,39 +171,16 @@
 		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
 	}
 
-	// A version that stood in the first snapshot may have been named at any time before,
-	// so
+	// A version that stood in the first snapshot may have been named at any time before, so
 	// it binds at once, unless somebody who saw its naming says how old it is.
 	private void nameVersion(String model, long version, long sinceMs, String source) {
-		NamedVersion known = this.versions.get(model);
-		if (known != null && known.version() >= version) {
-			return;
-		}
 		boolean seen = sinceMs > Long.MIN_VALUE / 2;
-		this.versions.put(model, new NamedVersion(version, sinceMs, seen));
-		this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen", seen, "source", source);
-	}
-
-	/**
-	 * Takes note of the age of a version of weights that another entry saw being named.
-	 * @param model name of the model
-	 * @param version the version
-	 * @param ageMs time since it was named
-	 * @param source who told it
-	 */
-	void versionAge(String model, long version, long ageMs, String source) {
-		NamedVersion known = this.versions.get(model);
-		long namedAtMs = this.clock.monotonicMs() - ageMs;
-		if (known == null || known.version() != version || (known.seen() && known.namedAtMs() <= namedAtMs)) {
-			return;
+		if (versions(model).named(version, seen ? sinceMs : NamedVersions.UNKNOWN_MS)) {
+			this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen", seen, "source", source);
 		}
-		if (!known.seen()) {
-			this.log.write(LogEvent.VERSION, "model", model, "version", version, "age-ms", ageMs, "source", source);
-		}
-		this.versions.put(model, new NamedVersion(version, namedAtMs, true));
 	}
 
-	Map<String, NamedVersion> versions() {
+	Map<String, NamedVersions> versions() {
 		return this.versions;
 	}
 
@@ -337,15 +320,4 @@
 		backend.load().report(status.getActive() + status.getQueued(), status.getPace(), nowMs);
 	}
 
-	/**
-	 * A version of weights that operators named.
-	 *
-	 * @param version the version
-	 * @param namedAtMs time at which it was named, or an earlier one
-	 * @param seen true if this entry or one that told it saw the naming
-	 */
-	record NamedVersion(long version, long namedAtMs, boolean seen) {
-
-	}
-
 }
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/NamedVersions.java
@@ -0,0 +1,94 @@
+package org.wigeontally.fleet;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The versions of one model's weights that operators named, each with the time of its
+ * naming. Used by one thread.
+ *
+ * <p>
+ * Each version binds from its own naming on: a newer one that is named before an older
+ * one is everywhere does not put off the time from which requests must not run on what
+ * came before the older one.
+ */
+public final class NamedVersions {
+
+	/** Stands for a time that is not known; such a version binds at once. */
+	public static final long UNKNOWN_MS = Long.MIN_VALUE / 2;
+
+	private static final int KEPT = 8;
+
+	private final TreeMap<Long, Long> namedAtMs = new TreeMap<>();
+
+	private NamedVersions() {
+	}
+
+	/**
+	 * Creates an empty list.
+	 * @return the list
+	 */
+	public static NamedVersions create() {
+		return new NamedVersions();
+	}
+
+	/**
+	 * Takes note of a version.
+	 * @param version the version
+	 * @param atMs time of its naming or an earlier one; {@link #UNKNOWN_MS} if not known
+	 * @return true if it is new
+	 */
+	public boolean named(long version, long atMs) {
+		Long known = this.namedAtMs.putIfAbsent(version, atMs);
+		while (this.namedAtMs.size() > KEPT) {
+			this.namedAtMs.pollFirstEntry();
+		}
+		return known == null;
+	}
+
+	/**
+	 * Takes the time of naming from somebody who saw it.
+	 * @param version the version
+	 * @param atMs time of its naming
+	 */
+	public void seen(long version, long atMs) {
+		Long known = this.namedAtMs.get(version);
+		if (known == null || known == UNKNOWN_MS || atMs < known) {
+			this.namedAtMs.put(version, atMs);
+		}
+	}
+
+	/**
+	 * Returns the newest version.
+	 * @return the version; 0 if none was named
+	 */
+	public long newest() {
+		return this.namedAtMs.isEmpty() ? 0 : this.namedAtMs.lastKey();
+	}
+
+	/**
+	 * Returns the version below which no request may begin.
+	 * @param nowMs the time
+	 * @param boundMs time from the naming of a version until it binds
+	 * @return the version; 0 if none binds
+	 */
+	public long required(long nowMs, long boundMs) {
+		for (Map.Entry<Long, Long> entry : this.namedAtMs.descendingMap().entrySet()) {
+			if (nowMs - entry.getValue() >= boundMs) {
+				return entry.getKey();
+			}
+		}
+		return 0;
+	}
+
+	/**
+	 * Returns the versions whose time of naming is known.
+	 * @return times of naming by version
+	 */
+	public Map<Long, Long> known() {
+		Map<Long, Long> known = new TreeMap<>(this.namedAtMs);
+		known.values().removeIf((atMs) -> atMs == UNKNOWN_MS);
+		return known;
+	}
+
+}
