Agents finish a version that is nearly here beside a newer one

The older one is loaded only when its own bound presses, and dropped if less than 0.3 of it is held. Ruled out: fetching only the older one first, since the newer one then comes later everywhere.

--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -1,5 +1,8 @@
 package org.wigeontally.sidecar;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.wigeontally.schema.generated.AgentBriefing;
 
 /**
@@ -12,7 +15,7 @@
 
 	private AgentBriefing briefing = AgentBriefing.getDefaultInstance();
 
-	private long namedAtMs;
+	private final Map<Long, Long> namedAtMs = new HashMap<>();
 
 	AgentBriefing briefing() {
 		return this.briefing;
@@ -30,7 +33,7 @@
 		}
 		boolean named = newest.getVersion() > this.briefing.getVersion();
 		if (named) {
-			this.namedAtMs = nowMs;
+			this.namedAtMs.put(newest.getVersion(), nowMs);
 		}
 		this.briefing = newest;
 		return named;
@@ -53,8 +56,15 @@
 		return Math.max(FIRST_VERSION, this.briefing.getVersion());
 	}
 
-	long sinceNamedMs(long nowMs) {
-		return (this.briefing.getVersion() == 0) ? 0 : nowMs - this.namedAtMs;
+	/**
+	 * Returns how long ago this process learnt of a version.
+	 * @param version the version
+	 * @param nowMs the time
+	 * @return milliseconds; 0 if it was never named
+	 */
+	long sinceNamedMs(long version, long nowMs) {
+		Long atMs = this.namedAtMs.get(version);
+		return (atMs != null) ? nowMs - atMs : 0;
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -36,7 +36,7 @@
 	 * Time between two looks at the engine, which answers its own host with fresh
 	 * figures.
 	 */
-	private static final long LOOK_MS = 75;
+	private static final long LOOK_MS = 90;
 
 	/** Time between two reports while the engine's load does not change. */
 	private static final long REPORT_MS = 300;
@@ -45,7 +45,7 @@
 	 * Least time between two reports for each entry, so that many entries cost no more
 	 * messages.
 	 */
-	private static final long GAP_PER_ENTRY_MS = 8;
+	private static final long GAP_PER_ENTRY_MS = 11;
 
 	/** Time between two calls for briefings; a new version is learnt that much later at most. */
 	private static final long CALL_MS = 400;
@@ -201,6 +201,14 @@
 		}
 	}
 
+	/**
+	 * Returns the newest version of which this agent holds every piece.
+	 * @return the version; 0 for none
+	 */
+	long wholeVersion() {
+		return this.collector.wholeVersion();
+	}
+
 	private boolean reachable() {
 		return this.state != null && this.missedLooks < MISSED_LOOKS;
 	}
@@ -264,36 +272,41 @@
 		}
 		if (loadedVersion() >= target || this.state.busy()) {
 			this.announced = this.announced && this.loader.isRunning();
-			if (loadedVersion() >= target) {
-				this.collector.loaded(loadedVersion());
-			}
+		}
+		this.collector.loaded(loadedVersion());
+		long version = this.collector.wholeVersion();
+		if (version <= loadedVersion() || this.state.busy() || this.loader.isRunning()) {
 			return;
 		}
-		Optional<VerifiedWeights> weights = this.collector.weights(target);
-		if (weights.isEmpty() || this.loader.isRunning() || !mayLoad(target)) {
+		Optional<VerifiedWeights> weights = this.collector.weights(version);
+		if (weights.isEmpty() || !mayLoad(version, target)) {
 			return;
 		}
 		this.announced = true;
-		this.loader.load(this.view.model(), target, weights.get(), () -> report(true)).onComplete((result) -> {
+		this.loader.load(this.view.model(), version, weights.get(), () -> report(true)).onComplete((result) -> {
 			if (result.failed() || !result.result()) {
 				this.announced = false;
 			}
 		});
 	}
 
-	private boolean mayLoad(long target) {
+	// An older version than the newest is loaded only when its own bound presses.
+	private boolean mayLoad(long version, long target) {
 		String self = this.settings.getIp() + ":" + this.settings.getInternalPort();
 		List<String> ready = new ArrayList<>();
 		int engines = 1;
 		for (AgentPlace agent : this.view.briefing().getAgentsList()) {
 			engines++;
-			if (agent.getLoadedVersion() < target && agent.getWholeVersion() == target) {
+			if (agent.getLoadedVersion() < version && agent.getWholeVersion() >= version) {
 				ready.add(Addresses.format(agent.getAddress()));
 			}
 		}
 		long boundMs = this.view.briefing().getVersionBoundMs();
 		long pressMs = ((boundMs > 0) ? boundMs : DEFAULT_BOUND_MS) - LOAD_ALLOWANCE_MS;
-		boolean pressing = this.view.sinceNamedMs(this.clock.monotonicMs()) >= pressMs;
+		boolean pressing = this.view.sinceNamedMs(version, this.clock.monotonicMs()) >= pressMs;
+		if (version < target && loadedVersion() > 0 && !pressing) {
+			return false;
+		}
 		return LoadTurn.mayLoad(self, loadedVersion(), ready, engines, pressing);
 	}
 
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Future;
@@ -35,11 +36,13 @@
 import org.wigeontally.spread.WeightNode;
 import org.wigeontally.spread.WeightSettings;
 import org.wigeontally.spread.Wire;
+import org.wigeontally.weights.Digests;
 import org.wigeontally.weights.Manifests;
 import org.wigeontally.weights.VerifiedWeights;
 
 /**
- * Collects the version that the engine should hold. The digests come from the origin; all
+ * Collects the versions that the engine should hold, the newest and one before it if that
+ * is nearly here. The digests come from the origin; all
  * agents make the same manifest of them, so that their pieces fit each other. What the
  * engine has staged already is verified and used, so that a restart of this process
  * fetches nothing. Runs on the event loop.
@@ -53,6 +56,9 @@
 
 	private static final int MEMORY_MB = 48;
 
+	/** Part of a version that must be held for it to be finished beside a newer one. */
+	private static final double KEPT_FROM = 0.3;
+
 	private static final long DIGESTS_TIMEOUT_MS = 1_500;
 
 	private static final long PIECE_TIMEOUT_MS = 2_500;
@@ -77,11 +83,7 @@
 	// it.
 	private WeightNode node;
 
-	private final Map<String, Integer> indexes = new HashMap<>();
-
-	private long version;
-
-	private Manifest manifest;
+	private final TreeMap<Long, Collected> versions = new TreeMap<>();
 
 	private boolean digestsOpen;
 
@@ -89,12 +91,6 @@
 
 	private long digestsNextMs = Long.MIN_VALUE;
 
-	private long startedAtMs;
-
-	private boolean wholeLogged;
-
-	private int fromOrigin;
-
 	WeightCollection(Vertx vertx, Clock clock, EventLog log, HostSettings settings, FleetView view,
 			EngineClient engine) {
 		this.clock = clock;
@@ -133,15 +129,16 @@
 		if (this.node == null) {
 			startNode();
 		}
-		if (this.version < wanted) {
+		if (!this.versions.containsKey(wanted)) {
 			fetchDigests(wanted);
-			return;
 		}
-		if (!this.wholeLogged && weights(wanted).isPresent()) {
-			this.wholeLogged = true;
-			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", wanted, "after-ms",
-					this.clock.monotonicMs() - this.startedAtMs, "from-origin", this.fromOrigin, "pieces",
-					this.manifest.getChunksCount());
+		for (Collected collected : this.versions.values()) {
+			if (!collected.wholeLogged && weights(collected.version).isPresent()) {
+				collected.wholeLogged = true;
+				this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version, "after-ms",
+						this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin,
+						"pieces", collected.manifest.getChunksCount());
+			}
 		}
 	}
 
@@ -151,8 +148,8 @@
 	 * @return the weights; empty if pieces are missing
 	 */
 	Optional<VerifiedWeights> weights(long wanted) {
-		return (this.version == wanted && this.version > 0)
-				? this.node.verified(this.view.model(), Long.toString(wanted)) : Optional.empty();
+		return this.versions.containsKey(wanted) ? this.node.verified(this.view.model(), Long.toString(wanted))
+				: Optional.empty();
 	}
 
 	/**
@@ -163,19 +160,33 @@
 		if (this.node == null) {
 			return;
 		}
+		if (this.versions.headMap(loaded).isEmpty() || !this.versions.containsKey(loaded)) {
+			return;
+		}
+		this.versions.headMap(loaded).clear();
 		this.node.bearsLoad(this.view.model(), Long.toString(loaded));
 	}
 
+	/**
+	 * Returns the newest version of which every piece is held.
+	 * @return the version; 0 for none
+	 */
 	long wholeVersion() {
-		return weights(this.version).isPresent() ? this.version : 0;
+		for (long version : this.versions.descendingKeySet()) {
+			if (weights(version).isPresent()) {
+				return version;
+			}
+		}
+		return 0;
 	}
 
 	int held() {
-		if (this.node == null) {
-			return 0;
-		}
+		return this.versions.isEmpty() ? 0 : held(this.versions.lastKey());
+	}
+
+	private int held(long version) {
 		for (VersionProgress progress : this.node.progress()) {
-			if (progress.getVersion().equals(Long.toString(this.version))) {
+			if (progress.getVersion().equals(Long.toString(version))) {
 				return progress.getChunksVerified();
 			}
 		}
@@ -208,37 +219,52 @@
 		if (wanted != this.view.targetVersion()) {
 			return;
 		}
-		Manifest.Builder made = Manifest.newBuilder()
-			.setModel(this.view.model())
-			.setVersion(Long.toString(wanted))
-			.setChunkBytes(this.view.briefing().getChunkBytes());
-		this.indexes.clear();
-		for (int i = 0; i < digests.size(); i++) {
-			this.indexes.put(digests.get(i), i);
-			made.addChunks(ChunkEntry.newBuilder()
-				.setDigest(ByteString.copyFrom(org.wigeontally.weights.Digests.bytes(digests.get(i))))
-				.setSize(this.view.briefing().getChunkBytes()));
-		}
-		this.manifest = made.build();
-		this.version = wanted;
-		this.wholeLogged = false;
-		this.fromOrigin = 0;
-		this.startedAtMs = this.clock.monotonicMs();
-		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size());
+		dropFarBehind();
+		Collected next = new Collected(wanted, manifest(wanted, digests), digests, this.clock.monotonicMs());
+		this.versions.put(wanted, next);
+		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size(), "beside",
+				this.versions.headMap(wanted).keySet());
 		Model model = Model.newBuilder()
 			.setName(this.view.model())
 			.setVersion(Long.toString(wanted))
-			.setManifest(Manifests.digest(this.manifest))
+			.setManifest(Manifests.digest(next.manifest))
 			.build();
-		readStaged(digests).onComplete((read) -> {
-			if (this.version == wanted) {
-				this.node.want(model);
+		readStaged(wanted, digests).onComplete((read) -> {
+			if (this.versions.containsKey(wanted)) {
+				this.node.wantBeside(model);
 			}
 		});
 	}
 
+	// A version that is nearly here is finished: it binds earlier than the newer one, which
+	// the origin may not be able to give for some time.
+	private void dropFarBehind() {
+		this.versions.values().removeIf((older) -> {
+			boolean far = held(older.version) < older.manifest.getChunksCount() * KEPT_FROM;
+			if (far) {
+				this.node.abandon(this.view.model(), Long.toString(older.version));
+				this.log.write(LogEvent.WEIGHTS, "phase", "abandoned", "version", older.version, "held",
+						held(older.version));
+			}
+			return far;
+		});
+	}
+
+	private Manifest manifest(long version, List<String> digests) {
+		Manifest.Builder made = Manifest.newBuilder()
+			.setModel(this.view.model())
+			.setVersion(Long.toString(version))
+			.setChunkBytes(this.view.briefing().getChunkBytes());
+		for (String digest : digests) {
+			made.addChunks(ChunkEntry.newBuilder()
+				.setDigest(ByteString.copyFrom(Digests.bytes(digest)))
+				.setSize(this.view.briefing().getChunkBytes()));
+		}
+		return made.build();
+	}
+
 	// Done before anything is fetched, so that nothing comes over the link that is here.
-	private Future<Void> readStaged(List<String> digests) {
+	private Future<Void> readStaged(long version, List<String> digests) {
 		Address backend = this.settings.getBackend();
 		return this.engine.stagedPieces(backend, this.view.model()).compose((staged) -> {
 			List<Future<Void>> reads = new ArrayList<>();
@@ -246,16 +272,16 @@
 				if (index < digests.size()) {
 					reads.add(this.engine.staged(backend, this.view.model(), index)
 						.onSuccess((bytes) -> this.node.found(digests.get(index), bytes.getBytes()))
-						.onFailure((failure) -> stagedFailed(index, failure))
+						.onFailure((failure) -> stagedFailed(version, index, failure))
 						.mapEmpty());
 				}
 			}
 			return Future.join(reads).<Void>mapEmpty();
-		}).onFailure((failure) -> stagedFailed(-1, failure));
+		}).onFailure((failure) -> stagedFailed(version, -1, failure));
 	}
 
-	private void stagedFailed(int index, Throwable failure) {
-		this.log.write(LogEvent.PIECE_FAILED, "piece", index, "version", this.version, "source", "staged", "reason",
+	private void stagedFailed(long version, int index, Throwable failure) {
+		this.log.write(LogEvent.PIECE_FAILED, "piece", index, "version", version, "source", "staged", "reason",
 				failure.getMessage());
 	}
 
@@ -297,25 +323,58 @@
 
 		@Override
 		public Future<byte[]> manifest(String digest) {
-			byte[] bytes = WeightCollection.this.manifest.toByteArray();
-			return Manifests.digest(WeightCollection.this.manifest).equals(digest) ? Future.succeededFuture(bytes)
-					: Future.failedFuture("manifest of another version");
+			for (Collected collected : WeightCollection.this.versions.values()) {
+				if (Manifests.digest(collected.manifest).equals(digest)) {
+					return Future.succeededFuture(collected.manifest.toByteArray());
+				}
+			}
+			return Future.failedFuture("manifest of another version");
 		}
 
 		@Override
 		public Future<byte[]> chunk(String digest, int size) {
 			WeightCollection weights = WeightCollection.this;
-			Integer index = weights.indexes.get(digest);
-			if (index == null) {
-				return Future.failedFuture("piece of another version");
+			for (Collected collected : weights.versions.descendingMap().values()) {
+				Integer index = collected.indexes.get(digest);
+				if (index != null) {
+					collected.fromOrigin++;
+					return weights.engine
+						.piece(weights.view.briefing().getOrigin(), weights.view.model(), collected.version, index,
+								PIECE_TIMEOUT_MS)
+						.map(Buffer::getBytes)
+						.onFailure((failure) -> weights.log.write(LogEvent.PIECE_FAILED, "piece", index, "version",
+								collected.version, "source", "origin", "reason", failure.getMessage()));
+				}
+			}
+			return Future.failedFuture("piece of another version");
+		}
+
+	}
+
+	/**
+	 * A version that is collected or whole.
+	 */
+	private static final class Collected {
+
+		private final long version;
+
+		private final Manifest manifest;
+
+		private final Map<String, Integer> indexes = new HashMap<>();
+
+		private final long startedAtMs;
+
+		private boolean wholeLogged;
+
+		private int fromOrigin;
+
+		private Collected(long version, Manifest manifest, List<String> digests, long startedAtMs) {
+			this.version = version;
+			this.manifest = manifest;
+			this.startedAtMs = startedAtMs;
+			for (int i = 0; i < digests.size(); i++) {
+				this.indexes.put(digests.get(i), i);
 			}
-			weights.fromOrigin++;
-			return weights.engine
-				.piece(weights.view.briefing().getOrigin(), weights.view.model(), weights.version, index,
-						PIECE_TIMEOUT_MS)
-				.map(Buffer::getBytes)
-				.onFailure((failure) -> weights.log.write(LogEvent.PIECE_FAILED, "piece", index, "version",
-						weights.version, "source", "origin", "reason", failure.getMessage()));
 		}
 
 	}
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -107,6 +107,29 @@
 		});
 	}
 
+	/**
+	 * Wants a version beside those that are on their way.
+	 * @param model name, version and manifest digest
+	 */
+	public void wantBeside(Model model) {
+		this.parts.control().runOnContext((now) -> {
+			if (!this.spreads.containsKey(model.getManifest())) {
+				this.spreads.put(model.getManifest(),
+						VersionSpread.start(this.parts, model, this.peers, this::chunksChanged));
+				publish();
+			}
+		});
+	}
+
+	/**
+	 * Drops one version.
+	 * @param model name of the model
+	 * @param version the version
+	 */
+	public void abandon(String model, String version) {
+		dropUnless((spread) -> !spread.model().getName().equals(model) || !spread.model().getVersion().equals(version));
+	}
+
 	/**
 	 * Takes a chunk that was found on this host, such as one that the engine has staged.
 	 * @param digest digest that the chunk should have, hexadecimal
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
@@ -83,6 +83,8 @@
 	@Test
 	public void addedEngineIsFilledWithoutTheOrigin() throws Exception {
 		startEngines(2, 1);
+		GatewayFixture.awaitTrue(() -> this.agents.stream().allMatch((agent) -> agent.wholeVersion() == 1));
+		// Longer than the time between two reports of an agent.
 		Thread.sleep(600);
 		startEngine(0);
 		awaitLoaded(1);
