--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -8,9 +8,9 @@
 import org.wigeontally.harmful.Fingerprint;
 
 /**
- * One sending of a request to one backend server. It ends exactly once: with an answer, by
- * {@link #cancel()}, or with a failure of which it says what is known. Runs on the event
- * loop.
+ * One sending of a request to one backend server. It ends exactly once: with an answer,
+ * by {@link #cancel()}, or with a failure of which it says what is known. Runs on the
+ * event loop.
  */
 final class BackendAttempt implements BackendAnswer {
 
@@ -26,8 +26,9 @@
 	private static final long SILENCE_CHECK_MS = 200;
 
 	/**
-	 * Part of a connection's idle time that may have passed for a request that must not be
-	 * repeated: a connection that closes while the request is on its way proves nothing.
+	 * Part of a connection's idle time that may have passed for a request that must not
+	 * be repeated: a connection that closes while the request is on its way proves
+	 * nothing.
 	 */
 	private static final double FRESH_MARGIN = 0.4;
 
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -147,8 +147,8 @@
 		long nowMs = this.context.nowMs();
 		fleet.versions()
 			.forEach((model, named) -> named.known()
-				.forEach((version, atMs) -> news.addVersions(
-						VersionAge.newBuilder().setModel(model).setVersion(version).setAgeMs(nowMs - atMs))));
+				.forEach((version, atMs) -> news
+					.addVersions(VersionAge.newBuilder().setModel(model).setVersion(version).setAgeMs(nowMs - atMs))));
 		if (theirs == null) {
 			return news;
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -222,7 +222,8 @@
 			giveUp("answer is no stream", NO_BACKEND_RETURN_MS);
 			return;
 		}
-		// A failure of the backend server's own is an answer; another try may bring a better one.
+		// A failure of the backend server's own is an answer; another try may bring a
+		// better one.
 		if (answer.status() >= SERVER_ERROR) {
 			this.held = (this.held != null) ? this.held : answer;
 			failed(this.attempt, AttemptEnd.FAILED, "status " + answer.status());
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -47,7 +47,10 @@
 	 */
 	private static final long GAP_PER_ENTRY_MS = 11;
 
-	/** Time between two calls for briefings; a new version is learnt that much later at most. */
+	/**
+	 * Time between two calls for briefings; a new version is learnt that much later at
+	 * most.
+	 */
 	private static final long CALL_MS = 400;
 
 	/** Time between two reads of the store while no entry answers. */
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -42,10 +42,10 @@
 
 /**
  * Collects the versions that the engine should hold, the newest and one before it if that
- * is nearly here. The digests come from the origin; all
- * agents make the same manifest of them, so that their pieces fit each other. What the
- * engine has staged already is verified and used, so that a restart of this process
- * fetches nothing. Runs on the event loop.
+ * is nearly here. The digests come from the origin; all agents make the same manifest of
+ * them, so that their pieces fit each other. What the engine has staged already is
+ * verified and used, so that a restart of this process fetches nothing. Runs on the event
+ * loop.
  */
 final class WeightCollection {
 
@@ -136,8 +136,8 @@
 			if (!collected.wholeLogged && weights(collected.version).isPresent()) {
 				collected.wholeLogged = true;
 				this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version, "after-ms",
-						this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin,
-						"pieces", collected.manifest.getChunksCount());
+						this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin, "pieces",
+						collected.manifest.getChunksCount());
 			}
 		}
 	}
@@ -236,7 +236,8 @@
 		});
 	}
 
-	// A version that is nearly here is finished: it binds earlier than the newer one, which
+	// A version that is nearly here is finished: it binds earlier than the newer one,
+	// which
 	// the origin may not be able to give for some time.
 	private void dropFarBehind() {
 		this.versions.values().removeIf((older) -> {
--- a/testsuite/src/test/java/org/wigeontally/eventlog/EventLogTests.java
+++ b/testsuite/src/test/java/org/wigeontally/eventlog/EventLogTests.java
@@ -37,8 +37,8 @@
 	public void valuesThatNeedItAreQuotedAndStayOnTheirLine() {
 		EventLog log = EventLog.create(ManualClock.startingAt(0), "h1");
 		log.write(LogEvent.REQUEST_REFUSED, "id", "a1", "reason", "two words\nand \"more\"", "empty", "");
-		assertThat(text()).containsExactly(
-				"event=request-refused host=h1 id=a1 reason=\"two words and 'more'\" empty=\"\"");
+		assertThat(text())
+			.containsExactly("event=request-refused host=h1 id=a1 reason=\"two words and 'more'\" empty=\"\"");
 	}
 
 	/** Three times the peak of requests writes no more lines than the budget. */
--- a/testsuite/src/test/java/org/wigeontally/fleet/NamedVersionsTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/NamedVersionsTests.java
@@ -11,7 +11,9 @@
 
 	private static final long BOUND_MS = 6_000;
 
-	/** Named 3 s apart: the first binds 6 s after its own naming, whatever comes after it. */
+	/**
+	 * Named 3 s apart: the first binds 6 s after its own naming, whatever comes after it.
+	 */
 	@Test
 	public void newerVersionDoesNotPutOffAnOlderOne() {
 		NamedVersions versions = NamedVersions.create();
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FrontFuzzTests.java
@@ -0,0 +1,101 @@
+package org.wigeontally.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.BackendStandIn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Malformed and hostile requests at the front. Whatever comes, nothing reaches a backend
+ * server without a known key's organisation, no key is passed on, and the entry goes on
+ * serving.
+ */
+public class FrontFuzzTests {
+
+	private static final long SEED = 20_261_204;
+
+	private static final int ROUNDS = 400;
+
+	private GatewayFixture fixture;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.fixture = new GatewayFixture();
+		this.fixture.configure();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	@Test
+	public void mutatedRequestsHarmNobody() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "plain", 200);
+		Random random = new Random(SEED);
+		NetClient client = this.fixture.vertx().createNetClient();
+		for (int round = 0; round < ROUNDS; round++) {
+			NetSocket socket = GatewayFixture
+				.await(client.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
+			socket.write(Buffer.buffer(mutated(random, round)));
+			if (random.nextBoolean()) {
+				socket.close();
+			}
+		}
+		assertThat(this.fixture.call("plain").status()).isEqualTo(200);
+		for (BackendStandIn.Arrival arrival : desk.arrivals()) {
+			assertThat(arrival.headers()).containsEntry("x-tenant", "org-a").doesNotContainKey("x-credential");
+			assertThat(arrival.headers().get("x-expect-replica")).isEqualTo("desk-1");
+			assertThat(arrival.attemptId()).isNotEmpty();
+		}
+	}
+
+	/** Headers that only the system sets are never taken from a caller. */
+	@Test
+	public void callersHeadersDoNotPassForTheSystems() throws Exception {
+		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "plain", 200);
+		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
+			.createNetClient()
+			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
+		socket.write("GET /plain/x HTTP/1.1\r\nHost: H.example:80\r\nX-Attempt-Id: forged\r\nX-Deadline-Ms: 900\r\n"
+				+ "X-Tenant: org-b\r\nX-Expect-Replica: other\r\nX-Request-Priority: 0\r\nPath: 1.2.3.4:5=0-16\r\n"
+				+ "Connection: X-Attempt-Id, X-Credential, keep-alive\r\nX-Credential: " + GatewayFixture.KEY
+				+ "\r\n\r\n");
+		GatewayFixture.awaitTrue(() -> desk.arrivals().stream().anyMatch((each) -> each.attemptId().equals("forged")));
+		BackendStandIn.Arrival arrival = desk.arrivals()
+			.stream()
+			.filter((each) -> each.attemptId().equals("forged"))
+			.findFirst()
+			.orElseThrow();
+		assertThat(arrival.headers()).containsEntry("x-tenant", "org-a")
+			.containsEntry("x-expect-replica", "desk-1")
+			.doesNotContainKeys("x-request-priority", "path", "x-credential");
+		socket.close();
+	}
+
+	private static byte[] mutated(Random random, int round) {
+		String body = "order " + round;
+		String request = "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: f" + round
+				+ "\r\nX-Deadline-Ms: 900\r\nX-Credential: " + GatewayFixture.KEY + "\r\nContent-Length: "
+				+ body.length() + "\r\n\r\n" + body;
+		byte[] bytes = request.getBytes(StandardCharsets.ISO_8859_1);
+		for (int change = 0; change <= random.nextInt(5); change++) {
+			bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+		}
+		return bytes;
+	}
+
+}
--- a/testsuite/src/test/java/org/wigeontally/settings/HostSettingsTests.java
+++ b/testsuite/src/test/java/org/wigeontally/settings/HostSettingsTests.java
@@ -63,7 +63,8 @@
 	}
 
 	private static HostSettings read(String text, boolean entry) throws InputException {
-		return SettingsReader.read("host.yaml", text, HostSettings.newBuilder(), HostSettingsCheck.create(entry)).build();
+		return SettingsReader.read("host.yaml", text, HostSettings.newBuilder(), HostSettingsCheck.create(entry))
+			.build();
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/tool/ExplainTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/ExplainTests.java
@@ -34,7 +34,9 @@
 		assertThat(code).isEqualTo(ExitCode.DONE);
 		assertThat(out.toString().lines().map((line) -> line.split("  ")[2]).toList()).containsExactly("backend",
 				"request-placed", "attempt-failed", "request-refused");
-		assertThat(out.toString()).contains("draining=true").contains("reason=connection reset").doesNotContain("gone=true");
+		assertThat(out.toString()).contains("draining=true")
+			.contains("reason=connection reset")
+			.doesNotContain("gone=true");
 	}
 
 	@Test
--- a/tool/src/main/java/org/wigeontally/tool/SettingsPage.java
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsPage.java
@@ -28,8 +28,8 @@
  */
 final class SettingsPage {
 
-	private static final List<String> DOCUMENTS = List.of("EntrySettings", "AgentSettings", "HostSettings", "OperatorSettings",
-			"Bundle");
+	private static final List<String> DOCUMENTS = List.of("EntrySettings", "AgentSettings", "HostSettings",
+			"OperatorSettings", "Bundle");
 
 	private final Map<String, DescriptorProto> messages = new HashMap<>();
 
