--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.BackendStandIn;
+import org.wigeontally.platform.standin.CallerStandIn;
 import org.wigeontally.platform.standin.StoreStandIn;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -33,11 +34,11 @@
 		this.fixture.store().mode(StoreStandIn.Mode.BUSY);
 		this.fixture.startEntry();
 		assertThat(this.fixture.call("plain").status()).isEqualTo(503);
-		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), "/wigeontally/ready").status()).isEqualTo(503);
+		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status()).isEqualTo(503);
 		this.fixture.store().mode(StoreStandIn.Mode.SERVES);
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		this.fixture.awaitStatus(0, "plain", 200);
-		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), "/wigeontally/ready").status()).isEqualTo(200);
+		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status()).isEqualTo(200);
 	}
 
 	@Test
@@ -197,7 +198,7 @@
 		try {
 			return this.fixture
 				.get(this.fixture.settings(entry).getDirectory(),
-						"/wigeontally/resolve?name=h.example&region=region-a&zone=zone-a")
+						CallerStandIn.directoryPath("region-a", "zone-a"))
 				.body();
 		}
 		catch (Exception ex) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/FrontFuzzTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FrontFuzzTests.java
@@ -11,6 +11,7 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.BackendStandIn;
+import org.wigeontally.platform.standin.CallerStandIn;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -70,10 +71,8 @@
 		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
 			.createNetClient()
 			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
-		socket.write("GET /plain/x HTTP/1.1\r\nHost: H.example:80\r\nX-Attempt-Id: forged\r\nX-Deadline-Ms: 900\r\n"
-				+ "X-Tenant: org-b\r\nX-Expect-Replica: other\r\nX-Request-Priority: 0\r\nPath: 1.2.3.4:5=0-16\r\n"
-				+ "Connection: X-Attempt-Id, X-Credential, keep-alive\r\nX-Credential: " + GatewayFixture.KEY
-				+ "\r\n\r\n");
+		socket.write(CallerStandIn.bytes("GET /plain/x", "forged", GatewayFixture.KEY,
+				CallerStandIn.forgedHeaders("org-b"), ""));
 		GatewayFixture.awaitTrue(() -> desk.arrivals().stream().anyMatch((each) -> each.attemptId().equals("forged")));
 		BackendStandIn.Arrival arrival = desk.arrivals()
 			.stream()
@@ -88,9 +87,8 @@
 
 	private static byte[] mutated(Random random, int round) {
 		String body = "order " + round;
-		String request = "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: f" + round
-				+ "\r\nX-Deadline-Ms: 900\r\nX-Credential: " + GatewayFixture.KEY + "\r\nContent-Length: "
-				+ body.length() + "\r\n\r\n" + body;
+		String request = CallerStandIn.bytes("POST /plain/x", "f" + round, GatewayFixture.KEY,
+				"Content-Length: " + body.length() + "\r\n", body);
 		byte[] bytes = request.getBytes(StandardCharsets.ISO_8859_1);
 		for (int change = 0; change <= random.nextInt(5); change++) {
 			bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -18,6 +18,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.BackendStandIn;
+import org.wigeontally.platform.standin.CallerStandIn;
 import org.wigeontally.platform.standin.StoreStandIn;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.HostBounds;
@@ -159,34 +160,23 @@
 			.put("service", service);
 	}
 
-	Answer call(String route) throws Exception {
+	CallerStandIn.Answer call(String route) throws Exception {
 		return call(0, route, "id-" + System.nanoTime(), KEY, "body");
 	}
 
-	Answer call(int entry, String route, String id, String key, String body) throws Exception {
+	CallerStandIn.Answer call(int entry, String route, String id, String key, String body) throws Exception {
 		return await(send(entry, route, id, key, body));
 	}
 
-	Future<Answer> send(int entry, String route, String id, String key, String body) {
-		Address front = this.settings.get(entry).getFront();
-		return this.client.request(HttpMethod.POST, front.getPort(), front.getIp(), "/" + route + "/x?q=1")
-			.compose((request) -> {
-				request.putHeader("Host", "h.example").putHeader("X-Attempt-Id", id).putHeader("X-Deadline-Ms", "3000");
-				if (key != null) {
-					request.putHeader("X-Credential", key);
-				}
-				return request.send(body)
-					.compose((response) -> response.body()
-						.map((bytes) -> new Answer(response.statusCode(), bytes.toString(),
-								response.getHeader("X-Replica-Signature"), response.getHeader("Retry-After"))));
-			});
+	Future<CallerStandIn.Answer> send(int entry, String route, String id, String key, String body) {
+		return CallerStandIn.call(this.client, this.settings.get(entry).getFront(), "/" + route + "/x?q=1", id, key, body);
 	}
 
-	Answer get(Address address, String uri) throws Exception {
+	CallerStandIn.Answer get(Address address, String uri) throws Exception {
 		return await(this.client.request(HttpMethod.GET, address.getPort(), address.getIp(), uri)
 			.compose((request) -> request.send()
 				.compose((response) -> response.body()
-					.map((bytes) -> new Answer(response.statusCode(), bytes.toString(), null, null)))));
+					.map((bytes) -> new CallerStandIn.Answer(response.statusCode(), bytes.toString(), null, null)))));
 	}
 
 	/** Waits until the entry serves a route as the test expects. */
@@ -231,16 +221,4 @@
 		await(this.vertx.close());
 	}
 
-	/**
-	 * What a caller got.
-	 *
-	 * @param status HTTP status
-	 * @param body the body
-	 * @param signature signature of the backend server, or null
-	 * @param retryAfter when to come back, or null
-	 */
-	record Answer(int status, String body, String signature, String retryAfter) {
-
-	}
-
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.BackendStandIn;
+import org.wigeontally.platform.standin.CallerStandIn;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -36,7 +37,7 @@
 	public void answerIsTheBackendServersOwn() throws Exception {
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("hello"));
 		ready("plain");
-		GatewayFixture.Answer answer = this.fixture.call(0, "plain", "a1", GatewayFixture.KEY, "order");
+		CallerStandIn.Answer answer = this.fixture.call(0, "plain", "a1", GatewayFixture.KEY, "order");
 		assertThat(answer.status()).isEqualTo(200);
 		assertThat(answer.body()).isEqualTo("hello");
 		assertThat(answer.signature()).isEqualTo("s1");
@@ -88,12 +89,12 @@
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		ready("once");
 		desk.behaviour((arrival, socket) -> socket
-			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")));
-		GatewayFixture.Answer answer = this.fixture.call("once");
+			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", BackendStandIn.NOT_RUN, "")));
+		CallerStandIn.Answer answer = this.fixture.call("once");
 		assertThat(answer.status()).isEqualTo(503);
 		assertThat(answer.retryAfter()).isNotNull();
 		desk.behaviour((arrival, socket) -> socket
-			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", "X-Replica-Signature: s1\r\n", "busy")));
+			.write(BackendStandIn.answer(arrival, "503 Service Unavailable", BackendStandIn.signed("s1"), "busy")));
 		assertThat(this.fixture.call("once").signature()).isEqualTo("s1");
 	}
 
@@ -102,7 +103,7 @@
 		AtomicInteger calls = new AtomicInteger();
 		BackendStandIn.Behaviour failsFirst = (arrival, socket) -> {
 			if (calls.getAndIncrement() == 0) {
-				socket.write(BackendStandIn.answer(arrival, "500 Error", "X-Replica-Signature: s0\r\n", "failed"));
+				socket.write(BackendStandIn.answer(arrival, "500 Error", BackendStandIn.signed("s0"), "failed"));
 			}
 			else {
 				socket.write(BackendStandIn.success(arrival, "good"));
@@ -133,8 +134,8 @@
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		ready("plain");
 		desk.behaviour((arrival, socket) -> socket
-			.write(BackendStandIn.answer(arrival, "500 Error", "X-Replica-Signature: s0\r\n", "failed")));
-		GatewayFixture.Answer answer = this.fixture.call("plain");
+			.write(BackendStandIn.answer(arrival, "500 Error", BackendStandIn.signed("s0"), "failed")));
+		CallerStandIn.Answer answer = this.fixture.call("plain");
 		assertThat(answer.status()).isEqualTo(500);
 		assertThat(answer.signature()).isEqualTo("s0");
 		assertThat(answer.body()).isEqualTo("failed");
@@ -152,7 +153,7 @@
 			socket.write(extra + earlier[0]);
 		});
 		for (int i = 0; i < 5; i++) {
-			GatewayFixture.Answer answer = this.fixture.call(0, "plain", "id" + i, GatewayFixture.KEY, "");
+			CallerStandIn.Answer answer = this.fixture.call(0, "plain", "id" + i, GatewayFixture.KEY, "");
 			assertThat(answer.body()).isEqualTo("of id" + i);
 		}
 	}
@@ -164,8 +165,7 @@
 		desk.behaviour((arrival, socket) -> socket.write(BackendStandIn.answer(arrival, "200 OK", "", "forged")));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
 		desk.behaviour((arrival, socket) -> socket
-			.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.attemptId()
-					+ "\r\nX-Replica-Signature: s\r\nContent-Length: 10\r\n\r\nshort")
+			.write(BackendStandIn.head(arrival) + "Content-Length: 10\r\n\r\nshort")
 			.onComplete((written) -> socket.close()));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
 		desk.behaviour((arrival, socket) -> socket.write("this is no answer\r\n\r\n"));
@@ -177,10 +177,9 @@
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		ready("once");
 		desk.behaviour((arrival, socket) -> socket
-			.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.attemptId()
-					+ "\r\nX-Replica-Signature: s\r\n\r\nall of it")
+			.write(BackendStandIn.head(arrival) + "\r\nall of it")
 			.onComplete((written) -> socket.close()));
-		GatewayFixture.Answer answer = this.fixture.call("once");
+		CallerStandIn.Answer answer = this.fixture.call("once");
 		assertThat(answer.status()).isEqualTo(200);
 		assertThat(answer.body()).isEqualTo("all of it");
 	}
@@ -214,7 +213,7 @@
 		this.fixture.startBackend("engine-1", "engines", "zone-a", breaks);
 		this.fixture.startBackend("engine-2", "engines", "zone-a", breaks);
 		ready("events");
-		GatewayFixture.Answer answer = this.fixture.call("events");
+		CallerStandIn.Answer answer = this.fixture.call("events");
 		assertThat(answer.status()).isEqualTo(200);
 		assertThat(answer.signature()).isEqualTo("s0");
 		StringBuilder expected = new StringBuilder();
@@ -249,9 +248,7 @@
 			.createNetClient()
 			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1");
 		NetSocket socket = GatewayFixture.await(caller);
-		socket.write(
-				"GET /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: z\r\nX-Deadline-Ms: 3000\r\nX-Credential: "
-						+ GatewayFixture.KEY + "\r\n\r\n");
+		socket.write(CallerStandIn.bytes("GET /plain/x", "z", GatewayFixture.KEY, "", ""));
 		GatewayFixture.awaitTrue(() -> last(desk).attemptId().equals("z"));
 		socket.close();
 		long startNs = System.nanoTime();
@@ -292,14 +289,12 @@
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		ready("plain");
 		int before = desk.arrivals().size();
-		String inner = "GET /plain/inner HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: inner\r\nX-Credential: "
-				+ GatewayFixture.KEY + "\r\n\r\n";
+		String inner = CallerStandIn.bytes("GET /plain/inner", "inner", GatewayFixture.KEY, "", "");
 		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
 			.createNetClient()
 			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
-		socket.write("POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: outer\r\nX-Deadline-Ms: 900\r\n"
-				+ "X-Credential: " + GatewayFixture.KEY + "\r\nContent-Length: " + inner.length()
-				+ "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner);
+		socket.write(CallerStandIn.bytes("POST /plain/x", "outer", GatewayFixture.KEY,
+				"Content-Length: " + inner.length() + "\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" + inner));
 		Thread.sleep(400);
 		assertThat(desk.arrivals().subList(before, desk.arrivals().size()))
 			.noneMatch((arrival) -> arrival.attemptId().equals("inner"));
