--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
@@ -34,11 +34,13 @@
 		this.fixture.store().mode(StoreStandIn.Mode.BUSY);
 		this.fixture.startEntry();
 		assertThat(this.fixture.call("plain").status()).isEqualTo(503);
-		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status()).isEqualTo(503);
+		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status())
+			.isEqualTo(503);
 		this.fixture.store().mode(StoreStandIn.Mode.SERVES);
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		this.fixture.awaitStatus(0, "plain", 200);
-		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status()).isEqualTo(200);
+		assertThat(this.fixture.get(this.fixture.settings(0).getReady(), CallerStandIn.READY_PATH).status())
+			.isEqualTo(200);
 	}
 
 	@Test
@@ -197,8 +199,7 @@
 	private String directory(int entry) {
 		try {
 			return this.fixture
-				.get(this.fixture.settings(entry).getDirectory(),
-						CallerStandIn.directoryPath("region-a", "zone-a"))
+				.get(this.fixture.settings(entry).getDirectory(), CallerStandIn.directoryPath("region-a", "zone-a"))
 				.body();
 		}
 		catch (Exception ex) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -169,7 +169,8 @@
 	}
 
 	Future<CallerStandIn.Answer> send(int entry, String route, String id, String key, String body) {
-		return CallerStandIn.call(this.client, this.settings.get(entry).getFront(), "/" + route + "/x?q=1", id, key, body);
+		return CallerStandIn.call(this.client, this.settings.get(entry).getFront(), "/" + route + "/x?q=1", id, key,
+				body);
 	}
 
 	CallerStandIn.Answer get(Address address, String uri) throws Exception {
--- a/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
@@ -164,9 +164,9 @@
 		ready("once");
 		desk.behaviour((arrival, socket) -> socket.write(BackendStandIn.answer(arrival, "200 OK", "", "forged")));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
-		desk.behaviour((arrival, socket) -> socket
-			.write(BackendStandIn.head(arrival) + "Content-Length: 10\r\n\r\nshort")
-			.onComplete((written) -> socket.close()));
+		desk.behaviour(
+				(arrival, socket) -> socket.write(BackendStandIn.head(arrival) + "Content-Length: 10\r\n\r\nshort")
+					.onComplete((written) -> socket.close()));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
 		desk.behaviour((arrival, socket) -> socket.write("this is no answer\r\n\r\n"));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
@@ -176,8 +176,7 @@
 	public void answerThatEndsWithItsConnectionIsWhole() throws Exception {
 		BackendStandIn desk = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.success("ok"));
 		ready("once");
-		desk.behaviour((arrival, socket) -> socket
-			.write(BackendStandIn.head(arrival) + "\r\nall of it")
+		desk.behaviour((arrival, socket) -> socket.write(BackendStandIn.head(arrival) + "\r\nall of it")
 			.onComplete((written) -> socket.close()));
 		CallerStandIn.Answer answer = this.fixture.call("once");
 		assertThat(answer.status()).isEqualTo(200);
--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -44,6 +44,9 @@
 	 * @param args the role, entry or agent
 	 */
 	public static void main(String[] args) {
+		if (args.length == 1 && args[0].equals(ClassArchive.COMMAND)) {
+			System.exit(ClassArchive.run());
+		}
 		if (args.length != 1 || !(args[0].equals("entry") || args[0].equals("agent"))) {
 			System.err.println("usage: HostProcess entry|agent, with the settings file in " + SETTINGS_VARIABLE);
 			System.exit(ExitCode.BAD_INPUT);
@@ -65,13 +68,7 @@
 			System.err.println(ex.getMessage());
 			return ExitCode.BAD_INPUT;
 		}
-		VertxOptions options = new VertxOptions().setEventLoopPoolSize(1)
-			.setWorkerPoolSize(1)
-			.setInternalBlockingPoolSize(1)
-			.setPreferNativeTransport(false)
-			.setFileSystemOptions(
-					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false));
-		Vertx vertx = Vertx.vertx(options);
+		Vertx vertx = vertx();
 		EventLog log = EventLog.create(Clock.system(), settings.getHost());
 		try {
 			return entry ? runEntry(vertx, settings, log, file) : runAgent(vertx, settings, log, file);
@@ -86,6 +83,16 @@
 		}
 	}
 
+	// One event loop: all decisions of a process are made on one thread.
+	static Vertx vertx() {
+		return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
+			.setWorkerPoolSize(1)
+			.setInternalBlockingPoolSize(1)
+			.setPreferNativeTransport(false)
+			.setFileSystemOptions(
+					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+	}
+
 	private static HostSettings read(Path file, boolean entry) throws InputException {
 		return SettingsReader.readFile(file, HostSettings.newBuilder(), HostSettingsCheck.create(entry)).build();
 	}
