--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -61,8 +61,11 @@
 	/** Used before any entry gave a bound. */
 	private static final long DEFAULT_BOUND_MS = 8_000;
 
-	/** Time for an engine to end what runs and to load. */
-	private static final long LOAD_ALLOWANCE_MS = 2_600;
+	/**
+	 * Time before the bound at which every engine loads. Entries send it nothing on the older
+	 * version from 1.3 s before the bound on, so it loses nobody by then.
+	 */
+	private static final long LOAD_ALLOWANCE_MS = 1_500;
 
 	/** Looks in a row without an answer after which the engine counts as away. */
 	private static final int MISSED_LOOKS = 3;
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -57,7 +57,7 @@
 	private static final int MEMORY_MB = 48;
 
 	/** Part of a version that must be held for it to be finished beside a newer one. */
-	private static final double KEPT_FROM = 0.3;
+	private static final double KEPT_FROM = 0.5;
 
 	private static final long DIGESTS_TIMEOUT_MS = 1_500;
 
--- a/library/src/main/java/org/wigeontally/weights/LoadTurn.java
+++ b/library/src/main/java/org/wigeontally/weights/LoadTurn.java
@@ -15,7 +15,7 @@
 public final class LoadTurn {
 
 	/** Part of the engines that may load at the same time. */
-	private static final double PART = 0.4;
+	private static final double PART = 0.5;
 
 	private LoadTurn() {
 	}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/weights/LoadTurnTests.java
@@ -0,0 +1,39 @@
+package org.wigeontally.weights;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Which engines load a version at the same time.
+ */
+public class LoadTurnTests {
+
+	private static final List<String> READY = List.of("a", "b", "c", "d", "e", "f");
+
+	/** Six of six engines hold the new version: half of them go, the others serve. */
+	@Test
+	public void halfOfTheEnginesGoFirst() {
+		long first = READY.stream().filter((agent) -> LoadTurn.mayLoad(agent, 1, others(agent), 6, false)).count();
+		assertThat(first).isEqualTo(3);
+	}
+
+	@Test
+	public void engineWithoutWeightsAndPressingBoundWaitForNobody() {
+		assertThat(LoadTurn.mayLoad("f", 0, others("f"), 6, false)).isTrue();
+		assertThat(LoadTurn.mayLoad("f", 1, others("f"), 6, true)).isTrue();
+		assertThat(LoadTurn.mayLoad("f", 1, others("f"), 6, false)).isFalse();
+	}
+
+	@Test
+	public void soleEngineLoads() {
+		assertThat(LoadTurn.mayLoad("a", 1, List.of(), 1, false)).isTrue();
+	}
+
+	private static List<String> others(String self) {
+		return READY.stream().filter((agent) -> !agent.equals(self)).toList();
+	}
+
+}
