--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -62,8 +62,8 @@
 	private static final long DEFAULT_BOUND_MS = 8_000;
 
 	/**
-	 * Time before the bound at which every engine loads. Entries send it nothing on the older
-	 * version from 1.3 s before the bound on, so it loses nobody by then.
+	 * Time before the bound at which every engine loads. Entries send it nothing on the
+	 * older version from 1.3 s before the bound on, so it loses nobody by then.
 	 */
 	private static final long LOAD_ALLOWANCE_MS = 1_500;
 
