--- a/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
@@ -94,6 +94,8 @@
 		for (String host : hosts) {
 			newestBefore(lines, host, last, "configuration", null).ifPresent(story::add);
 			newestBefore(lines, host, last, "store-lost", null).ifPresent(story::add);
+			newestBefore(lines, host, last, "version", null).ifPresent(story::add);
+			newestBefore(lines, host, last, "zone", null).ifPresent(story::add);
 			for (String backend : backends) {
 				newestBefore(lines, host, last, "backend", backend).ifPresent(story::add);
 				newestBefore(lines, host, last, "backend-crash", backend).ifPresent(story::add);
