--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -165,7 +166,7 @@
 			close();
 			return;
 		}
-		if (response.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL) {
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			return;
 		}
 		this.headSeen = true;
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.wigeontally.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -153,7 +154,7 @@
 		if (value == null) {
 			return Set.of();
 		}
-		Set<String> named = new java.util.HashSet<>();
+		Set<String> named = new HashSet<>();
 		for (String name : value.split(",")) {
 			String lower = name.strip().toLowerCase(Locale.ROOT);
 			// A caller must not make the system drop what identifies the request.
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Future;
@@ -61,7 +62,7 @@
 
 	private final long incarnation;
 
-	private java.util.function.LongSupplier backendStoreAgeMs = () -> 0;
+	private LongSupplier backendStoreAgeMs = () -> 0;
 
 	EntryExchange(GatewayContext context, EntryTable table, long incarnation) {
 		this.context = context;
@@ -74,7 +75,7 @@
 				options);
 	}
 
-	void backendStoreAge(java.util.function.LongSupplier age) {
+	void backendStoreAge(LongSupplier age) {
 		this.backendStoreAgeMs = age;
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -6,11 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -30,6 +32,7 @@
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.Route;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.wire.DirectoryCodec;
@@ -195,7 +198,7 @@
 		}).mapEmpty();
 	}
 
-	private Future<HttpServer> serve(Address address, io.vertx.core.Handler<HttpServerRequest> handler) {
+	private Future<HttpServer> serve(Address address, Handler<HttpServerRequest> handler) {
 		HttpServerOptions options = new HttpServerOptions().setAcceptBacklog(BACKLOG).setTcpNoDelay(true);
 		return this.vertx.createHttpServer(options).requestHandler(handler).listen(address.getPort(), address.getIp());
 	}
@@ -286,7 +289,7 @@
 
 	private static Set<String> regions(FleetConfiguration configuration, String host) {
 		Set<String> regions = new HashSet<>();
-		for (org.wigeontally.fleet.Route route : configuration.routes(host)) {
+		for (Route route : configuration.routes(host)) {
 			if (route.regions().isEmpty()) {
 				return Set.of();
 			}
@@ -372,7 +375,7 @@
 			return onLoop(() -> GatewayDaemon.this.briefings.answer(request));
 		}
 
-		private <T> Future<T> onLoop(java.util.function.Supplier<T> work) {
+		private <T> Future<T> onLoop(Supplier<T> work) {
 			Context caller = GatewayDaemon.this.vertx.getOrCreateContext();
 			Promise<T> promise = Promise.promise();
 			GatewayDaemon.this.loop.runOnContext((v) -> {
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -37,6 +37,9 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/** Reason after an attempt; what happened there is logged with the attempt. */
+	private static final String ATTEMPT_FAILED = "attempt-failed";
+
 	/** Times that no connection could be made before the request is given up. */
 	private static final int CONNECT_FAILURES_MAX = 4;
 
@@ -219,7 +222,7 @@
 			return;
 		}
 		if (this.relay != null) {
-			giveUp("answer is no stream", NO_BACKEND_RETURN_MS);
+			giveUp(ATTEMPT_FAILED, NO_BACKEND_RETURN_MS);
 			return;
 		}
 		// A failure of the backend server's own is an answer; another try may bring a
@@ -254,7 +257,7 @@
 			case MAY_HAVE_RUN, FAILED -> this.request.route().repeatable() && mayRepeat();
 		};
 		if (!allowed || leftMs() < LEAST_LEFT_MS) {
-			giveUp(reason, NO_BACKEND_RETURN_MS);
+			giveUp(ATTEMPT_FAILED, NO_BACKEND_RETURN_MS);
 			return;
 		}
 		place();
--- a/library/src/main/java/org/wigeontally/weights/FetchDuty.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -1,6 +1,7 @@
 package org.wigeontally.weights;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -64,7 +65,7 @@
 			byRegion.computeIfAbsent(place.region(), (region) -> new ArrayList<>()).add(place.host());
 		}
 		String first = byRegion.containsKey(originRegion) ? originRegion : byRegion.keySet().iterator().next();
-		List<String> entries = shared ? entryRegions(byRegion, first) : java.util.Collections.nCopies(LANES, first);
+		List<String> entries = shared ? entryRegions(byRegion, first) : Collections.nCopies(LANES, first);
 		FetchDuty duty = new FetchDuty(first, entries);
 		byRegion.forEach((region, names) -> {
 			List<List<String>> lanes = new ArrayList<>();
--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -6,6 +6,8 @@
 import java.nio.file.attribute.FileTime;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -116,7 +118,7 @@
 	}
 
 	// Settings are read again on SIGHUP and also when the file changes without a signal.
-	private static void watchSettings(Path file, boolean entry, java.util.function.Consumer<HostSettings> reload) {
+	private static void watchSettings(Path file, boolean entry, Consumer<HostSettings> reload) {
 		Runnable read = () -> {
 			try {
 				reload.accept(read(file, entry));
@@ -156,7 +158,7 @@
 		}
 	}
 
-	private static int awaitEnd(java.util.function.Supplier<Future<Integer>> drain) throws InterruptedException {
+	private static int awaitEnd(Supplier<Future<Integer>> drain) throws InterruptedException {
 		CountDownLatch ended = new CountDownLatch(1);
 		CountDownLatch asked = new CountDownLatch(1);
 		Signal.handle(new Signal("TERM"), (signal) -> {
