--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -34,7 +34,7 @@
  */
 public final class ChunkScheduler {
 
-	private static final int PEER_FETCHES = 2;
+	private static final int PEER_FETCHES = 3;
 
 	private static final int LANE_FETCHES = 2;
 
