Slack of repeats follows the number of entries

Cause: an entry kept the number of entries of a service's first request, so that entries added later made the sum of their parts larger than the bound: nine kept 9.24 each, twelve of them 108 of 104. Ruled out: more margin on the slack, which would have to grow with the number that may be added. Before: RepeatBoundTests red (108 of 104). After: green; AllowanceTests cover the change of the number too. Conclusion: the number is set at each use, as the cold share does.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -107,8 +107,11 @@
 
 	RetryAllowance allowance(String service) {
 		HostBounds bounds = this.settings.getBounds();
-		return this.allowances.computeIfAbsent(service, (key) -> RetryAllowance.of(bounds.getRetryRatio(),
-				bounds.getRetrySlack(), this.fleet.entries(), (long) (bounds.getRetryWindowS() * 1000)));
+		return this.allowances
+			.computeIfAbsent(service,
+					(key) -> RetryAllowance.of(bounds.getRetryRatio(), bounds.getRetrySlack(),
+							(long) (bounds.getRetryWindowS() * 1000)))
+			.entries(this.fleet.entries());
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/RetryAllowance.java
+++ b/library/src/main/java/org/wigeontally/fleet/RetryAllowance.java
@@ -18,15 +18,17 @@
 
 	private final double ratio;
 
-	private final double slackPart;
+	private final double slack;
 
 	private final SlidingCount requests;
 
 	private final SlidingCount repeats;
 
-	private RetryAllowance(double ratio, double slackPart, long windowMs) {
+	private int entries = 1;
+
+	private RetryAllowance(double ratio, double slack, long windowMs) {
 		this.ratio = ratio;
-		this.slackPart = slackPart;
+		this.slack = slack;
 		this.requests = new SlidingCount(windowMs);
 		this.repeats = new SlidingCount(windowMs);
 	}
@@ -35,12 +37,21 @@
 	 * Creates the allowance of one service.
 	 * @param ratio repeats for each request
 	 * @param slack repeats beside them, for all entries
-	 * @param entries most entries that share the slack
 	 * @param windowMs length of the window
+	 * @return the allowance, for one entry
+	 */
+	public static RetryAllowance of(double ratio, double slack, long windowMs) {
+		return new RetryAllowance(ratio * USED_PART, slack * USED_PART, windowMs);
+	}
+
+	/**
+	 * Sets the number of entries that share the slack.
+	 * @param most most entries that there can be
 	 * @return the allowance
 	 */
-	public static RetryAllowance of(double ratio, double slack, int entries, long windowMs) {
-		return new RetryAllowance(ratio * USED_PART, slack * USED_PART / Math.max(1, entries), windowMs);
+	public RetryAllowance entries(int most) {
+		this.entries = Math.max(1, most);
+		return this;
 	}
 
 	/**
@@ -58,7 +69,7 @@
 	 * @return true if the repeat may be sent
 	 */
 	public boolean tryRepeat(long nowMs) {
-		double most = this.ratio * this.requests.count(nowMs) + this.slackPart;
+		double most = this.ratio * this.requests.count(nowMs) + this.slack / this.entries;
 		if (this.repeats.count(nowMs) + 1 > most) {
 			return false;
 		}
--- a/testsuite/src/test/java/org/wigeontally/fleet/AllowanceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/AllowanceTests.java
@@ -20,7 +20,7 @@
 		int requests = 0;
 		int repeats = 0;
 		for (int entry = 0; entry < entries; entry++) {
-			RetryAllowance allowance = RetryAllowance.of(ratio, slack, entries, 10_000);
+			RetryAllowance allowance = RetryAllowance.of(ratio, slack, 10_000).entries(entries);
 			for (long nowMs = 0; nowMs < 10_000; nowMs += 100) {
 				allowance.request(nowMs);
 				requests++;
@@ -32,12 +32,34 @@
 
 	@Test
 	public void repeatsComeBackAfterTheWindow() {
-		RetryAllowance allowance = RetryAllowance.of(0, 2, 1, 1_000);
+		RetryAllowance allowance = RetryAllowance.of(0, 2, 1_000);
 		assertThat(allowance.tryRepeat(0)).isTrue();
 		assertThat(allowance.tryRepeat(10)).isFalse();
 		assertThat(allowance.tryRepeat(1_100)).isTrue();
 	}
 
+	/**
+	 * Three entries are added to nine, after requests have been repeated by some of them.
+	 */
+	@Test
+	public void repeatsStayWithinTheBoundWhenEntriesAreAdded() {
+		int before = 9;
+		int after = 12;
+		double slack = 104;
+		int repeats = 0;
+		for (int entry = 0; entry < after; entry++) {
+			RetryAllowance allowance = RetryAllowance.of(0, slack, 10_000).entries(before);
+			boolean early = entry < before / 2;
+			for (long nowMs = early ? 0 : 100; nowMs < 10_000; nowMs += 100) {
+				if (nowMs >= 100) {
+					allowance.entries(after);
+				}
+				repeats += allowance.tryRepeat(nowMs) ? 1 : 0;
+			}
+		}
+		assertThat(repeats).isPositive().isLessThanOrEqualTo((int) slack);
+	}
+
 	/** A zone returns cold and all entries send it what they may. */
 	@Test
 	public void coldBackendServerBearsWhatAllEntriesSend() {
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RepeatBoundTests.java
@@ -0,0 +1,50 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.HostBounds;
+import org.wigeontally.schema.generated.HostSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The bound on repeats while entries are added.
+ */
+public class RepeatBoundTests {
+
+	private static final String SERVICE = "service";
+
+	private static final int SLACK = 104;
+
+	/**
+	 * Nine entries have served the service before three more are added; then backend
+	 * servers fail everything.
+	 */
+	@Test
+	public void repeatsOfTwelveEntriesStayWithinTheBound() {
+		HostSettings settings = HostSettings.newBuilder()
+			.setBounds(HostBounds.newBuilder().setRetrySlack(SLACK).setRetryWindowS(10))
+			.build();
+		Clock clock = Clock.system();
+		List<GatewayContext> entries = new ArrayList<>();
+		for (int i = 0; i < 12; i++) {
+			FleetState fleet = new FleetState(settings, null, clock, null);
+			GatewayContext entry = new GatewayContext(null, clock, settings, null, fleet, null);
+			entry.allowance(SERVICE).request(0);
+			entries.add(entry);
+		}
+		int repeats = 0;
+		for (GatewayContext entry : entries) {
+			entry.fleet().entries(entries.size());
+			while (entry.allowance(SERVICE).tryRepeat(0)) {
+				repeats++;
+			}
+		}
+		assertThat(repeats).isPositive().isLessThanOrEqualTo(SLACK);
+	}
+
+}
