Fewer calls between the platform's processes; a named version is told by notice

Every agent called every entry each 400 ms, both sides of each pair of entries called each 500 ms, a whole version was gathered and its digests written anew several times a look, and the chunk scheduler ticked each 40 ms with nothing missing. A named version was learnt up to 400 ms late. Ruled out: reading loads less often (costs requests on time, EnginePlacementTests). Now: an agent calls two entries at a time, one side of a pair of entries calls, entries that see that the caller knows more call back, and entries send a datagram when a version is named. VersionNoticeTests red without the notice.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -3,10 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+
 import org.wigeontally.fleet.EngineModel;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Service;
+import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.AgentPlace;
 import org.wigeontally.schema.generated.EngineStatus;
@@ -32,6 +36,8 @@
 
 	private final Map<String, Heard> agents = new HashMap<>();
 
+	private long notifiedVersion;
+
 	AgentBriefings(GatewayContext context, EntryTable entries, CandidateSelection selection) {
 		this.context = context;
 		this.entries = entries;
@@ -53,6 +59,28 @@
 		this.context.fleet().agentReported(status);
 	}
 
+	/**
+	 * Tells all agents that a version was named, so that they ask for the briefing at
+	 * once.
+	 * @param datagrams socket to send from
+	 */
+	void notifyNamed(DatagramSocket datagrams) {
+		AgentBriefing.Builder briefing = models();
+		if (briefing.getVersion() <= this.notifiedVersion) {
+			return;
+		}
+		this.notifiedVersion = briefing.getVersion();
+		Buffer notice = Buffer.buffer(AgentBriefing.newBuilder()
+			.setVersion(briefing.getVersion())
+			.addEntries(this.context.settings().getControl())
+			.build()
+			.toByteArray());
+		for (Heard heard : this.agents.values()) {
+			Address agent = heard.status().getAgent();
+			datagrams.send(notice, agent.getPort(), agent.getIp());
+		}
+	}
+
 	AgentBriefing answer(EngineStatus status) {
 		heard(status);
 		AgentBriefing.Builder briefing = briefing(status);
@@ -64,7 +92,7 @@
 	}
 
 	private AgentBriefing.Builder briefing(EngineStatus status) {
-		AgentBriefing.Builder briefing = AgentBriefing.newBuilder();
+		AgentBriefing.Builder briefing = models();
 		FleetConfiguration configuration = this.context.fleet().configuration();
 		if (configuration == null) {
 			return briefing;
@@ -74,11 +102,6 @@
 			briefing.setOriginRegion(this.selection.region(origin.zone()));
 			briefing.setOriginConnections(origin.maxConnections());
 		});
-		for (Service service : configuration.services()) {
-			if (service.engine().isPresent()) {
-				engine(briefing, service.engine().get());
-			}
-		}
 		long nowMs = this.context.nowMs();
 		this.agents.values().removeIf((heard) -> nowMs - heard.atMs() > SILENCE_LIMIT_MS);
 		this.agents.entrySet()
@@ -98,6 +121,20 @@
 			.setVersionBoundMs((long) this.context.settings().getBounds().getVersionMs());
 	}
 
+	private AgentBriefing.Builder models() {
+		AgentBriefing.Builder briefing = AgentBriefing.newBuilder();
+		FleetConfiguration configuration = this.context.fleet().configuration();
+		if (configuration == null) {
+			return briefing;
+		}
+		for (Service service : configuration.services()) {
+			if (service.engine().isPresent()) {
+				engine(briefing, service.engine().get());
+			}
+		}
+		return briefing;
+	}
+
 	private void engine(AgentBriefing.Builder briefing, EngineModel engine) {
 		if (engine.models().isEmpty()) {
 			return;
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -42,6 +42,12 @@
 	/** Time between two exchanges with each entry. */
 	static final long INTERVAL_MS = 500;
 
+	/**
+	 * Time since an entry was heard of in which it is not called again; below the
+	 * interval, so that one side of each pair calls once in each interval.
+	 */
+	private static final long QUIET_MS = 350;
+
 	private static final long TIMEOUT_MS = 700;
 
 	/** Failures in a row after which the connection is given up. */
@@ -80,15 +86,24 @@
 	}
 
 	/**
-	 * Exchanges with all entries that are due.
+	 * Exchanges with the entries that were not heard of for a while.
 	 */
 	void tick() {
-		String self = Addresses.format(this.context.settings().getControl());
-		for (Address entry : this.table.due(this.context.nowMs())) {
-			String key = Addresses.format(entry);
-			if (!key.equals(self) && !this.open.getOrDefault(key, false)) {
-				exchange(entry, key);
-			}
+		this.table.due(this.context.nowMs(), QUIET_MS).forEach(this::exchange);
+	}
+
+	/**
+	 * Exchanges with all entries, since there is news.
+	 */
+	void tellAll() {
+		this.table.due(this.context.nowMs(), 0).forEach(this::exchange);
+	}
+
+	private void exchange(Address entry) {
+		String key = Addresses.format(entry);
+		boolean self = entry.equals(this.context.settings().getControl());
+		if (!self && !this.open.getOrDefault(key, false)) {
+			exchange(entry, key);
 		}
 	}
 
@@ -134,13 +149,23 @@
 	 */
 	EntryNews answer(EntryNews theirs) {
 		take(theirs);
+		FleetState fleet = this.context.fleet();
+		boolean operatorBehind = theirs.getOperatorEnd() > fleet.operatorRecords().end();
+		boolean backendsBehind = wantsBackends() && theirs.getBackendEnd() > fleet.backendRecords().end();
+		if (operatorBehind || backendsBehind) {
+			exchange(theirs.getControl());
+		}
 		return news(theirs).build();
 	}
 
+	private boolean wantsBackends() {
+		return this.backendStoreAgeMs.getAsLong() > STORE_AGE_LIMIT_MS;
+	}
+
 	private EntryNews.Builder news(EntryNews theirs) {
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
-		EntryNews.Builder news = own().setWantsBackends(this.backendStoreAgeMs.getAsLong() > STORE_AGE_LIMIT_MS);
+		EntryNews.Builder news = own().setWantsBackends(wantsBackends());
 		SuspectSummary suspects = this.context.harmful().summary();
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -108,6 +108,8 @@
 
 	private final AgentBriefings briefings;
 
+	private final DatagramSocket datagrams;
+
 	private final Front front;
 
 	private final StoreClient store;
@@ -131,6 +133,7 @@
 		this.front = new Front(this.context, selection);
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
 		this.briefings = new AgentBriefings(this.context, this.entries, selection);
+		this.datagrams = vertx.createDatagramSocket();
 		this.store = StoreClient.create(vertx, settings.getStore());
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
 				fleet.operatorRecords(), OPERATOR_READ_GAP_MS, this::operatorChanged, () -> {
@@ -139,7 +142,7 @@
 				fleet.backendRecords(), BACKEND_READ_GAP_MS, fleet::backendRecordsChanged,
 				() -> fleet.storeRegained(LAPSE_GRACE_MS));
 		this.exchange.backendStoreAge(this.backendFollower::ageMs);
-		this.context.onSuspectsChanged(this.exchange::tick);
+		this.context.onSuspectsChanged(this.exchange::tellAll);
 	}
 
 	/**
@@ -188,11 +191,10 @@
 		servers.add(serve(this.settings.getDirectory(), this::directory));
 		servers.add(serve(this.settings.getControl(), grpc::handle));
 		servers.add(serve(metrics, this::metrics));
-		DatagramSocket reports = this.vertx.createDatagramSocket();
-		reports.handler(this::reported);
-		Future<DatagramSocket> bound = reports.listen(this.settings.getInternalPort(), this.settings.getIp());
+		this.datagrams.handler(this::reported);
+		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
 		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
-			this.closer.add(reports::close);
+			this.closer.add(this.datagrams::close);
 			servers.forEach((server) -> this.closer.add(server.result()::close));
 			begin();
 		}).mapEmpty();
@@ -237,7 +239,8 @@
 
 	private void operatorChanged(List<String> keys, String source, long sinceMs) {
 		this.context.fleet().operatorRecordsChanged(keys, source, sinceMs);
-		this.exchange.tick();
+		this.briefings.notifyNamed(this.datagrams);
+		this.exchange.tellAll();
 	}
 
 	private void housekeeping() {
@@ -327,7 +330,7 @@
 		long startMs = this.context.nowMs();
 		this.context.leave(ACCEPT_AFTER_TERM_MS);
 		this.log.write(LogEvent.STOP, "phase", "draining", "in-flight", this.context.inFlight());
-		this.exchange.tick();
+		this.exchange.tellAll();
 		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
 			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
 					failure.getMessage()));
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
@@ -1,10 +1,14 @@
 package org.wigeontally.sidecar;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -36,6 +40,12 @@
 
 	private static final int OVERDUE_LIMIT = 2;
 
+	/**
+	 * Entries that are called at a time. All have the same news but for some hundred
+	 * milliseconds, and loads reach all of them as datagrams.
+	 */
+	private static final int CALLS_AT_ONCE = 2;
+
 	private static final int FAILURES_UNTIL_PAUSE = 3;
 
 	private static final long PAUSE_MS = 1_500;
@@ -57,16 +67,22 @@
 
 	private final int entryPort;
 
+	private final Address self;
+
 	private final Map<String, Target> targets = new LinkedHashMap<>();
 
 	private Runnable onNamed = () -> {
 	};
 
-	EntryReports(Vertx vertx, Clock clock, EventLog log, FleetView view, int entryPort) {
+	private long noticedVersion;
+
+	EntryReports(Vertx vertx, Clock clock, EventLog log, FleetView view, Address self) {
 		this.clock = clock;
 		this.log = log;
 		this.view = view;
-		this.entryPort = entryPort;
+		this.self = self;
+		// The same port on all hosts.
+		this.entryPort = self.getPort();
 		this.datagrams = vertx.createDatagramSocket();
 		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
 			.setHttp2ClearTextUpgrade(false)
@@ -78,6 +94,39 @@
 		this.onNamed = action;
 	}
 
+	/**
+	 * Listens for notices of new versions.
+	 * @param status gives the current state, for the call that follows a notice
+	 * @return ends once the port is bound
+	 */
+	Future<Void> listen(Supplier<EngineStatus.Builder> status) {
+		this.datagrams.handler((packet) -> {
+			try {
+				noticed(AgentBriefing.parseFrom(packet.data().getBytes()), status);
+			}
+			catch (InvalidProtocolBufferException ex) {
+				this.log.write(LogEvent.FAULT, "datagram-from", packet.sender(), "reason", ex.getMessage());
+			}
+		});
+		return this.datagrams.listen(this.self.getPort(), this.self.getIp()).mapEmpty();
+	}
+
+	// All entries send a notice; the first one that gives it is asked. If it does not
+	// answer,
+	// the next calls find out.
+	private void noticed(AgentBriefing notice, Supplier<EngineStatus.Builder> status) {
+		if (notice.getVersion() <= Math.max(this.noticedVersion, this.view.briefing().getVersion())
+				|| notice.getEntriesCount() == 0) {
+			return;
+		}
+		Target target = this.targets.get(Addresses.format(notice.getEntries(0)));
+		if (target == null || target.open) {
+			return;
+		}
+		this.noticedVersion = notice.getVersion();
+		send(target, status.get().setBriefingDigest(target.digest).build());
+	}
+
 	void know(Address entry) {
 		this.targets.computeIfAbsent(Addresses.format(entry), (key) -> new Target(entry));
 	}
@@ -109,20 +158,32 @@
 	}
 
 	/**
-	 * Calls all entries that have answered the last call, for their briefings.
+	 * Calls entries for their briefings: those that have not answered so far, and of the
+	 * others the ones that were called longest ago.
 	 * @param status the state
 	 */
 	void call(EngineStatus.Builder status) {
 		long nowMs = this.clock.monotonicMs();
-		for (Target target : new HashMap<>(this.targets).values()) {
+		List<Target> due = new ArrayList<>();
+		for (Target target : this.targets.values()) {
 			if (!target.open && nowMs >= target.nextTryMs) {
-				send(target, status.setBriefingDigest(target.digest).build());
+				due.add(target);
 			}
 		}
+		due.sort(Comparator.comparingLong((target) -> target.calledAtMs));
+		int answering = 0;
+		for (Target target : due) {
+			boolean answers = target.heard && target.failures == 0;
+			if (answers && ++answering > CALLS_AT_ONCE) {
+				continue;
+			}
+			send(target, status.setBriefingDigest(target.digest).build());
+		}
 	}
 
 	private void send(Target target, EngineStatus status) {
 		target.open = true;
+		target.calledAtMs = this.clock.monotonicMs();
 		SocketAddress address = SocketAddress.inetSocketAddress(target.address.getPort(), target.address.getIp());
 		Future.succeededFuture()
 			.compose((start) -> this.client.request(address, FleetGrpcClient.Report))
@@ -184,6 +245,11 @@
 		}
 	}
 
+	void close() {
+		this.datagrams.close();
+		this.client.close();
+	}
+
 	private static final class Target {
 
 		private final Address address;
@@ -196,6 +262,8 @@
 
 		private long nextTryMs = Long.MIN_VALUE;
 
+		private long calledAtMs = Long.MIN_VALUE;
+
 		private long digest;
 
 		private Target(Address address) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -122,7 +122,8 @@
 		this.log = log;
 		this.incarnation = clock.wallMs();
 		this.client = EngineClient.create(vertx);
-		this.reports = new EntryReports(vertx, clock, log, this.view, settings.getInternalPort());
+		this.reports = new EntryReports(vertx, clock, log, this.view,
+				Address.newBuilder().setIp(settings.getIp()).setPort(settings.getInternalPort()).build());
 		this.collector = new WeightCollection(vertx, clock, log, settings, this.view, this.client);
 		this.loader = new EngineLoader(vertx, log, this.client, settings.getBackend());
 		this.store = StoreClient.create(vertx, settings.getStore());
@@ -152,8 +153,10 @@
 		return this.vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true))
 			.requestHandler(this.collector::handle)
 			.listen(this.settings.getInternalPort(), this.settings.getIp())
+			.compose((listening) -> this.reports.listen(this::status).map(listening))
 			.onSuccess((listening) -> {
 				this.closer.add(listening::close);
+				this.closer.add(this.reports::close);
 				this.log.write(LogEvent.START, "role", "agent", "zone", this.settings.getZone(), "engine",
 						Addresses.format(this.settings.getBackend()));
 				this.vertx.setPeriodic(0, LOOK_MS, (id) -> look());
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -133,23 +133,29 @@
 			fetchDigests(wanted);
 		}
 		for (Collected collected : this.versions.values()) {
-			if (!collected.wholeLogged && weights(collected.version).isPresent()) {
-				collected.wholeLogged = true;
-				this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version, "after-ms",
-						this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin, "pieces",
-						collected.manifest.getChunksCount());
+			if (collected.weights == null) {
+				lookForWhole(collected);
 			}
 		}
 	}
 
+	private void lookForWhole(Collected collected) {
+		this.node.verified(this.view.model(), Long.toString(collected.version)).ifPresent((whole) -> {
+			collected.weights = whole;
+			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version, "after-ms",
+					this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin, "pieces",
+					collected.manifest.getChunksCount());
+		});
+	}
+
 	/**
 	 * Returns a version whose pieces are all held and verified.
 	 * @param wanted the version
 	 * @return the weights; empty if pieces are missing
 	 */
 	Optional<VerifiedWeights> weights(long wanted) {
-		return this.versions.containsKey(wanted) ? this.node.verified(this.view.model(), Long.toString(wanted))
-				: Optional.empty();
+		Collected collected = this.versions.get(wanted);
+		return (collected != null) ? Optional.ofNullable(collected.weights) : Optional.empty();
 	}
 
 	/**
@@ -365,7 +371,8 @@
 
 		private final long startedAtMs;
 
-		private boolean wholeLogged;
+		// Kept from the moment at which all pieces are there.
+		private VerifiedWeights weights;
 
 		private int fromOrigin;
 
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -48,6 +48,9 @@
 
 	private static final long TICK_MS = 40;
 
+	/** Time between two ticks while nothing is missing. */
+	private static final long IDLE_TICK_MS = 1_000;
+
 	private final NodeParts parts;
 
 	private final Supplier<List<HostState>> peers;
@@ -58,7 +61,9 @@
 
 	private final Map<String, VersionSpread> spreads = new LinkedHashMap<>();
 
-	private final long timer;
+	private long timer;
+
+	private boolean stopped;
 
 	private volatile List<VersionSpread> published = List.of();
 
@@ -69,7 +74,14 @@
 		PacedUpload upload = new PacedUpload(parts.vertx(), parts.clock(), this.budget, parts.settings().wire(),
 				parts.settings().self().getHost());
 		this.router = ChunkServer.router(parts, upload, this::spread);
-		this.timer = parts.vertx().setPeriodic(TICK_MS, (id) -> tick());
+		schedule(TICK_MS);
+	}
+
+	private void schedule(long delayMs) {
+		if (!this.stopped) {
+			this.parts.vertx().cancelTimer(this.timer);
+			this.timer = this.parts.vertx().setTimer(delayMs, (id) -> tick());
+		}
 	}
 
 	/**
@@ -103,6 +115,7 @@
 				this.spreads.put(model.getManifest(),
 						VersionSpread.start(this.parts, model, this.peers, this::chunksChanged));
 				publish();
+				schedule(TICK_MS);
 			}
 		});
 	}
@@ -117,6 +130,7 @@
 				this.spreads.put(model.getManifest(),
 						VersionSpread.start(this.parts, model, this.peers, this::chunksChanged));
 				publish();
+				schedule(TICK_MS);
 			}
 		});
 	}
@@ -214,9 +228,12 @@
 	}
 
 	private void tick() {
+		boolean missing = false;
 		for (VersionSpread spread : this.spreads.values()) {
 			spread.tick();
+			missing = missing || !spread.whole();
 		}
+		schedule(missing ? TICK_MS : IDLE_TICK_MS);
 	}
 
 	private VersionSpread spread(String manifest) {
@@ -296,6 +313,7 @@
 	 */
 	public Future<Void> stop() {
 		return Future.future((stopped) -> this.parts.control().runOnContext((now) -> {
+			this.stopped = true;
 			this.parts.vertx().cancelTimer(this.timer);
 			this.spreads.values().forEach(VersionSpread::close);
 			this.spreads.clear();
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -87,14 +87,17 @@
 	}
 
 	/**
-	 * Returns the entries to exchange with now.
+	 * Returns the entries to exchange with now. One that was heard of a moment ago is not
+	 * among them: an exchange serves both sides, so one of each pair is enough.
 	 * @param nowMs the time
+	 * @param quietMs time after which an entry is due again
 	 * @return control addresses
 	 */
-	public List<Address> due(long nowMs) {
+	public List<Address> due(long nowMs, long quietMs) {
 		List<Address> due = new ArrayList<>();
 		for (Row row : this.rows.values()) {
-			if (nowMs >= row.nextTryMs) {
+			boolean quiet = row.news == null || nowMs - row.heardAtMs >= quietMs;
+			if (quiet && nowMs >= row.nextTryMs) {
 				due.add(row.control);
 			}
 		}
--- a/testsuite/src/test/java/org/wigeontally/fleet/DirectoryTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/DirectoryTests.java
@@ -66,8 +66,8 @@
 		table.know(seed);
 		long nowMs = 0;
 		int tries = 0;
-		while (!table.due(Long.MAX_VALUE).isEmpty()) {
-			if (!table.due(nowMs).isEmpty()) {
+		while (!table.due(Long.MAX_VALUE, 0).isEmpty()) {
+			if (!table.due(nowMs, 0).isEmpty()) {
 				table.failed(seed, nowMs);
 				tries++;
 			}
@@ -77,6 +77,33 @@
 		assertThat(nowMs).isGreaterThan(60_000);
 	}
 
+	/**
+	 * Two entries tick at different phases; each pair exchanges once in each interval.
+	 */
+	@Test
+	public void onlyOneSideOfAPairCalls() {
+		EntryTable[] tables = { EntryTable.create(), EntryTable.create() };
+		tables[0].know(entry(1, "a", "r1", true).getControl());
+		tables[1].know(entry(0, "a", "r1", true).getControl());
+		int exchanges = 0;
+		long longestMs = 0;
+		long lastMs = 0;
+		for (long nowMs = 0; nowMs < 30_000; nowMs += 10) {
+			for (int self = 0; self < 2; self++) {
+				if ((nowMs + self * 430L) % 500 != 0 || tables[self].due(nowMs, 350).isEmpty()) {
+					continue;
+				}
+				tables[self].heard(entry(1 - self, "a", "r1", true), nowMs);
+				tables[1 - self].heard(entry(self, "a", "r1", true), nowMs);
+				longestMs = Math.max(longestMs, nowMs - lastMs);
+				lastMs = nowMs;
+				exchanges++;
+			}
+		}
+		assertThat(exchanges).isBetween(58, 72);
+		assertThat(longestMs).isLessThanOrEqualTo(1_000);
+	}
+
 	private static EntryNews entry(int number, String zone, String region, boolean ready) {
 		return EntryNews.newBuilder()
 			.setHost("e" + number)
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/VersionNoticeTests.java
@@ -0,0 +1,60 @@
+package org.wigeontally.sidecar;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.Test;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * How agents learn of a version that was named between two of their calls.
+ */
+public class VersionNoticeTests {
+
+	@Test
+	public void agentAsksAtOnceWhenAVersionIsNamed() throws Exception {
+		GatewayFixture fixture = new GatewayFixture();
+		JsonObject engine = new JsonObject().put("slots", 16)
+			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
+			.put("layers", 4)
+			.put("kv-capacity-tokens", 317_000)
+			.put("step_ms", 9.27)
+			.put("read_per_s", 20_700)
+			.put("chunks", 96)
+			.put("chunk-bytes", 24_576);
+		fixture.store()
+			.write("op", "config", new JsonObject().put("version", 1)
+				.put("routes", new JsonArray())
+				.put("services", new JsonArray()
+					.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", engine))));
+		fixture.startEntry();
+		Address self = GatewayFixture.freeAddress();
+		FleetView view = new FleetView();
+		EntryReports reports = new EntryReports(fixture.vertx(), Clock.system(),
+				EventLog.create(Clock.system(), "agent"), view, self);
+		try {
+			reports.know(fixture.settings(0).getControl());
+			EngineStatus.Builder status = EngineStatus.newBuilder().setAgent(self);
+			GatewayFixture.await(reports.listen(() -> status));
+			GatewayFixture.awaitTrue(() -> {
+				reports.call(status);
+				return view.isKnown();
+			});
+			fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+			// No call is made from here on.
+			GatewayFixture.awaitTrue(() -> view.targetVersion() == 2);
+			assertThat(view.briefing().getModel()).isEqualTo("m0");
+		}
+		finally {
+			reports.close();
+			fixture.close();
+		}
+	}
+
+}
