--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -63,7 +63,7 @@
 
 	private long timer;
 
-	private boolean stopped;
+	private boolean ended;
 
 	private volatile List<VersionSpread> published = List.of();
 
@@ -78,7 +78,7 @@
 	}
 
 	private void schedule(long delayMs) {
-		if (!this.stopped) {
+		if (!this.ended) {
 			this.parts.vertx().cancelTimer(this.timer);
 			this.timer = this.parts.vertx().setTimer(delayMs, (id) -> tick());
 		}
@@ -313,7 +313,7 @@
 	 */
 	public Future<Void> stop() {
 		return Future.future((stopped) -> this.parts.control().runOnContext((now) -> {
-			this.stopped = true;
+			this.ended = true;
 			this.parts.vertx().cancelTimer(this.timer);
 			this.spreads.values().forEach(VersionSpread::close);
 			this.spreads.clear();
