--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/tool/HostLoggingTests.java
@@ -0,0 +1,53 @@
+package org.wigeontally.tool;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.OutputStreamAppender;
+import org.testng.annotations.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The log of a process whose standard output is not read any more.
+ */
+public class HostLoggingTests {
+
+	private static final int LINES = 20_000;
+
+	@Test
+	public void blockedOutputDoesNotHoldTheWriter() throws Exception {
+		CountDownLatch read = new CountDownLatch(1);
+		OutputStreamAppender<ILoggingEvent> blocked = new OutputStreamAppender<>();
+		blocked.setOutputStream(new OutputStream() {
+
+			@Override
+			public void write(int one) throws IOException {
+				try {
+					read.await();
+				}
+				catch (InterruptedException ex) {
+					throw new IOException(ex);
+				}
+			}
+
+		});
+		LoggerContext context = new LoggerContext();
+		HostLogging.attach(context, blocked);
+		Thread writer = new Thread(() -> {
+			for (int i = 0; i < LINES; i++) {
+				context.getLogger("wigeontally").info("event=test number={}", i);
+			}
+		});
+		writer.start();
+		writer.join(TimeUnit.SECONDS.toMillis(5));
+		assertThat(writer.isAlive()).isFalse();
+		read.countDown();
+		context.stop();
+	}
+
+}
--- a/tool/src/main/java/org/wigeontally/tool/ClassArchive.java
+++ b/tool/src/main/java/org/wigeontally/tool/ClassArchive.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 
+import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
@@ -16,6 +17,8 @@
 import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.ZonePlace;
+import org.wigeontally.settings.HostSettingsCheck;
+import org.wigeontally.settings.SettingsReader;
 import org.wigeontally.sidecar.SidecarDaemon;
 
 /**
@@ -33,12 +36,40 @@
 
 	private static final long RUN_MS = 2_500;
 
+	private static final String SETTINGS = """
+			host: "h"
+			zone: "z"
+			region: "r"
+			ip: "127.0.0.1"
+			zones:
+			  - {zone: "z", region: "r"}
+			front: "127.0.0.1:1"
+			ready: "127.0.0.1:2"
+			control: "127.0.0.1:3"
+			directory: "127.0.0.1:4"
+			internal_port: 5
+			metrics_port: 6
+			seeds: ["127.0.0.1:3"]
+			store: "127.0.0.1:7"
+			bounds:
+			  grace_s: 8
+			  retry_ratio: 0.2
+			  retry_window_s: 10
+			  retry_slack: 1
+			  cold_factor: 1.5
+			  cold_slack: 5
+			  version_ms: 8000
+			  directory_ttl_s: 5
+			  relay_ms: 120
+			""";
+
 	private ClassArchive() {
 	}
 
 	static int run() {
 		Vertx vertx = HostProcess.vertx();
 		try {
+			readSettings();
 			HostSettings entry = settings("entry");
 			EventLog log = EventLog.create(Clock.system(), entry.getHost());
 			GatewayDaemon gateway = await(GatewayDaemon.start(vertx, entry, Clock.system(), log));
@@ -57,6 +88,11 @@
 		}
 	}
 
+	// Read as a process does; what it holds is not used, since the ports are free ones.
+	private static void readSettings() throws InputException {
+		SettingsReader.read("archive", SETTINGS, HostSettings.newBuilder(), HostSettingsCheck.create(true));
+	}
+
 	private static <T> T await(Future<T> future) throws Exception {
 		return future.toCompletionStage().toCompletableFuture().get(RUN_MS, TimeUnit.MILLISECONDS);
 	}
--- /dev/null
+++ b/tool/src/main/java/org/wigeontally/tool/HostLogging.java
@@ -0,0 +1,72 @@
+package org.wigeontally.tool;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.OutputStreamAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Sets up the log of the processes on the platform's hosts. Found by Logback as a
+ * service; other programs keep their configuration files. In code, since reading a
+ * configuration file takes a quarter of the processor time of a start.
+ */
+public final class HostLogging extends ContextAwareBase implements Configurator {
+
+	/** System property that asks for this log. */
+	static final String PROPERTY = "wigeontally.log";
+
+	/** Value of the property that asks for this log. */
+	static final String HOST = "host";
+
+	private static final String PATTERN = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%level %msg%n%ex{short}";
+
+	/**
+	 * Lines that wait for standard output to be read; about 400 KB, a part of what a
+	 * process may use.
+	 */
+	private static final int QUEUE_LINES = 2_048;
+
+	@Override
+	public ExecutionStatus configure(LoggerContext context) {
+		if (!HOST.equals(System.getProperty(PROPERTY))) {
+			return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+		}
+		attach(context, new ConsoleAppender<>());
+		return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+	}
+
+	/**
+	 * Sends all lines to an appender, through a queue that never blocks the writer.
+	 * @param context context of the loggers
+	 * @param output appender that may block
+	 */
+	static void attach(LoggerContext context, OutputStreamAppender<ILoggingEvent> output) {
+		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+		encoder.setContext(context);
+		encoder.setPattern(PATTERN);
+		encoder.start();
+		output.setContext(context);
+		output.setEncoder(encoder);
+		output.start();
+		AsyncAppender queue = new AsyncAppender();
+		queue.setContext(context);
+		queue.setQueueSize(QUEUE_LINES);
+		queue.setDiscardingThreshold(0);
+		// Lines are dropped rather than waited for when standard output is not read.
+		queue.setNeverBlock(true);
+		queue.addAppender(output);
+		queue.start();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		root.setLevel(Level.INFO);
+		root.addAppender(queue);
+		context.getLogger("io.netty").setLevel(Level.ERROR);
+		context.getLogger("io.vertx").setLevel(Level.ERROR);
+	}
+
+}
