Cold share counts requests that wait for their connection

After the loss of power all connections are opened anew; the share was looked at before the connection was asked for and counted after it was there, so that every request of that time passed. Ruled out: number of entries (nine, the floor), shares that start anew with a new id (the id was the same). Before: AllowanceTests red with the reservation left out.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -92,6 +92,7 @@
 
 	void start() {
 		this.backend.load().sent();
+		this.backend.coldShare().reserve();
 		double margin = (this.request.route().kind() == RequestKind.ONCE) ? FRESH_MARGIN : ANY_MARGIN;
 		BackendConnection idle = this.backend.pool().takeIdle(margin);
 		Future<BackendConnection> connected = (idle != null) ? Future.succeededFuture(idle)
@@ -208,6 +209,9 @@
 		if (this.sent) {
 			this.backend.end(this.fingerprint);
 		}
+		else {
+			this.backend.coldShare().release();
+		}
 		if (this.silenceTimer >= 0) {
 			this.context.vertx().cancelTimer(this.silenceTimer);
 		}
--- a/library/src/main/java/org/wigeontally/fleet/ColdShare.java
+++ b/library/src/main/java/org/wigeontally/fleet/ColdShare.java
@@ -19,6 +19,8 @@
 
 	private final SlidingCount sent = new SlidingCount(WINDOW_MS);
 
+	private int reserved;
+
 	private ColdShare() {
 	}
 
@@ -45,14 +47,31 @@
 	 * @return true if a request may be sent
 	 */
 	public boolean hasRoom(long nowMs) {
-		return this.sent.count(nowMs) < this.most;
+		return this.reserved + this.sent.count(nowMs) < this.most;
+	}
+
+	/**
+	 * Reserves room for a request that waits for its connection. After an outage many
+	 * connections are opened at once, and all their requests are sent when they are
+	 * there.
+	 */
+	public void reserve() {
+		this.reserved++;
+	}
+
+	/**
+	 * Gives back the room of a request that is not sent after all.
+	 */
+	public void release() {
+		this.reserved--;
 	}
 
 	/**
-	 * Counts a request.
+	 * Counts a request for which room was reserved.
 	 * @param nowMs the time
 	 */
 	public void sent(long nowMs) {
+		this.reserved--;
 		this.sent.add(nowMs);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/fleet/AllowanceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/AllowanceTests.java
@@ -71,6 +71,7 @@
 			share.most(bound, entries);
 			for (long nowMs = 0; nowMs < 1_000; nowMs += 5) {
 				if (share.hasRoom(nowMs)) {
+					share.reserve();
 					share.sent(nowMs);
 					sent++;
 				}
@@ -79,6 +80,41 @@
 		assertThat(sent).isPositive().isLessThanOrEqualTo((int) bound);
 	}
 
+	/** All engines return at once, and connections to them take a while. */
+	@Test
+	public void requestsThatWaitForConnectionsTakeRoom() {
+		double bound = 26 * 1.5 + 5;
+		int entries = 9;
+		int sent = 0;
+		for (int entry = 0; entry < entries; entry++) {
+			ColdShare share = ColdShare.create();
+			share.most(bound, entries);
+			int waiting = 0;
+			for (long nowMs = 0; nowMs < 500; nowMs += 20) {
+				if (share.hasRoom(nowMs)) {
+					share.reserve();
+					waiting++;
+				}
+			}
+			for (int i = 0; i < waiting; i++) {
+				share.sent(500);
+				sent++;
+			}
+			assertThat(share.hasRoom(500)).isFalse();
+		}
+		assertThat(sent).isPositive().isLessThanOrEqualTo((int) bound);
+	}
+
+	@Test
+	public void requestThatIsNotSentGivesItsRoomBack() {
+		ColdShare share = ColdShare.create();
+		share.most(1, 1);
+		share.reserve();
+		assertThat(share.hasRoom(0)).isFalse();
+		share.release();
+		assertThat(share.hasRoom(0)).isTrue();
+	}
+
 	@Test
 	public void callerComesBackWithinAThirdOfItsTime() {
 		java.util.random.RandomGenerator random = new java.util.Random(1);
