Duties of small regions are dealt evenly, in eight lanes

Ruled out: the origin's link (all of its four lanes were out after 4.7 s). Now hosts that lead fewest lanes come first, and lanes are half as wide. FetchDutyTests: hostsOfARegionLeadAboutAsManyLanes; the numbers of lanes in sharedEntryFollowsTheNumberOfHosts follow the number of lanes.

--- a/library/src/main/java/org/wigeontally/weights/FetchDuty.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -14,16 +14,18 @@
 /**
  * Says which host of a region fetches which chunks from outside the region. The chunks of
  * a version are dealt to a fixed number of lanes; each (manifest, lane, region) ranks the
- * live hosts of the region by rendezvous hashing. Rank 0 fetches the lane, the others
- * take over in order when it stalls. A lane has one fetch at a time, so the number of
- * streams on the origin's link and on a region border does not grow with the number of
- * hosts. Hosts with the same view agree without a message; with different views a chunk
- * is fetched twice at worst, which costs bandwidth and never correctness. Immutable.
+ * live hosts of the region by rendezvous hashing, those that lead fewest lanes before
+ * others, so that no host of a small region has to bring in everything. Rank 0 fetches
+ * the lane, the others take over in order when it stalls. A lane has one fetch at a time,
+ * so the number of streams on the origin's link and on a region border does not grow with
+ * the number of hosts. Hosts with the same view agree without a message; with different
+ * views a chunk is fetched twice at worst, which costs bandwidth and never correctness.
+ * Immutable.
  */
 public final class FetchDuty {
 
 	/** Number of lanes of a version. */
-	public static final int LANES = 4;
+	public static final int LANES = 8;
 
 	private static final Hasher64 HASHER = Hashing.komihash5_0();
 
@@ -69,8 +71,11 @@
 		FetchDuty duty = new FetchDuty(first, entries);
 		byRegion.forEach((region, names) -> {
 			List<List<String>> lanes = new ArrayList<>();
+			Map<String, Integer> led = new HashMap<>();
 			for (int lane = 0; lane < LANES; lane++) {
-				lanes.add(ranked(manifest + "/" + region + "/" + lane + "/", names));
+				List<String> ranked = ranked(manifest + "/" + region + "/" + lane + "/", names, led);
+				led.merge(ranked.get(0), 1, Integer::sum);
+				lanes.add(ranked);
 			}
 			duty.ranks.put(region, lanes);
 		});
@@ -96,13 +101,15 @@
 		return List.copyOf(entries);
 	}
 
-	private static List<String> ranked(String prefix, List<String> names) {
+	private static List<String> ranked(String prefix, List<String> names, Map<String, Integer> led) {
 		Map<String, Long> scores = new HashMap<>();
 		for (String name : names) {
 			scores.put(name, HASHER.hashCharsToLong(prefix + name));
 		}
 		List<String> ranked = new ArrayList<>(names);
-		ranked.sort(Comparator.<String, Long>comparing(scores::get).thenComparing(Comparator.naturalOrder()));
+		ranked.sort(Comparator.<String>comparingInt((name) -> led.getOrDefault(name, 0))
+			.thenComparing(scores::get)
+			.thenComparing(Comparator.naturalOrder()));
 		return ranked;
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/weights/FetchDutyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/FetchDutyTests.java
@@ -25,9 +25,24 @@
 	/** Four hosts near the origin would have to send two whole copies over borders. */
 	@Test
 	public void sharedEntryFollowsTheNumberOfHosts() {
-		assertThat(entries(FetchDuty.of("m", hosts(2, 4, 4), "r2", true))).isEqualTo(Map.of("r0", 1, "r1", 1, "r2", 2));
-		assertThat(entries(FetchDuty.of("m", hosts(6, 5, 5), "r1", true))).isEqualTo(Map.of("r0", 2, "r1", 1, "r2", 1));
-		assertThat(entries(FetchDuty.of("m", hosts(9, 1, 1), "r1", true))).containsEntry("r0", 4);
+		assertThat(entries(FetchDuty.of("m", hosts(2, 4, 4), "r2", true))).isEqualTo(Map.of("r0", 1, "r1", 3, "r2", 4));
+		assertThat(entries(FetchDuty.of("m", hosts(6, 5, 5), "r1", true))).isEqualTo(Map.of("r0", 3, "r1", 3, "r2", 2));
+		assertThat(entries(FetchDuty.of("m", hosts(9, 1, 1), "r1", true))).containsEntry("r0", 8);
+	}
+
+	/** One host of two that led all lanes would have to give the other one everything. */
+	@Test
+	public void hostsOfARegionLeadAboutAsManyLanes() {
+		FetchDuty duty = FetchDuty.of("m", hosts(2, 4, 3), "r1", true);
+		for (int region = 0; region < 3; region++) {
+			Map<String, Integer> led = new HashMap<>();
+			for (int lane = 0; lane < FetchDuty.LANES; lane++) {
+				led.merge(duty.order("r" + region, lane).get(0), 1, Integer::sum);
+			}
+			int hosts = List.of(2, 4, 3).get(region);
+			assertThat(led).hasSize(hosts);
+			assertThat(led.values()).allMatch((lanes) -> lanes <= (FetchDuty.LANES + hosts - 1) / hosts);
+		}
 	}
 
 	private static Map<String, Integer> entries(FetchDuty duty) {
