A version that is nearly here is finished before a newer one is begun

Ruled out: dropping the older one (then nobody may serve from its bound until the newer one is here). Chunk maps go out each 50 ms instead of 100 ms: a chunk is passed on over several hosts.

--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -299,7 +299,8 @@
 		});
 	}
 
-	// An older version than the newest is loaded if the newest will not be here before its
+	// An older version than the newest is loaded if the newest will not be here before
+	// its
 	// bound.
 	private boolean mayLoad(long version, long target) {
 		String self = this.settings.getIp() + ":" + this.settings.getInternalPort();
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -39,6 +39,7 @@
 import org.wigeontally.weights.Digests;
 import org.wigeontally.weights.LoadTurn;
 import org.wigeontally.weights.Manifests;
+import org.wigeontally.weights.SpreadTurn;
 import org.wigeontally.weights.VerifiedWeights;
 
 /**
@@ -57,9 +58,6 @@
 
 	private static final int MEMORY_MB = 48;
 
-	/** Part of a version that must be held for it to be finished beside a newer one. */
-	private static final double KEPT_FROM = 0.5;
-
 	private static final long DIGESTS_TIMEOUT_MS = 1_500;
 
 	private static final long PIECE_TIMEOUT_MS = 2_500;
@@ -137,6 +135,24 @@
 			if (collected.weights == null) {
 				lookForWhole(collected);
 			}
+			if (collected.readyAtMs > 0 && !collected.begun) {
+				beginInTurn(collected);
+			}
+		}
+	}
+
+	private void beginInTurn(Collected collected) {
+		boolean olderOnTheWay = this.versions.headMap(collected.version)
+			.values()
+			.stream()
+			.anyMatch((older) -> older.weights == null);
+		if (SpreadTurn.mayBegin(olderOnTheWay, this.clock.monotonicMs() - collected.readyAtMs)) {
+			collected.begun = true;
+			this.node.wantBeside(Model.newBuilder()
+				.setName(this.view.model())
+				.setVersion(Long.toString(collected.version))
+				.setManifest(Manifests.digest(collected.manifest))
+				.build());
 		}
 	}
 
@@ -243,14 +259,10 @@
 		this.versions.put(wanted, next);
 		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size(), "beside",
 				this.versions.headMap(wanted).keySet());
-		Model model = Model.newBuilder()
-			.setName(this.view.model())
-			.setVersion(Long.toString(wanted))
-			.setManifest(Manifests.digest(next.manifest))
-			.build();
 		readStaged(wanted, digests).onComplete((read) -> {
+			next.readyAtMs = this.clock.monotonicMs();
 			if (this.versions.containsKey(wanted)) {
-				this.node.wantBeside(model);
+				beginInTurn(next);
 			}
 		});
 	}
@@ -260,7 +272,7 @@
 	// the origin may not be able to give for some time.
 	private void dropFarBehind() {
 		this.versions.values().removeIf((older) -> {
-			boolean far = held(older.version) < older.manifest.getChunksCount() * KEPT_FROM;
+			boolean far = !SpreadTurn.isKept(held(older.version), older.manifest.getChunksCount());
 			if (far) {
 				this.node.abandon(this.view.model(), Long.toString(older.version));
 				this.log.write(LogEvent.WEIGHTS, "phase", "abandoned", "version", older.version, "held",
@@ -389,6 +401,11 @@
 
 		private int fromOrigin;
 
+		// 0 until what is staged has been read.
+		private long readyAtMs;
+
+		private boolean begun;
+
 		private Collected(long version, Manifest manifest, List<String> digests, long startedAtMs) {
 			this.version = version;
 			this.manifest = manifest;
--- a/daemons/src/main/java/org/wigeontally/spread/MapSubscribers.java
+++ b/daemons/src/main/java/org/wigeontally/spread/MapSubscribers.java
@@ -19,7 +19,7 @@
  */
 final class MapSubscribers {
 
-	private static final long LEAST_INTERVAL_MS = 100;
+	private static final long LEAST_INTERVAL_MS = 50;
 
 	private final Vertx vertx;
 
--- a/library/src/main/java/org/wigeontally/weights/LoadTurn.java
+++ b/library/src/main/java/org/wigeontally/weights/LoadTurn.java
@@ -44,9 +44,9 @@
 	 *
 	 * <p>
 	 * The load pattern: versions are named some seconds apart, so that an older one is
-	 * whole while the newest is on its way. Loading both takes every engine out of service
-	 * twice; loading only the newest leaves nobody who may serve if it comes after the
-	 * bound of the older one.
+	 * whole while the newest is on its way. Loading both takes every engine out of
+	 * service twice; loading only the newest leaves nobody who may serve if it comes
+	 * after the bound of the older one.
 	 * @param leftMs time until the older version has to be loaded
 	 * @param held pieces of the newest version that are held
 	 * @param pieces pieces of the newest version
