--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -27,16 +27,17 @@
  * makes progress. A region that no border source serves goes to the origin in the end.
  *
  * <p>
- * Invariants: a chunk is in flight at most once per host; a lane has at most two duty
- * fetches per host; a source that is shunned, backing off or has no such chunk is never
+ * Invariants: a chunk is in flight at most once per host; a lane has at most one duty
+ * fetch per host; a source that is shunned, backing off or has no such chunk is never
  * chosen. Nothing here trusts a peer: bytes are verified by {@link ChunkStore}. Used by
  * one thread, the control thread.
  */
 public final class ChunkScheduler {
 
-	private static final int PEER_FETCHES = 3;
+	/** More at once fill the queue of the own link, where requests wait behind them. */
+	private static final int PEER_FETCHES = 2;
 
-	private static final int LANE_FETCHES = 2;
+	private static final int LANE_FETCHES = 1;
 
 	private static final int FETCHES_PER_PEER = 2;
 
--- a/library/src/main/java/org/wigeontally/weights/LinkBudget.java
+++ b/library/src/main/java/org/wigeontally/weights/LinkBudget.java
@@ -7,7 +7,11 @@
  */
 public final class LinkBudget {
 
-	private static final double DEFAULT_BURST_MS = 100;
+	/**
+	 * Longest pause that is made up for. A burst waits in the queue of the link, and the
+	 * first events of live streams behind it; a late timer is made up for.
+	 */
+	private static final double DEFAULT_BURST_MS = 25;
 
 	private final double bytesPerMs;
 
