--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -60,8 +60,12 @@
 	/** Margin for the way to the caller and for loads that other entries add. */
 	private static final double MARGIN_MS = 40;
 
-	/** Time after which a caller that was turned away comes back. */
-	private static final double COME_BACK_MS = 1_000;
+	/**
+	 * Time after which a caller that was turned away comes back. Its answer will be late
+	 * whenever it comes; loads and bursts take a second or two, and one that returns
+	 * within them is turned away for good.
+	 */
+	private static final double COME_BACK_MS = 1_700;
 
 	private final EngineModel model;
 
