--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
@@ -1,5 +1,8 @@
 package org.wigeontally.gateway;
 
+import java.util.Arrays;
+
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -134,6 +137,36 @@
 		});
 	}
 
+	/** The same content comes at two entries by turns and brings down what runs it. */
+	@Test
+	public void harmfulRequestIsStoppedOverAllEntries() throws Exception {
+		BackendStandIn[] desks = new BackendStandIn[6];
+		for (int i = 0; i < desks.length; i++) {
+			int number = i;
+			desks[i] = this.fixture.startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
+				if (arrival.body().equals("deadly")) {
+					desks[number].crash();
+					return;
+				}
+				socket.write(Buffer.buffer(BackendStandIn.success(arrival, "ok")));
+			});
+		}
+		this.fixture.startEntry();
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "once", 200);
+		this.fixture.awaitStatus(1, "once", 200);
+		for (int i = 0; i < 8; i++) {
+			this.fixture.call(i % 2, "once", "deadly-" + i, GatewayFixture.KEY, "deadly");
+			Thread.sleep(200);
+		}
+		long deadly = Arrays.stream(desks)
+			.flatMap((desk) -> desk.arrivals().stream())
+			.filter((arrival) -> arrival.body().equals("deadly"))
+			.count();
+		assertThat(deadly).isLessThanOrEqualTo(3);
+		assertThat(this.fixture.call("once").status()).isEqualTo(200);
+	}
+
 	@Test
 	public void recordsOfForeignWritersNameNobody() throws Exception {
 		this.fixture.store().writeText("servers", "x1", "not json");
