Test: an entry answers while nobody reads its standard output

(A first form of HostLoggingTests passed with anything: its logger context had no MDC adapter and dropped every line.) Nothing else changed.

--- a/testsuite/src/test/java/org/wigeontally/tool/HostLoggingTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/HostLoggingTests.java
@@ -4,9 +4,11 @@
 import java.io.OutputStream;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.OutputStreamAppender;
 import org.testng.annotations.Test;
 
@@ -22,11 +24,13 @@
 	@Test
 	public void blockedOutputDoesNotHoldTheWriter() throws Exception {
 		CountDownLatch read = new CountDownLatch(1);
+		AtomicBoolean waiting = new AtomicBoolean();
 		OutputStreamAppender<ILoggingEvent> blocked = new OutputStreamAppender<>();
 		blocked.setOutputStream(new OutputStream() {
 
 			@Override
 			public void write(int one) throws IOException {
+				waiting.set(true);
 				try {
 					read.await();
 				}
@@ -37,6 +41,7 @@
 
 		});
 		LoggerContext context = new LoggerContext();
+		context.setMDCAdapter(new LogbackMDCAdapter());
 		HostLogging.attach(context, blocked);
 		Thread writer = new Thread(() -> {
 			for (int i = 0; i < LINES; i++) {
@@ -46,6 +51,7 @@
 		writer.start();
 		writer.join(TimeUnit.SECONDS.toMillis(5));
 		assertThat(writer.isAlive()).isFalse();
+		assertThat(waiting.get()).isTrue();
 		read.countDown();
 		context.stop();
 	}
