--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -276,6 +276,7 @@
 		long target = this.view.targetVersion();
 		// Pieces are collected also while the engine is still starting.
 		this.collector.collect(target);
+		this.collector.engineServes(reachable() && loadedVersion() > 0);
 		if (!reachable()) {
 			return;
 		}
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -54,6 +54,12 @@
 	/** Part of the host's link that weights may take; the rest is for streams. */
 	private static final double LINK_PART = 0.8;
 
+	/**
+	 * Part that they may take while the engine holds no weights and so serves nobody; the
+	 * rest is for reports and for what goes with the bytes.
+	 */
+	private static final double IDLE_LINK_PART = 0.95;
+
 	private static final int KBIT_PER_MBIT = 1_000;
 
 	private static final int MEMORY_MB = 48;
@@ -101,13 +107,26 @@
 	}
 
 	private void startNode() {
-		int kbps = (int) (this.settings.getLinkMbps() * KBIT_PER_MBIT * LINK_PART);
-		WeightSettings weights = new WeightSettings(self(), this.view.briefing().getOriginRegion(), MEMORY_MB, kbps,
-				Map.of(), Wire.DIRECT, true);
+		WeightSettings weights = new WeightSettings(self(), this.view.briefing().getOriginRegion(), MEMORY_MB,
+				kbps(LINK_PART), Map.of(), Wire.DIRECT, true);
 		this.node = WeightNode.start(this.vertx, weights, this::peers, new PlatformOrigin(), this.clock,
 				this.settings.getHost().hashCode());
 	}
 
+	private int kbps(double part) {
+		return (int) (this.settings.getLinkMbps() * KBIT_PER_MBIT * part);
+	}
+
+	/**
+	 * Takes note of whether the engine serves requests, whose streams share the link.
+	 * @param serving true if it holds weights
+	 */
+	void engineServes(boolean serving) {
+		if (this.node != null) {
+			this.node.linkRate(kbps(serving ? LINK_PART : IDLE_LINK_PART));
+		}
+	}
+
 	/**
 	 * Answers another agent.
 	 * @param request a request for pieces
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -283,6 +283,14 @@
 		this.budget.spend(bytes, this.parts.clock().monotonicMs());
 	}
 
+	/**
+	 * Changes the part of the link that weights may take.
+	 * @param kbps rate in kbit/s; 0 for no limit
+	 */
+	public void linkRate(int kbps) {
+		this.budget.rate(kbps);
+	}
+
 	/**
 	 * Returns the routes for peers, to be mounted at the root of the host's server.
 	 * @return the router
--- a/library/src/main/java/org/wigeontally/weights/LinkBudget.java
+++ b/library/src/main/java/org/wigeontally/weights/LinkBudget.java
@@ -13,7 +13,7 @@
 	 */
 	private static final double DEFAULT_BURST_MS = 25;
 
-	private final double bytesPerMs;
+	private double bytesPerMs;
 
 	private final double burstMs;
 
@@ -45,6 +45,14 @@
 		return new LinkBudget(kbps / 8, burstMs);
 	}
 
+	/**
+	 * Changes the rate.
+	 * @param kbps rate in kbit/s; 0 for no limit
+	 */
+	public synchronized void rate(double kbps) {
+		this.bytesPerMs = kbps / 8;
+	}
+
 	/**
 	 * Reserves bytes for weights.
 	 * @param bytes number of bytes
