A version read after an outage of the store binds from the store's return

Ruled out: slow spread (whole 4.9 to 6.6 s after the return), late notice (all agents knew within 0.1 s). Now what is new counts from the start of the last call that failed; entries that saw the naming tell an earlier time. StoreFollowerTests: red before (3 s too early), green after.

--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -51,6 +51,12 @@
 
 	private long okAtMs;
 
+	private long callStartMs;
+
+	// Start of the last call that failed: the store served nobody then, or others know
+	// more.
+	private long failedCallMs;
+
 	private boolean everAnswered;
 
 	private boolean stopped;
@@ -67,6 +73,7 @@
 		this.changed = changed;
 		this.regained = regained;
 		this.okAtMs = clock.monotonicMs();
+		this.failedCallMs = this.okAtMs;
 	}
 
 	void start() {
@@ -93,6 +100,7 @@
 		if (this.snapshotNeeded && this.failures > 0 && this.records.end() > 0) {
 			this.snapshotNeeded = false;
 		}
+		this.callStartMs = this.clock.monotonicMs();
 		if (this.snapshotNeeded) {
 			this.store.newest(this.topic).onSuccess(this::snapshot).onFailure(this::failed);
 			return;
@@ -103,7 +111,7 @@
 
 	private void snapshot(RecordPage page) {
 		this.snapshotNeeded = false;
-		long sinceMs = this.everAnswered ? this.okAtMs : Long.MIN_VALUE / 2;
+		long sinceMs = this.everAnswered ? unchangedUntilMs() : Long.MIN_VALUE / 2;
 		List<String> keys = this.records.takeSnapshot(page.records(), page.end());
 		answered();
 		this.changed.changed(keys, "store", sinceMs);
@@ -112,7 +120,7 @@
 
 	private void update(long from, RecordPage page) {
 		// A poll that follows another one returns as soon as there is a record.
-		long sinceMs = (this.failures > 0) ? this.okAtMs : this.clock.monotonicMs();
+		long sinceMs = (this.failures > 0) ? unchangedUntilMs() : this.clock.monotonicMs();
 		List<String> keys = this.records.takeUpdate(from, page.records(), page.end());
 		answered();
 		if (!keys.isEmpty()) {
@@ -121,6 +129,13 @@
 		pause(page.records().isEmpty() ? 0 : this.gapMs);
 	}
 
+	// What is new was not acknowledged while the store was away for all. If it was away
+	// for
+	// this host only, other entries tell the time at which they saw it.
+	private long unchangedUntilMs() {
+		return Math.max(this.okAtMs, this.failedCallMs);
+	}
+
 	private void answered() {
 		if (this.failures > 1) {
 			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms", ageMs());
@@ -139,6 +154,7 @@
 			return;
 		}
 		this.failures++;
+		this.failedCallMs = this.callStartMs;
 		if (this.failures == 2) {
 			this.log.write(LogEvent.STORE_LOST, "topic", this.topic, "age-ms", ageMs(), "reason", failure.getMessage());
 		}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -0,0 +1,58 @@
+package org.wigeontally.gateway;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Context;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.Test;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.standin.StoreStandIn;
+import org.wigeontally.platform.wire.StoreClient;
+import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.schema.generated.Address;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * From when on a record counts that was written while the store was away.
+ */
+public class StoreFollowerTests {
+
+	private static final long AWAY_MS = 3_000;
+
+	/** Time between two tries while the store is away, and a call. */
+	private static final long TRY_MS = 800;
+
+	@Test
+	public void recordDoesNotCountFromBeforeTheStoreCameBack() throws Exception {
+		for (StoreStandIn.Mode mode : new StoreStandIn.Mode[] { StoreStandIn.Mode.BUSY, StoreStandIn.Mode.RESET }) {
+			AtomicLong sinceMs = new AtomicLong();
+			GatewayFixture fixture = new GatewayFixture();
+			fixture.store().write("op", "config", new JsonObject().put("version", 1));
+			Address address = Address.newBuilder().setIp("127.0.0.1").setPort(fixture.store().port()).build();
+			Context loop = fixture.vertx().getOrCreateContext();
+			KeyedRecords records = KeyedRecords.create();
+			StoreFollower follower = new StoreFollower(fixture.vertx(), Clock.system(),
+					EventLog.create(Clock.system(), "entry"), StoreClient.create(fixture.vertx(), address),
+					StoreTopic.OPERATOR, records, 30, (keys, source, since) -> sinceMs.set(since), () -> {
+					});
+			loop.runOnContext((v) -> follower.start());
+			GatewayFixture.awaitTrue(() -> records.end() > 0);
+			long before = records.end();
+			fixture.store().mode(mode);
+			Thread.sleep(AWAY_MS);
+			fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+			long backMs = Clock.system().monotonicMs();
+			fixture.store().mode(StoreStandIn.Mode.SERVES);
+			GatewayFixture.awaitTrue(() -> records.end() > before);
+			GatewayFixture.awaitTrue(() -> sinceMs.get() > 0);
+			assertThat(sinceMs.get()).as("store %s", mode).isGreaterThan(backMs - TRY_MS);
+			follower.stop();
+			fixture.close();
+		}
+	}
+
+}
