--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -171,9 +171,8 @@
 		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
 	}
 
-	// A version that stood in the first snapshot may have been named at any time before,
-	// so
-	// it binds at once, unless somebody who saw its naming says how old it is.
+	// A version that stood in the first snapshot may have been named at any time before.
+	// It binds at once, unless somebody who saw its naming says how old it is.
 	private void nameVersion(String model, long version, long sinceMs, String source) {
 		boolean seen = sinceMs > Long.MIN_VALUE / 2;
 		if (versions(model).named(version, seen ? sinceMs : NamedVersions.UNKNOWN_MS)) {
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -130,8 +130,7 @@
 	}
 
 	// What is new was not acknowledged while the store was away for all. If it was away
-	// for
-	// this host only, other entries tell the time at which they saw it.
+	// for this host only, other entries tell the time at which they saw it.
 	private long unchangedUntilMs() {
 		return Math.max(this.okAtMs, this.failedCallMs);
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
@@ -112,8 +112,7 @@
 	}
 
 	// All entries send a notice; the first one that gives it is asked. If it does not
-	// answer,
-	// the next calls find out.
+	// answer, the next calls find out.
 	private void noticed(AgentBriefing notice, Supplier<EngineStatus.Builder> status) {
 		if (notice.getVersion() <= Math.max(this.noticedVersion, this.view.briefing().getVersion())
 				|| notice.getEntriesCount() == 0) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -300,9 +300,7 @@
 		});
 	}
 
-	// An older version than the newest is loaded if the newest will not be here before
-	// its
-	// bound.
+	// An older version is loaded unless the newest will be here before its bound.
 	private boolean mayLoad(long version, long target) {
 		String self = this.settings.getIp() + ":" + this.settings.getInternalPort();
 		List<String> ready = new ArrayList<>();
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -154,7 +154,7 @@
 			if (collected.weights == null) {
 				lookForWhole(collected);
 			}
-			if (collected.readyAtMs > 0 && !collected.begun) {
+			if (collected.staged && !collected.begun) {
 				beginInTurn(collected);
 			}
 		}
@@ -279,6 +279,7 @@
 		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size(), "beside",
 				this.versions.headMap(wanted).keySet());
 		readStaged(wanted, digests).onComplete((read) -> {
+			next.staged = true;
 			next.readyAtMs = this.clock.monotonicMs();
 			if (this.versions.containsKey(wanted)) {
 				beginInTurn(next);
@@ -287,8 +288,7 @@
 	}
 
 	// A version that is nearly here is finished: it binds earlier than the newer one,
-	// which
-	// the origin may not be able to give for some time.
+	// which the origin may not be able to give for some time.
 	private void dropFarBehind() {
 		this.versions.values().removeIf((older) -> {
 			boolean far = !SpreadTurn.isKept(held(older.version), older.manifest.getChunksCount());
@@ -420,7 +420,9 @@
 
 		private int fromOrigin;
 
-		// 0 until what is staged has been read.
+		// True once what the engine has staged was read.
+		private boolean staged;
+
 		private long readyAtMs;
 
 		private boolean begun;
--- a/library/src/main/java/org/wigeontally/weights/FetchDuty.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchDuty.java
@@ -83,8 +83,7 @@
 	}
 
 	// Deals the lanes to the regions one by one, each to the region that has the most
-	// hosts
-	// for the lanes that it would then have. The region of the origin wins ties.
+	// hosts for the lanes that it would then have. The origin's region wins ties.
 	private static List<String> entryRegions(Map<String, List<String>> byRegion, String first) {
 		Map<String, Integer> dealt = new HashMap<>();
 		List<String> entries = new ArrayList<>();
