One way for calls between processes; long classes of entry and agent split

Behaviour is unchanged. MetricsApi writes the page of metrics for the entry as well. Who tells NamedVersions.UNKNOWN_MS says it by name; lapsed registrations keep their ids only; registrations no longer carry a time that nobody read. WeightCollection gave CollectedVersion and PlatformOrigin away, GatewayDaemon EntryPages; the address and the digest of a manifest are made once.

--- a/daemons/src/main/java/org/wigeontally/agent/LossNotices.java
+++ b/daemons/src/main/java/org/wigeontally/agent/LossNotices.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpVersion;
-import io.vertx.core.net.SocketAddress;
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.client.GrpcClientOptions;
 import org.slf4j.Logger;
@@ -22,6 +21,7 @@
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.harmful.HarmfulRequests;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.rpc.PeerCalls;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.HarmfulGrpcClient;
 import org.wigeontally.schema.generated.HostState;
@@ -118,8 +118,7 @@
 	}
 
 	private Future<SuspectSummary> tell(Address address, SuspectSummary summary) {
-		SocketAddress target = SocketAddress.inetSocketAddress(address.getPort(), address.getIp());
-		return HarmfulGrpcClient.create(this.client, target)
+		return HarmfulGrpcClient.create(this.client, PeerCalls.socketAddress(address))
 			.tell(summary)
 			.timeout(TELL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -4,21 +4,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
-import io.vertx.core.Future;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpVersion;
-import io.vertx.core.net.SocketAddress;
-import io.vertx.grpc.client.GrpcClient;
-import io.vertx.grpc.client.GrpcClientOptions;
-import io.vertx.grpc.client.GrpcClientRequest;
 
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.NamedVersions;
+import org.wigeontally.rpc.OverdueAnswers;
+import org.wigeontally.rpc.PeerCalls;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.FleetGrpcClient;
@@ -60,9 +55,9 @@
 
 	private final EntryTable table;
 
-	private final GrpcClient client;
+	private final PeerCalls calls;
 
-	private final Map<String, Integer> overdue = new HashMap<>();
+	private final OverdueAnswers overdue = OverdueAnswers.create(OVERDUE_LIMIT);
 
 	private final Map<String, Boolean> open = new HashMap<>();
 
@@ -74,11 +69,7 @@
 		this.context = context;
 		this.table = table;
 		this.incarnation = incarnation;
-		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
-			.setHttp2ClearTextUpgrade(false)
-			.setConnectTimeout((int) TIMEOUT_MS);
-		this.client = GrpcClient.client(context.vertx(), new GrpcClientOptions().setMaxMessageSize(MESSAGE_LIMIT_BYTES),
-				options);
+		this.calls = PeerCalls.create(context.vertx(), "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
 	}
 
 	void backendStoreAge(LongSupplier age) {
@@ -110,9 +101,8 @@
 	private void exchange(Address entry, String key) {
 		this.open.put(key, true);
 		EntryNews message = news(null).build();
-		Future.succeededFuture()
-			.compose((start) -> this.client.request(socketAddress(entry), FleetGrpcClient.Exchange))
-			.compose((request) -> send(request, message, key))
+		this.calls.call(entry, FleetGrpcClient.Exchange, message, () -> this.overdue.missed(entry))
+			.onSuccess((reply) -> this.overdue.answered(entry))
 			.onComplete((result) -> {
 				this.open.remove(key);
 				if (result.succeeded()) {
@@ -124,24 +114,6 @@
 			});
 	}
 
-	private Future<EntryNews> send(GrpcClientRequest<EntryNews, EntryNews> request, EntryNews message, String key) {
-		return request.end(message)
-			.compose((sent) -> request.response())
-			.compose((response) -> response.last())
-			.timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
-			.onSuccess((reply) -> this.overdue.remove(key))
-			.onFailure((failure) -> {
-				if (this.overdue.merge(key, 1, Integer::sum) >= OVERDUE_LIMIT) {
-					this.overdue.remove(key);
-					request.connection().close();
-				}
-			});
-	}
-
-	static SocketAddress socketAddress(Address address) {
-		return SocketAddress.inetSocketAddress(address.getPort(), address.getIp());
-	}
-
 	/**
 	 * Answers another entry.
 	 * @param theirs its news
@@ -241,12 +213,11 @@
 		String source = "entry:" + theirs.getHost();
 		if (theirs.hasOperatorUpdate()) {
 			boolean first = fleet.operatorRecords().end() == 0;
-			long sinceMs = first ? Long.MIN_VALUE / 2 : this.context.nowMs() - INTERVAL_MS;
+			long sinceMs = first ? NamedVersions.UNKNOWN_MS : this.context.nowMs() - INTERVAL_MS;
 			fleet.operatorRecordsChanged(merge(fleet.operatorRecords(), theirs.getOperatorUpdate()), source, sinceMs);
 		}
 		if (theirs.hasBackendUpdate()) {
-			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source,
-					this.context.nowMs() - INTERVAL_MS);
+			fleet.backendRecordsChanged(merge(fleet.backendRecords(), theirs.getBackendUpdate()), source);
 		}
 		long nowMs = this.context.nowMs();
 		theirs.getVersionsList()
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryPages.java
@@ -0,0 +1,74 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.vertx.core.http.HttpServerRequest;
+
+import org.wigeontally.fleet.DirectoryAnswer;
+import org.wigeontally.fleet.DirectoryQuestion;
+import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.Route;
+import org.wigeontally.platform.wire.DirectoryCodec;
+import org.wigeontally.platform.wire.WireNames;
+import org.wigeontally.schema.generated.EntryNews;
+
+/**
+ * Tells the platform whether this entry is ready, and callers where to connect. Runs on
+ * the event loop.
+ */
+final class EntryPages {
+
+	private static final double DIRECTORY_TTL_S = 2;
+
+	private final GatewayContext context;
+
+	private final EntryTable entries;
+
+	private final EntryExchange exchange;
+
+	EntryPages(GatewayContext context, EntryTable entries, EntryExchange exchange) {
+		this.context = context;
+		this.entries = entries;
+		this.exchange = exchange;
+	}
+
+	void ready(HttpServerRequest request) {
+		boolean ready = WireNames.isReadyCall(request.path()) && this.exchange.isReady();
+		request.response().setStatusCode(ready ? 200 : 503).end();
+	}
+
+	void directory(HttpServerRequest request) {
+		if (!WireNames.isDirectoryCall(request.path())) {
+			request.response().setStatusCode(404).end();
+			return;
+		}
+		DirectoryQuestion question = DirectoryCodec.question(request);
+		List<EntryNews> known = new ArrayList<>(this.entries.heardOf(this.context.nowMs()));
+		known.add(this.exchange.own().build());
+		FleetConfiguration configuration = this.context.fleet().configuration();
+		Set<String> regions = (configuration != null) ? regions(configuration, question.host()) : Set.of();
+		List<String> addresses = DirectoryAnswer.addresses(question, known, regions);
+		if (addresses.isEmpty()) {
+			request.response().setStatusCode(503).end();
+			return;
+		}
+		double ttlS = Math.min(DIRECTORY_TTL_S, this.context.settings().getBounds().getDirectoryTtlS());
+		request.response().putHeader("Content-Type", "application/json").end(DirectoryCodec.answer(addresses, ttlS));
+	}
+
+	private static Set<String> regions(FleetConfiguration configuration, String host) {
+		Set<String> regions = new HashSet<>();
+		for (Route route : configuration.routes(host)) {
+			if (route.regions().isEmpty()) {
+				return Set.of();
+			}
+			regions.addAll(route.regions());
+		}
+		return regions;
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -1,6 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,7 +7,6 @@
 import java.util.Set;
 
 import io.vertx.core.net.NetClient;
-import io.vertx.core.net.SocketAddress;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
@@ -21,6 +19,7 @@
 import org.wigeontally.platform.wire.BackendDecoder;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.platform.wire.PlatformException;
+import org.wigeontally.rpc.PeerCalls;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.HostSettings;
@@ -65,7 +64,8 @@
 
 	private final Map<String, NamedVersions> versions = new HashMap<>();
 
-	private final Map<String, Long> lapsedAtMs = new HashMap<>();
+	// Backend servers whose registration ended, perhaps only with the store.
+	private final Set<String> lapsed = new HashSet<>();
 
 	private FleetConfiguration configuration;
 
@@ -174,9 +174,9 @@
 	// A version that stood in the first snapshot may have been named at any time before.
 	// It binds at once, unless somebody who saw its naming says how old it is.
 	private void nameVersion(String model, long version, long sinceMs, String source) {
-		boolean seen = sinceMs > Long.MIN_VALUE / 2;
-		if (versions(model).named(version, seen ? sinceMs : NamedVersions.UNKNOWN_MS)) {
-			this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen", seen, "source", source);
+		if (versions(model).named(version, sinceMs)) {
+			this.log.write(LogEvent.VERSION, "model", model, "version", version, "seen",
+					sinceMs != NamedVersions.UNKNOWN_MS, "source", source);
 		}
 	}
 
@@ -188,20 +188,19 @@
 	 * Takes note of changed registrations.
 	 * @param keys ids that changed
 	 * @param source who told them
-	 * @param sinceMs time after which they changed
 	 */
-	void backendRecordsChanged(List<String> keys, String source, long sinceMs) {
+	void backendRecordsChanged(List<String> keys, String source) {
 		long nowMs = this.clock.monotonicMs();
 		for (String id : keys) {
 			KeyedRecords.Entry entry = this.backendRecords.entry(id);
 			if (!entry.removed()) {
-				this.lapsedAtMs.remove(id);
+				this.lapsed.remove(id);
 				register(id, entry, source);
 				continue;
 			}
 			if (nowMs < this.lapseGraceUntilMs) {
 				// May have lapsed with the store; it comes back soon or is gone.
-				this.lapsedAtMs.put(id, nowMs);
+				this.lapsed.add(id);
 				continue;
 			}
 			remove(id, entry.offset(), source);
@@ -221,13 +220,11 @@
 	 * Removes registrations that lapsed and did not come back.
 	 */
 	void removeLapsed() {
-		if (this.lapsedAtMs.isEmpty() || this.clock.monotonicMs() < this.lapseGraceUntilMs) {
+		if (this.lapsed.isEmpty() || this.clock.monotonicMs() < this.lapseGraceUntilMs) {
 			return;
 		}
-		for (String id : new ArrayList<>(this.lapsedAtMs.keySet())) {
-			remove(id, this.backendRecords.end(), "lapsed");
-		}
-		this.lapsedAtMs.clear();
+		this.lapsed.forEach((id) -> remove(id, this.backendRecords.end(), "lapsed"));
+		this.lapsed.clear();
 	}
 
 	private void register(String id, KeyedRecords.Entry entry, String source) {
@@ -259,8 +256,7 @@
 			return;
 		}
 		remove(id, entry.offset(), "restarted");
-		BackendPool pool = new BackendPool(this.client,
-				SocketAddress.inetSocketAddress(address.getPort(), address.getIp()), this.clock);
+		BackendPool pool = new BackendPool(this.client, PeerCalls.socketAddress(address), this.clock);
 		Backend backend = new Backend(record, pool);
 		applyLimits(backend);
 		this.backends.put(id, backend);
@@ -284,7 +280,12 @@
 		}
 	}
 
-	private Service service(String name) {
+	/**
+	 * Returns a service.
+	 * @param name its name
+	 * @return the service, or null if no configuration names it
+	 */
+	Service service(String name) {
 		return (this.configuration == null) ? null : this.configuration.service(name).orElse(null);
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -1,21 +1,15 @@
 package org.wigeontally.gateway;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpServer;
@@ -27,19 +21,15 @@
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
-import org.wigeontally.fleet.DirectoryAnswer;
-import org.wigeontally.fleet.DirectoryQuestion;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.KeyedRecords;
-import org.wigeontally.fleet.Route;
+import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
-import org.wigeontally.platform.wire.DirectoryCodec;
 import org.wigeontally.platform.wire.EntryRecord;
 import org.wigeontally.platform.wire.StoreClient;
 import org.wigeontally.platform.wire.StoreTopic;
-import org.wigeontally.platform.wire.WireNames;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.EngineStatus;
@@ -88,8 +78,6 @@
 
 	private static final long DRAIN_CHECK_MS = 50;
 
-	private static final double DIRECTORY_TTL_S = 2;
-
 	private final Vertx vertx;
 
 	private final Context loop;
@@ -139,7 +127,8 @@
 				fleet.operatorRecords(), OPERATOR_READ_GAP_MS, this::operatorChanged, () -> {
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
-				fleet.backendRecords(), BACKEND_READ_GAP_MS, fleet::backendRecordsChanged,
+				fleet.backendRecords(), BACKEND_READ_GAP_MS,
+				(keys, source, sinceMs) -> fleet.backendRecordsChanged(keys, source),
 				() -> fleet.storeRegained(LAPSE_GRACE_MS));
 		this.exchange.backendStoreAge(this.backendFollower::ageMs);
 		this.context.onSuspectsChanged(this.exchange::tellAll);
@@ -187,10 +176,12 @@
 		})
 			.requestHandler(this.front::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
-		servers.add(serve(this.settings.getReady(), this::ready));
-		servers.add(serve(this.settings.getDirectory(), this::directory));
+		EntryPages pages = new EntryPages(this.context, this.entries, this.exchange);
+		servers.add(serve(this.settings.getReady(), pages::ready));
+		servers.add(serve(this.settings.getDirectory(), pages::directory));
 		servers.add(serve(this.settings.getControl(), grpc::handle));
-		servers.add(serve(metrics, this::metrics));
+		servers
+			.add(serve(metrics, (request) -> MetricsApi.write(this.context.metrics().registry(), request.response())));
 		this.datagrams.handler(this::reported);
 		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
 		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
@@ -266,55 +257,6 @@
 		}
 	}
 
-	private void ready(HttpServerRequest request) {
-		boolean ready = WireNames.isReadyCall(request.path()) && this.exchange.isReady();
-		request.response().setStatusCode(ready ? 200 : 503).end();
-	}
-
-	private void directory(HttpServerRequest request) {
-		FleetConfiguration configuration = this.context.fleet().configuration();
-		if (!WireNames.isDirectoryCall(request.path())) {
-			request.response().setStatusCode(404).end();
-			return;
-		}
-		DirectoryQuestion question = DirectoryCodec.question(request);
-		List<EntryNews> known = new ArrayList<>(this.entries.heardOf(this.context.nowMs()));
-		known.add(this.exchange.own().build());
-		Set<String> regions = (configuration != null) ? regions(configuration, question.host()) : Set.of();
-		List<String> addresses = DirectoryAnswer.addresses(question, known, regions);
-		if (addresses.isEmpty()) {
-			request.response().setStatusCode(503).end();
-			return;
-		}
-		double ttlS = Math.min(DIRECTORY_TTL_S, this.settings.getBounds().getDirectoryTtlS());
-		request.response().putHeader("Content-Type", "application/json").end(DirectoryCodec.answer(addresses, ttlS));
-	}
-
-	private static Set<String> regions(FleetConfiguration configuration, String host) {
-		Set<String> regions = new HashSet<>();
-		for (Route route : configuration.routes(host)) {
-			if (route.regions().isEmpty()) {
-				return Set.of();
-			}
-			regions.addAll(route.regions());
-		}
-		return regions;
-	}
-
-	private void metrics(HttpServerRequest request) {
-		ByteArrayOutputStream out = new ByteArrayOutputStream();
-		try {
-			PrometheusTextFormatWriter.create().write(out, this.context.metrics().registry().scrape());
-		}
-		catch (IOException ex) {
-			request.response().setStatusCode(500).end(ex.getMessage());
-			return;
-		}
-		request.response()
-			.putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
-			.end(Buffer.buffer(out.toByteArray()));
-	}
-
 	/**
 	 * Leaves: tells the directory and the other entries, serves what still comes for a
 	 * while, and ends once nothing is in flight.
--- a/daemons/src/main/java/org/wigeontally/gateway/RecordsListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RecordsListener.java
@@ -12,7 +12,8 @@
 	 * Records changed.
 	 * @param keys their keys
 	 * @param source who told them
-	 * @param sinceMs time after which the change happened; far in the past if unknown
+	 * @param sinceMs time after which the change happened;
+	 * {@link org.wigeontally.fleet.NamedVersions#UNKNOWN_MS} if not known
 	 */
 	void changed(List<String> keys, String source, long sinceMs);
 
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -7,6 +7,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.KeyedRecords;
+import org.wigeontally.fleet.NamedVersions;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.platform.wire.RecordPage;
@@ -111,7 +112,7 @@
 
 	private void snapshot(RecordPage page) {
 		this.snapshotNeeded = false;
-		long sinceMs = this.everAnswered ? unchangedUntilMs() : Long.MIN_VALUE / 2;
+		long sinceMs = this.everAnswered ? unchangedUntilMs() : NamedVersions.UNKNOWN_MS;
 		List<String> keys = this.records.takeSnapshot(page.records(), page.end());
 		answered();
 		this.changed.changed(keys, "store", sinceMs);
--- a/daemons/src/main/java/org/wigeontally/metrics/MetricsApi.java
+++ b/daemons/src/main/java/org/wigeontally/metrics/MetricsApi.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 
@@ -39,16 +40,24 @@
 	}
 
 	private void metrics(RoutingContext context) {
+		write(this.registry, context.response());
+	}
+
+	/**
+	 * Writes the page of metrics.
+	 * @param registry the metrics of the process
+	 * @param response where to
+	 */
+	public static void write(PrometheusRegistry registry, HttpServerResponse response) {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		try {
-			PrometheusTextFormatWriter.create().write(out, this.registry.scrape());
+			PrometheusTextFormatWriter.create().write(out, registry.scrape());
 		}
 		catch (IOException ex) {
-			context.response().setStatusCode(500).end(ex.getMessage());
+			response.setStatusCode(500).end(ex.getMessage());
 			return;
 		}
-		context.response()
-			.putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
+		response.putHeader("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE)
 			.end(Buffer.buffer(out.toByteArray()));
 	}
 
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReports.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -13,16 +12,11 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpVersion;
-import io.vertx.core.net.SocketAddress;
-import io.vertx.grpc.client.GrpcClient;
-import io.vertx.grpc.client.GrpcClientOptions;
-import io.vertx.grpc.client.GrpcClientRequest;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.rpc.PeerCalls;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.EngineStatus;
@@ -61,7 +55,7 @@
 
 	private final FleetView view;
 
-	private final GrpcClient client;
+	private final PeerCalls calls;
 
 	private final DatagramSocket datagrams;
 
@@ -84,10 +78,7 @@
 		// The same port on all hosts.
 		this.entryPort = self.getPort();
 		this.datagrams = vertx.createDatagramSocket();
-		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
-			.setHttp2ClearTextUpgrade(false)
-			.setConnectTimeout((int) TIMEOUT_MS);
-		this.client = GrpcClient.client(vertx, new GrpcClientOptions().setMaxMessageSize(MESSAGE_LIMIT_BYTES), options);
+		this.calls = PeerCalls.create(vertx, "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
 	}
 
 	void onNamed(Runnable action) {
@@ -183,10 +174,7 @@
 	private void send(Target target, EngineStatus status) {
 		target.open = true;
 		target.calledAtMs = this.clock.monotonicMs();
-		SocketAddress address = SocketAddress.inetSocketAddress(target.address.getPort(), target.address.getIp());
-		Future.succeededFuture()
-			.compose((start) -> this.client.request(address, FleetGrpcClient.Report))
-			.compose((request) -> send(target, request, status))
+		this.calls.call(target.address, FleetGrpcClient.Report, status, () -> target.failures + 1 >= OVERDUE_LIMIT)
 			.onComplete((result) -> {
 				target.open = false;
 				if (result.succeeded()) {
@@ -198,19 +186,6 @@
 			});
 	}
 
-	private Future<AgentBriefing> send(Target target, GrpcClientRequest<EngineStatus, AgentBriefing> request,
-			EngineStatus status) {
-		return request.end(status)
-			.compose((sent) -> request.response())
-			.compose((response) -> response.last())
-			.timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
-			.onFailure((failure) -> {
-				if (target.failures + 1 >= OVERDUE_LIMIT) {
-					request.connection().close();
-				}
-			});
-	}
-
 	private void answered(Target target, AgentBriefing briefing) {
 		if (target.failures > 0 || !target.heard) {
 			this.log.write(LogEvent.PEER, "entry", Addresses.format(target.address), "heard", true);
@@ -246,7 +221,7 @@
 
 	void close() {
 		this.datagrams.close();
-		this.client.close();
+		this.calls.close();
 	}
 
 	private static final class Target {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -56,7 +56,7 @@
 	/** Time between two reads of the store while no entry answers. */
 	private static final long FIND_ENTRIES_MS = 1_500;
 
-	private static final double LEAVE_MS = 300;
+	private static final long LEAVE_MS = 300;
 
 	/** Used before any entry gave a bound. */
 	private static final long DEFAULT_BOUND_MS = 8_000;
@@ -80,6 +80,9 @@
 
 	private final HostSettings settings;
 
+	// Where other agents and the entries reach this process.
+	private final Address self;
+
 	private final Closer closer = Closer.create();
 
 	private final FleetView view = new FleetView();
@@ -122,9 +125,9 @@
 		this.log = log;
 		this.incarnation = clock.wallMs();
 		this.client = EngineClient.create(vertx);
-		this.reports = new EntryReports(vertx, clock, log, this.view,
-				Address.newBuilder().setIp(settings.getIp()).setPort(settings.getInternalPort()).build());
-		this.collector = new WeightCollection(vertx, clock, log, settings, this.view, this.client);
+		this.self = Address.newBuilder().setIp(settings.getIp()).setPort(settings.getInternalPort()).build();
+		this.reports = new EntryReports(vertx, clock, log, this.view, this.self);
+		this.collector = new WeightCollection(vertx, clock, log, settings, this.self, this.view, this.client);
 		this.loader = new EngineLoader(vertx, log, this.client, settings.getBackend());
 		this.store = StoreClient.create(vertx, settings.getStore());
 	}
@@ -246,7 +249,7 @@
 
 	private EngineStatus.Builder status() {
 		EngineStatus.Builder status = EngineStatus.newBuilder()
-			.setAgent(Address.newBuilder().setIp(this.settings.getIp()).setPort(this.settings.getInternalPort()))
+			.setAgent(this.self)
 			.setBackend(this.settings.getBackend())
 			.setZone(this.settings.getZone())
 			.setRegion(this.settings.getRegion())
@@ -302,7 +305,6 @@
 
 	// An older version is loaded unless the newest will be here before its bound.
 	private boolean mayLoad(long version, long target) {
-		String self = this.settings.getIp() + ":" + this.settings.getInternalPort();
 		List<String> ready = new ArrayList<>();
 		int engines = 1;
 		for (AgentPlace agent : this.view.briefing().getAgentsList()) {
@@ -318,7 +320,7 @@
 		if (version < target && loadedVersion() > 0 && !pressing && this.collector.comesInTime(target, leftMs)) {
 			return false;
 		}
-		return LoadTurn.mayLoad(self, loadedVersion(), ready, engines, pressing);
+		return LoadTurn.mayLoad(Addresses.format(this.self), loadedVersion(), ready, engines, pressing);
 	}
 
 	/**
@@ -331,7 +333,7 @@
 			this.log.write(LogEvent.STOP, "phase", "draining");
 			this.leaving = true;
 			report(true);
-			this.vertx.setTimer((long) LEAVE_MS, (id) -> drained.complete(0));
+			this.vertx.setTimer(LEAVE_MS, (id) -> drained.complete(0));
 		});
 		return drained.future();
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollection.java
@@ -1,16 +1,13 @@
 package org.wigeontally.sidecar;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
-import com.google.protobuf.ByteString;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 
 import org.wigeontally.eventlog.EventLog;
@@ -21,24 +18,18 @@
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.AgentPlace;
 import org.wigeontally.schema.generated.BackendState;
-import org.wigeontally.schema.generated.ChunkEntry;
 import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Liveness;
-import org.wigeontally.schema.generated.Manifest;
-import org.wigeontally.schema.generated.Model;
 import org.wigeontally.schema.generated.Role;
 import org.wigeontally.schema.generated.VersionPhase;
 import org.wigeontally.schema.generated.VersionProgress;
 import org.wigeontally.settings.Addresses;
-import org.wigeontally.spread.OriginClient;
 import org.wigeontally.spread.WeightNode;
 import org.wigeontally.spread.WeightSettings;
 import org.wigeontally.spread.Wire;
-import org.wigeontally.weights.Digests;
 import org.wigeontally.weights.LoadTurn;
-import org.wigeontally.weights.Manifests;
 import org.wigeontally.weights.SpreadTurn;
 import org.wigeontally.weights.VerifiedWeights;
 
@@ -66,8 +57,6 @@
 
 	private static final long DIGESTS_TIMEOUT_MS = 1_500;
 
-	private static final long PIECE_TIMEOUT_MS = 2_500;
-
 	private static final long FIRST_PAUSE_MS = 100;
 
 	private static final long LONGEST_PAUSE_MS = 600;
@@ -78,6 +67,8 @@
 
 	private final HostSettings settings;
 
+	private final Address self;
+
 	private final FleetView view;
 
 	private final EngineClient engine;
@@ -88,7 +79,7 @@
 	// it.
 	private WeightNode node;
 
-	private final TreeMap<Long, Collected> versions = new TreeMap<>();
+	private final TreeMap<Long, CollectedVersion> versions = new TreeMap<>();
 
 	private boolean digestsOpen;
 
@@ -96,11 +87,12 @@
 
 	private long digestsNextMs = Long.MIN_VALUE;
 
-	WeightCollection(Vertx vertx, Clock clock, EventLog log, HostSettings settings, FleetView view,
+	WeightCollection(Vertx vertx, Clock clock, EventLog log, HostSettings settings, Address self, FleetView view,
 			EngineClient engine) {
 		this.clock = clock;
 		this.log = log;
 		this.settings = settings;
+		this.self = self;
 		this.view = view;
 		this.engine = engine;
 		this.vertx = vertx;
@@ -109,7 +101,8 @@
 	private void startNode() {
 		WeightSettings weights = new WeightSettings(self(), this.view.briefing().getOriginRegion(), MEMORY_MB,
 				kbps(LINK_PART), Map.of(), Wire.DIRECT, true);
-		this.node = WeightNode.start(this.vertx, weights, this::peers, new PlatformOrigin(), this.clock,
+		this.node = WeightNode.start(this.vertx, weights, this::peers,
+				new PlatformOrigin(this.engine, this.view, this.log, this.versions), this.clock,
 				this.settings.getHost().hashCode());
 	}
 
@@ -150,37 +143,30 @@
 		if (!this.versions.containsKey(wanted)) {
 			fetchDigests(wanted);
 		}
-		for (Collected collected : this.versions.values()) {
-			if (collected.weights == null) {
+		for (CollectedVersion collected : this.versions.values()) {
+			if (collected.weights().isEmpty()) {
 				lookForWhole(collected);
 			}
-			if (collected.staged && !collected.begun) {
-				beginInTurn(collected);
-			}
+			beginInTurn(collected);
 		}
 	}
 
-	private void beginInTurn(Collected collected) {
-		boolean olderOnTheWay = this.versions.headMap(collected.version)
+	private void beginInTurn(CollectedVersion collected) {
+		boolean olderOnTheWay = this.versions.headMap(collected.version())
 			.values()
 			.stream()
-			.anyMatch((older) -> older.weights == null);
-		if (SpreadTurn.mayBegin(olderOnTheWay, this.clock.monotonicMs() - collected.readyAtMs)) {
-			collected.begun = true;
-			this.node.wantBeside(Model.newBuilder()
-				.setName(this.view.model())
-				.setVersion(Long.toString(collected.version))
-				.setManifest(Manifests.digest(collected.manifest))
-				.build());
+			.anyMatch((older) -> older.weights().isEmpty());
+		if (collected.begins(olderOnTheWay, this.clock.monotonicMs())) {
+			this.node.wantBeside(collected.model());
 		}
 	}
 
-	private void lookForWhole(Collected collected) {
-		this.node.verified(this.view.model(), Long.toString(collected.version)).ifPresent((whole) -> {
-			collected.weights = whole;
-			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version, "after-ms",
-					this.clock.monotonicMs() - collected.startedAtMs, "from-origin", collected.fromOrigin, "pieces",
-					collected.manifest.getChunksCount());
+	private void lookForWhole(CollectedVersion collected) {
+		this.node.verified(this.view.model(), Long.toString(collected.version())).ifPresent((whole) -> {
+			collected.whole(whole);
+			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", collected.version(), "after-ms",
+					collected.ageMs(this.clock.monotonicMs()), "from-origin", collected.fromOrigin(), "pieces",
+					collected.pieces());
 		});
 	}
 
@@ -190,8 +176,8 @@
 	 * @return the weights; empty if pieces are missing
 	 */
 	Optional<VerifiedWeights> weights(long wanted) {
-		Collected collected = this.versions.get(wanted);
-		return (collected != null) ? Optional.ofNullable(collected.weights) : Optional.empty();
+		CollectedVersion collected = this.versions.get(wanted);
+		return (collected != null) ? collected.weights() : Optional.empty();
 	}
 
 	/**
@@ -229,9 +215,9 @@
 	 * @return true if it will, as far as its pieces have come so far
 	 */
 	boolean comesInTime(long wanted, long leftMs) {
-		Collected collected = this.versions.get(wanted);
-		return collected != null && LoadTurn.comesInTime(leftMs, held(wanted), collected.manifest.getChunksCount(),
-				this.clock.monotonicMs() - collected.startedAtMs);
+		CollectedVersion collected = this.versions.get(wanted);
+		return collected != null && LoadTurn.comesInTime(leftMs, held(wanted), collected.pieces(),
+				collected.ageMs(this.clock.monotonicMs()));
 	}
 
 	int held() {
@@ -274,13 +260,13 @@
 			return;
 		}
 		dropFarBehind();
-		Collected next = new Collected(wanted, manifest(wanted, digests), digests, this.clock.monotonicMs());
+		CollectedVersion next = CollectedVersion.of(wanted, this.view.model(), digests,
+				this.view.briefing().getChunkBytes(), this.clock.monotonicMs());
 		this.versions.put(wanted, next);
 		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", wanted, "pieces", digests.size(), "beside",
 				this.versions.headMap(wanted).keySet());
 		readStaged(wanted, digests).onComplete((read) -> {
-			next.staged = true;
-			next.readyAtMs = this.clock.monotonicMs();
+			next.stagedRead(this.clock.monotonicMs());
 			if (this.versions.containsKey(wanted)) {
 				beginInTurn(next);
 			}
@@ -291,29 +277,16 @@
 	// which the origin may not be able to give for some time.
 	private void dropFarBehind() {
 		this.versions.values().removeIf((older) -> {
-			boolean far = !SpreadTurn.isKept(held(older.version), older.manifest.getChunksCount());
+			boolean far = !SpreadTurn.isKept(held(older.version()), older.pieces());
 			if (far) {
-				this.node.abandon(this.view.model(), Long.toString(older.version));
-				this.log.write(LogEvent.WEIGHTS, "phase", "abandoned", "version", older.version, "held",
-						held(older.version));
+				this.node.abandon(this.view.model(), Long.toString(older.version()));
+				this.log.write(LogEvent.WEIGHTS, "phase", "abandoned", "version", older.version(), "held",
+						held(older.version()));
 			}
 			return far;
 		});
 	}
 
-	private Manifest manifest(long version, List<String> digests) {
-		Manifest.Builder made = Manifest.newBuilder()
-			.setModel(this.view.model())
-			.setVersion(Long.toString(version))
-			.setChunkBytes(this.view.briefing().getChunkBytes());
-		for (String digest : digests) {
-			made.addChunks(ChunkEntry.newBuilder()
-				.setDigest(ByteString.copyFrom(Digests.bytes(digest)))
-				.setSize(this.view.briefing().getChunkBytes()));
-		}
-		return made.build();
-	}
-
 	// Done before anything is fetched, so that nothing comes over the link that is here.
 	private Future<Void> readStaged(long version, List<String> digests) {
 		Address backend = this.settings.getBackend();
@@ -338,11 +311,11 @@
 
 	private HostIdentity self() {
 		return HostIdentity.newBuilder()
-			.setHost(this.settings.getIp() + ":" + this.settings.getInternalPort())
+			.setHost(Addresses.format(this.self))
 			.setRegion(this.settings.getRegion())
 			.setZone(this.settings.getZone())
 			.setRole(Role.AGENT)
-			.setAddress(Address.newBuilder().setIp(this.settings.getIp()).setPort(this.settings.getInternalPort()))
+			.setAddress(this.self)
 			.build();
 	}
 
@@ -367,75 +340,4 @@
 			.build();
 	}
 
-	/**
-	 * The platform's origin, which names pieces by their number.
-	 */
-	private final class PlatformOrigin implements OriginClient {
-
-		@Override
-		public Future<byte[]> manifest(String digest) {
-			for (Collected collected : WeightCollection.this.versions.values()) {
-				if (Manifests.digest(collected.manifest).equals(digest)) {
-					return Future.succeededFuture(collected.manifest.toByteArray());
-				}
-			}
-			return Future.failedFuture("manifest of another version");
-		}
-
-		@Override
-		public Future<byte[]> chunk(String digest, int size) {
-			WeightCollection weights = WeightCollection.this;
-			for (Collected collected : weights.versions.descendingMap().values()) {
-				Integer index = collected.indexes.get(digest);
-				if (index != null) {
-					collected.fromOrigin++;
-					return weights.engine
-						.piece(weights.view.briefing().getOrigin(), weights.view.model(), collected.version, index,
-								PIECE_TIMEOUT_MS)
-						.map(Buffer::getBytes)
-						.onFailure((failure) -> weights.log.write(LogEvent.PIECE_FAILED, "piece", index, "version",
-								collected.version, "source", "origin", "reason", failure.getMessage()));
-				}
-			}
-			return Future.failedFuture("piece of another version");
-		}
-
-	}
-
-	/**
-	 * A version that is collected or whole.
-	 */
-	private static final class Collected {
-
-		private final long version;
-
-		private final Manifest manifest;
-
-		private final Map<String, Integer> indexes = new HashMap<>();
-
-		private final long startedAtMs;
-
-		// Kept from the moment at which all pieces are there.
-		private VerifiedWeights weights;
-
-		private int fromOrigin;
-
-		// True once what the engine has staged was read.
-		private boolean staged;
-
-		private long readyAtMs;
-
-		private boolean begun;
-
-		private Collected(long version, Manifest manifest, List<String> digests, long startedAtMs) {
-			this.version = version;
-			this.manifest = manifest;
-			this.startedAtMs = startedAtMs;
-			for (int i = 0; i < digests.size(); i++) {
-				this.indexes.put(digests.get(i), i);
-			}
-		}
-
-	}
-
 }
