Smaller repetitions: headers of a connection, the directory's three loops, settings of the class archive, test set-ups

Behaviour is unchanged and tests keep their assertions. Headers that concern one connection stand once for requests and answers; the class archive reads the settings it starts with instead of reading one text and building another; the relay asks for candidates and its age in one place each; two tests share backend servers that crash, two the figures of an engine.

--- a/daemons/src/main/java/org/wigeontally/gateway/AnswerRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AnswerRelay.java
@@ -1,8 +1,6 @@
 package org.wigeontally.gateway;
 
-import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.buffer.Buffer;
@@ -16,9 +14,6 @@
  */
 final class AnswerRelay {
 
-	private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "transfer-encoding",
-			"content-length", "trailer", "upgrade", "proxy-connection");
-
 	private final HttpServerResponse response;
 
 	private long lastId = EventFrames.Event.NO_ID;
@@ -32,7 +27,7 @@
 	static void copyHead(int status, HttpHeaders headers, HttpServerResponse response, boolean leaving) {
 		response.setStatusCode(status);
 		for (Map.Entry<String, String> header : headers) {
-			if (!NOT_PASSED_ON.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+			if (!ConnectionHeaders.contains(header.getKey())) {
 				response.headers().add(header.getKey(), header.getValue());
 			}
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -21,9 +21,8 @@
  */
 final class CallerRequest {
 
-	/** Headers that concern one connection only, or that the system sets itself. */
-	private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
-			"trailer", "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authorization",
+	/** Headers for the system itself, or that it sets itself. */
+	private static final Set<String> NOT_PASSED_ON = Set.of("te", "expect", "proxy-authorization",
 			WireNames.KEY.toLowerCase(Locale.ROOT), WireNames.ORGANISATION.toLowerCase(Locale.ROOT),
 			WireNames.TIME_LEFT_MS.toLowerCase(Locale.ROOT), WireNames.EXPECTED_BACKEND.toLowerCase(Locale.ROOT),
 			WireNames.EXPECTED_VERSION.toLowerCase(Locale.ROOT), WireNames.ENGINE_PRIORITY.toLowerCase(Locale.ROOT),
@@ -130,7 +129,7 @@
 		Set<String> named = namedByConnection(given);
 		for (Map.Entry<String, String> header : given) {
 			String name = header.getKey().toLowerCase(Locale.ROOT);
-			if (!NOT_PASSED_ON.contains(name) && !named.contains(name)) {
+			if (!ConnectionHeaders.contains(name) && !NOT_PASSED_ON.contains(name) && !named.contains(name)) {
 				headers.add(header);
 			}
 		}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/ConnectionHeaders.java
@@ -0,0 +1,21 @@
+package org.wigeontally.gateway;
+
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Headers that concern one connection only, of requests and of answers alike.
+ */
+final class ConnectionHeaders {
+
+	private static final Set<String> NAMES = Set.of("connection", "keep-alive", "proxy-connection", "trailer",
+			"transfer-encoding", "upgrade", "content-length");
+
+	private ConnectionHeaders() {
+	}
+
+	static boolean contains(String header) {
+		return NAMES.contains(header.toLowerCase(Locale.ROOT));
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -105,9 +105,8 @@
 
 	private void place() {
 		long nowMs = this.context.nowMs();
-		Service service = this.context.fleet().configuration().service(this.request.service()).orElse(null);
-		List<Backend> candidates = (service != null) ? this.selection.find(this.request, service, this.tried, nowMs)
-				: List.of();
+		Service service = this.context.fleet().service(this.request.service());
+		List<Backend> candidates = candidates(service, nowMs);
 		if (candidates.isEmpty()) {
 			this.context.log()
 				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
@@ -141,6 +140,10 @@
 		send(backend(candidates, place.id()), place.rank(), this.selection.requiredVersion(model, nowMs));
 	}
 
+	private List<Backend> candidates(Service service, long nowMs) {
+		return (service != null) ? this.selection.find(this.request, service, this.tried, nowMs) : List.of();
+	}
+
 	private static Backend backend(List<Backend> candidates, String id) {
 		for (Backend candidate : candidates) {
 			if (candidate.record().id().equals(id)) {
@@ -175,9 +178,8 @@
 
 	@Override
 	public boolean canMove() {
-		Service service = this.context.fleet().configuration().service(this.request.service()).orElse(null);
-		return this.sends < this.request.route().maxAttempts() && service != null
-				&& !this.selection.find(this.request, service, this.tried, this.context.nowMs()).isEmpty();
+		Service service = this.context.fleet().service(this.request.service());
+		return this.sends < this.request.route().maxAttempts() && !candidates(service, this.context.nowMs()).isEmpty();
 	}
 
 	@Override
@@ -192,8 +194,7 @@
 		}
 		if (this.relay == null && reader.hasEvent()) {
 			begin(reader);
-			this.context.metrics()
-				.firstByte(this.request.service(), this.context.nowMs() - this.request.receivedAtMs());
+			this.context.metrics().firstByte(this.request.service(), ageMs());
 		}
 		if (this.relay != null) {
 			this.relay.passOn(reader);
@@ -232,7 +233,7 @@
 			failed(this.attempt, AttemptEnd.FAILED, "status " + answer.status());
 			return;
 		}
-		this.context.metrics().firstByte(this.request.service(), this.context.nowMs() - this.request.receivedAtMs());
+		this.context.metrics().firstByte(this.request.service(), ageMs());
 		deliver(answer);
 	}
 
@@ -312,8 +313,8 @@
 			return;
 		}
 		this.context.log()
-			.write(LogEvent.CALLER_LEFT, "id", this.request.attemptId(), "after-ms",
-					this.context.nowMs() - this.request.receivedAtMs(), "begun", this.relay != null);
+			.write(LogEvent.CALLER_LEFT, "id", this.request.attemptId(), "after-ms", ageMs(), "begun",
+					this.relay != null);
 		cancelAttempt();
 		finish("caller-left");
 	}
@@ -332,9 +333,8 @@
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
 					"organisation", this.request.organisationName(), "status", answer.status(), "reason",
-					answer.reason(), "return-s", answer.returnSeconds(), "sends", this.sends, "after-ms",
-					this.context.nowMs() - this.request.receivedAtMs(), "configuration",
-					this.context.fleet().configuration().version());
+					answer.reason(), "return-s", answer.returnSeconds(), "sends", this.sends, "after-ms", ageMs(),
+					"configuration", this.context.fleet().configuration().version());
 		Front.write(this.request.http().response(), answer, this.context.leaving());
 		finish(answer.reason());
 	}
@@ -342,8 +342,7 @@
 	private void breakStream(String reason) {
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"reason", reason, "begun", true, "last-event", this.relay.lastEventId(), "after-ms",
-					this.context.nowMs() - this.request.receivedAtMs());
+					"reason", reason, "begun", true, "last-event", this.relay.lastEventId(), "after-ms", ageMs());
 		finish("stream-cut");
 		// Without the end of the chunked body the caller cannot take the answer for
 		// whole.
@@ -358,7 +357,7 @@
 	}
 
 	private void answered(int status) {
-		long ms = this.context.nowMs() - this.request.receivedAtMs();
+		long ms = ageMs();
 		this.context.metrics().whole(this.request.service(), ms);
 		this.context.log()
 			.write(LogEvent.REQUEST_DONE, "id", this.request.attemptId(), "route", this.request.route().name(),
@@ -366,6 +365,10 @@
 		finish((status < 400) ? "done" : "failed-by-backend");
 	}
 
+	private long ageMs() {
+		return this.context.nowMs() - this.request.receivedAtMs();
+	}
+
 	private void finish(String outcome) {
 		this.finished = true;
 		this.context.end();
--- a/library/src/main/java/org/wigeontally/fleet/DirectoryAnswer.java
+++ b/library/src/main/java/org/wigeontally/fleet/DirectoryAnswer.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.settings.Addresses;
@@ -31,27 +32,23 @@
 	 */
 	public static List<String> addresses(DirectoryQuestion question, List<EntryNews> entries, Set<String> regions) {
 		LinkedHashSet<String> found = new LinkedHashSet<>();
-		for (EntryNews entry : entries) {
-			if (entry.getReady() && entry.getZone().equals(question.zone())) {
-				found.add(Addresses.format(entry.getFront()));
-			}
-		}
+		add(found, entries, (entry) -> entry.getZone().equals(question.zone()));
 		if (found.size() < ENOUGH) {
-			for (EntryNews entry : entries) {
-				if (entry.getReady() && entry.getRegion().equals(question.region())) {
-					found.add(Addresses.format(entry.getFront()));
-				}
-			}
+			add(found, entries, (entry) -> entry.getRegion().equals(question.region()));
 		}
 		if (found.isEmpty() || (found.size() < ENOUGH && regions.isEmpty())) {
-			for (EntryNews entry : entries) {
-				if (entry.getReady() && (regions.isEmpty() || regions.contains(entry.getRegion()))) {
-					found.add(Addresses.format(entry.getFront()));
-				}
-			}
+			add(found, entries, (entry) -> regions.isEmpty() || regions.contains(entry.getRegion()));
 		}
 		List<String> listed = new ArrayList<>(found);
 		return (listed.size() > MOST) ? listed.subList(0, MOST) : listed;
 	}
 
+	private static void add(Set<String> found, List<EntryNews> entries, Predicate<EntryNews> fits) {
+		for (EntryNews entry : entries) {
+			if (entry.getReady() && fits.test(entry)) {
+				found.add(Addresses.format(entry.getFront()));
+			}
+		}
+	}
+
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetBeliefTests.java
@@ -1,8 +1,7 @@
 package org.wigeontally.gateway;
 
-import java.util.Arrays;
+import java.util.List;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -140,17 +139,7 @@
 	/** The same content comes at two entries by turns and brings down what runs it. */
 	@Test
 	public void harmfulRequestIsStoppedOverAllEntries() throws Exception {
-		BackendStandIn[] desks = new BackendStandIn[6];
-		for (int i = 0; i < desks.length; i++) {
-			int number = i;
-			desks[i] = this.fixture.startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
-				if (arrival.body().equals("deadly")) {
-					desks[number].crash();
-					return;
-				}
-				socket.write(Buffer.buffer(BackendStandIn.success(arrival, "ok")));
-			});
-		}
+		List<BackendStandIn> desks = this.fixture.startFragile(6, "deadly");
 		this.fixture.startEntry();
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, "once", 200);
@@ -159,11 +148,7 @@
 			this.fixture.call(i % 2, "once", "deadly-" + i, GatewayFixture.KEY, "deadly");
 			Thread.sleep(200);
 		}
-		long deadly = Arrays.stream(desks)
-			.flatMap((desk) -> desk.arrivals().stream())
-			.filter((arrival) -> arrival.body().equals("deadly"))
-			.count();
-		assertThat(deadly).isLessThanOrEqualTo(3);
+		assertThat(GatewayFixture.arrivals(desks, "deadly")).isLessThanOrEqualTo(3);
 		assertThat(this.fixture.call("once").status()).isEqualTo(200);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -111,6 +111,51 @@
 		return backend;
 	}
 
+	/**
+	 * Starts backend servers that crash when they run a certain body.
+	 * @param count number of them
+	 * @param deadly the body
+	 * @return the backend servers
+	 */
+	List<BackendStandIn> startFragile(int count, String deadly) throws Exception {
+		List<BackendStandIn> desks = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			int number = i;
+			desks.add(startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
+				if (arrival.body().equals(deadly)) {
+					desks.get(number).crash();
+					return;
+				}
+				socket.write(Buffer.buffer(BackendStandIn.success(arrival, "ok")));
+			}));
+		}
+		return desks;
+	}
+
+	static long arrivals(List<BackendStandIn> backends, String body) {
+		return backends.stream()
+			.flatMap((backend) -> backend.arrivals().stream())
+			.filter((arrival) -> arrival.body().equals(body))
+			.count();
+	}
+
+	/**
+	 * Returns the figures of an engine that is loaded by its agent.
+	 * @param pieces pieces of a version
+	 * @param pieceBytes size of a piece
+	 * @return the figures
+	 */
+	public static JsonObject engineWithPieces(int pieces, int pieceBytes) {
+		return new JsonObject().put("slots", 16)
+			.put("kv-capacity-tokens", 317_000)
+			.put("step_ms", 9.27)
+			.put("read_per_s", 20_700)
+			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
+			.put("layers", 4)
+			.put("chunks", pieces)
+			.put("chunk-bytes", pieceBytes);
+	}
+
 	/**
 	 * Writes the next version of a configuration with plain, once, stream and homed
 	 * routes.
--- a/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
@@ -1,9 +1,9 @@
 package org.wigeontally.gateway;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -258,27 +258,13 @@
 	/** The same content brings down one backend server after the other. */
 	@Test
 	public void requestThatCrashesBackendServersIsStopped() throws Exception {
-		BackendStandIn[] desks = new BackendStandIn[4];
-		for (int i = 0; i < desks.length; i++) {
-			int number = i;
-			desks[i] = this.fixture.startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
-				if (arrival.body().equals("deadly")) {
-					desks[number].crash();
-					return;
-				}
-				socket.write(Buffer.buffer(BackendStandIn.success(arrival, "ok")));
-			});
-		}
+		List<BackendStandIn> desks = this.fixture.startFragile(4, "deadly");
 		ready("plain");
 		for (int i = 0; i < 6; i++) {
 			this.fixture.call(0, "plain", "deadly-" + i, GatewayFixture.KEY, "deadly");
 			Thread.sleep(150);
 		}
-		long deadly = java.util.Arrays.stream(desks)
-			.flatMap((desk) -> desk.arrivals().stream())
-			.filter((arrival) -> arrival.body().equals("deadly"))
-			.count();
-		assertThat(deadly).isLessThanOrEqualTo(3);
+		assertThat(GatewayFixture.arrivals(desks, "deadly")).isLessThanOrEqualTo(3);
 		assertThat(this.fixture.call("plain").status()).isEqualTo(200);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/sidecar/VersionNoticeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/VersionNoticeTests.java
@@ -20,14 +20,7 @@
 	@Test
 	public void agentAsksAtOnceWhenAVersionIsNamed() throws Exception {
 		GatewayFixture fixture = new GatewayFixture();
-		JsonObject engine = new JsonObject().put("slots", 16)
-			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
-			.put("layers", 4)
-			.put("kv-capacity-tokens", 317_000)
-			.put("step_ms", 9.27)
-			.put("read_per_s", 20_700)
-			.put("chunks", 96)
-			.put("chunk-bytes", 24_576);
+		JsonObject engine = GatewayFixture.engineWithPieces(96, 24_576);
 		fixture.store()
 			.write("op", "config", new JsonObject().put("version", 1)
 				.put("routes", new JsonArray())
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightsOnThePlatformTests.java
@@ -39,14 +39,7 @@
 		this.agents.clear();
 		this.fixture = new GatewayFixture();
 		this.origin = GatewayFixture.await(WeightsStandIn.start(this.fixture.vertx()));
-		JsonObject engine = new JsonObject().put("slots", 16)
-			.put("kv-capacity-tokens", 317_000)
-			.put("step_ms", 9.27)
-			.put("read_per_s", 20_700)
-			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
-			.put("layers", 4)
-			.put("chunks", WeightsStandIn.PIECES)
-			.put("chunk-bytes", WeightsStandIn.PIECE_BYTES);
+		JsonObject engine = GatewayFixture.engineWithPieces(WeightsStandIn.PIECES, WeightsStandIn.PIECE_BYTES);
 		JsonArray services = new JsonArray()
 			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", engine))
 			.add(new JsonObject().put("name", "weights")
--- a/tool/src/main/java/org/wigeontally/tool/ClassArchive.java
+++ b/tool/src/main/java/org/wigeontally/tool/ClassArchive.java
@@ -13,10 +13,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
-import org.wigeontally.schema.generated.Address;
-import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.schema.generated.ZonePlace;
 import org.wigeontally.settings.HostSettingsCheck;
 import org.wigeontally.settings.SettingsReader;
 import org.wigeontally.sidecar.SidecarDaemon;
@@ -37,30 +34,25 @@
 	private static final long RUN_MS = 2_500;
 
 	private static final String SETTINGS = """
-			host: "h"
-			zone: "z"
-			region: "r"
+			host: "%1$s"
+			zone: "zone"
+			region: "region"
 			ip: "127.0.0.1"
 			zones:
-			  - {zone: "z", region: "r"}
-			front: "127.0.0.1:1"
-			ready: "127.0.0.1:2"
-			control: "127.0.0.1:3"
-			directory: "127.0.0.1:4"
-			internal_port: 5
-			metrics_port: 6
-			seeds: ["127.0.0.1:3"]
-			store: "127.0.0.1:7"
+			  - {zone: "zone", region: "region"}
+			front: "127.0.0.1:%2$d"
+			ready: "127.0.0.1:%3$d"
+			control: "127.0.0.1:%4$d"
+			directory: "127.0.0.1:%5$d"
+			internal_port: %6$d
+			metrics_port: %7$d
+			seeds: ["127.0.0.1:%8$d"]
+			store: "127.0.0.1:%9$d"
+			backend: "127.0.0.1:%10$d"
 			bounds:
-			  grace_s: 8
-			  retry_ratio: 0.2
-			  retry_window_s: 10
-			  retry_slack: 1
-			  cold_factor: 1.5
-			  cold_slack: 5
-			  version_ms: 8000
-			  directory_ttl_s: 5
-			  relay_ms: 120
+			  grace_s: 1
+			  retry_window_s: 1
+			  version_ms: 1
 			""";
 
 	private ClassArchive() {
@@ -69,11 +61,10 @@
 	static int run() {
 		Vertx vertx = HostProcess.vertx();
 		try {
-			readSettings();
-			HostSettings entry = settings("entry");
+			HostSettings entry = settings("entry", freePort(), true);
 			EventLog log = EventLog.create(Clock.system(), entry.getHost());
 			GatewayDaemon gateway = await(GatewayDaemon.start(vertx, entry, Clock.system(), log));
-			HostSettings agent = settings("agent").toBuilder().addSeeds(entry.getControl()).build();
+			HostSettings agent = settings("agent", entry.getControl().getPort(), false);
 			await(SidecarDaemon.start(vertx, agent, Clock.system(), log));
 			HttpClient client = vertx.createHttpClient();
 			client.request(HttpMethod.POST, entry.getFront().getPort(), LOOPBACK, "/archive/x")
@@ -88,37 +79,20 @@
 		}
 	}
 
-	// Read as a process does; what it holds is not used, since the ports are free ones.
-	private static void readSettings() throws InputException {
-		SettingsReader.read("archive", SETTINGS, HostSettings.newBuilder(), HostSettingsCheck.create(true));
-	}
-
 	private static <T> T await(Future<T> future) throws Exception {
 		return future.toCompletionStage().toCompletableFuture().get(RUN_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private static HostSettings settings(String host) throws IOException {
-		return HostSettings.newBuilder()
-			.setHost(host)
-			.setZone("zone")
-			.setRegion("region")
-			.setIp(LOOPBACK)
-			.addZones(ZonePlace.newBuilder().setZone("zone").setRegion("region"))
-			.setFront(freeAddress())
-			.setReady(freeAddress())
-			.setControl(freeAddress())
-			.setDirectory(freeAddress())
-			.setInternalPort(freeAddress().getPort())
-			.setMetricsPort(freeAddress().getPort())
-			.setStore(freeAddress())
-			.setBackend(freeAddress())
-			.setBounds(HostBounds.newBuilder().setGraceS(1).setRetryWindowS(1).setVersionMs(1))
-			.build();
+	// Read as a process reads its file, so that the classes for it are in the archive.
+	private static HostSettings settings(String host, int seedPort, boolean entry) throws IOException, InputException {
+		String text = String.format(SETTINGS, host, freePort(), freePort(), freePort(), freePort(), freePort(),
+				freePort(), seedPort, freePort(), freePort());
+		return SettingsReader.read("archive", text, HostSettings.newBuilder(), HostSettingsCheck.create(entry)).build();
 	}
 
-	private static Address freeAddress() throws IOException {
+	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
-			return Address.newBuilder().setIp(LOOPBACK).setPort(socket.getLocalPort()).build();
+			return socket.getLocalPort();
 		}
 	}
 
