Log why a serving lease was lost

The line names the lease's age, the exchanges that are not answered and the last failure, so that the next occurrence can be traced.

--- a/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
@@ -97,6 +97,10 @@
 
 	private boolean hadValidLease;
 
+	private long lastFailureMs;
+
+	private String lastFailure = "none";
+
 	ControlLoop(ControlSettings settings, String processId, PlatformLog platformLog, KeyRing keyRing, Clock clock) {
 		this.settings = settings;
 		this.self = settings.self().toBuilder().setProcess(processId).build();
@@ -164,11 +168,20 @@
 		boolean hasValidLease = this.servingLease.isValid();
 		if (hasValidLease != this.hadValidLease) {
 			this.hadValidLease = hasValidLease;
-			logger.info(
-					hasValidLease ? "control: {} has a valid serving lease at revision {}"
-							: "control: {} lost its serving lease at revision {}",
-					this.self.getHost(), this.replica.configuration().revision());
+			logLeaseChange();
+		}
+	}
+
+	private void logLeaseChange() {
+		if (this.hadValidLease) {
+			logger.info("control: {} has a valid serving lease at revision {}", this.self.getHost(),
+					this.replica.configuration().revision());
+			return;
 		}
+		logger.info(
+				"control: {} lost its serving lease at revision {}; it is {} ms old, unanswered exchanges: {}, last failure {} ms ago: {}",
+				this.self.getHost(), this.replica.configuration().revision(), this.servingLease.ageMs(),
+				this.peersInFlight, this.clock.monotonicMs() - this.lastFailureMs, this.lastFailure);
 	}
 
 	private void refreshState() {
@@ -218,6 +231,9 @@
 		this.exchangeClient.exchange(peer.address(), request).onComplete((reply, failure) -> {
 			this.peersInFlight.remove(peer.address());
 			if (failure != null) {
+				this.lastFailureMs = this.clock.monotonicMs();
+				this.lastFailure = peer.address() + " after " + (this.lastFailureMs - sentAtMs) + " ms, "
+						+ failure.getMessage();
 				handleFailure(peer);
 				return;
 			}
