Order the store's records by era and offset, so that a restored store takes nothing back

Cause: records were ordered by offset alone. When the store comes back from an older copy, offsets are assigned again, and a record of the lost history at a higher offset beat every newer one: a configuration written after the restore never took effect.

Change: a position is era and offset in one number (StorePosition), in the client, the topics and the exchange between entries. The client drops late responses of an earlier era and reads on if the header is missing or malformed (StoreEraTracker).

An entry writes its own record again. An entry that started in the gap gets the newer configuration from the others.

Ruled out: finding the end of the copied history by comparing records one by one (needs every record of the last seconds kept).

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -16,6 +16,10 @@
 	STORE_LOST(RateLimit.RARE),
 	/** The store responds again. */
 	STORE_REGAINED(RateLimit.RARE),
+	/** The store was restored from an older copy of its data. */
+	STORE_RESTORED(RateLimit.RARE),
+	/** Responses of the store have no usable era. */
+	STORE_ERA_UNREADABLE(RateLimit.RARE),
 	/** A record of the store is malformed. */
 	RECORD_UNREADABLE(RateLimit.SOME),
 	/** A new version of the configuration is in force. */
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -126,9 +126,10 @@
 	EntryNews handleNews(EntryNews peerNews) {
 		applyNews(peerNews);
 		FleetState fleet = this.context.fleet();
-		boolean operatorRecordsBehind = peerNews.getOperatorEnd() > fleet.operatorRecords().endOffset();
+		boolean operatorRecordsBehind = peerNews.getOperatorEnd() > fleet.operatorRecords().endPosition()
+				|| peerNews.getConfigurationVersion() > fleet.configurationVersion();
 		boolean backendRecordsBehind = needsBackendRecords()
-				&& peerNews.getBackendEnd() > fleet.backendRecords().endOffset();
+				&& peerNews.getBackendEnd() > fleet.backendRecords().endPosition();
 		if (operatorRecordsBehind || backendRecordsBehind) {
 			exchange(peerNews.getControl());
 		}
@@ -156,10 +157,11 @@
 			// The calling side sends no records; a peer that lacks some calls back.
 			return news;
 		}
-		if (peerNews.getOperatorEnd() < fleet.operatorRecords().endOffset()) {
+		if (peerNews.getOperatorEnd() < fleet.operatorRecords().endPosition()) {
 			news.setOperatorUpdate(recordUpdateSince(fleet.operatorRecords(), peerNews.getOperatorEnd()));
 		}
-		if (peerNews.getWantsBackends() && peerNews.getBackendEnd() < fleet.backendRecords().endOffset()) {
+		addNewestConfiguration(news, peerNews);
+		if (peerNews.getWantsBackends() && peerNews.getBackendEnd() < fleet.backendRecords().endPosition()) {
 			news.setBackendUpdate(recordUpdateSince(fleet.backendRecords(), peerNews.getBackendEnd()));
 		}
 		for (EntryNews known : this.table.liveEntries(this.context.nowMs())) {
@@ -186,24 +188,45 @@
 			.setRegion(settings.getRegion())
 			.setIncarnation(this.incarnation)
 			.setReady(isReady())
-			.setOperatorEnd(fleet.operatorRecords().endOffset())
-			.setBackendEnd(fleet.backendRecords().endOffset());
+			.setOperatorEnd(fleet.operatorRecords().endPosition())
+			.setBackendEnd(fleet.backendRecords().endPosition())
+			.setConfigurationVersion(fleet.configurationVersion());
 	}
 
 	boolean isReady() {
 		return !this.context.isDraining() && this.context.fleet().configuration() != null;
 	}
 
-	private static RecordUpdate recordUpdateSince(CompactedTopic records, long peerEndOffset) {
+	// A process that started after the store was restored reads the copy's configuration.
+	// The positions alone do not show that another entry holds a newer one.
+	private void addNewestConfiguration(EntryNews.Builder news, EntryNews peerNews) {
+		CompactedTopic.TopicRecord newest = this.context.fleet().configurationRecord();
+		if (newest != null && peerNews.getConfigurationVersion() < news.getConfigurationVersion()
+				&& newest.position() < peerNews.getOperatorEnd()) {
+			news.setNewestConfiguration(toStoreRecord(newest));
+		}
+	}
+
+	private static StoreRecord toStoreRecord(CompactedTopic.TopicRecord topicRecord) {
+		return StoreRecord.newBuilder()
+			.setKey(topicRecord.key())
+			.setPosition(topicRecord.position())
+			.setRemoved(topicRecord.removed())
+			.setValue(ByteString.copyFrom(topicRecord.value()))
+			.build();
+	}
+
+	private static CompactedTopic.TopicRecord toTopicRecord(StoreRecord record) {
+		return new CompactedTopic.TopicRecord(record.getKey(), record.getPosition(), record.getValue().toByteArray(),
+				record.getRemoved());
+	}
+
+	private static RecordUpdate recordUpdateSince(CompactedTopic records, long peerEnd) {
 		RecordUpdate.Builder update = RecordUpdate.newBuilder()
-			.setFrom((peerEndOffset < records.tombstoneStartOffset()) ? 0 : peerEndOffset)
-			.setEnd(records.endOffset());
-		for (CompactedTopic.TopicRecord topicRecord : records.recordsSince(peerEndOffset)) {
-			update.addRecords(StoreRecord.newBuilder()
-				.setKey(topicRecord.key())
-				.setOffset(topicRecord.offset())
-				.setRemoved(topicRecord.removed())
-				.setValue(ByteString.copyFrom(topicRecord.value())));
+			.setFrom((peerEnd < records.tombstoneStart()) ? 0 : peerEnd)
+			.setEnd(records.endPosition());
+		for (CompactedTopic.TopicRecord topicRecord : records.recordsSince(peerEnd)) {
+			update.addRecords(toStoreRecord(topicRecord));
 		}
 		return update.build();
 	}
@@ -219,11 +242,14 @@
 		FleetState fleet = this.context.fleet();
 		String source = "entry:" + peerNews.getHost();
 		if (peerNews.hasOperatorUpdate()) {
-			boolean first = fleet.operatorRecords().endOffset() == 0;
+			boolean first = fleet.operatorRecords().endPosition() == 0;
 			long sinceMs = first ? AnnouncedVersions.UNKNOWN_TIME_MS : this.context.nowMs() - INTERVAL_MS;
 			fleet.applyOperatorRecords(applyRecordUpdate(fleet.operatorRecords(), peerNews.getOperatorUpdate()), source,
 					sinceMs);
 		}
+		if (peerNews.hasNewestConfiguration()) {
+			fleet.applyConfigurationRecord(toTopicRecord(peerNews.getNewestConfiguration()), source);
+		}
 		if (peerNews.hasBackendUpdate()) {
 			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source);
 		}
@@ -240,8 +266,7 @@
 	private static List<String> applyRecordUpdate(CompactedTopic records, RecordUpdate update) {
 		List<CompactedTopic.TopicRecord> topicRecords = new ArrayList<>();
 		for (StoreRecord record : update.getRecordsList()) {
-			topicRecords.add(new CompactedTopic.TopicRecord(record.getKey(), record.getOffset(),
-					record.getValue().toByteArray(), record.getRemoved()));
+			topicRecords.add(toTopicRecord(record));
 		}
 		return (update.getFrom() == 0) ? records.applySnapshot(topicRecords, update.getEnd())
 				: records.applyUpdate(update.getFrom(), topicRecords, update.getEnd());
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -15,6 +15,7 @@
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Service;
+import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
@@ -70,6 +71,9 @@
 
 	private FleetConfiguration configuration;
 
+	// Record that the configuration in force was decoded from.
+	private CompactedTopic.TopicRecord configurationRecord;
+
 	private int entryCount = MIN_ENTRY_COUNT;
 
 	private long lapseGraceEndsAtMs = Long.MIN_VALUE;
@@ -85,6 +89,18 @@
 		return this.configuration;
 	}
 
+	long configurationVersion() {
+		return (this.configuration == null) ? 0 : this.configuration.version();
+	}
+
+	/**
+	 * Returns the record that the configuration in force was decoded from.
+	 * @return the record, or null if there is no configuration
+	 */
+	CompactedTopic.TopicRecord configurationRecord() {
+		return this.configurationRecord;
+	}
+
 	CompactedTopic operatorRecords() {
 		return this.operatorRecords;
 	}
@@ -135,8 +151,8 @@
 				applyOperatorRecord(topicRecord, source, sinceMs);
 			}
 			catch (PlatformException ex) {
-				this.log.write(LogEvent.RECORD_UNREADABLE, "key", key, "offset", topicRecord.offset(), "source", source,
-						"reason", ex.getMessage());
+				this.log.write(LogEvent.RECORD_UNREADABLE, "key", key, "position",
+						StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
 			}
 		}
 	}
@@ -145,8 +161,7 @@
 			throws PlatformException {
 		if (ConfigurationDecoder.isConfigurationKey(topicRecord.key())) {
 			if (!topicRecord.removed()) {
-				applyConfiguration(ConfigurationDecoder.decodeConfiguration(topicRecord.value()), topicRecord.offset(),
-						source);
+				applyConfiguration(topicRecord, source);
 			}
 			return;
 		}
@@ -154,8 +169,8 @@
 		if (zone != null) {
 			boolean changed = topicRecord.removed() ? this.evacuatedZones.remove(zone) : this.evacuatedZones.add(zone);
 			if (changed) {
-				this.log.write(LogEvent.ZONE, "zone", zone, "out", !topicRecord.removed(), "offset",
-						topicRecord.offset(), "source", source);
+				this.log.write(LogEvent.ZONE, "zone", zone, "out", !topicRecord.removed(), "position",
+						StorePosition.format(topicRecord.position()), "source", source);
 			}
 			return;
 		}
@@ -165,13 +180,32 @@
 		}
 	}
 
-	private void applyConfiguration(FleetConfiguration newest, long offset, String source) {
+	/**
+	 * Applies a configuration that another entry holds, if it is newer than the one in
+	 * force.
+	 * @param topicRecord record of the configuration
+	 * @param source the entry that sent it, for the log
+	 */
+	void applyConfigurationRecord(CompactedTopic.TopicRecord topicRecord, String source) {
+		try {
+			applyConfiguration(topicRecord, source);
+		}
+		catch (PlatformException ex) {
+			this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
+					StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
+		}
+	}
+
+	private void applyConfiguration(CompactedTopic.TopicRecord topicRecord, String source) throws PlatformException {
+		FleetConfiguration newest = ConfigurationDecoder.decodeConfiguration(topicRecord.value());
 		if (this.configuration != null && newest.version() <= this.configuration.version()) {
 			return;
 		}
 		this.configuration = newest;
+		this.configurationRecord = topicRecord;
 		this.backends.values().forEach(this::applyLimits);
-		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "offset", offset, "source", source);
+		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "position",
+				StorePosition.format(topicRecord.position()), "source", source);
 	}
 
 	// A version in the first snapshot may have been announced at any earlier time. It
@@ -207,7 +241,7 @@
 				this.lapsedIds.add(id);
 				continue;
 			}
-			removeBackend(id, topicRecord.offset(), source);
+			removeBackend(id, topicRecord.position(), source);
 		}
 	}
 
@@ -228,7 +262,7 @@
 		if (this.lapsedIds.isEmpty() || this.clock.monotonicMs() < this.lapseGraceEndsAtMs) {
 			return;
 		}
-		this.lapsedIds.forEach((id) -> removeBackend(id, this.backendRecords.endOffset(), "lapsed"));
+		this.lapsedIds.forEach((id) -> removeBackend(id, this.backendRecords.endPosition(), "lapsed"));
 		this.lapsedIds.clear();
 	}
 
@@ -238,9 +272,9 @@
 			record = BackendDecoder.decode(id, topicRecord.value());
 		}
 		catch (PlatformException ex) {
-			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "offset", topicRecord.offset(), "source", source,
-					"reason", ex.getMessage());
-			removeBackend(id, topicRecord.offset(), "unreadable");
+			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "position",
+					StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
+			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
 		Backend known = this.backends.get(id);
@@ -248,20 +282,21 @@
 				&& known.record().processStartMs() == record.processStartMs()
 				&& known.record().service().equals(record.service())) {
 			if (known.record().draining() != record.draining()) {
-				this.log.write(LogEvent.BACKEND, "backend", id, "draining", record.draining(), "offset",
-						topicRecord.offset(), "source", source);
+				this.log.write(LogEvent.BACKEND, "backend", id, "draining", record.draining(), "position",
+						StorePosition.format(topicRecord.position()), "source", source);
 			}
 			known.setRecord(record);
 			return;
 		}
 		Address address = Addresses.parse(record.address()).orElse(null);
 		if (address == null) {
-			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "offset", topicRecord.offset(), "source", source,
-					"reason", "invalid address \"" + record.address() + "\"");
-			removeBackend(id, topicRecord.offset(), "unreadable");
+			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "position",
+					StorePosition.format(topicRecord.position()), "source", source, "reason",
+					"invalid address \"" + record.address() + "\"");
+			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
-		removeBackend(id, topicRecord.offset(), "restarted");
+		removeBackend(id, topicRecord.position(), "restarted");
 		BackendConnectionPool pool = new BackendConnectionPool(this.client, PeerClient.socketAddress(address),
 				this.clock);
 		Backend backend = new Backend(record, pool);
@@ -269,8 +304,8 @@
 		this.backends.put(id, backend);
 		this.backendsByAddress.put(record.address(), backend);
 		this.log.write(LogEvent.BACKEND, "backend", id, "service", record.service(), "address", record.address(),
-				"zone", record.zone(), "draining", record.draining(), "cold-ms", record.remainingColdMs(), "offset",
-				topicRecord.offset(), "source", source);
+				"zone", record.zone(), "draining", record.draining(), "cold-ms", record.remainingColdMs(), "position",
+				StorePosition.format(topicRecord.position()), "source", source);
 	}
 
 	private void applyLimits(Backend backend) {
@@ -297,7 +332,7 @@
 		return (this.configuration == null) ? null : this.configuration.service(name).orElse(null);
 	}
 
-	private void removeBackend(String id, long offset, String reason) {
+	private void removeBackend(String id, long position, String reason) {
 		Backend backend = this.backends.remove(id);
 		if (backend == null) {
 			return;
@@ -305,7 +340,8 @@
 		backend.setRemoved(true);
 		backend.pool().closeIdle();
 		this.backendsByAddress.remove(backend.record().address(), backend);
-		this.log.write(LogEvent.BACKEND, "backend", id, "gone", true, "offset", offset, "reason", reason);
+		this.log.write(LogEvent.BACKEND, "backend", id, "gone", true, "position", StorePosition.format(position),
+				"reason", reason);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -71,6 +71,11 @@
 	 */
 	private static final long LAPSE_GRACE_MS = 2_200;
 
+	/**
+	 * Time within which the operator writes records again that a restored store lost.
+	 */
+	private static final long OPERATOR_RESTORE_GRACE_MS = 4_000;
+
 	private static final long HOUSEKEEPING_INTERVAL_MS = 250;
 
 	/**
@@ -133,12 +138,19 @@
 		this.datagrams = vertx.createDatagramSocket();
 		this.store = StoreClient.create(vertx, settings.getStore());
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
-				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS, this::operatorRecordsChanged, () -> {
+				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS,
+				new StoreFollower.RestoreBehaviour(OPERATOR_RESTORE_GRACE_MS, new OperatorRestorePolicy(log),
+						this::registerSelf),
+				this::operatorRecordsChanged, () -> {
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
 				fleet.backendRecords(), BACKEND_READ_PAUSE_MS,
+				new StoreFollower.RestoreBehaviour(LAPSE_GRACE_MS, new BackendRestorePolicy(log),
+						() -> fleet.startLapseGrace(LAPSE_GRACE_MS)),
 				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source),
 				() -> fleet.startLapseGrace(LAPSE_GRACE_MS));
+		this.store.onUnreadableEra(
+				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setBackendStoreAge(this.backendFollower::storeAgeMs);
 		this.context.onSuspectsChanged(this.exchange::exchangeWithAllEntries);
 	}
@@ -228,7 +240,7 @@
 
 	private void readEntries() {
 		this.store.readSnapshot(StoreTopic.ENTRIES).onSuccess((page) -> {
-			this.entryRecords.applySnapshot(page.records(), page.endOffset());
+			this.entryRecords.applySnapshot(page.records(), page.endPosition());
 			this.entryRecords.records()
 				.stream()
 				.filter((topicRecord) -> !topicRecord.removed())
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -8,6 +8,8 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.RestorePolicy;
+import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.platform.wire.RecordPage;
@@ -17,7 +19,12 @@
 /**
  * Keeps the records of one topic up to date with the store: reads a snapshot first, then
  * the following records by long polling. Reads a snapshot again if the store dropped
- * records before they were read. Runs on the event loop.
+ * records before they were read.
+ *
+ * <p>
+ * If the store was restored from an older copy, reads a snapshot too, and another one
+ * after a grace period in which operators and backend servers write their lost records
+ * again (see {@link CompactedTopic}). Runs on the event loop.
  */
 final class StoreFollower {
 
@@ -29,6 +36,8 @@
 
 	private static final long RETRY_DELAY_MS = 150;
 
+	private static final long NOT_SCHEDULED = Long.MAX_VALUE;
+
 	private static final long MAX_RETRY_DELAY_MS = 600;
 
 	private final Vertx vertx;
@@ -45,6 +54,8 @@
 
 	private final long readPauseMs;
 
+	private final RestoreBehaviour restore;
+
 	private final RecordsListener listener;
 
 	private final Runnable storeRegained;
@@ -63,10 +74,12 @@
 
 	private boolean hasAnswered;
 
+	private long settleAtMs = NOT_SCHEDULED;
+
 	private boolean stopped;
 
 	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, CompactedTopic records,
-			long readPauseMs, RecordsListener listener, Runnable storeRegained) {
+			long readPauseMs, RestoreBehaviour restore, RecordsListener listener, Runnable storeRegained) {
 		this.vertx = vertx;
 		this.clock = clock;
 		this.log = log;
@@ -74,6 +87,7 @@
 		this.topic = topic;
 		this.records = records;
 		this.readPauseMs = readPauseMs;
+		this.restore = restore;
 		this.listener = listener;
 		this.storeRegained = storeRegained;
 		this.lastResponseAtMs = clock.monotonicMs();
@@ -101,34 +115,83 @@
 			return;
 		}
 		// Another entry may have sent a snapshot meanwhile.
-		if (this.snapshotNeeded && this.failures > 0 && this.records.endOffset() > 0) {
+		if (this.snapshotNeeded && this.failures > 0 && this.records.endPosition() > 0) {
 			this.snapshotNeeded = false;
 		}
 		this.callStartedAtMs = this.clock.monotonicMs();
-		if (this.snapshotNeeded) {
+		if (this.snapshotNeeded || isSettlementDue()) {
 			this.store.readSnapshot(this.topic).onSuccess(this::applySnapshot).onFailure(this::recordFailure);
 			return;
 		}
-		long from = this.records.endOffset();
-		this.store.read(this.topic, from, POLL_WAIT_MS)
-			.onSuccess((page) -> applyUpdate(from, page))
+		long start = this.records.endPosition();
+		this.store.read(this.topic, start, POLL_WAIT_MS)
+			.onSuccess((page) -> applyUpdate(start, page))
 			.onFailure(this::recordFailure);
 	}
 
+	// The restore may also be known from another entry, before this follower read
+	// anything of the new era.
+	private boolean isSettlementDue() {
+		if (!this.records.isSettlementNeeded()) {
+			return false;
+		}
+		if (this.settleAtMs == NOT_SCHEDULED) {
+			this.settleAtMs = this.clock.monotonicMs() + this.restore.graceMs();
+		}
+		return this.clock.monotonicMs() >= this.settleAtMs;
+	}
+
 	private void applySnapshot(RecordPage page) {
+		if (isOfEarlierEra(page)) {
+			recordFailure(new IllegalStateException("snapshot is of an earlier era of the store"));
+			return;
+		}
 		this.snapshotNeeded = false;
 		long sinceMs = this.hasAnswered ? earliestChangeMs() : AnnouncedVersions.UNKNOWN_TIME_MS;
-		List<String> keys = this.records.applySnapshot(page.records(), page.endOffset());
+		boolean restored = this.records.isOfLaterEra(page.endPosition());
+		boolean outdated = page.endPosition() < this.records.endPosition();
+		List<String> keys;
+		if (restored) {
+			keys = this.records.applyRestoredSnapshot(page.records(), page.endPosition(), this.restore.policy());
+			this.settleAtMs = this.clock.monotonicMs() + this.restore.graceMs();
+			this.log.write(LogEvent.STORE_RESTORED, "topic", this.topic, "end",
+					StorePosition.format(page.endPosition()));
+		}
+		else if (isSettlementDue()) {
+			keys = this.records.settle(page.records(), page.endPosition(), this.restore.policy());
+			this.settleAtMs = NOT_SCHEDULED;
+		}
+		else {
+			keys = this.records.applySnapshot(page.records(), page.endPosition());
+		}
 		recordSuccess();
+		if (restored) {
+			this.restore.storeRestored().run();
+		}
 		this.listener.recordsChanged(keys, "store", sinceMs);
-		scheduleNextRead(this.readPauseMs);
+		scheduleNextRead(outdated ? RETRY_DELAY_MS : this.readPauseMs);
 	}
 
-	private void applyUpdate(long from, RecordPage page) {
+	private boolean isOfEarlierEra(RecordPage page) {
+		return StorePosition.era(page.endPosition()) < StorePosition.era(this.records.endPosition());
+	}
+
+	private void applyUpdate(long start, RecordPage page) {
+		if (isOfEarlierEra(page)) {
+			recordFailure(new IllegalStateException("records are of an earlier era of the store"));
+			return;
+		}
+		if (this.records.isOfLaterEra(page.endPosition())) {
+			// The offset of the request was one of the earlier era.
+			this.snapshotNeeded = true;
+			this.failures = 0;
+			scheduleNextRead(0);
+			return;
+		}
 		// A poll that follows a successful one returns as soon as there is a new
 		// record.
 		long sinceMs = (this.failures > 0) ? earliestChangeMs() : this.clock.monotonicMs();
-		List<String> keys = this.records.applyUpdate(from, page.records(), page.endOffset());
+		List<String> keys = this.records.applyUpdate(start, page.records(), page.endPosition());
 		recordSuccess();
 		if (!keys.isEmpty()) {
 			this.listener.recordsChanged(keys, "store", sinceMs);
@@ -180,4 +243,15 @@
 		this.vertx.setTimer(delayMs, (id) -> readNext());
 	}
 
+	/**
+	 * What happens when the store was restored from an older copy.
+	 *
+	 * @param graceMs time in which lost records are written again
+	 * @param policy decides between restored and known records
+	 * @param storeRestored runs after the first snapshot of the restored store
+	 */
+	record RestoreBehaviour(long graceMs, RestorePolicy policy, Runnable storeRestored) {
+
+	}
+
 }
--- a/testsuite/src/test/java/org/wigeontally/fleet/CompactedTopicTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/CompactedTopicTests.java
@@ -18,7 +18,7 @@
 		List<String> changed = records.applySnapshot(List.of(record("config", 4, "v1")), 5);
 		assertThat(changed).isEmpty();
 		assertThat(value(records, "config")).isEqualTo("v2");
-		assertThat(records.endOffset()).isEqualTo(11);
+		assertThat(records.endPosition()).isEqualTo(11);
 	}
 
 	@Test
@@ -36,7 +36,7 @@
 		records.applySnapshot(List.of(record("config", 1, "v1")), 5);
 		records.applyUpdate(8, List.of(record("config", 8, "v3")), 9);
 		assertThat(value(records, "config")).isEqualTo("v3");
-		assertThat(records.endOffset()).isEqualTo(5);
+		assertThat(records.endPosition()).isEqualTo(5);
 	}
 
 	@Test
@@ -44,7 +44,7 @@
 		CompactedTopic records = CompactedTopic.create();
 		records.applySnapshot(List.of(record("config", 7, "v2")), 10);
 		records.applyUpdate(10, List.of(new CompactedTopic.TopicRecord("evacuate/a", 10, new byte[0], true)), 11);
-		assertThat(records.tombstoneStartOffset()).isEqualTo(10);
+		assertThat(records.tombstoneStart()).isEqualTo(10);
 		assertThat(records.recordsSince(3)).extracting(CompactedTopic.TopicRecord::key).containsExactly("config");
 		assertThat(records.recordsSince(10)).extracting(CompactedTopic.TopicRecord::key).containsExactly("evacuate/a");
 	}
@@ -65,7 +65,7 @@
 			for (int step = 0; step < 60; step++) {
 				int key = random.nextInt(6);
 				boolean removed = random.nextInt(4) == 0;
-				long offset = store.endOffset();
+				long offset = store.endPosition();
 				store.applyUpdate(offset, List.of(new CompactedTopic.TopicRecord("k" + key, offset,
 						removed ? new byte[0] : bytes("v" + step), removed)), offset + 1);
 				int choice = random.nextInt(5);
@@ -73,7 +73,8 @@
 					copySnapshot(store, reader);
 				}
 				else if (choice < 3) {
-					reader.applyUpdate(reader.endOffset(), store.recordsSince(reader.endOffset()), store.endOffset());
+					reader.applyUpdate(reader.endPosition(), store.recordsSince(reader.endPosition()),
+							store.endPosition());
 				}
 				if (random.nextBoolean()) {
 					sendMissingRecords(reader, follower);
@@ -97,18 +98,18 @@
 	}
 
 	private static void copySnapshot(CompactedTopic from, CompactedTopic to) {
-		to.applySnapshot(from.records().stream().filter((entry) -> !entry.removed()).toList(), from.endOffset());
+		to.applySnapshot(from.records().stream().filter((entry) -> !entry.removed()).toList(), from.endPosition());
 	}
 
 	private static void sendMissingRecords(CompactedTopic from, CompactedTopic to) {
-		if (to.endOffset() >= from.endOffset()) {
+		if (to.endPosition() >= from.endPosition()) {
 			return;
 		}
-		if (to.endOffset() < from.tombstoneStartOffset()) {
-			to.applySnapshot(from.recordsSince(to.endOffset()), from.endOffset());
+		if (to.endPosition() < from.tombstoneStart()) {
+			to.applySnapshot(from.recordsSince(to.endPosition()), from.endPosition());
 		}
 		else {
-			to.applyUpdate(to.endOffset(), from.recordsSince(to.endOffset()), from.endOffset());
+			to.applyUpdate(to.endPosition(), from.recordsSince(to.endPosition()), from.endPosition());
 		}
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -41,17 +41,20 @@
 			CompactedTopic records = CompactedTopic.create();
 			StoreFollower follower = new StoreFollower(fixture.vertx(), Clock.system(),
 					EventLog.create(Clock.system(), "entry"), StoreClient.create(fixture.vertx(), address),
-					StoreTopic.OPERATOR, records, 30, (keys, source, since) -> sinceMs.set(since), () -> {
+					StoreTopic.OPERATOR, records, 30, new StoreFollower.RestoreBehaviour(1_000,
+							new OperatorRestorePolicy(EventLog.create(Clock.system(), "entry")), () -> {
+							}),
+					(keys, source, since) -> sinceMs.set(since), () -> {
 					});
 			loop.runOnContext((v) -> follower.start());
-			GatewayFixture.awaitTrue(() -> records.endOffset() > 0);
-			long endOffsetBefore = records.endOffset();
+			GatewayFixture.awaitTrue(() -> records.endPosition() > 0);
+			long endBefore = records.endPosition();
 			fixture.store().setMode(mode);
 			Thread.sleep(OUTAGE_MS);
 			fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
 			long recoveredAtMs = Clock.system().monotonicMs();
 			fixture.store().setMode(FakeStore.Mode.SERVING);
-			GatewayFixture.awaitTrue(() -> records.endOffset() > endOffsetBefore);
+			GatewayFixture.awaitTrue(() -> records.endPosition() > endBefore);
 			GatewayFixture.awaitTrue(() -> sinceMs.get() > 0);
 			assertThat(sinceMs.get()).as("store %s", mode).isGreaterThan(recoveredAtMs - MAX_RETRY_INTERVAL_MS);
 			follower.stop();
--- a/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
@@ -91,11 +91,11 @@
 			.appendLong(0)
 			.appendBuffer(RecordCodec.encode("config", bytes("v")))
 			.appendBuffer(RecordCodec.encode("gone", new byte[0]));
-		RecordPage decoded = RecordCodec.decodePage(page, 5);
-		assertThat(decoded.endOffset()).isEqualTo(7);
+		RecordPage decoded = RecordCodec.decodePage(page, 5, 0);
+		assertThat(decoded.endPosition()).isEqualTo(7);
 		assertThat(decoded.records()).extracting(CompactedTopic.TopicRecord::key).containsExactly("config", "gone");
 		assertThat(decoded.records()).extracting(CompactedTopic.TopicRecord::removed).containsExactly(false, true);
-		assertThat(decoded.records()).extracting(CompactedTopic.TopicRecord::offset).containsExactly(5L, 6L);
+		assertThat(decoded.records()).extracting(CompactedTopic.TopicRecord::position).containsExactly(5L, 6L);
 	}
 
 	/**
