Obey notices of leaving and paused backend servers, and bound endless responses

Server-Leaving: an entry sends nothing new to a process that said in a response that it stops soon, queued connects included; entries tell each other, and an agent reports what its engine says. It ends with the next process under the id. Retry-After with 503: a backend server, or the engine beside an agent, gets nothing until its pause ends, then one more request in flight each 100 ms; if all are paused, callers are refused at once with the time of the first return. Unusable values: one log line, safe reading.

Endless responses: interim responses, skipped responses, bodies and events are bounded in size; head, chunk lines and trailers were bounded by the decoder already. Only complete events count as progress of a stream, so one that sends a byte now and then is resumed elsewhere. Callers: a body must end within the caller's own deadline, and a connection whose request is not read to its end is closed.

--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -30,6 +30,8 @@
 
 	private boolean removed;
 
+	private boolean leaving;
+
 	// Loaded version that the agent reported; more recent than the one in the
 	// registration.
 	private long agentLoadedVersion;
@@ -81,6 +83,44 @@
 		this.removed = isRemoved;
 	}
 
+	/**
+	 * Returns whether the backend server is to get no new requests because it stops soon.
+	 * @return true if its registration or one of its responses says so
+	 */
+	boolean isLeaving() {
+		return this.leaving || this.record.draining();
+	}
+
+	/**
+	 * Records that a response of the backend server says that it stops soon. This holds
+	 * until it registers another process.
+	 * @return true if this is new
+	 */
+	boolean recordLeaving() {
+		boolean isNew = !this.leaving;
+		this.leaving = true;
+		return isNew;
+	}
+
+	/**
+	 * Returns whether a response said that the backend server stops soon.
+	 * @return true if one did
+	 */
+	boolean hasSaidLeaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * Returns whether no request may be sent now, although the backend server is
+	 * registered.
+	 * @param nowMs the current time
+	 * @param ownRequests requests that the caller has counted in already
+	 * @return true if it is leaving, removed or has asked for a pause
+	 */
+	boolean isClosed(long nowMs, int ownRequests) {
+		return this.removed || isLeaving() || this.health.isPaused(nowMs, this.load.inFlight() - ownRequests);
+	}
+
 	/**
 	 * Checks whether a report is newer than the last one, and if so records its sequence
 	 * number. Reports can arrive out of order.
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -6,6 +6,7 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.RequestKind;
 import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.platform.wire.BackendNotice;
 
 /**
  * One attempt to run a request on one backend server. It ends exactly once: with a
@@ -154,14 +155,14 @@
 	}
 
 	private void send(BackendConnection backendConnection) {
-		if (this.backend.isRemoved() || this.backend.record().draining()) {
+		long nowMs = this.context.nowMs();
+		if (this.backend.isClosed(nowMs, 1)) {
 			this.backend.pool().release(backendConnection);
 			markEnded();
 			this.listener.attemptFailed(this, AttemptFailure.NOT_SENT,
-					"backend server is draining or no longer registered");
+					"backend server is leaving, paused or no longer registered");
 			return;
 		}
-		long nowMs = this.context.nowMs();
 		this.connection = backendConnection;
 		this.sent = true;
 		this.lastReceivedMs = nowMs;
@@ -234,6 +235,7 @@
 	public void headReceived(int status, HttpHeaders headers) {
 		this.lastReceivedMs = this.context.nowMs();
 		LoadHeader.recordLoad(headers, this.backend, this.lastReceivedMs);
+		this.context.fleet().recordNotice(this.backend, BackendNotice.decode(status, headers::get));
 		this.reader = new ResponseReader(status, headers, this.request.route().kind());
 		String error = this.reader.headError();
 		if (error != null) {
@@ -243,11 +245,19 @@
 
 	@Override
 	public void bodyReceived(byte[] bytes) {
-		this.lastReceivedMs = this.context.nowMs();
 		this.reader.append(bytes);
-		if (this.reader.isEventStream()) {
+		if (!this.reader.isEventStream()) {
+			this.lastReceivedMs = this.context.nowMs();
+		}
+		else if (this.reader.hasEvent()) {
+			// Only complete events count as progress, so that a stream with a byte now
+			// and then is noticed as stalled.
+			this.lastReceivedMs = this.context.nowMs();
 			this.listener.eventsReceived(this.reader);
 		}
+		if (!this.ended && this.reader.isTooLarge()) {
+			abandon("response too large");
+		}
 	}
 
 	@Override
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -47,6 +47,12 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MS = 1_000;
 
+	/** Number of interim responses (status 1xx) that are skipped per request. */
+	private static final int MAX_INTERIM_RESPONSES = 10;
+
+	/** Size of the responses to other requests that are skipped per request. */
+	private static final int MAX_UNRELATED_BYTES = 1024 * 1024;
+
 	/** Number of responses to other requests that are skipped per request. */
 	private static final int MAX_UNRELATED_RESPONSES = 3;
 
@@ -80,6 +86,10 @@
 
 	private int unrelatedResponses;
 
+	private int unrelatedBytes;
+
+	private int interimResponses;
+
 	private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
 	private long idleSinceMs;
@@ -112,6 +122,8 @@
 		this.headReceived = false;
 		this.skippingResponse = false;
 		this.unrelatedResponses = 0;
+		this.unrelatedBytes = 0;
+		this.interimResponses = 0;
 		ByteBuf body = (backendRequest.body().length == 0) ? Unpooled.EMPTY_BUFFER
 				: Unpooled.wrappedBuffer(backendRequest.body());
 		DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
@@ -174,6 +186,10 @@
 			return;
 		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			this.interimResponses++;
+			if (this.interimResponses > MAX_INTERIM_RESPONSES) {
+				abort("too many interim responses");
+			}
 			return;
 		}
 		this.headReceived = true;
@@ -218,6 +234,10 @@
 			this.headReceived = false;
 		}
 		if (this.skippingResponse) {
+			this.unrelatedBytes += content.content().readableBytes();
+			if (this.unrelatedBytes > MAX_UNRELATED_BYTES) {
+				abort("response to another request is too large");
+			}
 			return;
 		}
 		BackendResponseHandler handler = this.responseHandler;
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -36,6 +36,15 @@
 	/** Assumed timeout of a caller that sends none. */
 	private static final long DEFAULT_CALLER_TIMEOUT_MS = 30_000;
 
+	/**
+	 * Time between a response to a request that is not read to its end and the end of the
+	 * connection.
+	 */
+	private static final long LINGER_MS = 500;
+
+	/** Maximum time from the head of a request to the end of its body. */
+	private static final long MAX_BODY_TIME_MS = 30_000;
+
 	private final GatewayContext context;
 
 	private final CandidateSelector selector;
@@ -99,8 +108,17 @@
 				refuseAndClose(request, LocalResponse.rejected(413, "body-too-large"));
 			}
 		});
-		request.exceptionHandler((failure) -> discarded[0] = true);
+		long bodyTimeMs = Math.max(1, Math.min(callerTimeoutMs(request), MAX_BODY_TIME_MS));
+		long bodyTimer = this.context.vertx().setTimer(bodyTimeMs, (id) -> {
+			discarded[0] = true;
+			refuseAndClose(request, LocalResponse.rejected(408, "body-too-slow"));
+		});
+		request.exceptionHandler((failure) -> {
+			discarded[0] = true;
+			this.context.vertx().cancelTimer(bodyTimer);
+		});
 		request.endHandler((v) -> {
+			this.context.vertx().cancelTimer(bodyTimer);
 			if (!discarded[0]) {
 				route(request, body.getBytes(), receivedAtMs);
 			}
@@ -179,8 +197,11 @@
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "status", refusal.status(),
 					"reason", refusal.reason());
-		// The rest of the body is not read, so the connection cannot be reused.
+		// The rest of the body is not used, so the connection cannot be reused. It is read
+		// and dropped for a moment, because closing a connection with unread bytes may
+		// discard the response.
 		writeResponse(response, refusal, true);
+		this.context.vertx().setTimer(LINGER_MS, (id) -> request.connection().close());
 	}
 
 	private void refuse(HttpServerRequest request, LocalResponse refusal) {
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -63,6 +64,24 @@
 		return candidates;
 	}
 
+	/**
+	 * Returns when the first backend server of a service can take requests again that has
+	 * asked for a pause.
+	 * @param service name of the service
+	 * @param nowMs the current time
+	 * @return milliseconds; empty if none has asked for a pause
+	 */
+	OptionalLong shortestPauseMs(String service, long nowMs) {
+		long shortestMs = Long.MAX_VALUE;
+		for (Backend backend : this.fleet.backends()) {
+			long pauseMs = backend.health().remainingPauseMs(nowMs);
+			if (backend.record().service().equals(service) && !backend.isLeaving() && pauseMs > 0) {
+				shortestMs = Math.min(shortestMs, pauseMs);
+			}
+		}
+		return (shortestMs == Long.MAX_VALUE) ? OptionalLong.empty() : OptionalLong.of(shortestMs);
+	}
+
 	/**
 	 * Returns the number of backend servers of a service, eligible or not.
 	 * @param service name of the service
@@ -78,7 +97,7 @@
 
 	private boolean isEligible(CallerRequest request, Service service, Backend backend, long nowMs) {
 		String zone = backend.record().zone();
-		if (backend.record().draining() || this.fleet.isZoneEvacuated(zone) || !request.isRegionAllowed(region(zone))) {
+		if (backend.isClosed(nowMs, 0) || this.fleet.isZoneEvacuated(zone) || !request.isRegionAllowed(region(zone))) {
 			return false;
 		}
 		if (backend.health().isBackingOff(nowMs) || !backend.pool().hasCapacity()
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -143,7 +143,8 @@
 	private EntryNews.Builder newsFor(EntryNews peerNews) {
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
-		EntryNews.Builder news = ownNews().setWantsBackends(needsBackendRecords());
+		EntryNews.Builder news = ownNews().setWantsBackends(needsBackendRecords())
+			.addAllLeavingBackends(fleet.leavingBackends());
 		SuspectSummary suspects = this.context.harmfulRequests().summary();
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
@@ -257,6 +258,7 @@
 		peerNews.getVersionsList()
 			.forEach((announced) -> fleet.announcedVersions(announced.getModel())
 				.updateAnnouncementTime(announced.getVersion(), nowMs - announced.getAgeMs()));
+		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -1,5 +1,6 @@
 package org.wigeontally.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,12 +19,14 @@
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
+import org.wigeontally.platform.wire.BackendNotice;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.LeavingBackend;
 import org.wigeontally.settings.Addresses;
 
 /**
@@ -344,6 +347,63 @@
 				"reason", reason);
 	}
 
+	/**
+	 * Records what a backend server said about itself in a response.
+	 * @param backend the backend server
+	 * @param notice the notice
+	 */
+	void recordNotice(Backend backend, BackendNotice notice) {
+		if (notice == BackendNotice.NONE) {
+			return;
+		}
+		String id = backend.record().id();
+		if (notice.unreadable() != null) {
+			this.log.write(LogEvent.HEADER_UNREADABLE, "backend", id, "header", notice.unreadable());
+		}
+		if (notice.pauseMs() > 0) {
+			backend.health().recordPause(this.clock.monotonicMs(), notice.pauseMs());
+			this.log.write(LogEvent.BACKEND, "backend", id, "pause-ms", notice.pauseMs());
+		}
+		if (notice.leaving()) {
+			recordLeaving(backend, "response");
+		}
+	}
+
+	private void recordLeaving(Backend backend, String source) {
+		if (backend.recordLeaving()) {
+			this.log.write(LogEvent.BACKEND, "backend", backend.record().id(), "leaving", true, "source", source);
+		}
+	}
+
+	/**
+	 * Records that another process was told by a backend server that it stops soon.
+	 * @param leaving the process of the backend server
+	 * @param source the entry that says so, for the log
+	 */
+	void recordLeaving(LeavingBackend leaving, String source) {
+		Backend backend = this.backends.get(leaving.getId());
+		if (backend != null && backend.record().processStartMs() == leaving.getProcessStartMs()) {
+			recordLeaving(backend, source);
+		}
+	}
+
+	/**
+	 * Returns the backend servers that said in a response that they stop soon.
+	 * @return their processes
+	 */
+	List<LeavingBackend> leavingBackends() {
+		List<LeavingBackend> leaving = new ArrayList<>();
+		for (Backend backend : this.backends.values()) {
+			if (backend.hasSaidLeaving()) {
+				leaving.add(LeavingBackend.newBuilder()
+					.setId(backend.record().id())
+					.setProcessStartMs(backend.record().processStartMs())
+					.build());
+			}
+		}
+		return leaving;
+	}
+
 	/**
 	 * Records an agent's report on its backend server. Ignores reports that are outdated,
 	 * that come from an agent without a reachable engine, or that concern another process
@@ -362,6 +422,9 @@
 				&& backend.record().processStartMs() != status.getEngineBorn())) {
 			return;
 		}
+		if (status.getEngineLeaving()) {
+			recordLeaving(backend, "agent");
+		}
 		long nowMs = this.clock.monotonicMs();
 		backend.recordReport(status.getLoadedVersion(), status.getLoading(), nowMs);
 		backend.load().recordReport(status.getActive() + status.getQueued(), status.getPace(), nowMs);
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
@@ -114,7 +115,9 @@
 				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
 						"candidates", 0, "known", this.selector.countBackends(this.request.service()), "tried",
 						this.triedBackendIds.size());
-			failRequest("no-backend", NO_BACKEND_RETRY_AFTER_MS);
+			OptionalLong pauseMs = this.selector.shortestPauseMs(this.request.service(), nowMs);
+			failRequest(pauseMs.isPresent() ? "backends-paused" : "no-backend",
+					pauseMs.isPresent() ? pauseMs.getAsLong() : NO_BACKEND_RETRY_AFTER_MS);
 			return;
 		}
 		List<BackendCandidate> placementCandidates = candidates.stream()
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -16,6 +16,12 @@
 
 	private static final int MISDIRECTED = 421;
 
+	/** Maximum size of a response that is not a stream. */
+	static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+	/** Maximum size of an event, without the events before it. */
+	static final int MAX_EVENT_BYTES = 256 * 1024;
+
 	private final int status;
 
 	private final HttpHeaders headers;
@@ -77,6 +83,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the response is larger than this entry keeps in memory. An event is
+	 * measured after the complete ones were taken.
+	 * @return true if the response is to be given up
+	 */
+	boolean isTooLarge() {
+		return this.eventStream ? this.splitter.partialEventBytes() > MAX_EVENT_BYTES
+				: this.body.size() > MAX_BODY_BYTES;
+	}
+
 	boolean hasEvent() {
 		if (this.nextEvent == null) {
 			this.nextEvent = this.splitter.next();
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -269,6 +269,7 @@
 				.setActive(this.engineState.activeRequests())
 				.setQueued(this.engineState.queuedRequests())
 				.setPace(this.engineState.slowdownFactor())
+				.setEngineLeaving(this.engineState.leaving())
 				.setLoading(this.loadAnnounced || this.engineState.busy());
 		}
 		return status;
--- a/library/src/main/java/org/wigeontally/fleet/BackendHealth.java
+++ b/library/src/main/java/org/wigeontally/fleet/BackendHealth.java
@@ -10,6 +10,11 @@
  * rate makes placement prefer other backend servers. After a failed connection attempt
  * the backend server gets no requests for a backoff time that doubles with each further
  * failure, up to a limit that is short enough to detect its return soon.
+ *
+ * <p>
+ * A backend server can also ask for a pause, in which it gets no requests. When all
+ * entries return to it at the same moment, it asks for the next pause at once, so after
+ * the pause the number of requests in flight is raised step by step.
  */
 public final class BackendHealth {
 
@@ -25,6 +30,12 @@
 
 	private static final long MAX_BACKOFF_MS = 2_000;
 
+	/** Time after a pause in which the requests in flight are limited. */
+	private static final long RESUME_MS = 1_000;
+
+	/** Interval after which one more request in flight is allowed. */
+	private static final long RESUME_STEP_MS = 100;
+
 	private double successes;
 
 	private double failures;
@@ -35,6 +46,8 @@
 
 	private long backoffUntilMs = Long.MIN_VALUE;
 
+	private long pausedUntilMs = Long.MIN_VALUE / 2;
+
 	private BackendHealth() {
 	}
 
@@ -86,6 +99,38 @@
 		return nowMs < this.backoffUntilMs;
 	}
 
+	/**
+	 * Records that the backend server wants no requests for some time.
+	 * @param nowMs current time in milliseconds
+	 * @param pauseMs length of the pause in milliseconds
+	 */
+	public void recordPause(long nowMs, long pauseMs) {
+		this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + pauseMs);
+	}
+
+	/**
+	 * Returns the time until the pause that the backend server asked for ends.
+	 * @param nowMs current time in milliseconds
+	 * @return milliseconds; 0 if it did not ask for a pause or the pause is over
+	 */
+	public long remainingPauseMs(long nowMs) {
+		return Math.max(0, this.pausedUntilMs - nowMs);
+	}
+
+	/**
+	 * Returns whether a pause or its end forbids another request.
+	 * @param nowMs current time in milliseconds
+	 * @param inFlight requests of this entry that run at the backend server
+	 * @return true if no request may be sent now
+	 */
+	public boolean isPaused(long nowMs, int inFlight) {
+		long sincePauseMs = nowMs - this.pausedUntilMs;
+		if (sincePauseMs < 0) {
+			return true;
+		}
+		return sincePauseMs < RESUME_MS && inFlight > sincePauseMs / RESUME_STEP_MS;
+	}
+
 	/**
 	 * Returns the rate of recent requests that failed.
 	 * @param nowMs current time in milliseconds
--- a/library/src/main/java/org/wigeontally/fleet/EventStreamSplitter.java
+++ b/library/src/main/java/org/wigeontally/fleet/EventStreamSplitter.java
@@ -64,6 +64,14 @@
 		return this.length > 0;
 	}
 
+	/**
+	 * Returns the size of the incomplete event in the buffer.
+	 * @return bytes
+	 */
+	public int partialEventBytes() {
+		return this.length;
+	}
+
 	private boolean endsEvent(int index) {
 		int before = index - 1;
 		if (this.buffer[before] == '\r') {
