One entry of each region reads the store for the others

Change: the first ready entry of a region in a fixed order, whose own calls succeed, reads; the others take the records from it in the exchange of every 500 ms (StoreReadPlan). No agreement is needed: an entry whose knowledge is older than 1.4 s reads itself, whoever the reader is. The age counts from the sending of the call, through any number of hands. An entry learns from the reader that registrations lapsed because the store was away. Addresses of entries are read by the readers, by others every 30 s.

Ruled out: two readers for the whole fleet (registrations would cross each border once for every entry instead of once for a region); waiting until a reader is known to be gone (2 s, beyond the bound on changes).

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -197,7 +197,8 @@
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "status", refusal.status(),
 					"reason", refusal.reason());
-		// The rest of the body is not used, so the connection cannot be reused. It is read
+		// The rest of the body is not used, so the connection cannot be reused. It is
+		// read
 		// and dropped for a moment, because closing a connection with unread bytes may
 		// discard the response.
 		writeResponse(response, refusal, true);
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
 
@@ -12,6 +11,7 @@
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.StoreReadPlan;
 import org.wigeontally.rpc.ConsecutiveFailures;
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.schema.generated.Address;
@@ -27,8 +27,8 @@
 /**
  * Exchanges state with the other entries: which entries accept callers, the store's
  * records that one side lacks, and requests suspected of crashing backend servers. An
- * entry that cannot read the store thus receives its records from the other entries. Runs
- * on the event loop.
+ * entry that does not or cannot read the store thus receives its records from the other
+ * entries. Runs on the event loop.
  */
 final class EntryExchange {
 
@@ -50,8 +50,7 @@
 	private static final int MAX_CONSECUTIVE_FAILURES = 2;
 
 	/**
-	 * Age of the store's last response above which registrations are requested from other
-	 * entries.
+	 * Age of the registrations above which they are requested from all entries.
 	 */
 	private static final long MAX_STORE_AGE_MS = 2_600;
 
@@ -67,7 +66,9 @@
 
 	private final long incarnation;
 
-	private LongSupplier backendStoreAgeMs = () -> 0;
+	private StoreFollower operatorFollower;
+
+	private StoreFollower backendFollower;
 
 	EntryExchange(GatewayContext context, EntryTable table, long incarnation) {
 		this.context = context;
@@ -76,14 +77,29 @@
 		this.client = PeerClient.create(context.vertx(), "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
 	}
 
-	void setBackendStoreAge(LongSupplier ageMs) {
-		this.backendStoreAgeMs = ageMs;
+	void setFollowers(StoreFollower operator, StoreFollower backend) {
+		this.operatorFollower = operator;
+		this.backendFollower = backend;
+	}
+
+	/**
+	 * Returns whether this entry reads the store for its region.
+	 * @return true if it does
+	 */
+	boolean isStoreReader() {
+		return storeReader().equals(this.context.settings().getControl());
+	}
+
+	private Address storeReader() {
+		return StoreReadPlan.reader(ownNews().build(), this.table.liveEntries(this.context.nowMs()));
 	}
 
 	/**
-	 * Exchanges with the entries that sent no message lately.
+	 * Exchanges with the entry that reads the store for this region, and with the entries
+	 * that sent no message lately.
 	 */
 	void exchangeWithDueEntries() {
+		exchange(storeReader());
 		this.table.dueForExchange(this.context.nowMs(), RECENT_CONTACT_MS).forEach(this::exchange);
 	}
 
@@ -104,13 +120,16 @@
 
 	private void exchange(Address entry, String key) {
 		this.pendingExchanges.put(key, true);
-		EntryNews message = newsFor(null).build();
+		boolean wantsBackends = entry.equals(storeReader()) || needsBackendRecords();
+		EntryNews message = newsFor(null).setWantsBackends(wantsBackends).build();
+		long sentAtMs = this.context.nowMs();
 		this.client.call(entry, FleetGrpcClient.Exchange, message, () -> this.failures.recordFailure(entry))
 			.onSuccess((reply) -> this.failures.recordSuccess(entry))
 			.onComplete((result) -> {
 				this.pendingExchanges.remove(key);
 				if (result.succeeded()) {
 					applyNews(result.result());
+					recordAges(result.result(), sentAtMs);
 				}
 				else {
 					this.table.recordFailure(entry, this.context.nowMs());
@@ -118,6 +137,18 @@
 			});
 	}
 
+	// The reply holds all records that its sender knew when it was asked, so they are
+	// known as of the time of the question, less the age that they had there.
+	private void recordAges(EntryNews reply, long sentAtMs) {
+		FleetState fleet = this.context.fleet();
+		if (fleet.operatorRecords().endPosition() >= reply.getOperatorEnd()) {
+			this.operatorFollower.recordKnownAsOf(sentAtMs - reply.getOperatorAgeMs());
+		}
+		if (fleet.backendRecords().endPosition() >= reply.getBackendEnd()) {
+			this.backendFollower.recordKnownAsOf(sentAtMs - reply.getBackendAgeMs());
+		}
+	}
+
 	/**
 	 * Applies the news of another entry and builds the reply.
 	 * @param peerNews the news of the other entry
@@ -137,13 +168,13 @@
 	}
 
 	private boolean needsBackendRecords() {
-		return this.backendStoreAgeMs.getAsLong() > MAX_STORE_AGE_MS;
+		return this.backendFollower.ageMs() > MAX_STORE_AGE_MS;
 	}
 
 	private EntryNews.Builder newsFor(EntryNews peerNews) {
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
-		EntryNews.Builder news = ownNews().setWantsBackends(needsBackendRecords())
+		EntryNews.Builder news = ownNews().setLapseGraceMs(fleet.remainingLapseGraceMs())
 			.addAllLeavingBackends(fleet.leavingBackends());
 		SuspectSummary suspects = this.context.harmfulRequests().summary();
 		if (suspects.getContentsCount() > 0) {
@@ -191,7 +222,10 @@
 			.setReady(isReady())
 			.setOperatorEnd(fleet.operatorRecords().endPosition())
 			.setBackendEnd(fleet.backendRecords().endPosition())
-			.setConfigurationVersion(fleet.configurationVersion());
+			.setConfigurationVersion(fleet.configurationVersion())
+			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
+			.setOperatorAgeMs(Math.max(0, this.operatorFollower.ageMs()))
+			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()));
 	}
 
 	boolean isReady() {
@@ -252,6 +286,9 @@
 			fleet.applyConfigurationRecord(toTopicRecord(peerNews.getNewestConfiguration()), source);
 		}
 		if (peerNews.hasBackendUpdate()) {
+			// Registrations may lapse while the store is away; the reader knows that it
+			// was.
+			fleet.startLapseGrace(peerNews.getLapseGraceMs());
 			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source);
 		}
 		long nowMs = this.context.nowMs();
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -79,7 +79,7 @@
 
 	private int entryCount = MIN_ENTRY_COUNT;
 
-	private long lapseGraceEndsAtMs = Long.MIN_VALUE;
+	private long lapseGraceEndsAtMs = Long.MIN_VALUE / 2;
 
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
@@ -254,7 +254,15 @@
 	 * @param graceMs length of the grace period
 	 */
 	void startLapseGrace(long graceMs) {
-		this.lapseGraceEndsAtMs = this.clock.monotonicMs() + graceMs;
+		this.lapseGraceEndsAtMs = Math.max(this.lapseGraceEndsAtMs, this.clock.monotonicMs() + graceMs);
+	}
+
+	/**
+	 * Returns the rest of the grace period for registrations that lapsed.
+	 * @return milliseconds; 0 if there is none
+	 */
+	long remainingLapseGraceMs() {
+		return Math.max(0, this.lapseGraceEndsAtMs - this.clock.monotonicMs());
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -62,9 +62,18 @@
 
 	private static final long OPERATOR_READ_PAUSE_MS = 30;
 
-	/** Long, because entries rarely start. */
+	/**
+	 * Interval at which the reader of each region reads the addresses of entries. Long,
+	 * because entries rarely start and call the others when they do.
+	 */
 	private static final long ENTRY_READ_INTERVAL_MS = 5_000;
 
+	/**
+	 * Number of those intervals after which every entry reads the addresses, to find the
+	 * others again after it was cut off for long.
+	 */
+	private static final int ENTRY_READ_INTERVALS = 6;
+
 	/**
 	 * Time within which live backend servers renew registrations that lapsed while the
 	 * store was unavailable.
@@ -118,6 +127,8 @@
 
 	private final CompactedTopic entryRecords = CompactedTopic.create();
 
+	private int entryReadIntervals;
+
 	private final StoreFollower operatorFollower;
 
 	private final StoreFollower backendFollower;
@@ -138,20 +149,20 @@
 		this.datagrams = vertx.createDatagramSocket();
 		this.store = StoreClient.create(vertx, settings.getStore());
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
-				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS,
+				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS, this.exchange::isStoreReader,
 				new StoreFollower.RestoreBehaviour(OPERATOR_RESTORE_GRACE_MS, new OperatorRestorePolicy(log),
 						this::registerSelf),
 				this::operatorRecordsChanged, () -> {
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
-				fleet.backendRecords(), BACKEND_READ_PAUSE_MS,
+				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange::isStoreReader,
 				new StoreFollower.RestoreBehaviour(LAPSE_GRACE_MS, new BackendRestorePolicy(log),
 						() -> fleet.startLapseGrace(LAPSE_GRACE_MS)),
 				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source),
 				() -> fleet.startLapseGrace(LAPSE_GRACE_MS));
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
-		this.exchange.setBackendStoreAge(this.backendFollower::storeAgeMs);
+		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
 		this.context.onSuspectsChanged(this.exchange::exchangeWithAllEntries);
 	}
 
@@ -225,7 +236,7 @@
 		registerSelf();
 		readEntries();
 		this.vertx.setPeriodic(0, EntryExchange.INTERVAL_MS, (id) -> this.exchange.exchangeWithDueEntries());
-		this.vertx.setPeriodic(ENTRY_READ_INTERVAL_MS, (id) -> readEntries());
+		this.vertx.setPeriodic(ENTRY_READ_INTERVAL_MS, (id) -> readEntriesIfDue());
 		this.vertx.setPeriodic(HOUSEKEEPING_INTERVAL_MS, (id) -> housekeeping());
 	}
 
@@ -238,6 +249,13 @@
 			});
 	}
 
+	private void readEntriesIfDue() {
+		this.entryReadIntervals++;
+		if (this.exchange.isStoreReader() || this.entryReadIntervals % ENTRY_READ_INTERVALS == 0) {
+			readEntries();
+		}
+	}
+
 	private void readEntries() {
 		this.store.readSnapshot(StoreTopic.ENTRIES).onSuccess((page) -> {
 			this.entryRecords.applySnapshot(page.records(), page.endPosition());
@@ -267,8 +285,8 @@
 		FleetConfiguration configuration = fleet.configuration();
 		this.context.metrics()
 			.setState((configuration != null) ? configuration.version() : 0, this.context.inFlight(), knownEntries);
-		this.context.metrics().setStoreAge(StoreTopic.OPERATOR.name(), this.operatorFollower.storeAgeMs());
-		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.storeAgeMs());
+		this.context.metrics().setStoreAge(StoreTopic.OPERATOR.name(), this.operatorFollower.ageMs());
+		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
 	}
 
 	private void handleReportDatagram(DatagramPacket packet) {
@@ -292,6 +310,16 @@
 		return drained.future();
 	}
 
+	/**
+	 * Returns whether this entry reads the store for its region.
+	 * @return true if it does
+	 */
+	Future<Boolean> isStoreReader() {
+		Promise<Boolean> reader = Promise.promise();
+		this.eventLoop.runOnContext((v) -> reader.complete(this.exchange.isStoreReader()));
+		return reader.future();
+	}
+
 	private void startDraining(Promise<Integer> drained) {
 		long startMs = this.context.nowMs();
 		this.context.startDraining(ACCEPT_AFTER_TERM_MS);
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -1,6 +1,7 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 
@@ -10,6 +11,7 @@
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.RestorePolicy;
 import org.wigeontally.fleet.StorePosition;
+import org.wigeontally.fleet.StoreReadPlan;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.platform.wire.RecordPage;
@@ -19,7 +21,8 @@
 /**
  * Keeps the records of one topic up to date with the store: reads a snapshot first, then
  * the following records by long polling. Reads a snapshot again if the store dropped
- * records before they were read.
+ * records before they were read. An entry that does not read for its region only reads
+ * when what it receives from the others is too old (see {@link StoreReadPlan}).
  *
  * <p>
  * If the store was restored from an older copy, reads a snapshot too, and another one
@@ -29,10 +32,14 @@
 final class StoreFollower {
 
 	/**
-	 * Maximum wait of a long poll; a connection that no longer responds is detected after
-	 * it.
+	 * Maximum wait of a long poll. It bounds the age of the records that the other
+	 * entries of the region receive, and the time until a connection that no longer
+	 * responds is detected.
 	 */
-	private static final long POLL_WAIT_MS = 1_000;
+	private static final long POLL_WAIT_MS = 700;
+
+	/** Minimum delay until the age of the records is checked again. */
+	private static final long MIN_CHECK_DELAY_MS = 20;
 
 	private static final long RETRY_DELAY_MS = 150;
 
@@ -54,6 +61,8 @@
 
 	private final long readPauseMs;
 
+	private final BooleanSupplier isReader;
+
 	private final RestoreBehaviour restore;
 
 	private final RecordsListener listener;
@@ -72,6 +81,13 @@
 	// then, or other entries know when later records were written.
 	private long lastFailedCallAtMs;
 
+	// Time as of which all records are known, from the store or another entry.
+	private long knownAsOfMs;
+
+	// Whether the last call was a successful long poll, so that the next one starts
+	// where it ended.
+	private boolean polling;
+
 	private boolean hasAnswered;
 
 	private long settleAtMs = NOT_SCHEDULED;
@@ -79,7 +95,8 @@
 	private boolean stopped;
 
 	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, CompactedTopic records,
-			long readPauseMs, RestoreBehaviour restore, RecordsListener listener, Runnable storeRegained) {
+			long readPauseMs, BooleanSupplier isReader, RestoreBehaviour restore, RecordsListener listener,
+			Runnable storeRegained) {
 		this.vertx = vertx;
 		this.clock = clock;
 		this.log = log;
@@ -87,11 +104,13 @@
 		this.topic = topic;
 		this.records = records;
 		this.readPauseMs = readPauseMs;
+		this.isReader = isReader;
 		this.restore = restore;
 		this.listener = listener;
 		this.storeRegained = storeRegained;
 		this.lastResponseAtMs = clock.monotonicMs();
 		this.lastFailedCallAtMs = this.lastResponseAtMs;
+		this.knownAsOfMs = this.lastResponseAtMs;
 	}
 
 	void start() {
@@ -103,11 +122,24 @@
 	}
 
 	/**
-	 * Returns the time since the last response of the store.
+	 * Returns the age of the knowledge of the topic, whether it comes from the store or
+	 * from another entry.
 	 * @return milliseconds
 	 */
-	long storeAgeMs() {
-		return this.clock.monotonicMs() - this.lastResponseAtMs;
+	long ageMs() {
+		return this.clock.monotonicMs() - this.knownAsOfMs;
+	}
+
+	/**
+	 * Records that another entry sent all records that the store had at some time.
+	 * @param asOfMs the time
+	 */
+	void recordKnownAsOf(long asOfMs) {
+		this.knownAsOfMs = Math.max(this.knownAsOfMs, asOfMs);
+	}
+
+	boolean isStoreReachable() {
+		return this.failures == 0;
 	}
 
 	private void readNext() {
@@ -118,14 +150,23 @@
 		if (this.snapshotNeeded && this.failures > 0 && this.records.endPosition() > 0) {
 			this.snapshotNeeded = false;
 		}
+		boolean snapshotDue = this.snapshotNeeded || isSettlementDue();
+		boolean reader = this.isReader.getAsBoolean();
+		long delayMs = snapshotDue ? 0 : StoreReadPlan.readDelayMs(reader, ageMs());
+		if (delayMs > 0) {
+			this.polling = false;
+			scheduleNextRead(Math.max(MIN_CHECK_DELAY_MS, delayMs));
+			return;
+		}
 		this.callStartedAtMs = this.clock.monotonicMs();
-		if (this.snapshotNeeded || isSettlementDue()) {
+		if (snapshotDue) {
 			this.store.readSnapshot(this.topic).onSuccess(this::applySnapshot).onFailure(this::recordFailure);
 			return;
 		}
 		long start = this.records.endPosition();
-		this.store.read(this.topic, start, POLL_WAIT_MS)
-			.onSuccess((page) -> applyUpdate(start, page))
+		long waitMs = reader ? POLL_WAIT_MS : 0;
+		this.store.read(this.topic, start, waitMs)
+			.onSuccess((page) -> applyUpdate(start, page, waitMs))
 			.onFailure(this::recordFailure);
 	}
 
@@ -164,7 +205,7 @@
 		else {
 			keys = this.records.applySnapshot(page.records(), page.endPosition());
 		}
-		recordSuccess();
+		recordSuccess(this.callStartedAtMs);
 		if (restored) {
 			this.restore.storeRestored().run();
 		}
@@ -176,7 +217,7 @@
 		return StorePosition.era(page.endPosition()) < StorePosition.era(this.records.endPosition());
 	}
 
-	private void applyUpdate(long start, RecordPage page) {
+	private void applyUpdate(long start, RecordPage page, long waitMs) {
 		if (isOfEarlierEra(page)) {
 			recordFailure(new IllegalStateException("records are of an earlier era of the store"));
 			return;
@@ -190,9 +231,11 @@
 		}
 		// A poll that follows a successful one returns as soon as there is a new
 		// record.
-		long sinceMs = (this.failures > 0) ? earliestChangeMs() : this.clock.monotonicMs();
+		long sinceMs = this.polling ? this.clock.monotonicMs() : earliestChangeMs();
+		// The store responds without records only at the end of the wait.
+		long waitedMs = page.records().isEmpty() ? waitMs : 0;
 		List<String> keys = this.records.applyUpdate(start, page.records(), page.endPosition());
-		recordSuccess();
+		recordSuccess(this.callStartedAtMs + waitedMs);
 		if (!keys.isEmpty()) {
 			this.listener.recordsChanged(keys, "store", sinceMs);
 		}
@@ -203,15 +246,18 @@
 	// records are from after the last failed call. If it was down for this host only,
 	// other entries report when they first saw the records.
 	private long earliestChangeMs() {
-		return Math.max(this.lastResponseAtMs, this.lastFailedCallAtMs);
+		return Math.max(this.knownAsOfMs, this.lastFailedCallAtMs);
 	}
 
-	private void recordSuccess() {
+	private void recordSuccess(long asOfMs) {
 		if (this.failures > 1) {
-			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms", storeAgeMs());
+			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms",
+					this.clock.monotonicMs() - this.lastResponseAtMs);
 			this.storeRegained.run();
 		}
 		this.failures = 0;
+		this.polling = true;
+		recordKnownAsOf(asOfMs);
 		this.hasAnswered = true;
 		this.lastResponseAtMs = this.clock.monotonicMs();
 	}
@@ -224,10 +270,10 @@
 			return;
 		}
 		this.failures++;
+		this.polling = false;
 		this.lastFailedCallAtMs = this.callStartedAtMs;
 		if (this.failures == 2) {
-			this.log.write(LogEvent.STORE_LOST, "topic", this.topic, "age-ms", storeAgeMs(), "reason",
-					failure.getMessage());
+			this.log.write(LogEvent.STORE_LOST, "topic", this.topic, "age-ms", ageMs(), "reason", failure.getMessage());
 		}
 		scheduleNextRead(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * this.failures));
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetStateTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetStateTests.java
@@ -79,6 +79,40 @@
 		this.fixture.awaitStatus(1, "plain", 401);
 	}
 
+	/**
+	 * One entry reads the store for all entries of its region. When it ends, a change
+	 * still takes effect at the others in time.
+	 */
+	@Test
+	public void oneEntryReadsForItsRegionAndItsEndDelaysNoChange() throws Exception {
+		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
+		int entryCount = 4;
+		for (int i = 0; i < entryCount; i++) {
+			this.fixture.startEntry();
+		}
+		for (int i = 0; i < entryCount; i++) {
+			this.fixture.awaitStatus(i, "plain", 200);
+		}
+		Thread.sleep(1_500);
+		long callsBefore = this.fixture.store().callCount();
+		Thread.sleep(3_000);
+		// Two topics, polled for 700 ms each, and the addresses of the entries.
+		assertThat(this.fixture.store().callCount() - callsBefore).isLessThanOrEqualTo(2 * 5 + 2);
+		int reader = 0;
+		while (!this.fixture.isStoreReader(reader)) {
+			reader++;
+		}
+		this.fixture.entry(reader).close();
+		this.fixture.writeConfiguration("plain");
+		long writtenAtMs = System.currentTimeMillis();
+		for (int i = 0; i < entryCount; i++) {
+			if (i != reader) {
+				this.fixture.awaitStatus(i, "plain", 404);
+			}
+		}
+		assertThat(System.currentTimeMillis() - writtenAtMs).isLessThan(MAX_DRAIN_DELAY_MS);
+	}
+
 	@Test
 	public void olderConfigurationIsNeverRestored() throws Exception {
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -66,6 +66,10 @@
 		return this.entries.get(index);
 	}
 
+	boolean isStoreReader(int index) throws Exception {
+		return await(this.entries.get(index).isStoreReader());
+	}
+
 	public void startEntry() throws Exception {
 		HostSettings.Builder builder = HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
