Send records across a region's border once

Cause: every entry that saw a change told all others, and each of those asked the teller for the records.

Change: a reader tells its own region; an entry that lacks records asks the reader of its region as long as that one supplies them in time, else the entry that told it, one at a time. Replies hold records only if the caller asks for them.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -99,29 +99,41 @@
 	 * that sent no message lately.
 	 */
 	void exchangeWithDueEntries() {
-		exchange(storeReader());
-		this.table.dueForExchange(this.context.nowMs(), RECENT_CONTACT_MS).forEach(this::exchange);
+		exchange(storeReader(), true);
+		this.table.dueForExchange(this.context.nowMs(), RECENT_CONTACT_MS).forEach((entry) -> exchange(entry, false));
 	}
 
 	/**
 	 * Exchanges with all entries at once, because the state of this entry changed.
 	 */
 	void exchangeWithAllEntries() {
-		this.table.dueForExchange(this.context.nowMs(), 0).forEach(this::exchange);
+		this.table.dueForExchange(this.context.nowMs(), 0).forEach((entry) -> exchange(entry, false));
 	}
 
-	private void exchange(Address entry) {
+	/**
+	 * Exchanges with the entries of this region at once, because there are new records of
+	 * operators. Other regions have their own reader.
+	 */
+	void exchangeWithRegion() {
+		String region = this.context.settings().getRegion();
+		for (EntryNews entry : this.table.liveEntries(this.context.nowMs())) {
+			if (entry.getRegion().equals(region)) {
+				exchange(entry.getControl(), false);
+			}
+		}
+	}
+
+	private void exchange(Address entry, boolean wantsRecords) {
 		String key = Addresses.format(entry);
 		boolean self = entry.equals(this.context.settings().getControl());
 		if (!self && !this.pendingExchanges.getOrDefault(key, false)) {
-			exchange(entry, key);
+			exchange(entry, key, wantsRecords);
 		}
 	}
 
-	private void exchange(Address entry, String key) {
+	private void exchange(Address entry, String key, boolean wantsRecords) {
 		this.pendingExchanges.put(key, true);
-		boolean wantsBackends = entry.equals(storeReader()) || needsBackendRecords();
-		EntryNews message = newsFor(null).setWantsBackends(wantsBackends).build();
+		EntryNews message = newsFor(null).setWantsRecords(wantsRecords).build();
 		long sentAtMs = this.context.nowMs();
 		this.client.call(entry, FleetGrpcClient.Exchange, message, () -> this.failures.recordFailure(entry))
 			.onSuccess((reply) -> this.failures.recordSuccess(entry))
@@ -130,6 +142,7 @@
 				if (result.succeeded()) {
 					applyNews(result.result());
 					recordAges(result.result(), sentAtMs);
+					fetchIfBehind(result.result());
 				}
 				else {
 					this.table.recordFailure(entry, this.context.nowMs());
@@ -137,6 +150,26 @@
 			});
 	}
 
+	// Asks for the records that another entry has and this one lacks. As long as the
+	// reader of the region supplies them in time, it is asked and not the other entry, so
+	// that a large configuration crosses the border of a region once.
+	private void fetchIfBehind(EntryNews peerNews) {
+		FleetState fleet = this.context.fleet();
+		boolean operatorRecordsBehind = peerNews.getOperatorEnd() > fleet.operatorRecords().endPosition();
+		// After the store was restored, another entry can have a newer configuration
+		// without having more records.
+		boolean configurationBehind = !operatorRecordsBehind
+				&& peerNews.getConfigurationVersion() > fleet.configurationVersion();
+		boolean backendRecordsBehind = needsBackendRecords()
+				&& peerNews.getBackendEnd() > fleet.backendRecords().endPosition();
+		if (!operatorRecordsBehind && !configurationBehind && !backendRecordsBehind) {
+			return;
+		}
+		boolean supplied = this.operatorFollower.ageMs() <= StoreReadPlan.MAX_AGE_MS && !configurationBehind
+				&& !peerNews.getRegion().equals(this.context.settings().getRegion());
+		exchange(supplied ? storeReader() : peerNews.getControl(), true);
+	}
+
 	// The reply holds all records that its sender knew when it was asked, so they are
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
@@ -156,14 +189,7 @@
 	 */
 	EntryNews handleNews(EntryNews peerNews) {
 		applyNews(peerNews);
-		FleetState fleet = this.context.fleet();
-		boolean operatorRecordsBehind = peerNews.getOperatorEnd() > fleet.operatorRecords().endPosition()
-				|| peerNews.getConfigurationVersion() > fleet.configurationVersion();
-		boolean backendRecordsBehind = needsBackendRecords()
-				&& peerNews.getBackendEnd() > fleet.backendRecords().endPosition();
-		if (operatorRecordsBehind || backendRecordsBehind) {
-			exchange(peerNews.getControl());
-		}
+		fetchIfBehind(peerNews);
 		return newsFor(peerNews).build();
 	}
 
@@ -186,15 +212,11 @@
 				.forEach((version, atMs) -> news
 					.addVersions(VersionAge.newBuilder().setModel(model).setVersion(version).setAgeMs(nowMs - atMs))));
 		if (peerNews == null) {
-			// The calling side sends no records; a peer that lacks some calls back.
+			// The calling side sends no records; a peer that lacks some asks for them.
 			return news;
 		}
-		if (peerNews.getOperatorEnd() < fleet.operatorRecords().endPosition()) {
-			news.setOperatorUpdate(recordUpdateSince(fleet.operatorRecords(), peerNews.getOperatorEnd()));
-		}
-		addNewestConfiguration(news, peerNews);
-		if (peerNews.getWantsBackends() && peerNews.getBackendEnd() < fleet.backendRecords().endPosition()) {
-			news.setBackendUpdate(recordUpdateSince(fleet.backendRecords(), peerNews.getBackendEnd()));
+		if (peerNews.getWantsRecords()) {
+			addRecords(news, peerNews);
 		}
 		for (EntryNews known : this.table.liveEntries(this.context.nowMs())) {
 			if (!known.getControl().equals(settings.getControl())) {
@@ -204,6 +226,17 @@
 		return news;
 	}
 
+	private void addRecords(EntryNews.Builder news, EntryNews peerNews) {
+		FleetState fleet = this.context.fleet();
+		if (peerNews.getOperatorEnd() < fleet.operatorRecords().endPosition()) {
+			news.setOperatorUpdate(recordUpdateSince(fleet.operatorRecords(), peerNews.getOperatorEnd()));
+		}
+		addNewestConfiguration(news, peerNews);
+		if (peerNews.getBackendEnd() < fleet.backendRecords().endPosition()) {
+			news.setBackendUpdate(recordUpdateSince(fleet.backendRecords(), peerNews.getBackendEnd()));
+		}
+	}
+
 	/**
 	 * Returns the state of this entry: its addresses, location, readiness and record
 	 * offsets.
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -273,7 +273,7 @@
 	private void operatorRecordsChanged(List<String> keys, String source, long sinceMs) {
 		this.context.fleet().applyOperatorRecords(keys, source, sinceMs);
 		this.briefings.notifyNewVersion(this.datagrams);
-		this.exchange.exchangeWithAllEntries();
+		this.exchange.exchangeWithRegion();
 	}
 
 	private void housekeeping() {
