Share the rate of a cold backend server by region

Cause: the rate that a cold backend server bears was divided by the number of entries, at least one request in 1.1 s for each: 26 a second over 49 entries give 49 (above the bound), and at warm engines it let an entry send one request in 1.1 s, so that requests of a region went to other regions or were refused while its engines had free slots.

Entries heard of in the last 30 s count.

Test: EntryRateLimitTests, five fleets; with the earlier division 49 entries send 49 of 26 (red).

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -17,6 +17,7 @@
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.StorePosition;
+import org.wigeontally.fleet.WarmupShare;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
 import org.wigeontally.platform.wire.BackendNotice;
@@ -25,6 +26,7 @@
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.LeavingBackend;
 import org.wigeontally.settings.Addresses;
@@ -77,12 +79,25 @@
 	// Record that the configuration in force was decoded from.
 	private CompactedTopic.TopicRecord configurationRecord;
 
+	private final Map<String, String> regions = new HashMap<>();
+
+	private final EntryNews ownEntry;
+
+	private List<EntryNews> otherEntries = List.of();
+
+	private Set<Address> otherAddresses = Set.of();
+
 	private int entryCount = MIN_ENTRY_COUNT;
 
 	private long lapseGraceEndsAtMs = Long.MIN_VALUE / 2;
 
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
+		settings.getZonesList().forEach((place) -> this.regions.put(place.getZone(), place.getRegion()));
+		this.ownEntry = EntryNews.newBuilder()
+			.setControl(settings.getControl())
+			.setRegion(settings.getRegion())
+			.build();
 		this.client = client;
 		this.clock = clock;
 		this.log = log;
@@ -124,6 +139,20 @@
 		}
 	}
 
+	/**
+	 * Sets the entries that share the rates of cold backend servers.
+	 * @param entries entries that were heard of lately, without this one
+	 */
+	void setOtherEntries(List<EntryNews> entries) {
+		Set<Address> addresses = new HashSet<>();
+		entries.forEach((entry) -> addresses.add(entry.getControl()));
+		if (!addresses.equals(this.otherAddresses)) {
+			this.otherAddresses = addresses;
+			this.otherEntries = List.copyOf(entries);
+			this.backends.values().forEach(this::applyLimits);
+		}
+	}
+
 	Iterable<Backend> backends() {
 		return this.backends.values();
 	}
@@ -330,7 +359,10 @@
 		if (service.warmupRequestsPerSecond() > 0) {
 			double warmupPerSecond = service.warmupRequestsPerSecond() * this.settings.getBounds().getColdFactor()
 					+ this.settings.getBounds().getColdSlack();
-			backend.warmupLimiter().setLimit(warmupPerSecond, this.entryCount);
+			String region = this.regions.getOrDefault(backend.record().zone(), "");
+			backend.warmupLimiter()
+				.setLimit(WarmupShare.requestsPerSecond(warmupPerSecond, backend.record().id(), region, this.ownEntry,
+						this.otherEntries));
 		}
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -283,6 +283,7 @@
 		this.callerHandler.closeIdle();
 		int knownEntries = this.entries.liveEntries(this.context.nowMs()).size() + 1;
 		fleet.setEntryCount(knownEntries);
+		fleet.setOtherEntries(this.entries.recentEntries(this.context.nowMs()));
 		FleetConfiguration configuration = fleet.configuration();
 		this.context.metrics()
 			.setState((configuration != null) ? configuration.version() : 0, this.context.inFlight(), knownEntries);
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -36,6 +36,9 @@
 	 */
 	public static final long REMOTE_LIVENESS_TIMEOUT_MS = 4_000;
 
+	/** Time for which an entry that is not heard of may still run. */
+	private static final long RECENT_MS = 30_000;
+
 	/** Interval of the exchanges with entries of other regions. */
 	private static final long REMOTE_EXCHANGE_INTERVAL_MS = 1_500;
 
@@ -144,6 +147,22 @@
 		return live;
 	}
 
+	/**
+	 * Returns the last messages of all entries that were heard of lately, whether they
+	 * are live or not.
+	 * @param nowMs current time in milliseconds
+	 * @return last message of each entry
+	 */
+	public List<EntryNews> recentEntries(long nowMs) {
+		List<EntryNews> recent = new ArrayList<>();
+		for (Row row : this.rows.values()) {
+			if (row.lastMessage != null && nowMs - row.lastMessageMs <= RECENT_MS) {
+				recent.add(row.lastMessage);
+			}
+		}
+		return recent;
+	}
+
 	private boolean isRemote(Row row) {
 		return row.lastMessage != null && !row.lastMessage.getRegion().equals(this.ownRegion);
 	}
--- a/library/src/main/java/org/wigeontally/fleet/WarmupRateLimiter.java
+++ b/library/src/main/java/org/wigeontally/fleet/WarmupRateLimiter.java
@@ -7,10 +7,9 @@
  * <p>
  * When an availability zone returns, its backend servers are cold and idle, and all
  * entries select them at the same time. A backend server can become cold without notice,
- * and entries may be unable to reach each other. The limit therefore needs no
- * coordination: it is the warm-up rate of the backend server divided by the maximum
- * number of entries, and it applies at all times. A warm engine stays below it without
- * the limit.
+ * and entries may be unable to reach each other. The limit is therefore a share of the
+ * warm-up rate of the backend server (see {@link WarmupShare}), and it applies at all
+ * times. A warm engine stays below it without the limit.
  */
 public final class WarmupRateLimiter {
 
@@ -35,11 +34,10 @@
 
 	/**
 	 * Sets the limit.
-	 * @param requestsPerSecond requests per second that all entries together may send
-	 * @param maxEntries maximum number of entries
+	 * @param requestsPerSecond requests per second that this entry may send
 	 */
-	public void setLimit(double requestsPerSecond, int maxEntries) {
-		this.maxRequestsPerWindow = Math.max(1, (int) (requestsPerSecond / Math.max(1, maxEntries)));
+	public void setLimit(int requestsPerSecond) {
+		this.maxRequestsPerWindow = requestsPerSecond;
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/fleet/EntryRateLimitTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/EntryRateLimitTests.java
@@ -1,7 +1,14 @@
 package org.wigeontally.fleet;
 
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EntryNews;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -63,24 +70,69 @@
 		assertThat(retries).isPositive().isLessThanOrEqualTo((int) slack);
 	}
 
+	@DataProvider
+	public Object[][] fleets() {
+		return new Object[][] { { 12, 3, 36 }, { 49, 5, 14 }, { 6, 3, 38 }, { 14, 5, 14 }, { 980, 6, 15 } };
+	}
+
 	/** An availability zone returns cold, and all entries send as much as they may. */
+	@Test(dataProvider = "fleets")
+	public void requestsOfAllEntriesStayWithinTheWarmupRate(int entries, int regions, int warmupRequestsPerSecond) {
+		double warmupPerSecond = warmupRequestsPerSecond * 1.5 + 5;
+		for (String backendId : List.of("b-1", "b-2", "b-3")) {
+			int sent = 0;
+			for (int entry = 0; entry < entries; entry++) {
+				sent += sendAll(limiter(warmupPerSecond, backendId, entry, entries, regions));
+			}
+			assertThat(sent).isPositive().isLessThanOrEqualTo((int) warmupPerSecond);
+		}
+	}
+
+	/**
+	 * The entries of a region send what its warm engines can bear. With equal shares of
+	 * all entries, 49 entries would have one request each.
+	 */
 	@Test
-	public void requestsOfAllEntriesStayWithinTheWarmupRate() {
-		int entries = 12;
-		double warmupPerSecond = 36 * 1.5 + 5;
+	public void entriesOfTheRegionMaySendWhatWarmEnginesBear() {
+		double warmupPerSecond = 14 * 1.5 + 5;
 		int sent = 0;
-		for (int entry = 0; entry < entries; entry++) {
-			WarmupRateLimiter limiter = WarmupRateLimiter.create();
-			limiter.setLimit(warmupPerSecond, entries);
-			for (long nowMs = 0; nowMs < 1_000; nowMs += 5) {
-				if (limiter.hasCapacity(nowMs)) {
-					limiter.reserve();
-					limiter.recordSent(nowMs);
-					sent++;
-				}
+		for (int entry = 0; entry < 49; entry += 5) {
+			sent += sendAll(limiter(warmupPerSecond, "b-1", entry, 49, 5));
+		}
+		assertThat(sent).isGreaterThan(17);
+	}
+
+	private static WarmupRateLimiter limiter(double warmupPerSecond, String backendId, int entry, int entries,
+			int regions) {
+		List<EntryNews> others = new ArrayList<>();
+		for (int other = 0; other < entries; other++) {
+			if (other != entry) {
+				others.add(entryNews(other, regions));
 			}
 		}
-		assertThat(sent).isPositive().isLessThanOrEqualTo((int) warmupPerSecond);
+		WarmupRateLimiter limiter = WarmupRateLimiter.create();
+		limiter.setLimit(WarmupShare.requestsPerSecond(warmupPerSecond, backendId, "region-0",
+				entryNews(entry, regions), others));
+		return limiter;
+	}
+
+	private static EntryNews entryNews(int number, int regions) {
+		return EntryNews.newBuilder()
+			.setControl(Address.newBuilder().setIp("10.0.0.1").setPort(1 + number))
+			.setRegion("region-" + number % regions)
+			.build();
+	}
+
+	private static int sendAll(WarmupRateLimiter limiter) {
+		int sent = 0;
+		for (long nowMs = 0; nowMs < 1_000; nowMs += 5) {
+			if (limiter.hasCapacity(nowMs)) {
+				limiter.reserve();
+				limiter.recordSent(nowMs);
+				sent++;
+			}
+		}
+		return sent;
 	}
 
 	/**
@@ -93,8 +145,7 @@
 		int entries = 9;
 		int sent = 0;
 		for (int entry = 0; entry < entries; entry++) {
-			WarmupRateLimiter limiter = WarmupRateLimiter.create();
-			limiter.setLimit(warmupPerSecond, entries);
+			WarmupRateLimiter limiter = limiter(warmupPerSecond, "b-1", entry, entries, 3);
 			int waiting = 0;
 			for (long nowMs = 0; nowMs < 500; nowMs += 20) {
 				if (limiter.hasCapacity(nowMs)) {
@@ -114,7 +165,7 @@
 	@Test
 	public void releasedReservationFreesCapacity() {
 		WarmupRateLimiter limiter = WarmupRateLimiter.create();
-		limiter.setLimit(1, 1);
+		limiter.setLimit(1);
 		limiter.reserve();
 		assertThat(limiter.hasCapacity(0)).isFalse();
 		limiter.release();
