Agents of regions with many entries read and report less often; other regions exchange every 2.5 s

Reports and polls of agents grew with the last change; here they are bounded to what they were on large regions (10 ms for each entry of the region).

--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -33,8 +33,8 @@
 public final class SidecarDaemon implements AutoCloseable {
 
 	/**
-	 * Interval between two reads of the engine's state. The engine returns current
-	 * figures to calls from its own host.
+	 * Minimum interval between two reads of the engine's state. The engine returns
+	 * current figures to calls from its own host.
 	 */
 	private static final long ENGINE_POLL_INTERVAL_MS = 50;
 
@@ -43,9 +43,10 @@
 
 	/**
 	 * Minimum time between two status reports, multiplied by the number of entries in the
-	 * own region, so that the message rate does not grow with that number.
+	 * own region, so that the message rate does not grow with that number. The engine is
+	 * not read more often than its state is reported.
 	 */
-	private static final long MIN_REPORT_INTERVAL_PER_ENTRY_MS = 6;
+	private static final long MIN_REPORT_INTERVAL_PER_ENTRY_MS = 10;
 
 	/**
 	 * Interval between two status reports to the entries of other regions, whether the
@@ -119,6 +120,8 @@
 
 	private long sequence;
 
+	private long lastPollMs = Long.MIN_VALUE / 2;
+
 	private long lastReportMs = Long.MIN_VALUE / 2;
 
 	private long lastRemoteReportMs = Long.MIN_VALUE / 2;
@@ -190,10 +193,13 @@
 	}
 
 	private void pollEngine() {
-		if (this.pollInProgress) {
+		long nowMs = this.clock.monotonicMs();
+		long intervalMs = Math.min(REPORT_INTERVAL_MS, minReportIntervalMs());
+		if (this.pollInProgress || nowMs - this.lastPollMs < intervalMs) {
 			return;
 		}
 		this.pollInProgress = true;
+		this.lastPollMs = nowMs;
 		this.client.fetchState(this.settings.getBackend()).onComplete((result) -> {
 			this.pollInProgress = false;
 			if (result.succeeded()) {
@@ -207,6 +213,10 @@
 		});
 	}
 
+	private long minReportIntervalMs() {
+		return this.entryReporter.nearEntryCount() * MIN_REPORT_INTERVAL_PER_ENTRY_MS;
+	}
+
 	private void handleEngineState(EngineState newState) {
 		boolean restarted = this.engineState != null && this.engineState.processStartMs() != newState.processStartMs();
 		if (this.engineState == null || this.failedPolls >= UNREACHABLE_AFTER_FAILED_POLLS || restarted) {
@@ -244,8 +254,7 @@
 		long nowMs = this.clock.monotonicMs();
 		int load = (this.engineState == null) ? 0
 				: this.engineState.activeRequests() + this.engineState.queuedRequests();
-		long intervalMs = (load == this.lastReportedLoad) ? REPORT_INTERVAL_MS
-				: this.entryReporter.nearEntryCount() * MIN_REPORT_INTERVAL_PER_ENTRY_MS;
+		long intervalMs = (load == this.lastReportedLoad) ? REPORT_INTERVAL_MS : minReportIntervalMs();
 		boolean remoteToo = force || nowMs - this.lastRemoteReportMs >= REMOTE_REPORT_INTERVAL_MS;
 		if (!remoteToo && nowMs - this.lastReportMs < intervalMs) {
 			return;
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -34,13 +34,13 @@
 	 * Time without a message after which an entry of another region is not returned to
 	 * callers.
 	 */
-	public static final long REMOTE_LIVENESS_TIMEOUT_MS = 4_000;
+	public static final long REMOTE_LIVENESS_TIMEOUT_MS = 5_500;
 
 	/** Time for which an entry that is not heard of may still run. */
 	private static final long RECENT_MS = 30_000;
 
 	/** Interval of the exchanges with entries of other regions. */
-	private static final long REMOTE_EXCHANGE_INTERVAL_MS = 1_500;
+	private static final long REMOTE_EXCHANGE_INTERVAL_MS = 2_500;
 
 	private static final long MAX_BACKOFF_MS = 4_000;
 
