--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -205,7 +205,8 @@
 		else {
 			keys = this.records.applySnapshot(page.records(), page.endPosition());
 		}
-		recordSuccess(this.callStartedAtMs);
+		// A snapshot that lags behind what is known does not show what the store has now.
+		recordSuccess(outdated ? this.knownAsOfMs : this.callStartedAtMs);
 		if (restored) {
 			this.restore.storeRestored().run();
 		}
