EndlessResponseTests: call until the engine with the endless event was used; wire names from the platform's module

Traced by the log of the first failure: engines are drawn at random, the first request went to engine-2, which served it whole (request-done sends=1), and the test then waited for engine-1's connection to close without ever using it. The test now calls until both hold: the whole stream arrived, and the endless connection was closed; nothing else is checked less.

--- a/testsuite/src/test/java/org/wigeontally/gateway/BackendNoticeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BackendNoticeTests.java
@@ -12,6 +12,7 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.platform.wire.BackendNotice;
+import org.wigeontally.platform.wire.WireNames;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -120,18 +121,18 @@
 
 	@DataProvider
 	public Object[][] notices() {
-		return new Object[][] { { 503, Map.of("Retry-After", "0.25"), new BackendNotice(false, 250, null) },
-				{ 503, Map.of("Retry-After", "-3"), new BackendNotice(false, 0, "retry-after \"-3\"") },
-				{ 503, Map.of("Retry-After", "NaN"), new BackendNotice(false, 0, "retry-after \"NaN\"") },
-				{ 503, Map.of("Retry-After", "1e18"),
+		return new Object[][] { { 503, Map.of(WireNames.RETRY_AFTER, "0.25"), new BackendNotice(false, 250, null) },
+				{ 503, Map.of(WireNames.RETRY_AFTER, "-3"), new BackendNotice(false, 0, "retry-after \"-3\"") },
+				{ 503, Map.of(WireNames.RETRY_AFTER, "NaN"), new BackendNotice(false, 0, "retry-after \"NaN\"") },
+				{ 503, Map.of(WireNames.RETRY_AFTER, "1e18"),
 						new BackendNotice(false, BackendNotice.MAX_PAUSE_MS, "retry-after \"1e18\"") },
-				{ 503, Map.of("Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT"),
+				{ 503, Map.of(WireNames.RETRY_AFTER, "Fri, 04 Dec 2026 10:00:00 GMT"),
 						new BackendNotice(false, 0, "retry-after \"Fri, 04 Dec 2026 10:00:00 GMT\"") },
-				{ 200, Map.of("Retry-After", "3"), BackendNotice.NONE },
-				{ 200, Map.of("Server-Leaving", "1"), new BackendNotice(true, 0, null) },
-				{ 200, Map.of("Server-Leaving", "0"), new BackendNotice(false, 0, null) },
-				{ 200, Map.of("Server-Leaving", "soon"), new BackendNotice(true, 0, "server-leaving \"soon\"") },
-				{ 421, Map.of("Server-Leaving", "1"), BackendNotice.NONE } };
+				{ 200, Map.of(WireNames.RETRY_AFTER, "3"), BackendNotice.NONE },
+				{ 200, Map.of(WireNames.LEAVING, "1"), new BackendNotice(true, 0, null) },
+				{ 200, Map.of(WireNames.LEAVING, "0"), new BackendNotice(false, 0, null) },
+				{ 200, Map.of(WireNames.LEAVING, "soon"), new BackendNotice(true, 0, "server-leaving \"soon\"") },
+				{ 421, Map.of(WireNames.LEAVING, "1"), BackendNotice.NONE } };
 	}
 
 	@Test(dataProvider = "notices")
--- a/testsuite/src/test/java/org/wigeontally/gateway/EndlessResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EndlessResponseTests.java
@@ -11,6 +11,7 @@
 
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.platform.wire.WireNames;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,16 +39,16 @@
 
 	@DataProvider
 	public Object[][] endlessResponses() {
-		String signed = "HTTP/1.1 200 OK\r\nX-Replica-Signature: s\r\n";
+		String signed = "HTTP/1.1 200 OK\r\n" + FakeBackend.signatureHeader("s");
 		String filler = "a".repeat(4_000);
 		return new Object[][] { { "head", signed, "X-Filler: " + filler + "\r\n" },
 				{ "header line", signed + "X-Filler: ", filler },
 				{ "chunk extension", signed + "Transfer-Encoding: chunked\r\n\r\n5;x=", filler },
-				{ "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
-				{ "trailer", signed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
-						"X-Filler: " + filler + "\r\n" },
+				{ "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" }, { "trailer",
+						signed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-Filler: " + filler + "\r\n" },
 				{ "body without length", signed + "\r\n", filler },
-				{ "response to another request", signed + "X-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+				{ "response to another request",
+						signed + WireNames.ATTEMPT_ID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n",
 						"fa0\r\n" + filler + "\r\n" } };
 	}
 
@@ -95,8 +96,8 @@
 		GatewayFixture.awaitTrue(() -> this.fixture.entry(0) != null);
 		this.fixture.startBackend("engine-2", "engines", "zone-b", (arrival, socket) -> socket
 			.write(FakeBackend.partialEventStream(arrival, "s2", firstEvent(arrival), 4) + "0\r\n\r\n"));
-		GatewayFixture.awaitTrue(() -> bodyOfStream().endsWith("id: 3\ndata: e3\n\n"));
-		GatewayFixture.awaitTrue(closed::get);
+		// Engines are drawn at random, so the first request may go to engine-2.
+		GatewayFixture.awaitTrue(() -> bodyOfStream().endsWith("id: 3\ndata: e3\n\n") && closed.get());
 	}
 
 	private static int firstEvent(FakeBackend.ReceivedRequest arrival) {
