--- a/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
+++ b/daemons/src/main/java/org/wigeontally/control/ControlLoop.java
@@ -53,7 +53,9 @@
 
 	private static final long MAX_LEASE_AGE_WITHOUT_LOG_MS = 1000;
 
-	/** Lease age from which an agent asks further entry hosts without awaiting a round. */
+	/**
+	 * Lease age from which an agent asks further entry hosts without awaiting a round.
+	 */
 	private static final long MAX_LEASE_AGE_BEFORE_RENEWAL_MS = 1000;
 
 	private final HostIdentity self;
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -86,6 +86,13 @@
 
 	private boolean finished;
 
+	// Time from the request to the first event of a stream; -1 if there was none.
+	private long firstEventMs = -1;
+
+	private long lastEventsMs;
+
+	private long longestPauseMs;
+
 	private long timeoutTimer = -1;
 
 	RequestRelay(GatewayContext context, CandidateSelector candidateSelector, CallerRequest request) {
@@ -215,10 +222,15 @@
 		}
 		if (this.streamWriter == null && reader.hasEvent()) {
 			startStream(reader);
+			this.firstEventMs = elapsedMs();
+			this.lastEventsMs = this.context.nowMs();
 			this.context.metrics().recordFirstByteTime(this.request.service(), elapsedMs());
 		}
 		if (this.streamWriter != null) {
 			this.streamWriter.writeEvents(reader);
+			long nowMs = this.context.nowMs();
+			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsMs);
+			this.lastEventsMs = nowMs;
 		}
 	}
 
@@ -388,7 +400,8 @@
 		this.context.metrics().recordAnswerTime(this.request.service(), durationMs);
 		this.context.log()
 			.write(LogEvent.REQUEST_DONE, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"status", status, "sends", this.sentAttempts, "after-ms", durationMs);
+					"status", status, "sends", this.sentAttempts, "after-ms", durationMs, "first-event-ms",
+					this.firstEventMs, "longest-pause-ms", this.longestPauseMs);
 		finish((status < 400) ? "done" : "failed-by-backend");
 	}
 
