One map of zones to regions; each engine's first event is predicted once for a placement

FleetState and CandidateSelector kept the same map and resolved zones that are listed twice differently; FleetState's serves both, the first entry counts. EnginePlacement predicted the fastest engine's time up to three times.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -35,16 +35,13 @@
 
 	private final EntryTable entries;
 
-	private final CandidateSelector selector;
-
 	private final Map<String, ReceivedReport> lastReports = new HashMap<>();
 
 	private long notifiedVersion;
 
-	AgentBriefings(GatewayContext context, EntryTable entries, CandidateSelector selection) {
+	AgentBriefings(GatewayContext context, EntryTable entries) {
 		this.context = context;
 		this.entries = entries;
-		this.selector = selection;
 	}
 
 	/**
@@ -102,7 +99,7 @@
 		}
 		configuration.origin().ifPresent((origin) -> {
 			Addresses.parse(origin.address()).ifPresent(briefing::setOrigin);
-			briefing.setOriginRegion(this.selector.region(origin.zone()));
+			briefing.setOriginRegion(this.context.fleet().region(origin.zone()));
 			briefing.setOriginConnections(origin.maxConnections());
 		});
 		long nowMs = this.context.nowMs();
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -2,16 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.wigeontally.fleet.BackendCandidate;
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.schema.generated.ZonePlace;
 
 /**
  * Finds the backend servers that are eligible for a request: registered for its service,
@@ -31,18 +28,9 @@
 
 	private final HostSettings settings;
 
-	private final Map<String, String> regions;
-
 	CandidateSelector(FleetState fleet, HostSettings settings) {
 		this.fleet = fleet;
 		this.settings = settings;
-		this.regions = settings.getZonesList()
-			.stream()
-			.collect(Collectors.toMap(ZonePlace::getZone, ZonePlace::getRegion, (first, second) -> first));
-	}
-
-	String region(String zone) {
-		return this.regions.getOrDefault(zone, "");
 	}
 
 	/**
@@ -97,7 +85,8 @@
 
 	private boolean isEligible(CallerRequest request, Service service, Backend backend, long nowMs) {
 		String zone = backend.record().zone();
-		if (backend.isClosed(nowMs, 0) || this.fleet.isZoneEvacuated(zone) || !request.isRegionAllowed(region(zone))) {
+		if (backend.isClosed(nowMs, 0) || this.fleet.isZoneEvacuated(zone)
+				|| !request.isRegionAllowed(this.fleet.region(zone))) {
 			return false;
 		}
 		if (backend.health().isBackingOff(nowMs) || !backend.pool().hasCapacity()
@@ -149,7 +138,7 @@
 		if (zone.equals(this.settings.getZone())) {
 			return 0;
 		}
-		return region(zone).equals(this.settings.getRegion()) ? 1 : 2;
+		return this.fleet.region(zone).equals(this.settings.getRegion()) ? 1 : 2;
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -93,7 +93,7 @@
 
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
-		settings.getZonesList().forEach((place) -> this.regions.put(place.getZone(), place.getRegion()));
+		settings.getZonesList().forEach((place) -> this.regions.putIfAbsent(place.getZone(), place.getRegion()));
 		this.ownEntry = EntryNews.newBuilder()
 			.setControl(settings.getControl())
 			.setRegion(settings.getRegion())
@@ -359,7 +359,7 @@
 		if (service.warmupRequestsPerSecond() > 0) {
 			double warmupPerSecond = service.warmupRequestsPerSecond() * this.settings.getBounds().getColdFactor()
 					+ this.settings.getBounds().getColdSlack();
-			String region = this.regions.getOrDefault(backend.record().zone(), "");
+			String region = region(backend.record().zone());
 			backend.warmupLimiter()
 				.setLimit(WarmupShare.requestsPerSecond(warmupPerSecond, backend.record().id(), region, this.ownEntry,
 						this.otherEntries));
@@ -444,6 +444,15 @@
 		return leaving;
 	}
 
+	/**
+	 * Returns the region of an availability zone.
+	 * @param zone name of the zone
+	 * @return name of the region; empty if the zone is not in the settings
+	 */
+	String region(String zone) {
+		return this.regions.getOrDefault(zone, "");
+	}
+
 	/**
 	 * Records an agent's report on its backend server. Ignores reports that are outdated,
 	 * that come from an agent without a reachable engine, or that concern another process
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -146,7 +146,7 @@
 		CandidateSelector selector = new CandidateSelector(fleet, settings);
 		this.callerHandler = new CallerRequestHandler(this.context, selector);
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
-		this.briefings = new AgentBriefings(this.context, this.entries, selector);
+		this.briefings = new AgentBriefings(this.context, this.entries);
 		this.datagrams = vertx.createDatagramSocket();
 		this.store = StoreClient.create(vertx, settings.getStore());
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
@@ -109,39 +109,33 @@
 	 * @return the decision
 	 */
 	public PlacementDecision decide(EngineRequest request, List<BackendCandidate> candidates) {
-		BackendCandidate fastest = fastest(request, candidates);
-		double fastestMs = predictFirstEventMs(request, fastest);
-		BackendCandidate drawn = null;
+		double[] firstEventMs = new double[candidates.size()];
+		int fastest = 0;
+		for (int i = 0; i < firstEventMs.length; i++) {
+			firstEventMs[i] = predictFirstEventMs(request, candidates.get(i));
+			fastest = (firstEventMs[i] < firstEventMs[fastest]) ? i : fastest;
+		}
+		int drawn = -1;
 		double shortestRaceTime = Double.MAX_VALUE;
-		for (BackendCandidate candidate : candidates) {
-			double firstEventMs = predictFirstEventMs(request, candidate);
-			if (!hasSlot(request, candidate, firstEventMs)) {
+		for (int i = 0; i < firstEventMs.length; i++) {
+			BackendCandidate candidate = candidates.get(i);
+			if (!hasSlot(request, candidate, firstEventMs[i])) {
 				continue;
 			}
 			// The first of independent exponential times is each one's with a probability
 			// proportional to its weight.
-			double raceTime = -Math.log(1 - this.random.nextDouble()) / weight(candidate, firstEventMs - fastestMs);
-			if (drawn == null || raceTime < shortestRaceTime) {
-				drawn = candidate;
+			double raceTime = -Math.log(1 - this.random.nextDouble())
+					/ weight(candidate, firstEventMs[i] - firstEventMs[fastest]);
+			if (drawn < 0 || raceTime < shortestRaceTime) {
+				drawn = i;
 				shortestRaceTime = raceTime;
 			}
 		}
-		if (drawn == null) {
-			return new PlacementDecision.Reject(RETRY_AFTER_MS, fastest.load(), fastestMs);
-		}
-		double firstEventMs = predictFirstEventMs(request, drawn);
-		int priority = isOnTime(request, firstEventMs) ? enginePriority(request) : LATE_ENGINE_PRIORITY;
-		return new PlacementDecision.Place(drawn.id(), priority, firstEventMs);
-	}
-
-	private BackendCandidate fastest(EngineRequest request, List<BackendCandidate> candidates) {
-		BackendCandidate fastest = candidates.get(0);
-		for (BackendCandidate candidate : candidates) {
-			if (predictFirstEventMs(request, candidate) < predictFirstEventMs(request, fastest)) {
-				fastest = candidate;
-			}
+		if (drawn < 0) {
+			return new PlacementDecision.Reject(RETRY_AFTER_MS, candidates.get(fastest).load(), firstEventMs[fastest]);
 		}
-		return fastest;
+		int priority = isOnTime(request, firstEventMs[drawn]) ? enginePriority(request) : LATE_ENGINE_PRIORITY;
+		return new PlacementDecision.Place(candidates.get(drawn).id(), priority, firstEventMs[drawn]);
 	}
 
 	private double weight(BackendCandidate candidate, double additionalMs) {
