Agents of small fleets report to other regions up to every 50 ms instead of every 400 ms

Change: ReportSchedule, 20 ms for each entry of other regions, at most 400 ms: 80 ms there, as before from 20 such entries on.

--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
@@ -144,6 +144,14 @@
 		return count;
 	}
 
+	/**
+	 * Returns the number of known entries in other regions.
+	 * @return the number
+	 */
+	int remoteEntryCount() {
+		return this.connections.size() - nearEntryCount();
+	}
+
 	private boolean isNear(EntryConnection connection) {
 		return connection.region.isEmpty() || connection.region.equals(this.ownRegion);
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -12,6 +12,7 @@
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.ReportSchedule;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.wire.EngineClient;
@@ -34,27 +35,14 @@
 
 	/**
 	 * Minimum interval between two reads of the engine's state. The engine returns
-	 * current figures to calls from its own host.
+	 * current figures to calls from its own host. It is not read more often than its
+	 * state is reported.
 	 */
 	private static final long ENGINE_POLL_INTERVAL_MS = 50;
 
 	/** Interval between two status reports while the engine's load does not change. */
 	private static final long REPORT_INTERVAL_MS = 300;
 
-	/**
-	 * Minimum time between two status reports, multiplied by the number of entries in the
-	 * own region, so that the message rate does not grow with that number. The engine is
-	 * not read more often than its state is reported.
-	 */
-	private static final long MIN_REPORT_INTERVAL_PER_ENTRY_MS = 10;
-
-	/**
-	 * Interval between two status reports to the entries of other regions, whether the
-	 * load changes or not. Those entries send few requests here, and the links between
-	 * regions are shared with weights and streams.
-	 */
-	private static final long REMOTE_REPORT_INTERVAL_MS = 400;
-
 	/**
 	 * Interval between two requests for briefings. It limits how late this process learns
 	 * of a new version if the notices are lost.
@@ -214,7 +202,7 @@
 	}
 
 	private long minReportIntervalMs() {
-		return this.entryReporter.nearEntryCount() * MIN_REPORT_INTERVAL_PER_ENTRY_MS;
+		return ReportSchedule.nearIntervalMs(this.entryReporter.nearEntryCount());
 	}
 
 	private void handleEngineState(EngineState newState) {
@@ -255,7 +243,8 @@
 		int load = (this.engineState == null) ? 0
 				: this.engineState.activeRequests() + this.engineState.queuedRequests();
 		long intervalMs = (load == this.lastReportedLoad) ? REPORT_INTERVAL_MS : minReportIntervalMs();
-		boolean remoteToo = force || nowMs - this.lastRemoteReportMs >= REMOTE_REPORT_INTERVAL_MS;
+		long remoteIntervalMs = ReportSchedule.remoteIntervalMs(this.entryReporter.remoteEntryCount());
+		boolean remoteToo = force || nowMs - this.lastRemoteReportMs >= remoteIntervalMs;
 		if (!remoteToo && nowMs - this.lastReportMs < intervalMs) {
 			return;
 		}
