--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -122,7 +122,7 @@
 			.forEach((entry) -> briefing.addEntryPlaces(toPlace(entry.getControl(), entry.getRegion())));
 		HostSettings settings = this.context.settings();
 		return briefing.addEntryPlaces(toPlace(settings.getControl(), settings.getRegion()))
-			.setVersionBoundMs((long) this.context.settings().getBounds().getVersionMs());
+			.setVersionBoundMs((long) settings.getBounds().getVersionMs());
 	}
 
 	private static EntryPlace toPlace(Address control, String region) {
--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -34,7 +34,7 @@
 	void requestSent();
 
 	/**
-	 * Called when data of an event stream arrived, which may complete events.
+	 * Called when data of an event stream arrived that completes at least one event.
 	 * @param reader provides the complete events
 	 */
 	void eventsReceived(ResponseReader reader);
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -198,9 +198,8 @@
 			.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "status", refusal.status(),
 					"reason", refusal.reason());
 		// The rest of the body is not used, so the connection cannot be reused. It is
-		// read
-		// and dropped for a moment, because closing a connection with unread bytes may
-		// discard the response.
+		// read and dropped for a moment, because closing a connection with unread bytes
+		// may discard the response.
 		writeResponse(response, refusal, true);
 		this.context.vertx().setTimer(LINGER_MS, (id) -> request.connection().close());
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vertx.core.net.NetClient;
 
@@ -85,8 +86,6 @@
 
 	private List<EntryNews> otherEntries = List.of();
 
-	private Set<Address> otherAddresses = Set.of();
-
 	private int entryCount = MIN_ENTRY_COUNT;
 
 	private long lapseGraceEndsAtMs = Long.MIN_VALUE / 2;
@@ -144,15 +143,16 @@
 	 * @param entries entries that were heard of lately, without this one
 	 */
 	void setOtherEntries(List<EntryNews> entries) {
-		Set<Address> addresses = new HashSet<>();
-		entries.forEach((entry) -> addresses.add(entry.getControl()));
-		if (!addresses.equals(this.otherAddresses)) {
-			this.otherAddresses = addresses;
+		if (!controlAddresses(entries).equals(controlAddresses(this.otherEntries))) {
 			this.otherEntries = List.copyOf(entries);
 			this.backends.values().forEach(this::applyLimits);
 		}
 	}
 
+	private static Set<Address> controlAddresses(List<EntryNews> entries) {
+		return entries.stream().map(EntryNews::getControl).collect(Collectors.toSet());
+	}
+
 	Iterable<Backend> backends() {
 		return this.backends.values();
 	}
@@ -183,8 +183,7 @@
 				applyOperatorRecord(topicRecord, source, sinceMs);
 			}
 			catch (PlatformException ex) {
-				this.log.write(LogEvent.RECORD_UNREADABLE, "key", key, "position",
-						StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
+				logUnreadable(topicRecord, source, ex.getMessage());
 			}
 		}
 	}
@@ -223,11 +222,15 @@
 			applyConfiguration(topicRecord, source);
 		}
 		catch (PlatformException ex) {
-			this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
-					StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
+			logUnreadable(topicRecord, source, ex.getMessage());
 		}
 	}
 
+	private void logUnreadable(CompactedTopic.TopicRecord topicRecord, String source, String reason) {
+		this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
+				StorePosition.format(topicRecord.position()), "source", source, "reason", reason);
+	}
+
 	private void applyConfiguration(CompactedTopic.TopicRecord topicRecord, String source) throws PlatformException {
 		FleetConfiguration newest = ConfigurationDecoder.decodeConfiguration(topicRecord.value());
 		if (this.configuration != null && newest.version() <= this.configuration.version()) {
@@ -312,8 +315,7 @@
 			record = BackendDecoder.decode(id, topicRecord.value());
 		}
 		catch (PlatformException ex) {
-			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "position",
-					StorePosition.format(topicRecord.position()), "source", source, "reason", ex.getMessage());
+			logUnreadable(topicRecord, source, ex.getMessage());
 			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
@@ -330,9 +332,7 @@
 		}
 		Address address = Addresses.parse(record.address()).orElse(null);
 		if (address == null) {
-			this.log.write(LogEvent.RECORD_UNREADABLE, "key", id, "position",
-					StorePosition.format(topicRecord.position()), "source", source, "reason",
-					"invalid address \"" + record.address() + "\"");
+			logUnreadable(topicRecord, source, "invalid address \"" + record.address() + "\"");
 			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -23,7 +23,6 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.EntryTable;
-import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -284,9 +283,7 @@
 		int knownEntries = this.entries.liveEntries(this.context.nowMs()).size() + 1;
 		fleet.setEntryCount(knownEntries);
 		fleet.setOtherEntries(this.entries.recentEntries(this.context.nowMs()));
-		FleetConfiguration configuration = fleet.configuration();
-		this.context.metrics()
-			.setState((configuration != null) ? configuration.version() : 0, this.context.inFlight(), knownEntries);
+		this.context.metrics().setState(fleet.configurationVersion(), this.context.inFlight(), knownEntries);
 		this.context.metrics().setStoreAge(StoreTopic.OPERATOR.name(), this.operatorFollower.ageMs());
 		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -220,18 +220,17 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.streamWriter == null && reader.hasEvent()) {
+		long nowMs = this.context.nowMs();
+		if (this.streamWriter == null) {
 			startStream(reader);
 			this.firstEventMs = elapsedMs();
-			this.lastEventsMs = this.context.nowMs();
-			this.context.metrics().recordFirstByteTime(this.request.service(), elapsedMs());
+			this.context.metrics().recordFirstByteTime(this.request.service(), this.firstEventMs);
 		}
-		if (this.streamWriter != null) {
-			this.streamWriter.writeEvents(reader);
-			long nowMs = this.context.nowMs();
+		else {
 			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsMs);
-			this.lastEventsMs = nowMs;
 		}
+		this.lastEventsMs = nowMs;
+		this.streamWriter.writeEvents(reader);
 	}
 
 	private void startStream(ResponseReader reader) {
--- a/library/src/main/java/org/wigeontally/fleet/CompactedTopic.java
+++ b/library/src/main/java/org/wigeontally/fleet/CompactedTopic.java
@@ -101,15 +101,13 @@
 		List<String> changedKeys = new ArrayList<>();
 		if (isOfLaterEra(snapshotEnd)) {
 			this.settlementNeeded = true;
-			this.tombstoneStart = snapshotEnd;
-			this.endPosition = snapshotEnd;
+			startAt(snapshotEnd);
 		}
 		else if (snapshotEnd >= this.endPosition) {
 			removeMissing(snapshot, snapshotEnd, changedKeys);
 			if (this.endPosition < snapshotEnd) {
-				this.tombstoneStart = snapshotEnd;
+				startAt(snapshotEnd);
 			}
-			this.endPosition = snapshotEnd;
 		}
 		for (TopicRecord record : snapshot) {
 			if (putIfNewer(record)) {
@@ -119,6 +117,12 @@
 		return changedKeys;
 	}
 
+	// A snapshot is complete up to its end, but does not contain earlier tombstones.
+	private void startAt(long snapshotEnd) {
+		this.tombstoneStart = snapshotEnd;
+		this.endPosition = snapshotEnd;
+	}
+
 	private void removeMissing(Collection<TopicRecord> snapshot, long snapshotEnd, List<String> changedKeys) {
 		Set<String> snapshotKeys = new HashSet<>();
 		snapshot.forEach((record) -> snapshotKeys.add(record.key()));
@@ -153,8 +157,7 @@
 			}
 		}
 		this.settlementNeeded = true;
-		this.tombstoneStart = snapshotEnd;
-		this.endPosition = snapshotEnd;
+		startAt(snapshotEnd);
 		return changedKeys;
 	}
 
@@ -184,8 +187,7 @@
 			}
 		}
 		this.settlementNeeded = false;
-		this.tombstoneStart = snapshotEnd;
-		this.endPosition = snapshotEnd;
+		startAt(snapshotEnd);
 		return changedKeys;
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
@@ -138,13 +139,7 @@
 	 * @return last message of each entry
 	 */
 	public List<EntryNews> liveEntries(long nowMs) {
-		List<EntryNews> live = new ArrayList<>();
-		for (Row row : this.rows.values()) {
-			if (isLive(row, nowMs)) {
-				live.add(row.lastMessage);
-			}
-		}
-		return live;
+		return lastMessages((row) -> isLive(row, nowMs));
 	}
 
 	/**
@@ -154,13 +149,11 @@
 	 * @return last message of each entry
 	 */
 	public List<EntryNews> recentEntries(long nowMs) {
-		List<EntryNews> recent = new ArrayList<>();
-		for (Row row : this.rows.values()) {
-			if (row.lastMessage != null && nowMs - row.lastMessageMs <= RECENT_MS) {
-				recent.add(row.lastMessage);
-			}
-		}
-		return recent;
+		return lastMessages((row) -> row.lastMessage != null && nowMs - row.lastMessageMs <= RECENT_MS);
+	}
+
+	private List<EntryNews> lastMessages(Predicate<Row> condition) {
+		return this.rows.values().stream().filter(condition).map((row) -> row.lastMessage).toList();
 	}
 
 	private boolean isRemote(Row row) {
--- a/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
@@ -1,10 +1,8 @@
 package org.wigeontally.fleet;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import com.google.common.hash.Hashing;
-
+import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.settings.Addresses;
@@ -63,7 +61,7 @@
 	}
 
 	private static long rank(EntryNews entry) {
-		return Hashing.murmur3_128().hashString(Addresses.format(entry.getControl()), StandardCharsets.UTF_8).asLong();
+		return RendezvousHash.of(Addresses.format(entry.getControl()));
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/WarmupShare.java
+++ b/library/src/main/java/org/wigeontally/fleet/WarmupShare.java
@@ -1,10 +1,8 @@
 package org.wigeontally.fleet;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import com.google.common.hash.Hashing;
-
+import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.settings.Addresses;
 
@@ -68,9 +66,7 @@
 	}
 
 	private static long rank(EntryNews entry, String backendId) {
-		return Hashing.murmur3_128()
-			.hashString(Addresses.format(entry.getControl()) + " " + backendId, StandardCharsets.UTF_8)
-			.asLong();
+		return RendezvousHash.of(Addresses.format(entry.getControl()) + " " + backendId);
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/misc/package-info.java
+++ b/library/src/main/java/org/wigeontally/misc/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Shared utilities: clocks and a helper for closing resources.
+ * Shared utilities: clocks, a helper for closing resources and a hash for rendezvous
+ * hashing.
  */
 package org.wigeontally.misc;
--- a/library/src/main/java/org/wigeontally/replication/ExchangePeerSelector.java
+++ b/library/src/main/java/org/wigeontally/replication/ExchangePeerSelector.java
@@ -1,6 +1,5 @@
 package org.wigeontally.replication;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,9 +9,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import com.google.common.hash.Hashing;
-
 import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.schema.generated.HostIdentity;
 import org.wigeontally.schema.generated.HostState;
 import org.wigeontally.schema.generated.Role;
@@ -168,8 +166,7 @@
 	}
 
 	private long rendezvousHash(PeerSession peer) {
-		String pair = this.self.getHost() + " " + peer.address();
-		return Hashing.murmur3_128().hashString(pair, StandardCharsets.UTF_8).asLong();
+		return RendezvousHash.of(this.self.getHost() + " " + peer.address());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/routing/FleetSubset.java
+++ b/library/src/main/java/org/wigeontally/routing/FleetSubset.java
@@ -1,10 +1,9 @@
 package org.wigeontally.routing;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 
-import com.google.common.hash.Hashing;
+import org.wigeontally.misc.RendezvousHash;
 
 /**
  * Subsetting: selects the part of a large fleet that one entry sends requests to, which
@@ -36,7 +35,7 @@
 	}
 
 	private static long rank(String entryHost, String host) {
-		return Hashing.murmur3_128().hashString(entryHost + "/" + host, StandardCharsets.UTF_8).asLong();
+		return RendezvousHash.of(entryHost + "/" + host);
 	}
 
 }
