Failures of the origin are logged with the agent's open connections to it and the origin's limit

A failed call now names the connections that this agent has open to the origin, and the start of a download how many other agents were known.

--- a/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
@@ -69,7 +69,8 @@
 					CHUNK_TIMEOUT_MS)
 			.map(Buffer::getBytes)
 			.onFailure((failure) -> this.log.write(LogEvent.PIECE_FAILED, "piece", index, "version", download.version(),
-					"source", "origin", "reason", failure.getMessage()));
+					"source", "origin", "connections", this.client.openConnections(this.view.briefing().getOrigin()),
+					"reason", failure.getMessage()));
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -257,7 +257,8 @@
 				this.nextDigestRequestMs = this.clock.monotonicMs()
 						+ Math.min(MAX_BACKOFF_MS, BACKOFF_STEP_MS * this.digestRequestFailures);
 				this.log.write(LogEvent.PIECE_FAILED, "piece", "digests", "version", version, "source", "origin",
-						"reason", result.failed() ? result.cause().getMessage()
+						"connections", this.engine.openConnections(briefing.getOrigin()), "limit",
+						briefing.getOriginConnections(), "reason", result.failed() ? result.cause().getMessage()
 								: "the origin returned an unexpected number of digests");
 			});
 	}
@@ -271,7 +272,9 @@
 				this.view.briefing().getChunkBytes(), this.clock.monotonicMs());
 		this.downloads.put(version, download);
 		this.log.write(LogEvent.WEIGHTS, "phase", "collecting", "version", version, "pieces", chunkDigests.size(),
-				"beside", this.downloads.headMap(version).keySet());
+				"beside", this.downloads.headMap(version).keySet(), "other-agents",
+				this.view.briefing().getAgentsCount(), "origin-connections",
+				this.engine.openConnections(this.view.briefing().getOrigin()));
 		readStagedChunks(version, chunkDigests).onComplete((result) -> {
 			download.markStagedChunksRead(this.clock.monotonicMs());
 			if (this.downloads.containsKey(version)) {
