Tests of the incident, red: connections to the origin that hosts without power leave open

Six agents start at once and lose power three times while chunks are fetched: 21 connections are left behind each time (21, 27, 33 when entries still remember the agents before), and after the third loss every connection is rejected: no engine is loaded within 10 s. The second test asks the class behind it: a connection must not stay open after its response.

--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
@@ -26,6 +28,11 @@
  */
 public class WeightDistributionTests {
 
+	private static final int MAX_ORIGIN_CONNECTIONS = 48;
+
+	/** Longer than entries remember an agent that sends no reports. */
+	private static final long HOSTS_AWAY_MS = 1_800;
+
 	private GatewayFixture fixture;
 
 	private FakeWeightOrigin origin;
@@ -46,7 +53,7 @@
 			.add(new JsonObject().put("name", "weights")
 				.put("origin", "127.0.0.1:" + this.origin.port())
 				.put("zone", "zone-a")
-				.put("max-connections", 48));
+				.put("max-connections", MAX_ORIGIN_CONNECTIONS));
 		this.fixture.store()
 			.write("op", "config",
 					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
@@ -92,6 +99,34 @@
 		assertThat(this.origin.sentChunks()).isLessThanOrEqualTo(2 * FakeWeightOrigin.CHUNKS);
 	}
 
+	/**
+	 * A host that loses power leaves its connections open at the origin, which keeps
+	 * counting them against its limit.
+	 */
+	@Test
+	public void enginesGetWeightsAfterThreeLossesOfPowerWhileChunksAreFetched() throws Exception {
+		this.origin.setMaxConnections(MAX_ORIGIN_CONNECTIONS);
+		this.origin.setChunkDelayMs(250);
+		for (int loss = 0; loss < 3; loss++) {
+			int before = this.origin.sentChunks();
+			Vertx hosts = Vertx.vertx();
+			startEnginesAtOnce(hosts, 6);
+			GatewayFixture.awaitTrue(() -> this.origin.sentChunks() >= before + FakeWeightOrigin.CHUNKS / 2);
+			loseHosts(hosts);
+			Thread.sleep(HOSTS_AWAY_MS);
+		}
+		startEnginesAtOnce(this.fixture.vertx(), 6);
+		awaitLoaded(1);
+	}
+
+	/** An idle connection is lost to the origin if its host loses power. */
+	@Test
+	public void connectionsToTheOriginCloseWithTheResponse() throws Exception {
+		startEngines(3, 0);
+		awaitLoaded(1);
+		assertThat(this.origin.requestsKeepingConnections()).isZero();
+	}
+
 	@Test
 	public void corruptChunksAreFetchedAgain() throws Exception {
 		this.origin.setCorruptionProbability(0.3);
@@ -187,6 +222,32 @@
 	}
 
 	private void startAgent(FakeEngine engine) throws Exception {
+		this.agents.add(GatewayFixture.await(startAgent(this.fixture.vertx(), engine)));
+	}
+
+	/** Starts engines without weights and their agents, all at the same time. */
+	private void startEnginesAtOnce(Vertx hosts, int count) throws Exception {
+		List<Future<SidecarDaemon>> starts = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			FakeEngine engine = GatewayFixture.await(FakeEngine.start(hosts, 0));
+			this.engines.add(engine);
+		}
+		for (FakeEngine engine : this.engines) {
+			starts.add(startAgent(hosts, engine));
+		}
+		for (Future<SidecarDaemon> start : starts) {
+			this.agents.add(GatewayFixture.await(start));
+		}
+	}
+
+	private void loseHosts(Vertx hosts) throws Exception {
+		this.origin.abandonConnections();
+		GatewayFixture.await(hosts.close());
+		this.engines.clear();
+		this.agents.clear();
+	}
+
+	private Future<SidecarDaemon> startAgent(Vertx host, FakeEngine engine) throws Exception {
 		int port = GatewayFixture.freeAddress().getPort();
 		HostSettings settings = HostSettings.newBuilder()
 			.setHost("agent-" + port)
@@ -200,8 +261,7 @@
 			.setBackend(Address.newBuilder().setIp("127.0.0.1").setPort(engine.port()))
 			.setBounds(this.fixture.settings(0).getBounds())
 			.build();
-		this.agents.add(GatewayFixture.await(SidecarDaemon.start(this.fixture.vertx(), settings, Clock.system(),
-				EventLog.create(Clock.system(), settings.getHost()))));
+		return SidecarDaemon.start(host, settings, Clock.system(), EventLog.create(Clock.system(), settings.getHost()));
 	}
 
 	private void awaitLoaded(long version) throws InterruptedException {
