Agents that start together learn of each other before they fetch, and share the origin's connections

Cause, second part: after a loss of power all agents start at once and know nobody. Each led every stripe and opened eight connections to the origin, 48 of 48 for six agents.

Change: a briefing names how many engines are registered; an agent waits until it knows as many agents, for 0.7 s at most, and asks for briefings every 100 ms meanwhile (PeerDiscovery). An agent opens its share of a quarter of the origin's connections (OriginConnectionLimit), so that three losses during a fetch leave a quarter.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -138,6 +138,7 @@
 		for (Service service : configuration.services()) {
 			if (service.engine().isPresent()) {
 				addModel(briefing, service.engine().get());
+				briefing.setEngineHosts(this.context.fleet().countBackendAddresses(service.name()));
 			}
 		}
 		return briefing;
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -375,6 +375,22 @@
 		return (this.configuration == null) ? null : this.configuration.service(name).orElse(null);
 	}
 
+	/**
+	 * Returns the number of addresses at which backend servers of a service are
+	 * registered. After a loss of power two processes may be registered at one address,
+	 * until the registration of the earlier one lapses.
+	 * @param service name of the service
+	 * @return number of addresses
+	 */
+	int countBackendAddresses(String service) {
+		return (int) this.backends.values()
+			.stream()
+			.filter((backend) -> backend.record().service().equals(service))
+			.map((backend) -> backend.record().address())
+			.distinct()
+			.count();
+	}
+
 	private void removeBackend(String id, long position, String reason) {
 		Backend backend = this.backends.remove(id);
 		if (backend == null) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.weights.PeerDiscovery;
 
 /**
  * An agent's view of the fleet: the last briefing received, where briefings that name an
@@ -17,6 +18,10 @@
 
 	private final Map<Long, Long> announcedAtMs = new HashMap<>();
 
+	private long firstBriefingAtMs;
+
+	private boolean peersKnown;
+
 	AgentBriefing briefing() {
 		return this.briefing;
 	}
@@ -32,6 +37,9 @@
 		if (received.getModel().isEmpty() || received.getVersion() < this.briefing.getVersion()) {
 			return false;
 		}
+		if (!isKnown()) {
+			this.firstBriefingAtMs = nowMs;
+		}
 		boolean isNewVersion = received.getVersion() > this.briefing.getVersion();
 		if (isNewVersion) {
 			this.announcedAtMs.put(received.getVersion(), nowMs);
@@ -44,6 +52,26 @@
 		return !this.briefing.getModel().isEmpty();
 	}
 
+	/**
+	 * Returns whether the other agents are known well enough to share chunks out among
+	 * them. Once true it stays true, since later agents are added to a running fetch.
+	 * @param nowMs current monotonic time
+	 * @return true if they are known
+	 */
+	boolean arePeersKnown(long nowMs) {
+		this.peersKnown = this.peersKnown || isKnown() && PeerDiscovery.isComplete(this.briefing.getAgentsCount() + 1,
+				this.briefing.getEngineHosts(), nowMs - this.firstBriefingAtMs);
+		return this.peersKnown;
+	}
+
+	/**
+	 * Returns the number of agents that may fetch weights.
+	 * @return the number, including this one
+	 */
+	int agentCount() {
+		return Math.max(this.briefing.getAgentsCount() + 1, this.briefing.getEngineHosts());
+	}
+
 	String model() {
 		return this.briefing.getModel();
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
@@ -1,18 +1,23 @@
 package org.wigeontally.sidecar;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.NavigableMap;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.platform.wire.EngineClient;
 import org.wigeontally.spread.OriginClient;
+import org.wigeontally.weights.OriginConnectionLimit;
 
 /**
  * Client of the platform's origin, which identifies chunks by their index and provides
- * digests instead of manifests. Runs on the event loop.
+ * digests instead of manifests. Keeps to this host's share of the origin's connections.
+ * Runs on the event loop.
  */
 final class PlatformOriginClient implements OriginClient {
 
@@ -26,6 +31,11 @@
 
 	private final NavigableMap<Long, VersionDownload> downloads;
 
+	// Requests that wait for one of the connections that this host may open.
+	private final Deque<Runnable> waiting = new ArrayDeque<>();
+
+	private int activeRequests;
+
 	/**
 	 * Creates the client.
 	 * @param client sends the requests
@@ -63,6 +73,25 @@
 	}
 
 	private Future<byte[]> fetchChunk(VersionDownload download, int index) {
+		Promise<byte[]> fetched = Promise.promise();
+		this.waiting.add(() -> requestChunk(download, index).onComplete((result) -> {
+			this.activeRequests--;
+			fetched.handle(result);
+			startWaiting();
+		}));
+		startWaiting();
+		return fetched.future();
+	}
+
+	private void startWaiting() {
+		int limit = OriginConnectionLimit.perHost(this.view.briefing().getOriginConnections(), this.view.agentCount());
+		while (!this.waiting.isEmpty() && this.activeRequests < limit) {
+			this.activeRequests++;
+			this.waiting.poll().run();
+		}
+	}
+
+	private Future<byte[]> requestChunk(VersionDownload download, int index) {
 		download.recordOriginRequest();
 		return this.client
 			.fetchChunk(this.view.briefing().getOrigin(), this.view.model(), download.version(), index,
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -49,6 +49,12 @@
 	 */
 	private static final long BRIEFING_INTERVAL_MS = 400;
 
+	/**
+	 * Interval between two requests for briefings after the start, until the other agents
+	 * are known.
+	 */
+	private static final long DISCOVERY_BRIEFING_INTERVAL_MS = 100;
+
 	/** Interval between two reads of the store while no entry responds. */
 	private static final long ENTRY_DISCOVERY_INTERVAL_MS = 1_500;
 
@@ -245,7 +251,8 @@
 		long intervalMs = (load == this.lastReportedLoad) ? REPORT_INTERVAL_MS : minReportIntervalMs();
 		long remoteIntervalMs = ReportSchedule.remoteIntervalMs(this.entryReporter.remoteEntryCount());
 		boolean remoteToo = force || nowMs - this.lastRemoteReportMs >= remoteIntervalMs;
-		if (!remoteToo && nowMs - this.lastReportMs < intervalMs) {
+		boolean briefingDue = force || nowMs - this.lastBriefingRequestMs >= briefingIntervalMs(nowMs);
+		if (!remoteToo && !briefingDue && nowMs - this.lastReportMs < intervalMs) {
 			return;
 		}
 		this.lastReportMs = nowMs;
@@ -254,12 +261,17 @@
 		EngineStatus.Builder status = createStatus();
 		this.entryReporter.sendStatus(status.build(), remoteToo);
 		this.lastRemoteReportMs = remoteToo ? nowMs : this.lastRemoteReportMs;
-		if (force || nowMs - this.lastBriefingRequestMs >= BRIEFING_INTERVAL_MS) {
+		if (briefingDue) {
 			this.lastBriefingRequestMs = nowMs;
 			this.entryReporter.requestBriefings(status);
 		}
 	}
 
+	private long briefingIntervalMs(long nowMs) {
+		boolean discovering = this.view.isKnown() && !this.view.arePeersKnown(nowMs);
+		return discovering ? DISCOVERY_BRIEFING_INTERVAL_MS : BRIEFING_INTERVAL_MS;
+	}
+
 	private EngineStatus.Builder createStatus() {
 		EngineStatus.Builder status = EngineStatus.newBuilder()
 			.setAgent(this.ownAddress)
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -157,6 +157,9 @@
 	}
 
 	private void startFetchIfAllowed(VersionDownload download) {
+		if (!this.view.arePeersKnown(this.clock.monotonicMs())) {
+			return;
+		}
 		boolean olderIncomplete = this.downloads.headMap(download.version())
 			.values()
 			.stream()
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
@@ -119,6 +119,15 @@
 		awaitLoaded(1);
 	}
 
+	/** An agent that knew no other would fetch every chunk from the origin. */
+	@Test
+	public void agentsThatStartAtOnceFetchAboutOneCopyFromTheOrigin() throws Exception {
+		this.origin.setChunkDelayMs(100);
+		startEnginesAtOnce(this.fixture.vertx(), 6);
+		awaitLoaded(1);
+		assertThat(this.origin.sentChunks()).isLessThanOrEqualTo((int) (1.5 * FakeWeightOrigin.CHUNKS));
+	}
+
 	/** An idle connection is lost to the origin if its host loses power. */
 	@Test
 	public void connectionsToTheOriginCloseWithTheResponse() throws Exception {
