--- a/library/src/main/java/org/wigeontally/weights/Backoff.java
+++ b/library/src/main/java/org/wigeontally/weights/Backoff.java
@@ -27,7 +27,12 @@
 		return nowMs >= this.nextAttemptMs;
 	}
 
+	// Attempts that were under way together often fail together. Only the first of their
+	// failures counts.
 	void recordFailure(long nowMs, Random random) {
+		if (!hasElapsed(nowMs)) {
+			return;
+		}
 		this.nextAttemptMs = nowMs + this.delayMs / 2 + (long) (this.delayMs * random.nextDouble());
 		this.delayMs = Math.min(this.maxMs, this.delayMs * 2);
 	}
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -57,7 +57,8 @@
 
 	private static final long ORIGIN_RETRY_INITIAL_MS = 200;
 
-	private static final long ORIGIN_RETRY_MAX_MS = 5000;
+	/** No host gets weights before the origin is tried again after an outage. */
+	private static final long ORIGIN_RETRY_MAX_MS = 1000;
 
 	private final int chunkCount;
 
--- a/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
@@ -65,6 +65,34 @@
 		assertThat(fleet.originFetches).isLessThanOrEqualTo(CHUNKS + CHUNKS / 2);
 	}
 
+	/** An outage of the origin fails one fetch of each stripe at the same time. */
+	@Test
+	public void failuresOfConcurrentFetchesFromTheOriginDelayTheNextOneOnce() {
+		HostLocation self = new HostLocation("h0", "r0", "r0-a");
+		ChunkScheduler scheduler = ChunkScheduler.create(CHUNKS, self, new Random(7), 0);
+		scheduler.updateHosts(Map.of("h0", self), FetchAssignment.of("m", List.of(self), "r0"), 0);
+		List<Fetch> fetches = scheduler.nextFetches(0);
+		assertThat(fetches).hasSize(FetchAssignment.STRIPES);
+		fetches.forEach((fetch) -> scheduler.fetchFailed(fetch, Fetch.Failure.UNREACHABLE, 10));
+		assertThat(scheduler.nextFetches(500)).isNotEmpty();
+	}
+
+	/** The bounds of a recovery leave no time for long pauses after an outage. */
+	@Test
+	public void originIsTriedWithinTwoSecondsAfterALongOutage() {
+		HostLocation self = new HostLocation("h0", "r0", "r0-a");
+		ChunkScheduler scheduler = ChunkScheduler.create(CHUNKS, self, new Random(7), 0);
+		scheduler.updateHosts(Map.of("h0", self), FetchAssignment.of("m", List.of(self), "r0"), 0);
+		long nowMs = 0;
+		for (int failures = 0; failures < 20; nowMs += STEP_MS) {
+			for (Fetch fetch : scheduler.nextFetches(nowMs)) {
+				scheduler.fetchFailed(fetch, Fetch.Failure.UNREACHABLE, nowMs);
+				failures++;
+			}
+		}
+		assertThat(scheduler.nextFetches(nowMs + 2_000)).isNotEmpty();
+	}
+
 	@Test
 	public void backsOffFromAPeerThatSendsCorruptChunks() {
 		SimulatedFleet fleet = new SimulatedFleet(6, 3);
