An agent that hears of no entry calls all of them in each round

Found while looking for what delays the recovery after a loss of power: agents start a little before the entries, three refused calls in 0.8 s made them leave out every entry for 1.5 s, and after 30 failures they forgot the entries of the settings. An agent learns of versions and other agents only from entries. Now an entry is left out or forgotten only while another responds (EntryCallBackoff).

--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
@@ -15,6 +15,7 @@
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.EntryCallBackoff;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.schema.generated.Address;
@@ -45,10 +46,6 @@
 	 */
 	private static final int MAX_CALLS_PER_ROUND = 2;
 
-	private static final int FAILURES_BEFORE_BACKOFF = 3;
-
-	private static final long BACKOFF_MS = 1_500;
-
 	/**
 	 * Failures in a row after which an entry is removed. It is added again if another
 	 * entry names it.
@@ -246,10 +243,9 @@
 			this.log.write(LogEvent.PEER, "entry", Addresses.format(connection.address), "heard", false, "reason",
 					cause.getMessage());
 		}
-		if (connection.failures >= FAILURES_BEFORE_BACKOFF) {
-			connection.nextCallMs = this.clock.monotonicMs() + BACKOFF_MS;
-		}
-		if (connection.failures > FAILURES_BEFORE_REMOVAL) {
+		connection.nextCallMs = this.clock.monotonicMs()
+				+ EntryCallBackoff.delayMs(connection.failures, hasRespondingEntry());
+		if (connection.failures > FAILURES_BEFORE_REMOVAL && hasRespondingEntry()) {
 			this.connections.remove(Addresses.format(connection.address));
 		}
 	}
