Agents whose engine is gone leave the links to those whose engine needs weights

Change: an agent whose engine has not answered since its start, or for 8 s, fetches nothing (EngineStatus.engine_gone), and entries leave it out of briefings unless it holds the whole version, so that nobody waits for its share of the chunks.

agentWithoutEngineFetchesNoWeights: red before.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -31,6 +31,9 @@
 	/** Time without a report after which an agent is left out of briefings. */
 	private static final long AGENT_TIMEOUT_MS = 1_500;
 
+	/** Version that engines load until one is announced. */
+	private static final long FIRST_VERSION = 1;
+
 	private final GatewayContext context;
 
 	private final EntryTable entries;
@@ -104,11 +107,15 @@
 		});
 		long nowMs = this.context.nowMs();
 		this.lastReports.values().removeIf((report) -> nowMs - report.receivedAtMs() > AGENT_TIMEOUT_MS);
+		// Agents whose engine is gone fetch nothing, so others must not wait for their
+		// share.
+		long targetVersion = Math.max(FIRST_VERSION, briefing.getVersion());
 		this.lastReports.entrySet()
 			.stream()
 			.sorted(Map.Entry.comparingByKey())
 			.map((entry) -> entry.getValue().status())
 			.filter((other) -> !other.getAgent().equals(status.getAgent()))
+			.filter((other) -> !other.getEngineGone() || other.getWholeVersion() >= targetVersion)
 			.forEach((other) -> briefing.addAgents(AgentPlace.newBuilder()
 				.setAddress(other.getAgent())
 				.setZone(other.getZone())
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -70,6 +70,12 @@
 	 */
 	private static final long LOAD_LEAD_TIME_MS = 1_500;
 
+	/**
+	 * Time without an answer after which the engine is considered gone for good, as when
+	 * its replica was removed. A crashed engine is back sooner.
+	 */
+	private static final long ENGINE_GONE_MS = 8_000;
+
 	/** Failed polls in a row after which the engine is considered unreachable. */
 	private static final int UNREACHABLE_AFTER_FAILED_POLLS = 3;
 
@@ -106,6 +112,8 @@
 
 	private int failedPolls;
 
+	private long lastEngineAnswerMs = Long.MIN_VALUE / 2;
+
 	private boolean pollInProgress;
 
 	private boolean loadAnnounced;
@@ -218,6 +226,7 @@
 					newState.loadedVersions());
 		}
 		this.failedPolls = 0;
+		this.lastEngineAnswerMs = this.clock.monotonicMs();
 		this.engineState = newState;
 	}
 
@@ -240,6 +249,10 @@
 		return this.engineState != null && this.failedPolls < UNREACHABLE_AFTER_FAILED_POLLS;
 	}
 
+	private boolean isEngineGone() {
+		return !isEngineReachable() && this.clock.monotonicMs() - this.lastEngineAnswerMs >= ENGINE_GONE_MS;
+	}
+
 	private long loadedVersion() {
 		return (this.engineState == null) ? 0 : this.engineState.loadedVersions().getOrDefault(this.view.model(), 0L);
 	}
@@ -284,6 +297,7 @@
 			.setWholeVersion(this.collector.newestVerifiedVersion())
 			.setPieces(this.collector.verifiedChunkCount())
 			.setReachable(isEngineReachable())
+			.setEngineGone(isEngineGone())
 			.setLeaving(this.draining);
 		if (this.engineState != null) {
 			status.setEngineBorn(this.engineState.processStartMs())
@@ -299,11 +313,11 @@
 	// Takes the next step towards loading the target version.
 	private void reconcile() {
 		boolean starting = this.engineState == null && this.failedPolls < UNREACHABLE_AFTER_FAILED_POLLS;
-		if (!this.view.isKnown() || starting || this.draining) {
+		if (!this.view.isKnown() || starting || this.draining || isEngineGone()) {
 			return;
 		}
 		long target = this.view.targetVersion();
-		// Chunks are fetched even while the engine is unreachable.
+		// Chunks are fetched even while the engine is unreachable for a short time.
 		this.collector.collect(target);
 		this.collector.setEngineServing(isEngineReachable() && loadedVersion() > 0);
 		if (!isEngineReachable()) {
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
@@ -128,6 +128,18 @@
 		assertThat(this.origin.sentChunks()).isLessThanOrEqualTo((int) (1.5 * FakeWeightOrigin.CHUNKS));
 	}
 
+	/** The agent of a removed engine would take a share of the links of all others. */
+	@Test
+	public void agentWithoutEngineFetchesNoWeights() throws Exception {
+		FakeEngine removed = GatewayFixture.await(FakeEngine.start(this.fixture.vertx(), 0));
+		GatewayFixture.await(removed.stop());
+		startAgent(removed);
+		startEngines(2, 0);
+		awaitLoaded(1);
+		Thread.sleep(1_000);
+		assertThat(this.agents.get(0).newestVerifiedVersion()).isZero();
+	}
+
 	/** An idle connection is lost to the origin if its host loses power. */
 	@Test
 	public void connectionsToTheOriginCloseWithTheResponse() throws Exception {
