--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -29,6 +29,7 @@
 import org.wigeontally.platform.wire.EntryRecordCodec;
 import org.wigeontally.platform.wire.StoreClient;
 import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.rpc.PeerServerOptions;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.EngineStatus;
@@ -209,10 +210,11 @@
 			.requestHandler(this.callerHandler::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
-		servers.add(serve(this.settings.getReady(), httpHandler::handleReady));
-		servers.add(serve(this.settings.getDirectory(), httpHandler::handleDirectory));
-		servers.add(serve(this.settings.getControl(), grpc::handle));
-		servers.add(serve(metricsAddress,
+		HttpServerOptions options = new HttpServerOptions().setTcpNoDelay(true);
+		servers.add(serve(this.settings.getReady(), options, httpHandler::handleReady));
+		servers.add(serve(this.settings.getDirectory(), options, httpHandler::handleDirectory));
+		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
+		servers.add(serve(metricsAddress, options,
 				(request) -> MetricsApi.writeMetrics(this.context.metrics().registry(), request.response())));
 		this.datagrams.handler(this::handleReportDatagram);
 		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
@@ -223,9 +225,10 @@
 		}).mapEmpty();
 	}
 
-	private Future<HttpServer> serve(Address address, Handler<HttpServerRequest> handler) {
-		HttpServerOptions options = new HttpServerOptions().setAcceptBacklog(ACCEPT_BACKLOG).setTcpNoDelay(true);
-		return this.vertx.createHttpServer(options).requestHandler(handler).listen(address.getPort(), address.getIp());
+	private Future<HttpServer> serve(Address address, HttpServerOptions options, Handler<HttpServerRequest> handler) {
+		return this.vertx.createHttpServer(options.setAcceptBacklog(ACCEPT_BACKLOG))
+			.requestHandler(handler)
+			.listen(address.getPort(), address.getIp());
 	}
 
 	private void startTasks() {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServerOptions;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
@@ -20,6 +19,7 @@
 import org.wigeontally.platform.wire.EntryRecordCodec;
 import org.wigeontally.platform.wire.StoreClient;
 import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.rpc.PeerServerOptions;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentPlace;
 import org.wigeontally.schema.generated.EngineStatus;
@@ -168,7 +168,7 @@
 	private Future<Void> listen() {
 		this.settings.getSeedsList().forEach(this.entryReporter::addEntry);
 		this.entryReporter.onVersionAnnounced(this::reconcile);
-		return this.vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true))
+		return this.vertx.createHttpServer(PeerServerOptions.create())
 			.requestHandler(this.collector::handle)
 			.listen(this.settings.getInternalPort(), this.settings.getIp())
 			.compose((listening) -> this.entryReporter.listen(this::createStatus).map(listening))
