Stripes from the origin are dealt out among the hosts of a region first, and two connections a host

Change: a region deals out the stripes that it fetches from the origin before those that it fetches from other regions; a host may open two connections at least.

stripesFromTheOriginAreDealtOutAmongTheHostsOfARegion: red before.

--- a/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -80,12 +81,12 @@
 				: Collections.nCopies(STRIPES, defaultSeedRegion);
 		FetchAssignment assignment = new FetchAssignment(defaultSeedRegion, seedRegions);
 		byRegion.forEach((region, names) -> {
-			List<List<String>> stripes = new ArrayList<>();
+			List<List<String>> stripes = new ArrayList<>(Collections.nCopies(STRIPES, List.of()));
 			Map<String, Integer> leadCounts = new HashMap<>();
-			for (int stripe = 0; stripe < STRIPES; stripe++) {
+			for (int stripe : originStripesFirst(region, seedRegions)) {
 				List<String> ranked = rankHosts(manifest + "/" + region + "/" + stripe + "/", names, leadCounts);
 				leadCounts.merge(ranked.get(0), 1, Integer::sum);
-				stripes.add(ranked);
+				stripes.set(stripe, ranked);
 			}
 			assignment.rankedHostsByRegion.put(region, stripes);
 		});
@@ -112,6 +113,16 @@
 		return List.copyOf(seedRegions);
 	}
 
+	// The stripes that a region fetches from the origin are dealt out first, so that no
+	// host
+	// gets several of them while another gets none.
+	private static List<Integer> originStripesFirst(String region, List<String> seedRegions) {
+		List<Integer> stripes = new ArrayList<>();
+		IntStream.range(0, STRIPES).forEach(stripes::add);
+		stripes.sort(Comparator.comparing((Integer stripe) -> !seedRegions.get(stripe).equals(region)));
+		return stripes;
+	}
+
 	private static List<String> rankHosts(String prefix, List<String> names, Map<String, Integer> leadCounts) {
 		Map<String, Long> scores = new HashMap<>();
 		for (String name : names) {
--- a/library/src/main/java/org/wigeontally/weights/OriginConnectionLimit.java
+++ b/library/src/main/java/org/wigeontally/weights/OriginConnectionLimit.java
@@ -16,6 +16,9 @@
 	/** Losses of power, each during a fetch, after which connections are left. */
 	private static final int TOLERATED_LOSSES = 3;
 
+	/** A host that leads several stripes is slow with one connection. */
+	private static final int MIN_PER_HOST = 2;
+
 	/** More connections of one host than stripes are never used. */
 	private static final int MAX_PER_HOST = FetchAssignment.STRIPES;
 
@@ -26,11 +29,11 @@
 	 * Returns the number of connections that a host may open.
 	 * @param originConnections connections that the origin accepts from all hosts
 	 * @param hosts number of hosts that may fetch, including this one
-	 * @return number of connections, at least 1
+	 * @return number of connections
 	 */
 	public static int perHost(int originConnections, int hosts) {
 		int share = originConnections / (TOLERATED_LOSSES + 1) / Math.max(1, hosts);
-		return Math.max(1, Math.min(MAX_PER_HOST, share));
+		return Math.max(MIN_PER_HOST, Math.min(MAX_PER_HOST, share));
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/weights/FetchAssignmentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/FetchAssignmentTests.java
@@ -53,6 +53,23 @@
 		}
 	}
 
+	/**
+	 * The host that fetched three of three stripes from the origin was the last one of
+	 * the whole fleet to send them on.
+	 */
+	@Test
+	public void stripesFromTheOriginAreDealtOutAmongTheHostsOfARegion() {
+		for (int manifest = 0; manifest < 50; manifest++) {
+			FetchAssignment assignment = FetchAssignment.of("m" + manifest, hosts(3, 3, 3), "r1", true);
+			Map<String, Integer> originCounts = new HashMap<>();
+			for (int stripe = 0; stripe < FetchAssignment.STRIPES; stripe++) {
+				originCounts.merge(assignment.rankedHosts(assignment.seedRegion(stripe), stripe).get(0), 1,
+						Integer::sum);
+			}
+			assertThat(originCounts.values()).containsOnly(1);
+		}
+	}
+
 	private static Map<String, Integer> seedCounts(FetchAssignment assignment) {
 		Map<String, Integer> seedCounts = new HashMap<>();
 		for (int stripe = 0; stripe < FetchAssignment.STRIPES; stripe++) {
