Chunks of an abandoned version that wait for a connection are not requested; comments and a name from reading the change

A version that is abandoned for a newer one could leave requests in the queue of its host's connections, which would have delayed the newer one.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -210,11 +210,11 @@
 			.requestHandler(this.callerHandler::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
-		HttpServerOptions options = new HttpServerOptions().setTcpNoDelay(true);
-		servers.add(serve(this.settings.getReady(), options, httpHandler::handleReady));
-		servers.add(serve(this.settings.getDirectory(), options, httpHandler::handleDirectory));
+		HttpServerOptions publicOptions = new HttpServerOptions().setTcpNoDelay(true);
+		servers.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
+		servers.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
 		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
-		servers.add(serve(metricsAddress, options,
+		servers.add(serve(metricsAddress, publicOptions,
 				(request) -> MetricsApi.writeMetrics(this.context.metrics().registry(), request.response())));
 		this.datagrams.handler(this::handleReportDatagram);
 		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
--- a/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
@@ -92,6 +92,9 @@
 	}
 
 	private Future<byte[]> requestChunk(VersionDownload download, int index) {
+		if (!this.downloads.containsValue(download)) {
+			return Future.failedFuture("version " + download.version() + " was abandoned before its turn");
+		}
 		download.recordOriginRequest();
 		return this.client
 			.fetchChunk(this.view.briefing().getOrigin(), this.view.model(), download.version(), index,
--- a/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
@@ -113,8 +113,7 @@
 		return List.copyOf(seedRegions);
 	}
 
-	// The stripes that a region fetches from the origin are dealt out first, so that no
-	// host
+	// Stripes that a region fetches from the origin are dealt out first, so that no host
 	// gets several of them while another gets none.
 	private static List<Integer> originStripesFirst(String region, List<String> seedRegions) {
 		List<Integer> stripes = new ArrayList<>();
--- a/library/src/main/java/org/wigeontally/weights/OriginConnectionLimit.java
+++ b/library/src/main/java/org/wigeontally/weights/OriginConnectionLimit.java
@@ -9,7 +9,8 @@
  * connections, one loss of power during a fetch would leave none for the fetch that
  * follows it. So all hosts together open only a fraction of them, which leaves the rest
  * for the fetches after further losses. Few connections are enough to use the origin's
- * link, since the hosts fetch different chunks.
+ * link, since the hosts fetch different chunks. In large fleets only the hosts that lead
+ * stripes fetch from the origin, so each of them may open a few.
  */
 public final class OriginConnectionLimit {
 
