Tests on the platform's programs take ports below those of outgoing connections

Cause: GatewayFixture.freeAddress closed a port of the range that the machine gives to outgoing connections, and six agents that start at once open such connections before the last of them binds its port. The emulator's Ports hands out ports below that range; the fixture uses it now. No check is changed.

--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -1,7 +1,6 @@
 package org.wigeontally.gateway;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +14,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
+import org.wigeontally.emulator.experiment.Ports;
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
@@ -103,9 +103,7 @@
 	}
 
 	public static Address freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return Address.newBuilder().setIp("127.0.0.1").setPort(socket.getLocalPort()).build();
-		}
+		return Ports.free();
 	}
 
 	FakeBackend startBackend(String id, String service, String zone, FakeBackend.Behaviour behaviour) throws Exception {
