--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -7,6 +7,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
 
+import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.FleetConfiguration;
@@ -31,9 +32,6 @@
 	/** Time without a report after which an agent is left out of briefings. */
 	private static final long AGENT_TIMEOUT_MS = 1_500;
 
-	/** Version that engines load until one is announced. */
-	private static final long FIRST_VERSION = 1;
-
 	private final GatewayContext context;
 
 	private final EntryTable entries;
@@ -109,7 +107,7 @@
 		this.lastReports.values().removeIf((report) -> nowMs - report.receivedAtMs() > AGENT_TIMEOUT_MS);
 		// Agents whose engine is gone fetch nothing, so others must not wait for their
 		// share.
-		long targetVersion = Math.max(FIRST_VERSION, briefing.getVersion());
+		long targetVersion = AnnouncedVersions.targetVersion(briefing.getVersion());
 		this.lastReports.entrySet()
 			.stream()
 			.sorted(Map.Entry.comparingByKey())
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
@@ -243,9 +243,9 @@
 			this.log.write(LogEvent.PEER, "entry", Addresses.format(connection.address), "heard", false, "reason",
 					cause.getMessage());
 		}
-		connection.nextCallMs = this.clock.monotonicMs()
-				+ EntryCallBackoff.delayMs(connection.failures, hasRespondingEntry());
-		if (connection.failures > FAILURES_BEFORE_REMOVAL && hasRespondingEntry()) {
+		boolean otherResponds = hasRespondingEntry();
+		connection.nextCallMs = this.clock.monotonicMs() + EntryCallBackoff.delayMs(connection.failures, otherResponds);
+		if (connection.failures > FAILURES_BEFORE_REMOVAL && otherResponds) {
 			this.connections.remove(Addresses.format(connection.address));
 		}
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.weights.PeerDiscovery;
 
@@ -12,8 +13,6 @@
  */
 final class FleetView {
 
-	private static final long FIRST_VERSION = 1;
-
 	private AgentBriefing briefing = AgentBriefing.getDefaultInstance();
 
 	private final Map<Long, Long> announcedAtMs = new HashMap<>();
@@ -82,7 +81,7 @@
 	 * @return the version
 	 */
 	long targetVersion() {
-		return Math.max(FIRST_VERSION, this.briefing.getVersion());
+		return AnnouncedVersions.targetVersion(this.briefing.getVersion());
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
@@ -17,6 +17,9 @@
 	/** Marks an unknown announcement time; such a version is required at once. */
 	public static final long UNKNOWN_TIME_MS = Long.MIN_VALUE / 2;
 
+	// Engines can load it although no operator announced it.
+	private static final long FIRST_VERSION = 1;
+
 	private static final int MAX_VERSIONS = 8;
 
 	private final TreeMap<Long, Long> announcedMsByVersion = new TreeMap<>();
@@ -60,6 +63,15 @@
 		}
 	}
 
+	/**
+	 * Returns the version that engines should load.
+	 * @param newestVersion newest version that was announced; 0 for none
+	 * @return the version; the first version until one is announced
+	 */
+	public static long targetVersion(long newestVersion) {
+		return Math.max(FIRST_VERSION, newestVersion);
+	}
+
 	/**
 	 * Returns the newest version.
 	 * @return the version; 0 if none was announced
--- a/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
+++ b/library/src/main/java/org/wigeontally/weights/FetchAssignment.java
@@ -116,10 +116,10 @@
 	// Stripes that a region fetches from the origin are dealt out first, so that no host
 	// gets several of them while another gets none.
 	private static List<Integer> originStripesFirst(String region, List<String> seedRegions) {
-		List<Integer> stripes = new ArrayList<>();
-		IntStream.range(0, STRIPES).forEach(stripes::add);
-		stripes.sort(Comparator.comparing((Integer stripe) -> !seedRegions.get(stripe).equals(region)));
-		return stripes;
+		return IntStream.range(0, STRIPES)
+			.boxed()
+			.sorted(Comparator.comparing((stripe) -> !seedRegions.get(stripe).equals(region)))
+			.toList();
 	}
 
 	private static List<String> rankHosts(String prefix, List<String> names, Map<String, Integer> leadCounts) {
