A crash of a backend server is logged once, with its requests, their prompts' parts and events

It now names the first twelve requests with the shared parts of their prompts and the events that had come from each. One check runs for each crash in place of one for each connection, which also saves connections to a server that lives. The list of parts is decoded in platform/ (bounded, bad entries left out and logged); nothing decides by it yet.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -32,7 +32,7 @@
 	BACKEND(RateLimit.MANY),
 	/** An entry or agent is reachable again, is leaving, or no longer sends messages. */
 	PEER(RateLimit.SOME),
-	/** A header of a backend server's response has an unusable value. */
+	/** A header of a request or of a backend server's response has an unusable value. */
 	HEADER_UNREADABLE(RateLimit.SOME),
 	/** A backend server crashed while it ran requests. */
 	BACKEND_CRASH(RateLimit.SOME),
--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -1,13 +1,13 @@
 package org.wigeontally.gateway;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 import org.wigeontally.fleet.BackendHealth;
 import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.WarmupRateLimiter;
-import org.wigeontally.harmful.Fingerprint;
 
 /**
  * A registered backend server with the load, health and connections that this entry
@@ -23,8 +23,8 @@
 
 	private final WarmupRateLimiter warmupLimiter = WarmupRateLimiter.create();
 
-	// Requests that run there now; if it crashes, they are suspected of the crash.
-	private final Map<Fingerprint, Integer> runningRequests = new HashMap<>();
+	// Attempts that were sent and have not ended.
+	private final Set<BackendAttempt> runningAttempts = new LinkedHashSet<>();
 
 	private BackendRecord record;
 
@@ -167,16 +167,20 @@
 		return hasRecentReport(nowMs) ? this.agentLoadedVersion : this.record.loadedVersions().getOrDefault(model, 0L);
 	}
 
-	void requestStarted(Fingerprint fingerprint) {
-		this.runningRequests.merge(fingerprint, 1, Integer::sum);
+	void attemptStarted(BackendAttempt attempt) {
+		this.runningAttempts.add(attempt);
 	}
 
-	void requestEnded(Fingerprint fingerprint) {
-		this.runningRequests.computeIfPresent(fingerprint, (key, count) -> (count > 1) ? count - 1 : null);
+	void attemptEnded(BackendAttempt attempt) {
+		this.runningAttempts.remove(attempt);
 	}
 
-	Map<Fingerprint, Integer> runningRequests() {
-		return this.runningRequests;
+	/**
+	 * Returns the attempts that run there now; if it crashes, they are suspected of it.
+	 * @return the attempts in the order in which they were sent
+	 */
+	Set<BackendAttempt> runningAttempts() {
+		return Collections.unmodifiableSet(this.runningAttempts);
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -127,6 +127,19 @@
 		return this.context.nowMs() - this.startMs;
 	}
 
+	Fingerprint fingerprint() {
+		return this.fingerprint;
+	}
+
+	/**
+	 * Describes the attempt for the log of a crash.
+	 * @return id of the request, ids of the parts of its prompt and received events
+	 */
+	String describe() {
+		int events = (this.reader != null) ? this.reader.takenEvents() : 0;
+		return this.request.attemptId() + "/" + String.join("+", this.request.promptParts().sharedIds()) + "/" + events;
+	}
+
 	boolean isSent() {
 		return this.sent;
 	}
@@ -168,7 +181,7 @@
 		this.lastReceivedMs = nowMs;
 		this.listener.requestSent();
 		this.backend.warmupLimiter().recordSent(nowMs);
-		this.backend.requestStarted(this.fingerprint);
+		this.backend.attemptStarted(this);
 		String lastEventId = this.listener.lastEventId();
 		long remainingMs = this.listener.remainingMs();
 		logSend(nowMs, remainingMs, lastEventId);
@@ -221,7 +234,7 @@
 		this.ended = true;
 		this.backend.load().recordEnd();
 		if (this.sent) {
-			this.backend.requestEnded(this.fingerprint);
+			this.backend.attemptEnded(this);
 		}
 		else {
 			this.backend.warmupLimiter().release();
@@ -302,7 +315,7 @@
 		}
 		this.backend.health().recordFailure(this.context.nowMs());
 		// Called before markEnded(), so that this request is among the possible causes.
-		CrashDetector.checkForCrash(this.context, this.backend);
+		this.context.crashDetector().connectionLost(this.backend);
 		markEnded();
 		this.listener.attemptFailed(this, AttemptFailure.MAY_HAVE_RUN, reason);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -14,6 +14,7 @@
 import org.wigeontally.fleet.Organisation;
 import org.wigeontally.fleet.Route;
 import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.platform.wire.PromptParts;
 import org.wigeontally.platform.wire.WireNames;
 
 /**
@@ -46,6 +47,8 @@
 
 	private final long callerTimeoutMs;
 
+	private final PromptParts promptParts;
+
 	CallerRequest(HttpServerRequest http, Route route, Optional<Organisation> organisation, String service, byte[] body,
 			long receivedAtMs, long callerTimeoutMs) {
 		this.http = http;
@@ -55,6 +58,7 @@
 		this.body = body;
 		this.receivedAtMs = receivedAtMs;
 		this.callerTimeoutMs = callerTimeoutMs;
+		this.promptParts = PromptParts.decode(http.headers().getAll(WireNames.PROMPT_PARTS));
 	}
 
 	Route route() {
@@ -115,6 +119,10 @@
 		return this.http.getHeader(WireNames.LAST_EVENT_ID);
 	}
 
+	PromptParts promptParts() {
+		return this.promptParts;
+	}
+
 	Fingerprint fingerprint() {
 		return Fingerprint.of(organisationName(), this.http.uri(), this.body);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
@@ -1,47 +1,78 @@
 package org.wigeontally.gateway;
 
-import java.util.HashSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.net.NetSocket;
 
 import org.wigeontally.eventlog.LogEvent;
-import org.wigeontally.harmful.Fingerprint;
 
 /**
  * Distinguishes a crashed backend server from one that only lost a response. A connection
  * that is lost while a request runs may mean either. Only if a new connection cannot be
  * opened shortly afterwards is this counted as a crash, and the requests that ran there
- * are recorded as its possible cause.
+ * are recorded as its possible cause. Runs on the event loop.
  */
 final class CrashDetector {
 
 	/**
 	 * Delay before the new connection. It can be short because a crashed process refuses
-	 * connections immediately.
+	 * connections immediately, and is long enough for the other connections of the
+	 * process to be seen closed.
 	 */
 	private static final long CHECK_DELAY_MS = 30;
 
-	private CrashDetector() {
+	/** Number of requests that a log line names. */
+	private static final int MAX_LOGGED_REQUESTS = 12;
+
+	private final GatewayContext context;
+
+	private final Map<Backend, Set<BackendAttempt>> pendingChecks = new HashMap<>();
+
+	CrashDetector(GatewayContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Starts a check, unless one is under way.
+	 * @param backend backend server to which a connection was lost while a request ran
+	 */
+	void connectionLost(Backend backend) {
+		if (this.pendingChecks.containsKey(backend)) {
+			return;
+		}
+		this.pendingChecks.put(backend, new LinkedHashSet<>(backend.runningAttempts()));
+		this.context.vertx()
+			.setTimer(CHECK_DELAY_MS, (id) -> backend.pool().probe().onComplete((result) -> checked(backend, result)));
+	}
+
+	private void checked(Backend backend, AsyncResult<NetSocket> result) {
+		Set<BackendAttempt> running = this.pendingChecks.remove(backend);
+		if (result.succeeded()) {
+			result.result().close();
+			return;
+		}
+		backend.health().recordConnectFailure(this.context.nowMs());
+		String lossId = backend.record().id() + ":" + backend.record().processStartMs();
+		this.context.harmfulRequests()
+			.recordBackendLoss(lossId, running.stream().map(BackendAttempt::fingerprint).collect(Collectors.toSet()));
+		logCrash(backend, running, result.cause());
+		this.context.notifySuspectsChanged();
 	}
 
-	static void checkForCrash(GatewayContext context, Backend backend) {
-		Set<Fingerprint> running = new HashSet<>(backend.runningRequests().keySet());
-		context.vertx().setTimer(CHECK_DELAY_MS, (id) -> backend.pool().probe().onComplete((result) -> {
-			if (result.succeeded()) {
-				NetSocket socket = result.result();
-				socket.close();
-				return;
-			}
-			long nowMs = context.nowMs();
-			backend.health().recordConnectFailure(nowMs);
-			String lossId = backend.record().id() + ":" + backend.record().processStartMs();
-			context.harmfulRequests().recordBackendLoss(lossId, running);
-			context.log()
-				.write(LogEvent.BACKEND_CRASH, "backend", backend.record().id(), "running", running.size(), "reason",
-						result.cause().getMessage());
-			context.notifySuspectsChanged();
-		}));
+	private void logCrash(Backend backend, Collection<BackendAttempt> running, Throwable cause) {
+		String requests = running.stream()
+			.limit(MAX_LOGGED_REQUESTS)
+			.map(BackendAttempt::describe)
+			.collect(Collectors.joining(" "));
+		this.context.log()
+			.write(LogEvent.BACKEND_CRASH, "backend", backend.record().id(), "running", running.size(), "requests",
+					requests, "reason", cause.getMessage());
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -35,6 +35,8 @@
 
 	private final HarmfulRequestTracker harmfulRequests;
 
+	private final CrashDetector crashDetector = new CrashDetector(this);
+
 	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
 
 	private final LeastLoadedPlacement plainPlacement = LeastLoadedPlacement.create(this.random);
@@ -93,6 +95,10 @@
 		return this.harmfulRequests;
 	}
 
+	CrashDetector crashDetector() {
+		return this.crashDetector;
+	}
+
 	RandomGenerator random() {
 		return this.random;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -113,6 +113,11 @@
 			refuse(LocalResponse.notRun("brought-backends-down", suspicion.expiresInMs() / 1000.0));
 			return;
 		}
+		if (this.request.promptParts().unreadable() != null) {
+			this.context.log()
+				.write(LogEvent.HEADER_UNREADABLE, "id", this.request.attemptId(), "header",
+						this.request.promptParts().unreadable());
+		}
 		this.context.retryBudget(this.request.service()).recordRequest(this.request.receivedAtMs());
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
 		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> timedOut());
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -34,6 +34,8 @@
 
 	private EventStreamSplitter.Event nextEvent;
 
+	private int takenEvents;
+
 	ResponseReader(int status, HttpHeaders headers, RequestKind kind) {
 		this.status = status;
 		this.headers = headers;
@@ -102,10 +104,19 @@
 
 	EventStreamSplitter.Event takeEvent() {
 		EventStreamSplitter.Event taken = hasEvent() ? this.nextEvent : null;
+		this.takenEvents += (taken != null) ? 1 : 0;
 		this.nextEvent = null;
 		return taken;
 	}
 
+	/**
+	 * Returns how many events were taken so far.
+	 * @return the number
+	 */
+	int takenEvents() {
+		return this.takenEvents;
+	}
+
 	boolean hasPartialEvent() {
 		return this.splitter.hasPartialEvent();
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -215,6 +215,11 @@
 		return await(send(entry, route, id, key, body));
 	}
 
+	TestCaller.Response callWithParts(int entry, String route, String id, String promptParts) throws Exception {
+		return await(TestCaller.sendRequest(this.client, this.settings.get(entry).getFront(), "/" + route + "/x", id,
+				API_KEY, promptParts, "body of " + id));
+	}
+
 	Future<TestCaller.Response> send(int entry, String route, String id, String key, String body) {
 		return TestCaller.sendRequest(this.client, this.settings.get(entry).getFront(), "/" + route + "/x?q=1", id, key,
 				body);
