--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/HarmfulPromptPartTests.java
@@ -0,0 +1,118 @@
+package org.wigeontally.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.buffer.Buffer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.TestCaller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Requests that differ from each other but share a part of their prompts that crashes
+ * engines, through running entries.
+ */
+public class HarmfulPromptPartTests {
+
+	private static final String HARMFUL_PART = "bad0";
+
+	private static final int ENTRIES = 3;
+
+	private static final int ENGINES = 24;
+
+	private GatewayFixture fixture;
+
+	private final List<FakeBackend> engines = new ArrayList<>();
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.engines.clear();
+		this.fixture = new GatewayFixture();
+		this.fixture.writeConfiguration();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	@DataProvider
+	public Object[][] crashes() {
+		return new Object[][] { { EngineCrash.BEFORE_THE_HEAD }, { EngineCrash.WITHIN_THE_FIRST_EVENT },
+				{ EngineCrash.AFTER_AN_UNFRAMED_HEAD }, { EngineCrash.WITHIN_THE_FIRST_UNFRAMED_EVENT } };
+	}
+
+	/**
+	 * Fewer than five engines may crash. Sound requests of the same caller with the same
+	 * first part are served all the while.
+	 */
+	@Test(dataProvider = "crashes")
+	public void requestsSharingAPartThatCrashesEnginesAreStopped(EngineCrash crash) throws Exception {
+		startEngines(crash);
+		startEntries();
+		int served = 0;
+		for (int i = 0; i < 12; i++) {
+			sendHarmful(i);
+			served += isServed(i) ? 1 : 0;
+			Thread.sleep(100);
+		}
+		assertThat(crashedEngines()).isLessThan(5);
+		assertThat(served).isEqualTo(12);
+	}
+
+	private void startEngines(EngineCrash crash) throws Exception {
+		for (int i = 0; i < ENGINES; i++) {
+			int number = i;
+			this.engines.add(this.fixture.startBackend("engine-" + i, "engines", "zone-a", (arrival, socket) -> {
+				if (isHarmful(arrival)) {
+					crash.strike(this.engines.get(number), arrival, socket);
+					return;
+				}
+				socket.write(Buffer.buffer(FakeBackend.partialEventStream(arrival, "s", 0, 4) + "0\r\n\r\n"));
+			}));
+		}
+	}
+
+	private void startEntries() throws Exception {
+		for (int i = 0; i < ENTRIES; i++) {
+			this.fixture.startEntry();
+		}
+		for (int i = 0; i < ENTRIES; i++) {
+			this.fixture.awaitStatus(i, "events", 200);
+		}
+		Thread.sleep(1_200);
+	}
+
+	private void sendHarmful(int number) {
+		try {
+			this.fixture.callWithParts(number % ENTRIES, "events", "harmful-" + number,
+					"aa01:40," + HARMFUL_PART + ":200," + Integer.toHexString(number) + ":90");
+		}
+		catch (Exception ex) {
+			// The entry may close the connection if the outcome is unknown.
+		}
+	}
+
+	private boolean isServed(int number) throws Exception {
+		TestCaller.Response response = this.fixture.callWithParts((number + 1) % ENTRIES, "events", "sound-" + number,
+				"aa01:40,50d:200," + Integer.toHexString(number) + ":90");
+		return response.status() == 200 && response.body().endsWith("data: e3\n\n");
+	}
+
+	private long crashedEngines() {
+		return this.engines.stream()
+			.filter((engine) -> engine.receivedRequests().stream().anyMatch(HarmfulPromptPartTests::isHarmful))
+			.count();
+	}
+
+	private static boolean isHarmful(FakeBackend.ReceivedRequest arrival) {
+		return arrival.headers().getOrDefault("x-prompt-prefix", "").contains("," + HARMFUL_PART + ":");
+	}
+
+}
