News that arises while an exchange with an entry is under way is told right after it

Callers: requests that had just crashed a backend server at one entry crashed another one through the next entry, up to half a second later. Cause: an exchange at once was dropped if one with that entry was under way; the news waited for the next regular exchange (500 ms, 2,500 ms to other regions).

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.google.protobuf.ByteString;
 
@@ -64,6 +66,9 @@
 
 	private final Map<String, Boolean> pendingExchanges = new HashMap<>();
 
+	// Entries whose pending exchange began before the newest change of this entry.
+	private final Set<String> outdatedExchanges = new HashSet<>();
+
 	private final long incarnation;
 
 	private StoreFollower operatorFollower;
@@ -104,10 +109,20 @@
 	}
 
 	/**
-	 * Exchanges with all entries at once, because the state of this entry changed.
+	 * Exchanges with all entries at once, because the state of this entry changed. An
+	 * entry with which an exchange is under way may have got the earlier state, so the
+	 * exchange is repeated when that one has ended.
 	 */
 	void exchangeWithAllEntries() {
-		this.table.dueForExchange(this.context.nowMs(), 0).forEach((entry) -> exchange(entry, false));
+		this.table.dueForExchange(this.context.nowMs(), 0).forEach((entry) -> {
+			String key = Addresses.format(entry);
+			if (this.pendingExchanges.getOrDefault(key, false)) {
+				this.outdatedExchanges.add(key);
+			}
+			else {
+				exchange(entry, false);
+			}
+		});
 	}
 
 	/**
@@ -139,6 +154,9 @@
 			.onSuccess((reply) -> this.failures.recordSuccess(entry))
 			.onComplete((result) -> {
 				this.pendingExchanges.remove(key);
+				if (this.outdatedExchanges.remove(key)) {
+					exchange(entry, false);
+				}
 				if (result.succeeded()) {
 					applyNews(result.result());
 					recordAges(result.result(), sentAtMs);
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -102,6 +102,11 @@
 				EventLog.create(Clock.system(), entrySettings.getHost()))));
 	}
 
+	/** Tells an entry of another one, by a reload of its settings. */
+	void addEntryAddress(int entry, Address other) {
+		this.entries.get(entry).reload(this.settings.get(entry).toBuilder().addSeeds(other).build());
+	}
+
 	public static Address freeAddress() throws IOException {
 		return Ports.free();
 	}
