Parts of prompts that crash engines are found over all entries and refused

Cause: the memory of harmful requests keeps whole requests (organisation, URI and body). These requests differ in their bodies, so each counted for itself; the retry of each took a second engine. Two more ways in which a crash went unseen: a stream without length and chunks that ended within an event started no check, and one that ended before its first event passed for a complete answer and cleared its request. Class: a cause carried by a part of many requests, found from losses that are seen in pieces by many entries: group testing with noise. Change: HarmfulPartTracker (library, no I/O) counts losses by the shared parts of prompts whose answers had not begun, clears them by answers that begin after the loss, sends one request at a time from two losses on, and refuses from three, a trial among them. Losses at the same time as others are not conclusive. Entries exchange losses, clearings and trials. The memory of whole requests now suspects only requests without an answer, too. LossTable is what both memories share.

Ruled out: refusal by count alone (a hot part of a lost zone would be refused), and one entry in charge of the trials (it gets a ninth of the requests).

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -36,6 +36,8 @@
 	HEADER_UNREADABLE(RateLimit.SOME),
 	/** A backend server crashed while it ran requests. */
 	BACKEND_CRASH(RateLimit.SOME),
+	/** A part of prompts is refused from now on, or is allowed again. */
+	PROMPT_PART(RateLimit.SOME),
 	/** A request was sent to a backend server. */
 	REQUEST_PLACED(RateLimit.REQUESTS),
 	/** No backend server was found for a request; the fields show why. */
--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -33,6 +33,11 @@
 	/** Called immediately before the request is sent to the backend server. */
 	void requestSent();
 
+	/**
+	 * Called when the backend server has begun its answer without a crash.
+	 */
+	void answerBegun();
+
 	/**
 	 * Called when data of an event stream arrived that completes at least one event.
 	 * @param reader provides the complete events
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -1,11 +1,15 @@
 package org.wigeontally.gateway;
 
+import java.util.Set;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.Future;
 
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.RequestKind;
 import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.harmful.PromptPart;
+import org.wigeontally.harmful.SuspectRequest;
 import org.wigeontally.platform.wire.BackendNotice;
 
 /**
@@ -45,6 +49,12 @@
 	/** Load age that is logged if the load was never reported. */
 	private static final long MAX_LOGGED_AGE_MS = 999_999;
 
+	/**
+	 * Events after which an answer has begun without a crash. A backend server that
+	 * crashes as it begins may still send the first one.
+	 */
+	private static final int MIN_SOUND_EVENTS = 2;
+
 	private static final int SERVER_ERROR = 500;
 
 	private final GatewayContext context;
@@ -53,6 +63,8 @@
 
 	private final Fingerprint fingerprint;
 
+	private final Set<PromptPart> triedParts;
+
 	private final Backend backend;
 
 	private final int enginePriority;
@@ -71,6 +83,8 @@
 
 	private boolean ended;
 
+	private boolean answerBegun;
+
 	private long silenceTimer = -1;
 
 	private ResponseReader reader;
@@ -80,16 +94,18 @@
 	 * @param context state that all requests of the entry share
 	 * @param request the request
 	 * @param fingerprint fingerprint of the request's content
+	 * @param triedParts parts of its prompt for which it is on trial
 	 * @param backend backend server to send it to
 	 * @param enginePriority scheduling priority at the engine; negative for none
 	 * @param requiredVersion oldest version of the weights that may run it; 0 for any
 	 * @param listener receives the result
 	 */
-	BackendAttempt(GatewayContext context, CallerRequest request, Fingerprint fingerprint, Backend backend,
-			int enginePriority, long requiredVersion, AttemptListener listener) {
+	BackendAttempt(GatewayContext context, CallerRequest request, Fingerprint fingerprint, Set<PromptPart> triedParts,
+			Backend backend, int enginePriority, long requiredVersion, AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.fingerprint = fingerprint;
+		this.triedParts = triedParts;
 		this.backend = backend;
 		this.enginePriority = enginePriority;
 		this.requiredVersion = requiredVersion;
@@ -137,7 +153,29 @@
 	 */
 	String describe() {
 		int events = (this.reader != null) ? this.reader.takenEvents() : 0;
-		return this.request.attemptId() + "/" + String.join("+", this.request.promptParts().sharedIds()) + "/" + events;
+		return this.request.attemptId() + "/" + HarmfulPartGuard.ids(this.request.sharedParts()) + "/" + events;
+	}
+
+	/**
+	 * Returns whether the backend server has begun its answer without a crash. A request
+	 * can crash it until then.
+	 * @return true if enough of the answer has arrived
+	 */
+	boolean hasBegunAnswer() {
+		return this.answerBegun;
+	}
+
+	SuspectRequest toSuspect() {
+		return new SuspectRequest(this.request.sharedParts(), this.triedParts);
+	}
+
+	/**
+	 * Ends a trial whose result is not known.
+	 */
+	void endTrial() {
+		if (this.sent) {
+			this.context.harmfulParts().trialEnded(this.triedParts);
+		}
 	}
 
 	boolean isSent() {
@@ -153,6 +191,7 @@
 			return;
 		}
 		markEnded();
+		endTrial();
 		if (this.connection != null) {
 			this.connection.close();
 		}
@@ -182,6 +221,7 @@
 		this.listener.requestSent();
 		this.backend.warmupLimiter().recordSent(nowMs);
 		this.backend.attemptStarted(this);
+		this.context.harmfulParts().trialStarted(this.triedParts);
 		String lastEventId = this.listener.lastEventId();
 		long remainingMs = this.listener.remainingMs();
 		logSend(nowMs, remainingMs, lastEventId);
@@ -267,26 +307,37 @@
 			// and then is noticed as stalled.
 			this.lastReceivedMs = this.context.nowMs();
 			this.listener.eventsReceived(this.reader);
+			if (this.reader.takenEvents() >= MIN_SOUND_EVENTS) {
+				recordAnswerBegun();
+			}
 		}
 		if (!this.ended && this.reader.isTooLarge()) {
 			abandon("response too large");
 		}
 	}
 
+	private void recordAnswerBegun() {
+		if (!this.answerBegun) {
+			this.answerBegun = true;
+			this.context.harmfulParts().answerBegun(this.request.sharedParts());
+			this.listener.answerBegun();
+		}
+	}
+
 	@Override
-	public void responseEnded() {
+	public void responseEnded(boolean delimitedByClose) {
 		if (this.ended) {
 			return;
 		}
-		markEnded();
 		long nowMs = this.context.nowMs();
-		if (this.reader.isNotRun()) {
-			this.listener.attemptFailed(this, AttemptFailure.NOT_RUN, "status " + this.reader.status());
+		if (this.reader.isBrokenOff(delimitedByClose)) {
+			connectionFailed("stream ended before or within an event");
 			return;
 		}
-		if (this.reader.isEventStream() && this.reader.hasPartialEvent()) {
-			this.backend.health().recordFailure(nowMs);
-			this.listener.attemptFailed(this, AttemptFailure.MAY_HAVE_RUN, "stream ended in the middle of an event");
+		markEnded();
+		endTrial();
+		if (this.reader.isNotRun()) {
+			this.listener.attemptFailed(this, AttemptFailure.NOT_RUN, "status " + this.reader.status());
 			return;
 		}
 		if (this.reader.status() >= SERVER_ERROR) {
@@ -295,6 +346,7 @@
 			this.listener.responseReceived(this.reader.toBufferedResponse());
 			return;
 		}
+		recordAnswerBegun();
 		this.backend.health().recordSuccess(nowMs);
 		this.context.metrics().recordAttempt(this.request.service(), "done");
 		if (this.context.harmfulRequests().recordSuccess(this.fingerprint)) {
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -264,7 +264,7 @@
 		else {
 			close();
 		}
-		handler.responseEnded();
+		handler.responseEnded(this.delimitedByClose);
 	}
 
 	private void abort(String reason) {
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendResponseHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendResponseHandler.java
@@ -4,7 +4,7 @@
 
 /**
  * Receives the response to one request to a backend server. Called on the event loop. No
- * method is called after {@link #responseEnded()} or {@link #connectionFailed}.
+ * method is called after {@link #responseEnded} or {@link #connectionFailed}.
  */
 interface BackendResponseHandler {
 
@@ -23,8 +23,9 @@
 
 	/**
 	 * Called when the response is complete.
+	 * @param delimitedByClose true if only the end of the connection says so
 	 */
-	void responseEnded();
+	void responseEnded(boolean delimitedByClose);
 
 	/**
 	 * Called when the connection was lost or the backend server violated the protocol
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpServerRequest;
@@ -14,6 +15,7 @@
 import org.wigeontally.fleet.Organisation;
 import org.wigeontally.fleet.Route;
 import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.platform.wire.PromptParts;
 import org.wigeontally.platform.wire.WireNames;
 
@@ -47,7 +49,9 @@
 
 	private final long callerTimeoutMs;
 
-	private final PromptParts promptParts;
+	private final Set<PromptPart> sharedParts;
+
+	private final String unreadableParts;
 
 	CallerRequest(HttpServerRequest http, Route route, Optional<Organisation> organisation, String service, byte[] body,
 			long receivedAtMs, long callerTimeoutMs) {
@@ -58,7 +62,12 @@
 		this.body = body;
 		this.receivedAtMs = receivedAtMs;
 		this.callerTimeoutMs = callerTimeoutMs;
-		this.promptParts = PromptParts.decode(http.headers().getAll(WireNames.PROMPT_PARTS));
+		PromptParts promptParts = PromptParts.decode(http.headers().getAll(WireNames.PROMPT_PARTS));
+		this.unreadableParts = promptParts.unreadable();
+		this.sharedParts = promptParts.sharedIds()
+			.stream()
+			.map((id) -> new PromptPart(service, id))
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	Route route() {
@@ -119,8 +128,20 @@
 		return this.http.getHeader(WireNames.LAST_EVENT_ID);
 	}
 
-	PromptParts promptParts() {
-		return this.promptParts;
+	/**
+	 * Returns the parts of the prompt that other requests can have too.
+	 * @return the parts
+	 */
+	Set<PromptPart> sharedParts() {
+		return this.sharedParts;
+	}
+
+	/**
+	 * Returns what is wrong with the caller's list of parts.
+	 * @return a description for the log, or null if it can be read
+	 */
+	String unreadableParts() {
+		return this.unreadableParts;
 	}
 
 	Fingerprint fingerprint() {
--- a/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
@@ -2,9 +2,8 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 import io.vertx.core.AsyncResult;
@@ -16,7 +15,8 @@
  * Distinguishes a crashed backend server from one that only lost a response. A connection
  * that is lost while a request runs may mean either. Only if a new connection cannot be
  * opened shortly afterwards is this counted as a crash, and the requests that ran there
- * are recorded as its possible cause. Runs on the event loop.
+ * and whose answers had not begun are recorded as its possible cause. Runs on the event
+ * loop.
  */
 final class CrashDetector {
 
@@ -32,7 +32,7 @@
 
 	private final GatewayContext context;
 
-	private final Map<Backend, Set<BackendAttempt>> pendingChecks = new HashMap<>();
+	private final Map<Backend, Loss> pendingLosses = new HashMap<>();
 
 	CrashDetector(GatewayContext context) {
 		this.context = context;
@@ -43,25 +43,33 @@
 	 * @param backend backend server to which a connection was lost while a request ran
 	 */
 	void connectionLost(Backend backend) {
-		if (this.pendingChecks.containsKey(backend)) {
+		if (this.pendingLosses.containsKey(backend)) {
 			return;
 		}
-		this.pendingChecks.put(backend, new LinkedHashSet<>(backend.runningAttempts()));
+		this.pendingLosses.put(backend, new Loss(this.context.nowMs(), List.copyOf(backend.runningAttempts())));
 		this.context.vertx()
 			.setTimer(CHECK_DELAY_MS, (id) -> backend.pool().probe().onComplete((result) -> checked(backend, result)));
 	}
 
 	private void checked(Backend backend, AsyncResult<NetSocket> result) {
-		Set<BackendAttempt> running = this.pendingChecks.remove(backend);
+		Loss loss = this.pendingLosses.remove(backend);
 		if (result.succeeded()) {
 			result.result().close();
+			loss.attempts().forEach(BackendAttempt::endTrial);
 			return;
 		}
 		backend.health().recordConnectFailure(this.context.nowMs());
 		String lossId = backend.record().id() + ":" + backend.record().processStartMs();
+		List<BackendAttempt> suspects = loss.attempts()
+			.stream()
+			.filter((attempt) -> !attempt.hasBegunAnswer())
+			.toList();
 		this.context.harmfulRequests()
-			.recordBackendLoss(lossId, running.stream().map(BackendAttempt::fingerprint).collect(Collectors.toSet()));
-		logCrash(backend, running, result.cause());
+			.recordBackendLoss(lossId, suspects.stream().map(BackendAttempt::fingerprint).collect(Collectors.toSet()));
+		this.context.harmfulParts()
+			.backendLost(lossId, loss.atMs(), suspects.stream().map(BackendAttempt::toSuspect).toList());
+		this.context.metrics().recordBackendCrash(backend.record().service());
+		logCrash(backend, loss.attempts(), result.cause());
 		this.context.notifySuspectsChanged();
 	}
 
@@ -75,4 +83,8 @@
 					requests, "reason", cause.getMessage());
 	}
 
+	private record Loss(long atMs, List<BackendAttempt> attempts) {
+
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -224,6 +224,10 @@
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
 		}
+		SuspectSummary suspectParts = this.context.harmfulParts().summary();
+		if (suspectParts.getContentsCount() > 0) {
+			news.setSuspectParts(suspectParts);
+		}
 		long nowMs = this.context.nowMs();
 		fleet.announcedVersionsByModel()
 			.forEach((model, announced) -> announced.announcementTimes()
@@ -350,6 +354,9 @@
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
+		if (peerNews.hasSuspectParts()) {
+			this.context.harmfulParts().merge(peerNews.getSuspectParts(), source);
+		}
 		fleet.setEntryCount(this.table.liveEntries(this.context.nowMs()).size() + 1);
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -11,6 +11,7 @@
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.LeastLoadedPlacement;
 import org.wigeontally.fleet.RetryBudgetShare;
+import org.wigeontally.harmful.HarmfulPartTracker;
 import org.wigeontally.harmful.HarmfulRequestTracker;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.HostBounds;
@@ -35,6 +36,8 @@
 
 	private final HarmfulRequestTracker harmfulRequests;
 
+	private final HarmfulPartGuard harmfulParts;
+
 	private final CrashDetector crashDetector = new CrashDetector(this);
 
 	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
@@ -65,6 +68,7 @@
 		this.fleet = fleet;
 		this.metrics = metrics;
 		this.harmfulRequests = HarmfulRequestTracker.create(clock);
+		this.harmfulParts = new HarmfulPartGuard(this, HarmfulPartTracker.create(clock));
 	}
 
 	Vertx vertx() {
@@ -95,6 +99,10 @@
 		return this.harmfulRequests;
 	}
 
+	HarmfulPartGuard harmfulParts() {
+		return this.harmfulParts;
+	}
+
 	CrashDetector crashDetector() {
 		return this.crashDetector;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -67,6 +67,17 @@
 		.help("Entries heard of lately, this one included")
 		.register(this.registry);
 
+	private final Gauge harmfulParts = Gauge.builder()
+		.name("wigeontally_harmful_prompt_parts")
+		.help("Parts of prompts whose requests are refused, because they crash backend servers")
+		.register(this.registry);
+
+	private final Counter backendCrashes = Counter.builder()
+		.name("wigeontally_backend_crashes_total")
+		.help("Crashes of backend servers that ran requests of this entry, by service")
+		.labelNames("service")
+		.register(this.registry);
+
 	PrometheusRegistry registry() {
 		return this.registry;
 	}
@@ -87,6 +98,14 @@
 		this.answerSeconds.labelValues(service).observe(ms / MS_PER_SECOND);
 	}
 
+	void setHarmfulParts(int count) {
+		this.harmfulParts.set(count);
+	}
+
+	void recordBackendCrash(String service) {
+		this.backendCrashes.labelValues(service).inc();
+	}
+
 	void setState(long configurationVersion, int requestsInFlight, int knownEntries) {
 		this.configurationVersion.set(configurationVersion);
 		this.inFlight.set(requestsInFlight);
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -16,6 +16,8 @@
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.harmful.Fingerprint;
+import org.wigeontally.harmful.PartAdmission;
+import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.Suspicion;
 
 /**
@@ -84,6 +86,11 @@
 
 	private boolean mayHaveRun;
 
+	// Parts of the prompt for which the request is on trial.
+	private Set<PromptPart> triedParts = Set.of();
+
+	private boolean answerBegan;
+
 	private boolean finished;
 
 	// Time from the request to the first event of a stream; -1 if there was none.
@@ -113,10 +120,10 @@
 			refuse(LocalResponse.notRun("brought-backends-down", suspicion.expiresInMs() / 1000.0));
 			return;
 		}
-		if (this.request.promptParts().unreadable() != null) {
+		if (this.request.unreadableParts() != null) {
 			this.context.log()
 				.write(LogEvent.HEADER_UNREADABLE, "id", this.request.attemptId(), "header",
-						this.request.promptParts().unreadable());
+						this.request.unreadableParts());
 		}
 		this.context.retryBudget(this.request.service()).recordRequest(this.request.receivedAtMs());
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
@@ -125,6 +132,9 @@
 	}
 
 	private void placeRequest() {
+		if (!this.answerBegan && !admitParts()) {
+			return;
+		}
 		long nowMs = this.context.nowMs();
 		Service service = this.context.fleet().service(this.request.service());
 		List<Backend> candidates = candidates(service, nowMs);
@@ -164,6 +174,22 @@
 				this.selector.requiredVersion(profile, nowMs));
 	}
 
+	// An answer that has begun shows that the prompt is harmless, so it is not judged
+	// again when the stream is resumed.
+	private boolean admitParts() {
+		PartAdmission admission = this.context.harmfulParts().admit(this.request.sharedParts());
+		if (admission.isAllowed()) {
+			this.triedParts = admission.parts();
+			return true;
+		}
+		this.context.log()
+			.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
+					"parts", HarmfulPartGuard.ids(admission.parts()), "losses", admission.lossCount());
+		failRequest((admission.action() == PartAdmission.Action.REFUSE) ? "harmful-part" : "part-on-trial",
+				admission.retryAfterMs());
+		return false;
+	}
+
 	private long targetLeftMs(long nowMs) {
 		if (this.streamWriter != null) {
 			return RESUME_TARGET_MS;
@@ -187,8 +213,8 @@
 
 	private void send(Backend backend, int enginePriority, long requiredVersion) {
 		this.triedBackendIds.add(backend.record().id());
-		this.attempt = new BackendAttempt(this.context, this.request, this.fingerprint, backend, enginePriority,
-				requiredVersion, this);
+		this.attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts, backend,
+				enginePriority, requiredVersion, this);
 		this.attempt.start();
 	}
 
@@ -220,6 +246,12 @@
 		this.sentAttempts++;
 	}
 
+	@Override
+	public void answerBegun() {
+		this.answerBegan = true;
+		this.triedParts = Set.of();
+	}
+
 	@Override
 	public void eventsReceived(ResponseReader reader) {
 		if (this.finished) {
@@ -294,7 +326,9 @@
 		boolean retryAllowed = switch (outcome) {
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
 			case NOT_RUN -> mayRetry();
-			case MAY_HAVE_RUN, FAILED -> this.request.route().isRetryable() && mayRetry();
+			// A trial that ends in a loss is not repeated before its result is known.
+			case MAY_HAVE_RUN -> this.triedParts.isEmpty() && this.request.route().isRetryable() && mayRetry();
+			case FAILED -> this.request.route().isRetryable() && mayRetry();
 		};
 		if (!retryAllowed || remainingMs() < MIN_REMAINING_MS) {
 			failRequest(ATTEMPT_FAILED, NO_BACKEND_RETRY_AFTER_MS);
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -117,8 +117,15 @@
 		return this.takenEvents;
 	}
 
-	boolean hasPartialEvent() {
-		return this.splitter.hasPartialEvent();
+	/**
+	 * Returns whether a stream that has ended was broken off: within an event, or before
+	 * the first one if only the end of its connection says that it is complete.
+	 * @param delimitedByClose true if only the end of the connection says so
+	 * @return true if the stream is not complete
+	 */
+	boolean isBrokenOff(boolean delimitedByClose) {
+		return this.eventStream
+				&& (this.splitter.hasPartialEvent() || (delimitedByClose && this.takenEvents == 0 && !hasEvent()));
 	}
 
 	BufferedResponse toBufferedResponse() {
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
@@ -1,14 +1,11 @@
 package org.wigeontally.harmful;
 
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
 import org.wigeontally.misc.Clock;
-import org.wigeontally.schema.generated.BackendLoss;
 import org.wigeontally.schema.generated.SuspectContent;
 import org.wigeontally.schema.generated.SuspectSummary;
 
@@ -30,12 +27,9 @@
  * harmful content no longer makes other contents suspects.
  *
  * <p>
- * The state is a set of (content, loss) pairs, each of which is cleared or not. A merge
- * is a union in which "cleared" and the greater age take precedence, so it is idempotent
- * and commutative, and a loss expires {@link #LOSS_RETENTION_MS} after it happened,
- * however often entries exchange it. The number of contents and the number of losses per
- * content are bounded; the content with the fewest losses is evicted first, and among
- * these the one whose latest loss is oldest. Thread-safe.
+ * Losses are kept in a {@link LossTable}, whose merge is idempotent and commutative, and
+ * a loss expires {@link #LOSS_RETENTION_MS} after it happened, however often entries
+ * exchange it. Thread-safe.
  */
 public final class HarmfulRequestTracker {
 
@@ -45,13 +39,9 @@
 	/** Time after which a loss expires. */
 	public static final long LOSS_RETENTION_MS = 600_000;
 
-	private static final int MAX_CONTENTS = 4_096;
-
-	private static final int MAX_LOSSES_PER_CONTENT = 8;
-
 	private final Clock clock;
 
-	private final Map<Fingerprint, Map<String, Loss>> lossesByContent = new HashMap<>();
+	private final LossTable<Fingerprint> table = new LossTable<>(new FingerprintCodec());
 
 	private final Set<String> explainedLossIds = new HashSet<>();
 
@@ -74,19 +64,19 @@
 	 * @return the classification
 	 */
 	public synchronized Suspicion classify(Fingerprint fingerprint) {
-		Map<String, Loss> losses = this.lossesByContent.get(fingerprint);
-		if (losses == null) {
+		if (this.table.losses(fingerprint).isEmpty()) {
 			return Suspicion.NONE;
 		}
 		removeExpired();
-		int count = unclearedCount(losses);
+		Map<String, Loss> losses = this.table.losses(fingerprint);
+		int count = LossTable.unclearedCount(losses.values());
 		if (count >= MAX_BACKEND_LOSSES) {
-			long expiresInMs = newestLossMs(losses) + LOSS_RETENTION_MS - this.clock.monotonicMs();
+			long expiresInMs = LossTable.newestMs(losses.values()) + LOSS_RETENTION_MS - this.clock.monotonicMs();
 			return new Suspicion(Suspicion.Level.HARMFUL, count, expiresInMs);
 		}
 		boolean suspected = losses.entrySet()
 			.stream()
-			.anyMatch((entry) -> !entry.getValue().cleared && !this.explainedLossIds.contains(entry.getKey()));
+			.anyMatch((entry) -> !entry.getValue().cleared() && !this.explainedLossIds.contains(entry.getKey()));
 		return suspected ? new Suspicion(Suspicion.Level.SUSPECT, count, 0) : Suspicion.NONE;
 	}
 
@@ -97,7 +87,7 @@
 	 */
 	public synchronized void recordBackendLoss(String lossId, Collection<Fingerprint> running) {
 		for (Fingerprint fingerprint : running) {
-			addLoss(fingerprint, lossId, new Loss(this.clock.monotonicMs(), false));
+			this.table.add(fingerprint, lossId, Loss.of(this.clock.monotonicMs(), Loss.Trial.NONE));
 		}
 		enforceBoundsAndUpdateExplained();
 	}
@@ -109,13 +99,11 @@
 	 * to be informed
 	 */
 	public synchronized boolean recordSuccess(Fingerprint fingerprint) {
-		Map<String, Loss> losses = this.lossesByContent.get(fingerprint);
-		if (losses == null || unclearedCount(losses) == 0) {
-			return false;
+		boolean cleared = this.table.clear(fingerprint, Long.MAX_VALUE);
+		if (cleared) {
+			enforceBoundsAndUpdateExplained();
 		}
-		losses.replaceAll((id, loss) -> new Loss(loss.atMs, true));
-		enforceBoundsAndUpdateExplained();
-		return true;
+		return cleared;
 	}
 
 	/**
@@ -124,14 +112,7 @@
 	 */
 	public synchronized SuspectSummary summary() {
 		removeExpired();
-		long nowMs = this.clock.monotonicMs();
-		SuspectSummary.Builder summary = SuspectSummary.newBuilder();
-		this.lossesByContent.forEach((fingerprint, losses) -> {
-			SuspectContent.Builder content = summary.addContentsBuilder().setFingerprint(fingerprint.bytes());
-			losses.forEach((id, loss) -> content
-				.addLosses(BackendLoss.newBuilder().setId(id).setAgeMs(nowMs - loss.atMs).setCleared(loss.cleared)));
-		});
-		return summary.build();
+		return this.table.summary(this.clock.monotonicMs()).build();
 	}
 
 	/**
@@ -139,33 +120,16 @@
 	 * @param summary summary of the other entry
 	 */
 	public synchronized void merge(SuspectSummary summary) {
-		long nowMs = this.clock.monotonicMs();
-		for (SuspectContent content : summary.getContentsList()) {
-			for (BackendLoss loss : content.getLossesList()) {
-				if (loss.getAgeMs() < LOSS_RETENTION_MS) {
-					addLoss(new Fingerprint(content.getFingerprint()), loss.getId(),
-							new Loss(nowMs - loss.getAgeMs(), loss.getCleared()));
-				}
-			}
-		}
+		this.table.merge(summary, this.clock.monotonicMs(), LOSS_RETENTION_MS);
 		enforceBoundsAndUpdateExplained();
 	}
 
-	private void addLoss(Fingerprint fingerprint, String lossId, Loss loss) {
-		Map<String, Loss> losses = this.lossesByContent.computeIfAbsent(fingerprint, (key) -> new HashMap<>());
-		if (losses.size() < MAX_LOSSES_PER_CONTENT || losses.containsKey(lossId)) {
-			losses.merge(lossId, loss, Loss::merge);
-		}
-	}
-
 	private void enforceBoundsAndUpdateExplained() {
 		removeExpired();
-		while (this.lossesByContent.size() > MAX_CONTENTS) {
-			this.lossesByContent.remove(leastSuspected());
-		}
+		this.table.enforceBounds();
 		this.explainedLossIds.clear();
-		for (Map<String, Loss> losses : this.lossesByContent.values()) {
-			if (unclearedCount(losses) >= MAX_BACKEND_LOSSES) {
+		for (Map<String, Loss> losses : this.table.all().values()) {
+			if (LossTable.unclearedCount(losses.values()) >= MAX_BACKEND_LOSSES) {
 				this.explainedLossIds.addAll(losses.keySet());
 			}
 		}
@@ -173,41 +137,19 @@
 
 	private void removeExpired() {
 		long cutoffMs = this.clock.monotonicMs() - LOSS_RETENTION_MS;
-		this.lossesByContent.values().forEach((losses) -> losses.values().removeIf((loss) -> loss.atMs <= cutoffMs));
-		this.lossesByContent.values().removeIf(Map::isEmpty);
+		this.table.removeIf((losses, loss) -> loss.atMs() <= cutoffMs);
 	}
 
-	private Fingerprint leastSuspected() {
-		return this.lossesByContent.entrySet()
-			.stream()
-			.min(Comparator
-				.comparingInt((Map.Entry<Fingerprint, Map<String, Loss>> entry) -> unclearedCount(entry.getValue()))
-				.thenComparingLong((entry) -> newestLossMs(entry.getValue())))
-			.orElseThrow()
-			.getKey();
-	}
-
-	private static int unclearedCount(Map<String, Loss> losses) {
-		return (int) losses.values().stream().filter((loss) -> !loss.cleared).count();
-	}
-
-	private static long newestLossMs(Map<String, Loss> losses) {
-		return losses.values().stream().mapToLong((loss) -> loss.atMs).max().orElse(0);
-	}
-
-	private static final class Loss {
-
-		private final long atMs;
-
-		private final boolean cleared;
+	private static final class FingerprintCodec implements LossTable.ContentCodec<Fingerprint> {
 
-		private Loss(long atMs, boolean cleared) {
-			this.atMs = atMs;
-			this.cleared = cleared;
+		@Override
+		public void write(Fingerprint content, SuspectContent.Builder message) {
+			message.setFingerprint(content.bytes());
 		}
 
-		private Loss merge(Loss other) {
-			return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared);
+		@Override
+		public Fingerprint read(SuspectContent message) {
+			return new Fingerprint(message.getFingerprint());
 		}
 
 	}
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/harmful/Loss.java
@@ -0,0 +1,41 @@
+package org.wigeontally.harmful;
+
+/**
+ * The loss of a backend server as far as it concerns one content that ran there.
+ * Immutable.
+ *
+ * @param atMs when it happened, on this process's monotonic clock
+ * @param cleared true if the content has proved harmless since
+ * @param trial whether the content was on trial there
+ */
+record Loss(long atMs, boolean cleared, Trial trial) {
+
+	/**
+	 * Whether a content was on trial when a backend server was lost. A later constant
+	 * says more than an earlier one.
+	 */
+	enum Trial {
+
+		/** It was not on trial. */
+		NONE,
+		/** Other contents of the same request were on trial too. */
+		WITH_OTHERS,
+		/** It was the only content of its request that was on trial. */
+		ALONE
+
+	}
+
+	static Loss of(long atMs, Trial trial) {
+		return new Loss(atMs, false, trial);
+	}
+
+	Loss clear() {
+		return new Loss(this.atMs, true, this.trial);
+	}
+
+	Loss merge(Loss other) {
+		Trial strongest = (this.trial.compareTo(other.trial) >= 0) ? this.trial : other.trial;
+		return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared, strongest);
+	}
+
+}
