--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -12,8 +12,8 @@
 
 	static List<Measurement> all() {
 		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ControlMeasurement(),
-				new FaultsMeasurement(), new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(),
-				new WeightsMeasurement(), new ZonesMeasurement());
+				new FaultsMeasurement(), new HarmfulPartsMeasurement(), new OverheadMeasurement(),
+				new PathMeasurement(), new RouteMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
@@ -285,17 +285,22 @@
 	 */
 	public boolean merge(SuspectSummary summary) {
 		long nowMs = this.clock.monotonicMs();
-		this.table.merge(summary, nowMs, LOSS_RETENTION_MS);
+		boolean changed = this.table.merge(summary, nowMs, LOSS_RETENTION_MS);
 		boolean released = false;
 		for (SuspectContent content : summary.getContentsList()) {
 			PromptPart part = PartCodec.part(content);
 			boolean wasKeptBack = isKeptBack(part);
-			released |= clearAnswered(part) && wasKeptBack;
+			if (clearAnswered(part)) {
+				changed = true;
+				released |= wasKeptBack;
+			}
 			if (content.hasTrialAgeMs()) {
 				this.trialStartsMs.merge(part, nowMs - content.getTrialAgeMs(), Math::max);
 			}
 		}
-		update();
+		if (changed) {
+			update();
+		}
 		return released;
 	}
 
--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -60,12 +60,21 @@
 		return Collections.unmodifiableMap(this.lossesByContent);
 	}
 
-	void add(C content, String lossId, Loss loss) {
+	/**
+	 * Adds a loss, or what else is known about one.
+	 * @param content the content that ran when it happened
+	 * @param lossId id of the loss
+	 * @param loss the loss
+	 * @return true if the table has changed
+	 */
+	boolean add(C content, String lossId, Loss loss) {
 		Map<String, Loss> losses = this.lossesByContent.computeIfAbsent(content, (key) -> new HashMap<>());
-		losses.merge(lossId, loss, Loss::merge);
+		Loss before = losses.get(lossId);
+		Loss merged = losses.merge(lossId, loss, Loss::merge);
 		if (losses.size() > MAX_LOSSES_PER_CONTENT) {
 			losses.values().remove(Collections.min(losses.values(), BY_EVIDENCE));
 		}
+		return !merged.equals(before);
 	}
 
 	/**
@@ -168,16 +177,20 @@
 	 * @param summary summary of the other table
 	 * @param nowMs the current time
 	 * @param maxAgeMs age from which losses are left out
+	 * @return true if the table has changed
 	 */
-	void merge(SuspectSummary summary, long nowMs, long maxAgeMs) {
+	boolean merge(SuspectSummary summary, long nowMs, long maxAgeMs) {
+		boolean changed = false;
 		for (SuspectContent contentSummary : summary.getContentsList()) {
 			C content = this.codec.read(contentSummary);
 			for (BackendLoss loss : contentSummary.getLossesList()) {
 				if (loss.getAgeMs() < maxAgeMs) {
-					add(content, loss.getId(), new Loss(nowMs - loss.getAgeMs(), loss.getCleared(), trial(loss)));
+					changed |= add(content, loss.getId(),
+							new Loss(nowMs - loss.getAgeMs(), loss.getCleared(), trial(loss)));
 				}
 			}
 		}
+		return changed;
 	}
 
 	private static Loss.Trial trial(BackendLoss loss) {
