Harmful parts of prompts are kept in the store; operators list and lift them

What was found is written to a topic of its own by the entry that found it and by the readers of the store, and read once by each entry that starts, so that it need not be found again at the cost of further crashes when all entries have lost power. A store restored from an older copy gets it again. Tests: all entries start again while the store is away; lifted at one entry, allowed at the others.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -23,6 +24,7 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -125,6 +127,8 @@
 
 	private final StoreClient store;
 
+	private final HarmfulPartStore harmfulPartStore;
+
 	private final CompactedTopic entryRecords = CompactedTopic.create();
 
 	private int entryReadIntervals;
@@ -149,10 +153,12 @@
 		this.briefings = new AgentBriefings(this.context, this.entries);
 		this.datagrams = vertx.createDatagramSocket();
 		this.store = StoreClient.create(vertx, settings.getStore());
+		this.harmfulPartStore = new HarmfulPartStore(this.context, clock, this.store);
+		this.context.harmfulParts().onHarmfulPartsFound(this::keepHarmfulParts);
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
 				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS, this.exchange::isStoreReader,
 				new StoreFollower.RestoreBehaviour(OPERATOR_RESTORE_GRACE_MS, new OperatorRestorePolicy(log),
-						this::registerSelf),
+						this::writeOwnRecords),
 				this::operatorRecordsChanged, () -> {
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
@@ -214,8 +220,13 @@
 		servers.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
 		servers.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
 		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
-		servers.add(serve(metricsAddress, publicOptions,
-				(request) -> MetricsApi.writeMetrics(this.context.metrics().registry(), request.response())));
+		HarmfulPartHttpHandler partHandler = new HarmfulPartHttpHandler(this.context.harmfulParts(),
+				this.harmfulPartStore);
+		servers.add(serve(metricsAddress, publicOptions, (request) -> {
+			if (!partHandler.handle(request)) {
+				MetricsApi.writeMetrics(this.context.metrics().registry(), request.response());
+			}
+		}));
 		this.datagrams.handler(this::handleReportDatagram);
 		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
 		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
@@ -237,6 +248,7 @@
 		this.operatorFollower.start();
 		this.backendFollower.start();
 		registerSelf();
+		this.harmfulPartStore.restore();
 		readEntries();
 		this.vertx.setPeriodic(0, EntryExchange.INTERVAL_MS, (id) -> this.exchange.exchangeWithDueEntries());
 		this.vertx.setPeriodic(ENTRY_READ_INTERVAL_MS, (id) -> readEntriesIfDue());
@@ -252,6 +264,20 @@
 			});
 	}
 
+	// Which entry knows enough to call a part harmful depends on the order of the news,
+	// so
+	// the readers of the store write it too.
+	private void keepHarmfulParts(Set<PromptPart> parts, boolean foundAtThisEntry) {
+		if (foundAtThisEntry || this.exchange.isStoreReader()) {
+			this.harmfulPartStore.write(parts);
+		}
+	}
+
+	private void writeOwnRecords() {
+		registerSelf();
+		this.harmfulPartStore.writeAll();
+	}
+
 	private void readEntriesIfDue() {
 		this.entryReadIntervals++;
 		if (this.exchange.isStoreReader() || this.entryReadIntervals % ENTRY_READ_INTERVALS == 0) {
--- a/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartGuard.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartGuard.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
 import org.wigeontally.eventlog.LogEvent;
@@ -26,7 +26,7 @@
 
 	private Set<PromptPart> harmfulParts = Set.of();
 
-	private Consumer<Set<PromptPart>> harmfulPartsFound = (parts) -> {
+	private BiConsumer<Set<PromptPart>, Boolean> harmfulPartsFound = (parts, atThisEntry) -> {
 	};
 
 	HarmfulPartGuard(GatewayContext context, HarmfulPartTracker tracker) {
@@ -35,10 +35,10 @@
 	}
 
 	/**
-	 * Sets what is done with parts that a loss at this entry has shown to be harmful.
-	 * @param action receives the parts
+	 * Sets what is done with parts that are newly known to be harmful.
+	 * @param action receives the parts, and whether a loss at this entry has shown it
 	 */
-	void onHarmfulPartsFound(Consumer<Set<PromptPart>> action) {
+	void onHarmfulPartsFound(BiConsumer<Set<PromptPart>, Boolean> action) {
 		this.harmfulPartsFound = action;
 	}
 
@@ -63,17 +63,14 @@
 
 	void answerBegun(Collection<PromptPart> parts) {
 		if (!parts.isEmpty() && this.tracker.recordAnswerBegun(parts)) {
-			logChanges("answer");
+			handleChanges("answer", false);
 			this.context.notifySuspectsChanged();
 		}
 	}
 
 	void backendLost(String lossId, long lostAtMs, Collection<SuspectRequest> suspects) {
 		this.tracker.recordBackendLoss(lossId, lostAtMs, suspects);
-		Set<PromptPart> found = logChanges("loss:" + lossId);
-		if (!found.isEmpty()) {
-			this.harmfulPartsFound.accept(found);
-		}
+		handleChanges("loss:" + lossId, true);
 	}
 
 	SuspectSummary summary() {
@@ -82,7 +79,7 @@
 
 	void merge(SuspectSummary summary, String source) {
 		boolean released = this.tracker.merge(summary);
-		logChanges(source);
+		handleChanges(source, false);
 		if (released) {
 			this.context.notifySuspectsChanged();
 		}
@@ -103,14 +100,14 @@
 	 */
 	boolean lift(PromptPart part) {
 		boolean lifted = this.tracker.lift(part);
-		logChanges("operator");
+		handleChanges("operator", false);
 		if (lifted) {
 			this.context.notifySuspectsChanged();
 		}
 		return lifted;
 	}
 
-	private Set<PromptPart> logChanges(String source) {
+	private void handleChanges(String source, boolean atThisEntry) {
 		Set<PromptPart> newest = this.tracker.harmfulParts();
 		Set<PromptPart> found = new HashSet<>(newest);
 		found.removeAll(this.harmfulParts);
@@ -118,7 +115,9 @@
 		this.harmfulParts.stream().filter((part) -> !newest.contains(part)).forEach((part) -> log(part, false, source));
 		this.harmfulParts = newest;
 		this.context.metrics().setHarmfulParts(newest.size());
-		return found;
+		if (!found.isEmpty()) {
+			this.harmfulPartsFound.accept(found, atThisEntry);
+		}
 	}
 
 	private void log(PromptPart part, boolean harmful, String source) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -230,6 +231,24 @@
 				body);
 	}
 
+	/** Ends all entries at once, as a loss of power does. */
+	void stopEntries() throws Exception {
+		for (GatewayDaemon entry : this.entries) {
+			entry.close();
+		}
+		this.entries.clear();
+		this.settings.clear();
+	}
+
+	Address metricsAddress(int entry) {
+		return Address.newBuilder().setIp("127.0.0.1").setPort(this.settings.get(entry).getMetricsPort()).build();
+	}
+
+	int delete(Address address, String uri) throws Exception {
+		return await(this.client.request(HttpMethod.DELETE, address.getPort(), address.getIp(), uri)
+			.compose((request) -> request.send().map(HttpClientResponse::statusCode)));
+	}
+
 	TestCaller.Response get(Address address, String uri) throws Exception {
 		return await(this.client.request(HttpMethod.GET, address.getPort(), address.getIp(), uri)
 			.compose((request) -> request.send()
--- a/testsuite/src/test/java/org/wigeontally/gateway/HarmfulPromptPartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/HarmfulPromptPartTests.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.platform.standin.TestCaller;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -56,14 +57,68 @@
 	public void requestsSharingAPartThatCrashesEnginesAreStopped(EngineCrash crash) throws Exception {
 		startEngines(crash);
 		startEntries();
-		int served = 0;
-		for (int i = 0; i < 12; i++) {
-			sendHarmful(i);
-			served += isServed(i) ? 1 : 0;
-			Thread.sleep(100);
-		}
+		assertThat(sendHarmfulAndSound(12)).isEqualTo(12);
 		assertThat(crashedEngines()).isLessThan(5);
-		assertThat(served).isEqualTo(12);
+	}
+
+	/**
+	 * All entries lose power after the part was found, and the store is away when they
+	 * start again.
+	 */
+	@Test
+	public void harmfulPartIsRememberedAfterAllEntriesHaveStartedAgain() throws Exception {
+		startEngines(EngineCrash.WITHIN_THE_FIRST_EVENT);
+		startEntries();
+		sendHarmfulAndSound(6);
+		long crashed = crashedEngines();
+		GatewayFixture.awaitTrue(() -> this.fixture.store().value("harmful-parts", "engines/" + HARMFUL_PART) != null);
+		this.fixture.stopEntries();
+		this.fixture.store().setMode(FakeStore.Mode.UNAVAILABLE);
+		this.fixture.startEntry();
+		Thread.sleep(500);
+		this.fixture.store().setMode(FakeStore.Mode.SERVING);
+		this.fixture.awaitStatus(0, "events", 200);
+		GatewayFixture.awaitTrue(() -> isListed(0));
+		for (int i = 0; i < 4; i++) {
+			assertThat(harmfulStatus(0, i)).isEqualTo(503);
+		}
+		assertThat(crashedEngines()).isEqualTo(crashed);
+	}
+
+	/** An operator allows the part at one entry; others follow. */
+	@Test
+	public void operatorListsAndLiftsHarmfulParts() throws Exception {
+		startEngines(EngineCrash.BEFORE_THE_HEAD);
+		startEntries();
+		sendHarmfulAndSound(6);
+		assertThat(isListed(2)).isTrue();
+		assertThat(harmfulStatus(2, 0)).isEqualTo(503);
+		this.engines.forEach((engine) -> engine.setBehaviour((arrival, socket) -> socket
+			.write(Buffer.buffer(FakeBackend.partialEventStream(arrival, "s", 0, 4) + "0\r\n\r\n"))));
+		assertThat(lift(1, "engines/unknown")).isEqualTo(404);
+		assertThat(lift(1, "engines/" + HARMFUL_PART)).isEqualTo(204);
+		GatewayFixture.awaitTrue(() -> !isListed(2));
+		assertThat(harmfulStatus(2, 1)).isEqualTo(200);
+		GatewayFixture.awaitTrue(() -> this.fixture.store().value("harmful-parts", "engines/" + HARMFUL_PART) == null);
+	}
+
+	private boolean isListed(int entry) {
+		try {
+			return this.fixture.get(this.fixture.metricsAddress(entry), "/harmful-parts").body().contains(HARMFUL_PART);
+		}
+		catch (Exception ex) {
+			return false;
+		}
+	}
+
+	private int lift(int entry, String part) throws Exception {
+		return this.fixture.delete(this.fixture.metricsAddress(entry), "/harmful-parts/" + part);
+	}
+
+	private int harmfulStatus(int entry, int number) throws Exception {
+		return this.fixture
+			.callWithParts(entry, "events", "again-" + number, "aa01:40," + HARMFUL_PART + ":200,ff" + number + ":90")
+			.status();
 	}
 
 	private void startEngines(EngineCrash crash) throws Exception {
@@ -89,6 +144,16 @@
 		Thread.sleep(1_200);
 	}
 
+	private int sendHarmfulAndSound(int count) throws Exception {
+		int served = 0;
+		for (int i = 0; i < count; i++) {
+			sendHarmful(i);
+			served += isServed(i) ? 1 : 0;
+			Thread.sleep(100);
+		}
+		return served;
+	}
+
 	private void sendHarmful(int number) {
 		try {
 			this.fixture.callWithParts(number % ENTRIES, "events", "harmful-" + number,
