A host that cannot be reached is no crash of its backend server

Callers: none seen; found by reading. After a cut that resets connections, the new connection times out, and every request that waited at any of the backend servers became a suspect of a crash. Only a refused connection counts now. Test: unreachableHostIsNoCrash, red with time-outs counted.

--- a/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
@@ -1,11 +1,13 @@
 package org.wigeontally.gateway;
 
+import java.net.ConnectException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.net.NetSocket;
 
@@ -13,10 +15,9 @@
 
 /**
  * Distinguishes a crashed backend server from one that only lost a response. A connection
- * that is lost while a request runs may mean either. Only if a new connection cannot be
- * opened shortly afterwards is this counted as a crash, and the requests that ran there
- * and whose answers had not begun are recorded as its possible cause. Runs on the event
- * loop.
+ * that is lost while a request runs may mean either. Only if a new connection is refused
+ * shortly afterwards is this counted as a crash, and the requests that ran there and
+ * whose answers had not begun are recorded as its possible cause. Runs on the event loop.
  */
 final class CrashDetector {
 
@@ -59,6 +60,13 @@
 			return;
 		}
 		backend.health().recordConnectFailure(this.context.nowMs());
+		if (!isRefused(result.cause())) {
+			this.context.log()
+				.write(LogEvent.BACKEND, "backend", backend.record().id(), "unreachable", true, "reason",
+						result.cause().getMessage());
+			loss.attempts().forEach(BackendAttempt::endTrial);
+			return;
+		}
 		String lossId = backend.record().id() + ":" + backend.record().processStartMs();
 		List<BackendAttempt> suspects = loss.attempts()
 			.stream()
@@ -73,6 +81,13 @@
 		this.context.notifySuspectsChanged();
 	}
 
+	// A host that cannot be reached lets the connection time out; the link or the host
+	// may
+	// be at fault.
+	private static boolean isRefused(Throwable cause) {
+		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+	}
+
 	private void logCrash(Backend backend, Collection<BackendAttempt> running, Throwable cause) {
 		String requests = running.stream()
 			.limit(MAX_LOGGED_REQUESTS)
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -222,8 +222,12 @@
 	}
 
 	TestCaller.Response callWithParts(int entry, String route, String id, String promptParts) throws Exception {
-		return await(TestCaller.sendRequest(this.client, this.settings.get(entry).getFront(), "/" + route + "/x", id,
-				API_KEY, promptParts, "body of " + id));
+		return await(sendWithParts(entry, route, id, promptParts));
+	}
+
+	Future<TestCaller.Response> sendWithParts(int entry, String route, String id, String promptParts) {
+		return TestCaller.sendRequest(this.client, this.settings.get(entry).getFront(), "/" + route + "/x", id, API_KEY,
+				promptParts, "body of " + id);
 	}
 
 	Future<TestCaller.Response> send(int entry, String route, String id, String key, String body) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/HarmfulPromptPartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/HarmfulPromptPartTests.java
@@ -102,6 +102,35 @@
 		GatewayFixture.awaitTrue(() -> this.fixture.store().value("harmful-parts", "engines/" + HARMFUL_PART) == null);
 	}
 
+	/**
+	 * The engine's host no longer takes connections, as behind a cut link, and the one
+	 * that a request has is closed.
+	 */
+	@Test
+	public void unreachableHostIsNoCrash() throws Exception {
+		try (UnreachableBackend backend = new UnreachableBackend()) {
+			this.fixture.store().write("servers", "far-1", backend.registration("engines"));
+			this.fixture.startEntry();
+			GatewayFixture.awaitTrue(() -> {
+				this.fixture.sendWithParts(0, "events", "waits", "aa01:40,77:200,1:90");
+				return backend.hasRequest();
+			});
+			backend.closeAfterFillingBacklog();
+			GatewayFixture.awaitTrue(() -> metrics().contains("outcome=\"may-have-run\""));
+			Thread.sleep(1_500);
+			assertThat(metrics()).doesNotContain("wigeontally_backend_crashes_total{");
+		}
+	}
+
+	private String metrics() {
+		try {
+			return this.fixture.get(this.fixture.metricsAddress(0), "/metrics").body();
+		}
+		catch (Exception ex) {
+			return "";
+		}
+	}
+
 	private boolean isListed(int entry) {
 		try {
 			return this.fixture.get(this.fixture.metricsAddress(entry), "/harmful-parts").body().contains(HARMFUL_PART);
--- a/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -121,16 +120,7 @@
 		}
 
 		private JsonObject registration(String service) {
-			return new JsonObject().put("service", service)
-				.put("address", "127.0.0.1:" + this.server.getLocalPort())
-				.put("zone", "zone-a")
-				.put("version", "v1")
-				.put("slots", 16)
-				.put("state", "ready")
-				.put("cold-remaining-ms", 0)
-				.put("born", 1)
-				.put("models", new JsonArray().add(new JsonObject().put("name", "m0").put("version", 1)))
-				.put("seq", 1);
+			return RawBackends.registration(service, this.server.getLocalPort());
 		}
 
 		private void acceptConnections() {
