News of losses that takes long no longer keeps sound requests back

Trace: the answer at entry-1 began 8 ms after the loss, but the loss's age, to which the time on the way is added, put it after the answer, so the first part stayed suspected and was tried along with the harmful one; and the end of that trial was not recognised at entry-0, since its loss seemed older than its start. Ages are now compared with a tolerance of 50 ms, and a trial is identified by a number that its loss carries, in place of times. Test: slowNewsDoesNotKeepSoundRequestsBack, red without the tolerance; partThatServedWellBeforeIsStillFound lets the tolerance pass first, its count is the same.

--- a/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.SuspectContent;
@@ -79,13 +80,19 @@
 
 	private static final int MAX_ANSWERED_PARTS = 4_096;
 
-	private static final long NO_TRIAL = Long.MIN_VALUE / 2;
+	/**
+	 * An answer that begins up to this long before a loss clears it too. Entries compare
+	 * their clocks by ages, to which the time on the way is added.
+	 */
+	static final long AGE_TOLERANCE_MS = 50;
 
 	private final Clock clock;
 
+	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+
 	private final LossTable<PromptPart> table = new LossTable<>(new PartCodec());
 
-	private final Map<PromptPart, Long> trialStartsMs = new HashMap<>();
+	private final Map<PromptPart, PartTrial> trials = new HashMap<>();
 
 	private final Map<PromptPart, Long> lastAnswersMs = new LinkedHashMap<>(16, 0.75f, true) {
 
@@ -171,7 +178,7 @@
 	 */
 	public void trialStarted(Collection<PromptPart> parts) {
 		for (PromptPart part : parts) {
-			this.trialStartsMs.put(part, this.clock.monotonicMs());
+			this.trials.put(part, new PartTrial(1 + this.random.nextLong(Long.MAX_VALUE), this.clock.monotonicMs()));
 		}
 	}
 
@@ -181,7 +188,7 @@
 	 * @param parts parts for which it was on trial
 	 */
 	public void trialEnded(Collection<PromptPart> parts) {
-		parts.forEach(this.trialStartsMs::remove);
+		parts.forEach(this.trials::remove);
 	}
 
 	/**
@@ -194,18 +201,20 @@
 		this.lossTimesMs.merge(lossId, lostAtMs, Math::min);
 		for (SuspectRequest suspect : suspects) {
 			for (PromptPart part : suspect.parts()) {
-				this.table.add(part, lossId, Loss.of(lostAtMs, trial(suspect, part)));
+				this.table.add(part, lossId, loss(lostAtMs, suspect, part));
 				clearAnswered(part);
 			}
 		}
 		update();
 	}
 
-	private static Loss.Trial trial(SuspectRequest suspect, PromptPart part) {
+	private Loss loss(long lostAtMs, SuspectRequest suspect, PromptPart part) {
 		if (!suspect.triedParts().contains(part)) {
-			return Loss.Trial.NONE;
+			return Loss.of(lostAtMs);
 		}
-		return (suspect.triedParts().size() == 1) ? Loss.Trial.ALONE : Loss.Trial.WITH_OTHERS;
+		Loss.Trial kind = (suspect.triedParts().size() == 1) ? Loss.Trial.ALONE : Loss.Trial.WITH_OTHERS;
+		PartTrial trial = this.trials.get(part);
+		return new Loss(lostAtMs, false, kind, (trial != null) ? trial.id() : Loss.NO_TRIAL);
 	}
 
 	/**
@@ -237,7 +246,7 @@
 
 	private boolean clearAnswered(PromptPart part) {
 		Long lastAnswerMs = this.lastAnswersMs.get(part);
-		return lastAnswerMs != null && this.table.clear(part, lastAnswerMs);
+		return lastAnswerMs != null && this.table.clear(part, lastAnswerMs + AGE_TOLERANCE_MS);
 	}
 
 	/**
@@ -269,9 +278,9 @@
 		long nowMs = this.clock.monotonicMs();
 		SuspectSummary.Builder summary = this.table.summary(nowMs);
 		for (SuspectContent.Builder content : summary.getContentsBuilderList()) {
-			long startMs = this.trialStartsMs.getOrDefault(PartCodec.part(content), NO_TRIAL);
-			if (nowMs - startMs < TRIAL_MS) {
-				content.setTrialAgeMs(nowMs - startMs);
+			PartTrial trial = this.trials.get(PartCodec.part(content));
+			if (trial != null && nowMs - trial.startMs() < TRIAL_MS) {
+				content.setTrialId(trial.id()).setTrialAgeMs(nowMs - trial.startMs());
 			}
 		}
 		return summary.build();
@@ -295,7 +304,8 @@
 				released |= wasKeptBack;
 			}
 			if (content.hasTrialAgeMs()) {
-				this.trialStartsMs.merge(part, nowMs - content.getTrialAgeMs(), Math::max);
+				this.trials.merge(part, new PartTrial(content.getTrialId(), nowMs - content.getTrialAgeMs()),
+						PartTrial::merge);
 			}
 		}
 		if (changed) {
@@ -321,10 +331,16 @@
 	}
 
 	private long remainingTrialMs(PromptPart part) {
-		long startMs = this.trialStartsMs.getOrDefault(part, NO_TRIAL);
-		long remainingMs = startMs + TRIAL_MS - this.clock.monotonicMs();
-		boolean lost = LossTable.newestMs(this.table.losses(part).values()) > startMs;
-		return lost ? 0 : Math.max(0, remainingMs);
+		PartTrial trial = this.trials.get(part);
+		if (trial == null) {
+			return 0;
+		}
+		for (Loss loss : this.table.losses(part).values()) {
+			if (loss.trialId() == trial.id()) {
+				return 0;
+			}
+		}
+		return Math.max(0, trial.startMs() + TRIAL_MS - this.clock.monotonicMs());
 	}
 
 	private void update() {
@@ -385,7 +401,7 @@
 		this.lastExpiryMs = nowMs;
 		this.table.removeIf((losses, loss) -> nowMs - loss.atMs() >= retentionMs(losses, loss));
 		this.lossTimesMs.values().removeIf((atMs) -> nowMs - atMs >= LOSS_RETENTION_MS);
-		this.trialStartsMs.values().removeIf((startMs) -> nowMs - startMs >= TRIAL_MS);
+		this.trials.values().removeIf((trial) -> nowMs - trial.startMs() >= TRIAL_MS);
 	}
 
 	private static long retentionMs(Collection<Loss> losses, Loss loss) {
@@ -395,6 +411,23 @@
 		return (LossTable.unclearedCount(losses) >= LOSSES_BEFORE_TRIAL) ? LOSS_RETENTION_MS : SINGLE_LOSS_RETENTION_MS;
 	}
 
+	/**
+	 * A trial under way, here or at another entry.
+	 *
+	 * @param id identifies it at all entries
+	 * @param startMs when its request was sent
+	 */
+	private record PartTrial(long id, long startMs) {
+
+		private PartTrial merge(PartTrial other) {
+			if (this.id == other.id) {
+				return new PartTrial(this.id, Math.min(this.startMs, other.startMs));
+			}
+			return (this.startMs >= other.startMs) ? this : other;
+		}
+
+	}
+
 	private static final class PartCodec implements LossTable.ContentCodec<PromptPart> {
 
 		@Override
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
@@ -87,7 +87,7 @@
 	 */
 	public synchronized void recordBackendLoss(String lossId, Collection<Fingerprint> running) {
 		for (Fingerprint fingerprint : running) {
-			this.table.add(fingerprint, lossId, Loss.of(this.clock.monotonicMs(), Loss.Trial.NONE));
+			this.table.add(fingerprint, lossId, Loss.of(this.clock.monotonicMs()));
 		}
 		enforceBoundsAndUpdateExplained();
 	}
--- a/library/src/main/java/org/wigeontally/harmful/Loss.java
+++ b/library/src/main/java/org/wigeontally/harmful/Loss.java
@@ -7,8 +7,12 @@
  * @param atMs when it happened, on this process's monotonic clock
  * @param cleared true if the content has proved harmless since
  * @param trial whether the content was on trial there
+ * @param trialId identifies that trial; 0 for none
  */
-record Loss(long atMs, boolean cleared, Trial trial) {
+record Loss(long atMs, boolean cleared, Trial trial, long trialId) {
+
+	/** The id of no trial. */
+	static final long NO_TRIAL = 0;
 
 	/**
 	 * Whether a content was on trial when a backend server was lost. A later constant
@@ -25,17 +29,18 @@
 
 	}
 
-	static Loss of(long atMs, Trial trial) {
-		return new Loss(atMs, false, trial);
+	static Loss of(long atMs) {
+		return new Loss(atMs, false, Trial.NONE, NO_TRIAL);
 	}
 
 	Loss clear() {
-		return new Loss(this.atMs, true, this.trial);
+		return new Loss(this.atMs, true, this.trial, this.trialId);
 	}
 
 	Loss merge(Loss other) {
 		Trial strongest = (this.trial.compareTo(other.trial) >= 0) ? this.trial : other.trial;
-		return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared, strongest);
+		return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared, strongest,
+				Math.max(this.trialId, other.trialId));
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -167,7 +167,8 @@
 						.setId(id)
 						.setAgeMs(nowMs - loss.atMs())
 						.setCleared(loss.cleared())
-						.setTrial(LossTrial.forNumber(loss.trial().ordinal()))));
+						.setTrial(LossTrial.forNumber(loss.trial().ordinal()))
+						.setTrialId(loss.trialId())));
 		});
 		return summary;
 	}
@@ -186,7 +187,7 @@
 			for (BackendLoss loss : contentSummary.getLossesList()) {
 				if (loss.getAgeMs() < maxAgeMs) {
 					changed |= add(content, loss.getId(),
-							new Loss(nowMs - loss.getAgeMs(), loss.getCleared(), trial(loss)));
+							new Loss(nowMs - loss.getAgeMs(), loss.getCleared(), trial(loss), loss.getTrialId()));
 				}
 			}
 		}
--- a/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
@@ -123,9 +123,36 @@
 			entry.recordAnswerBegun(List.of(HARMFUL));
 			this.clock.advance(10);
 		}
+		this.clock.advance(HarmfulPartTracker.AGE_TOLERANCE_MS);
 		assertThat(crashesUntilRefused(entry, List.of(HARMFUL))).isEqualTo(HarmfulPartTracker.MAX_BACKEND_LOSSES);
 	}
 
+	/**
+	 * The news of a loss takes 30 ms, so its age seems too small to the entry that saw an
+	 * answer begin 10 ms after it. The news of a trial takes longer than that of its end.
+	 */
+	@Test
+	public void slowNewsDoesNotKeepSoundRequestsBack() {
+		List<HarmfulPartTracker> entries = entries(3);
+		loseBackend(entries.get(0), List.of(COMMON, HARMFUL), Set.of());
+		loseBackend(entries.get(0), List.of(COMMON, HARMFUL), Set.of());
+		SuspectSummary losses = entries.get(0).summary();
+		this.clock.advance(10);
+		entries.get(1).recordAnswerBegun(List.of(COMMON));
+		this.clock.advance(20);
+		assertThat(entries.get(1).merge(losses)).isTrue();
+		assertThat(entries.get(1).admit(List.of(COMMON)).action()).isEqualTo(PartAdmission.Action.SEND);
+		PartAdmission trial = entries.get(1).admit(List.of(COMMON, HARMFUL));
+		entries.get(1).trialStarted(trial.parts());
+		SuspectSummary started = entries.get(1).summary();
+		this.clock.advance(10);
+		loseBackend(entries.get(1), List.of(COMMON, HARMFUL), trial.parts());
+		this.clock.advance(40);
+		entries.get(2).merge(started);
+		entries.get(2).merge(entries.get(1).summary());
+		assertThat(entries.get(2).admit(List.of(COMMON, HARMFUL)).action()).isEqualTo(PartAdmission.Action.REFUSE);
+	}
+
 	/** Neither part is ever seen without the other until a sound request has one. */
 	@Test
 	public void partsThatWereOnlyTriedTogetherAreRefusedTogether() {
