--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -346,7 +346,9 @@
 			this.listener.responseReceived(this.reader.toBufferedResponse());
 			return;
 		}
-		recordAnswerBegun();
+		if (this.reader.isSuccess()) {
+			recordAnswerBegun();
+		}
 		this.backend.health().recordSuccess(nowMs);
 		this.context.metrics().recordAttempt(this.request.service(), "done");
 		if (this.context.harmfulRequests().recordSuccess(this.fingerprint)) {
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -40,8 +40,7 @@
 		this.status = status;
 		this.headers = headers;
 		String type = headers.get("Content-Type", "");
-		this.eventStream = kind == RequestKind.STREAM && status >= 200 && status < 300
-				&& type.startsWith("text/event-stream");
+		this.eventStream = kind == RequestKind.STREAM && isSuccess() && type.startsWith("text/event-stream");
 	}
 
 	/**
@@ -50,7 +49,7 @@
 	 * @return a description of the error, or null if there is none
 	 */
 	String headError() {
-		if (this.status >= 200 && this.status < 300 && !this.headers.contains(WireNames.SIGNATURE)) {
+		if (isSuccess() && !this.headers.contains(WireNames.SIGNATURE)) {
 			return "successful response without a signature";
 		}
 		String encoding = this.headers.get("Content-Encoding");
@@ -68,6 +67,10 @@
 		return this.headers;
 	}
 
+	boolean isSuccess() {
+		return this.status >= 200 && this.status < 300;
+	}
+
 	boolean isNotRun() {
 		return this.status == MISDIRECTED || this.headers.contains(WireNames.NOT_RUN);
 	}
