--- a/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
@@ -78,7 +78,8 @@
 
 	private static final long EXPIRY_INTERVAL_MS = 1_000;
 
-	private static final int MAX_ANSWERED_PARTS = 4_096;
+	/** Number of losses and of answered parts whose times are kept. */
+	private static final int MAX_TIMES = 4_096;
 
 	/**
 	 * An answer that begins up to this long before a loss clears it too. Entries compare
@@ -94,16 +95,9 @@
 
 	private final Map<PromptPart, PartTrial> trials = new HashMap<>();
 
-	private final Map<PromptPart, Long> lastAnswersMs = new LinkedHashMap<>(16, 0.75f, true) {
+	private final Map<PromptPart, Long> lastAnswersMs = boundedMap();
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<PromptPart, Long> eldest) {
-			return size() > MAX_ANSWERED_PARTS;
-		}
-
-	};
-
-	private final Map<String, Long> lossTimesMs = new HashMap<>();
+	private final Map<String, Long> lossTimesMs = boundedMap();
 
 	private final Set<PromptPart> harmfulParts = new HashSet<>();
 
@@ -125,6 +119,18 @@
 		return new HarmfulPartTracker(clock);
 	}
 
+	// Keeps the entries that were used last.
+	private static <K> Map<K, Long> boundedMap() {
+		return new LinkedHashMap<>(16, 0.75f, true) {
+
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<K, Long> eldest) {
+				return size() > MAX_TIMES;
+			}
+
+		};
+	}
+
 	/**
 	 * Decides whether a request may be sent.
 	 * @param parts shared parts of its prompt
@@ -304,7 +310,8 @@
 				released |= wasKeptBack;
 			}
 			if (content.hasTrialAgeMs()) {
-				this.trials.merge(part, new PartTrial(content.getTrialId(), nowMs - content.getTrialAgeMs()),
+				this.trials.merge(part,
+						new PartTrial(content.getTrialId(), nowMs - Math.max(0, content.getTrialAgeMs())),
 						PartTrial::merge);
 			}
 		}
--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -186,8 +186,8 @@
 			C content = this.codec.read(contentSummary);
 			for (BackendLoss loss : contentSummary.getLossesList()) {
 				if (loss.getAgeMs() < maxAgeMs) {
-					changed |= add(content, loss.getId(),
-							new Loss(nowMs - loss.getAgeMs(), loss.getCleared(), trial(loss), loss.getTrialId()));
+					changed |= add(content, loss.getId(), new Loss(nowMs - Math.max(0, loss.getAgeMs()),
+							loss.getCleared(), trial(loss), loss.getTrialId()));
 				}
 			}
 		}
--- a/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
@@ -267,6 +267,26 @@
 		assertThat(entry.harmfulParts()).containsExactly(HARMFUL);
 	}
 
+	/** A peer claims a loss and a trial that are still to come. */
+	@Test
+	public void timesInTheFutureAreTakenForNow() {
+		HarmfulPartTracker entry = HarmfulPartTracker.create(this.clock);
+		SuspectContent.Builder content = SuspectContent.newBuilder()
+			.setService("engines")
+			.setPartId("claimed")
+			.setTrialId(1)
+			.setTrialAgeMs(Long.MIN_VALUE / 4);
+		for (int i = 0; i < 2; i++) {
+			content.addLosses(BackendLoss.newBuilder().setId("claimed-" + i).setAgeMs(-1_000_000_000));
+		}
+		entry.merge(SuspectSummary.newBuilder().addContents(content).build());
+		assertThat(entry.admit(List.of(part("claimed"))).action()).isEqualTo(PartAdmission.Action.WAIT);
+		this.clock.advance(HarmfulPartTracker.TRIAL_MS);
+		assertThat(entry.admit(List.of(part("claimed"))).action()).isEqualTo(PartAdmission.Action.TRY);
+		entry.recordAnswerBegun(List.of(part("claimed")));
+		assertThat(entry.admit(List.of(part("claimed"))).action()).isEqualTo(PartAdmission.Action.SEND);
+	}
+
 	/** A trial's loss must not be the one that no longer fits into the table. */
 	@Test
 	public void partIsRefusedAlthoughManyOfItsRequestsWereUnderWay() {
