--- a/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
@@ -7,12 +7,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -141,10 +143,11 @@
 			if (request.isEmpty()) {
 				return;
 			}
-			String id = request.replaceAll("(?s).*X-Attempt-Id: ([^\r]*).*", "$1");
+			String id = request.replaceAll("(?is).*attempt-id: ([^\r]*).*", "$1");
+			FakeBackend.ReceivedRequest arrival = new FakeBackend.ReceivedRequest("POST", "/",
+					Map.of("x-attempt-id", id), "");
 			OutputStream out = socket.getOutputStream();
-			out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Replica-Signature: s\r\n" + this.response)
-				.getBytes(StandardCharsets.ISO_8859_1));
+			out.write((FakeBackend.signedResponseHead(arrival) + this.response).getBytes(StandardCharsets.ISO_8859_1));
 			out.flush();
 			if (this.reset) {
 				// Lets the entry read the bytes before the reset discards them.
