One registration of fake backend servers, one way to end a fixture's entries; expiry of losses copies no lists

From reading the change: RawBackends repeated FakeBackend.registration, stopEntries repeated a loop of close, and LossTable.removeIf copied the losses of every content at each call, also on the way of a request.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -264,9 +264,8 @@
 			});
 	}
 
-	// Which entry knows enough to call a part harmful depends on the order of the news,
-	// so
-	// the readers of the store write it too.
+	// Which entry knows enough to call a part harmful depends on the order of the news.
+	// The readers of the store therefore write it too.
 	private void keepHarmfulParts(Set<PromptPart> parts, boolean foundAtThisEntry) {
 		if (foundAtThisEntry || this.exchange.isStoreReader()) {
 			this.harmfulPartStore.write(parts);
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
@@ -406,16 +406,16 @@
 	private void removeExpired() {
 		long nowMs = this.clock.monotonicMs();
 		this.lastExpiryMs = nowMs;
-		this.table.removeIf((losses, loss) -> nowMs - loss.atMs() >= retentionMs(losses, loss));
+		this.table.removeIf((loss, uncleared) -> nowMs - loss.atMs() >= retentionMs(loss, uncleared));
 		this.lossTimesMs.values().removeIf((atMs) -> nowMs - atMs >= LOSS_RETENTION_MS);
 		this.trials.values().removeIf((trial) -> nowMs - trial.startMs() >= TRIAL_MS);
 	}
 
-	private static long retentionMs(Collection<Loss> losses, Loss loss) {
+	private static long retentionMs(Loss loss, int uncleared) {
 		if (loss.cleared()) {
 			return CLEARED_RETENTION_MS;
 		}
-		return (LossTable.unclearedCount(losses) >= LOSSES_BEFORE_TRIAL) ? LOSS_RETENTION_MS : SINGLE_LOSS_RETENTION_MS;
+		return (uncleared >= LOSSES_BEFORE_TRIAL) ? LOSS_RETENTION_MS : SINGLE_LOSS_RETENTION_MS;
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
@@ -137,7 +137,7 @@
 
 	private void removeExpired() {
 		long cutoffMs = this.clock.monotonicMs() - LOSS_RETENTION_MS;
-		this.table.removeIf((losses, loss) -> loss.atMs() <= cutoffMs);
+		this.table.removeIf((loss, uncleared) -> loss.atMs() <= cutoffMs);
 	}
 
 	private static final class FingerprintCodec implements LossTable.ContentCodec<Fingerprint> {
--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -4,9 +4,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.function.BiPredicate;
 
 import org.wigeontally.schema.generated.BackendLoss;
 import org.wigeontally.schema.generated.LossTrial;
@@ -110,12 +108,12 @@
 
 	/**
 	 * Removes losses.
-	 * @param isExpired decides by all losses of a content and one of them
+	 * @param expiry decides which ones
 	 */
-	void removeIf(BiPredicate<Collection<Loss>, Loss> isExpired) {
+	void removeIf(Expiry expiry) {
 		for (Map<String, Loss> losses : this.lossesByContent.values()) {
-			Collection<Loss> before = List.copyOf(losses.values());
-			losses.values().removeIf((loss) -> isExpired.test(before, loss));
+			int uncleared = unclearedCount(losses.values());
+			losses.values().removeIf((loss) -> expiry.isExpired(loss, uncleared));
 		}
 		this.lossesByContent.values().removeIf(Map::isEmpty);
 	}
@@ -202,6 +200,22 @@
 		};
 	}
 
+	/**
+	 * Decides which losses are forgotten.
+	 */
+	@FunctionalInterface
+	interface Expiry {
+
+		/**
+		 * Returns whether a loss is forgotten.
+		 * @param loss the loss
+		 * @param uncleared number of losses of which its content is not cleared
+		 * @return true if it is
+		 */
+		boolean isExpired(Loss loss, int uncleared);
+
+	}
+
 	/**
 	 * Reads and writes contents in messages between entries.
 	 *
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -296,9 +296,7 @@
 
 	@Override
 	public void close() throws Exception {
-		for (GatewayDaemon entry : this.entries) {
-			entry.close();
-		}
+		stopEntries();
 		await(this.vertx.close());
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
@@ -122,7 +122,7 @@
 		}
 
 		private JsonObject registration(String service) {
-			return RawBackends.registration(service, this.server.getLocalPort());
+			return FakeBackend.registration(this.server.getLocalPort(), service, "zone-a", "ready", 1);
 		}
 
 		private void acceptConnections() {
--- a/testsuite/src/test/java/org/wigeontally/gateway/UnreachableBackend.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnreachableBackend.java
@@ -10,6 +10,8 @@
 
 import io.vertx.core.json.JsonObject;
 
+import org.wigeontally.platform.standin.FakeBackend;
+
 /**
  * Backend server that takes one request and answers nothing. Connections to it time out
  * once its backlog is full.
@@ -51,7 +53,7 @@
 	}
 
 	JsonObject registration(String service) {
-		return RawBackends.registration(service, this.server.getLocalPort());
+		return FakeBackend.registration(this.server.getLocalPort(), service, "zone-a", "ready", 1);
 	}
 
 	void closeAfterFillingBacklog() throws IOException {
