Limits that backend servers name are decoded and logged

The header is decoded at the boundary; a value that is no positive decimal number, or a repeated header, is logged (header-unreadable, bounded) and tells nothing. The event 'backend' has one line when a limit is heard, changes by over a tenth, or ends; 'request-placed' has the limit that the entry knew as it sent. ServerLimit keeps the newest evidence: an answer without a limit counts as of the time at which its request was sent, so one that was begun before cannot lift a newer limit. Nothing acts on it yet.

BackendNoticeTests: 421 has its own constant now, since such a response tells nothing of a limit; the assertions are as before.

--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -8,6 +8,7 @@
 import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.WarmupRateLimiter;
+import org.wigeontally.limits.ServerLimit;
 
 /**
  * A registered backend server with the load, health and connections that this entry
@@ -23,6 +24,8 @@
 
 	private final WarmupRateLimiter warmupLimiter = WarmupRateLimiter.create();
 
+	private final ServerLimit limit = ServerLimit.create();
+
 	// Attempts that were sent and have not ended.
 	private final Set<BackendAttempt> runningAttempts = new LinkedHashSet<>();
 
@@ -75,6 +78,10 @@
 		return this.warmupLimiter;
 	}
 
+	ServerLimit limit() {
+		return this.limit;
+	}
+
 	boolean isRemoved() {
 		return this.removed;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -75,6 +75,8 @@
 
 	private final long startMs;
 
+	private long sentAtMs;
+
 	private long lastReceivedMs;
 
 	private BackendConnection connection;
@@ -217,6 +219,7 @@
 		}
 		this.connection = backendConnection;
 		this.sent = true;
+		this.sentAtMs = nowMs;
 		this.lastReceivedMs = nowMs;
 		this.listener.requestSent();
 		this.backend.warmupLimiter().recordSent(nowMs);
@@ -243,8 +246,9 @@
 			.write(LogEvent.REQUEST_PLACED, "id", this.request.attemptId(), "backend", backendId(), "zone",
 					this.backend.record().zone(), "load",
 					this.backend.load().estimatedRequests(nowMs, this.context.fleet().entryCount()), "load-age-ms",
-					Math.min(this.backend.load().reportAgeMs(nowMs), MAX_LOGGED_AGE_MS), "rank", this.enginePriority,
-					"left-ms", remainingMs, "configuration", this.context.fleet().configuration().version());
+					Math.min(this.backend.load().reportAgeMs(nowMs), MAX_LOGGED_AGE_MS), "limit",
+					this.backend.limit().perSecond(), "rank", this.enginePriority, "left-ms", remainingMs,
+					"configuration", this.context.fleet().configuration().version());
 	}
 
 	// Abandons the attempt if the backend server has sent nothing for too long and
@@ -288,7 +292,7 @@
 	public void headReceived(int status, HttpHeaders headers) {
 		this.lastReceivedMs = this.context.nowMs();
 		LoadHeader.recordLoad(headers, this.backend, this.lastReceivedMs);
-		this.context.fleet().recordNotice(this.backend, BackendNotice.decode(status, headers::get));
+		this.context.fleet().recordNotice(this.backend, BackendNotice.decode(status, headers::getAll), this.sentAtMs);
 		this.reader = new ResponseReader(status, headers, this.request.route().kind());
 		String error = this.reader.headError();
 		if (error != null) {
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -19,6 +20,7 @@
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.WarmupShare;
+import org.wigeontally.limits.ServerLimit;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
 import org.wigeontally.platform.wire.BackendNotice;
@@ -407,9 +409,14 @@
 	 * Records what a backend server said about itself in a response.
 	 * @param backend the backend server
 	 * @param notice the notice
+	 * @param sentAtMs when the request was sent
 	 */
-	void recordNotice(Backend backend, BackendNotice notice) {
-		if (notice == BackendNotice.NONE) {
+	void recordNotice(Backend backend, BackendNotice notice, long sentAtMs) {
+		if (notice.limitPerSecond() != BackendNotice.UNKNOWN_LIMIT) {
+			boolean limited = notice.limitPerSecond() > ServerLimit.NONE;
+			recordLimit(backend, notice.limitPerSecond(), limited ? this.clock.monotonicMs() : sentAtMs, "response");
+		}
+		if (notice == BackendNotice.NONE || notice == BackendNotice.FOREIGN) {
 			return;
 		}
 		String id = backend.record().id();
@@ -425,6 +432,19 @@
 		}
 	}
 
+	private void recordLimit(Backend backend, double perSecond, long atMs, String source) {
+		ServerLimit limit = backend.limit();
+		long nowMs = this.clock.monotonicMs();
+		long sinceMs = limit.sinceMs();
+		ServerLimit.Change change = limit.record(perSecond, atMs, nowMs);
+		if (!change.isUrgent()) {
+			return;
+		}
+		this.log.write(LogEvent.BACKEND, "backend", backend.record().id(), "limit", perSecond, "change",
+				change.name().toLowerCase(Locale.ROOT), "before-ms",
+				(change == ServerLimit.Change.STARTED) ? 0 : nowMs - sinceMs, "source", source);
+	}
+
 	private void recordLeaving(Backend backend, String source) {
 		if (backend.recordLeaving()) {
 			this.log.write(LogEvent.BACKEND, "backend", backend.record().id(), "leaving", true, "source", source);
--- a/testsuite/src/test/java/org/wigeontally/gateway/BackendNoticeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BackendNoticeTests.java
@@ -1,5 +1,6 @@
 package org.wigeontally.gateway;
 
+import java.util.List;
 import java.util.Map;
 
 import io.vertx.core.buffer.Buffer;
@@ -121,23 +122,50 @@
 
 	@DataProvider
 	public Object[][] notices() {
-		return new Object[][] { { 503, Map.of(WireNames.RETRY_AFTER, "0.25"), new BackendNotice(false, 250, null) },
-				{ 503, Map.of(WireNames.RETRY_AFTER, "-3"), new BackendNotice(false, 0, "retry-after \"-3\"") },
-				{ 503, Map.of(WireNames.RETRY_AFTER, "NaN"), new BackendNotice(false, 0, "retry-after \"NaN\"") },
+		return new Object[][] { { 503, Map.of(WireNames.RETRY_AFTER, "0.25"), new BackendNotice(false, 250, 0, null) },
+				{ 503, Map.of(WireNames.RETRY_AFTER, "-3"), new BackendNotice(false, 0, 0, "retry-after \"-3\"") },
+				{ 503, Map.of(WireNames.RETRY_AFTER, "NaN"), new BackendNotice(false, 0, 0, "retry-after \"NaN\"") },
 				{ 503, Map.of(WireNames.RETRY_AFTER, "1e18"),
-						new BackendNotice(false, BackendNotice.MAX_PAUSE_MS, "retry-after \"1e18\"") },
+						new BackendNotice(false, BackendNotice.MAX_PAUSE_MS, 0, "retry-after \"1e18\"") },
 				{ 503, Map.of(WireNames.RETRY_AFTER, "Fri, 04 Dec 2026 10:00:00 GMT"),
-						new BackendNotice(false, 0, "retry-after \"Fri, 04 Dec 2026 10:00:00 GMT\"") },
+						new BackendNotice(false, 0, 0, "retry-after \"Fri, 04 Dec 2026 10:00:00 GMT\"") },
 				{ 200, Map.of(WireNames.RETRY_AFTER, "3"), BackendNotice.NONE },
-				{ 200, Map.of(WireNames.LEAVING, "1"), new BackendNotice(true, 0, null) },
-				{ 200, Map.of(WireNames.LEAVING, "0"), new BackendNotice(false, 0, null) },
-				{ 200, Map.of(WireNames.LEAVING, "soon"), new BackendNotice(true, 0, "server-leaving \"soon\"") },
-				{ 421, Map.of(WireNames.LEAVING, "1"), BackendNotice.NONE } };
+				{ 200, Map.of(WireNames.LEAVING, "1"), new BackendNotice(true, 0, 0, null) },
+				{ 200, Map.of(WireNames.LEAVING, "0"), new BackendNotice(false, 0, 0, null) },
+				{ 200, Map.of(WireNames.LEAVING, "soon"), new BackendNotice(true, 0, 0, "server-leaving \"soon\"") },
+				{ 421, Map.of(WireNames.LEAVING, "1"), BackendNotice.FOREIGN } };
+	}
+
+	private static BackendNotice decode(int status, Map<String, String> headers) {
+		return BackendNotice.decode(status,
+				(name) -> headers.containsKey(name) ? List.of(headers.get(name)) : List.of());
+	}
+
+	@DataProvider
+	public Object[][] limits() {
+		double unknown = BackendNotice.UNKNOWN_LIMIT;
+		return new Object[][] { { List.of(), 0.0 }, { List.of("1.9"), 1.9 }, { List.of(" 400 "), 400.0 },
+				{ List.of("0.1"), 0.1 }, { List.of(""), unknown }, { List.of("2", "3"), unknown },
+				{ List.of("-1"), unknown }, { List.of("0"), unknown }, { List.of("0.000"), unknown },
+				{ List.of("1e9"), unknown }, { List.of("1000000000"), unknown }, { List.of("NaN"), unknown },
+				{ List.of("0x1p3"), unknown }, { List.of("9".repeat(5_000)), unknown } };
+	}
+
+	@Test(dataProvider = "limits")
+	public void limitIsDecodedAndUnusableValuesTellNothing(List<String> values, double expected) {
+		BackendNotice notice = BackendNotice.decode(200, (name) -> name.equals(WireNames.LIMIT) ? values : List.of());
+		assertThat(notice.limitPerSecond()).isEqualTo(expected);
+		if (expected == BackendNotice.UNKNOWN_LIMIT) {
+			assertThat(notice.unreadable()).startsWith("server-limit \"").hasSizeLessThan(100);
+		}
+		else {
+			assertThat(notice.unreadable()).isNull();
+		}
 	}
 
 	@Test(dataProvider = "notices")
 	public void headersAreDecoded(int status, Map<String, String> headers, BackendNotice expected) {
-		assertThat(BackendNotice.decode(status, headers::get)).isEqualTo(expected);
+		assertThat(decode(status, headers)).isEqualTo(expected);
 	}
 
 }
