Requests to backend servers that name a limit need permits, which one entry issues for each of them

Cause: nothing acted on Server-Limit, and a limited engine looks idle, so placement prefers it. Class: a budget of one server that many entries spend, each of which sees only its own spending.

Now: the entry that ranks first for a backend server, of those in its region, issues permits at the rate of the limit (PermitIssuer); the others ask it, one question at a time for all requests that wait, and leave the backend server out until the time that it answers. First attempts, retries, resumed streams and requests that may run once take the same way. A coordinator begins without permits, so a hand-over does not spend twice; it issues the part of the limit that belongs to the entries that it hears of those that ran in the last 30 s, so two groups that are cut off from each other spend the limit once. A permit lapses after a second by either clock; a limit that is named while a connection opens holds for it. An answer without a limit ends it only if its request was sent after the newest word of it. Without a limit nothing is asked. If all limits are used up, requests are rejected at once, to return over the time in which the limits admit them.

Also: `backend-limit` and `permits-failed` in the logs, `explain` prints the former, GET /backend-limits, two metrics. notifySuspectsChanged is tellOtherEntries now, as more news than suspects is urgent; isReady moved to GatewayContext.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -38,6 +38,10 @@
 	BACKEND_CRASH(RateLimit.SOME),
 	/** A part of prompts is refused from now on, or is allowed again. */
 	PROMPT_PART(RateLimit.SOME),
+	/** A backend server names a limit, a different one, or none any more. */
+	BACKEND_LIMIT(RateLimit.SOME),
+	/** Permits for a limited backend server could not be acquired. */
+	PERMITS_FAILED(RateLimit.SOME),
 	/** A request was sent to a backend server. */
 	REQUEST_PLACED(RateLimit.REQUESTS),
 	/** No backend server was found for a request; the fields show why. */
--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -8,6 +8,9 @@
 import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.WarmupRateLimiter;
+import org.wigeontally.limits.PermitGrant;
+import org.wigeontally.limits.PermitIssuer;
+import org.wigeontally.limits.PermitQueue;
 import org.wigeontally.limits.ServerLimit;
 
 /**
@@ -26,6 +29,11 @@
 
 	private final ServerLimit limit = ServerLimit.create();
 
+	private final PermitQueue permits = PermitQueue.create();
+
+	// Set once this entry has coordinated the permits.
+	private PermitIssuer permitIssuer;
+
 	// Attempts that were sent and have not ended.
 	private final Set<BackendAttempt> runningAttempts = new LinkedHashSet<>();
 
@@ -82,6 +90,34 @@
 		return this.limit;
 	}
 
+	PermitQueue permits() {
+		return this.permits;
+	}
+
+	/**
+	 * Issues permits as the coordinator of this backend server.
+	 * @param count number of permits that an entry asks for
+	 * @param share part of the limit that may be used
+	 * @param nowMs the current time
+	 * @return the answer
+	 */
+	PermitGrant issuePermits(int count, double share, long nowMs) {
+		double perSecond = this.limit.perSecond() * share;
+		if (this.permitIssuer == null) {
+			this.permitIssuer = PermitIssuer.create(perSecond, nowMs);
+		}
+		return this.permitIssuer.issue(count, perSecond, nowMs);
+	}
+
+	/**
+	 * Returns whether requests need permits, and none is available now.
+	 * @param nowMs the current time
+	 * @return true if the limit is used up
+	 */
+	boolean isLimitUsedUp(long nowMs) {
+		return this.limit.isNamed() && this.permits.heldMs(nowMs) > 0;
+	}
+
 	boolean isRemoved() {
 		return this.removed;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -10,6 +10,7 @@
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.SuspectRequest;
+import org.wigeontally.limits.Permit;
 import org.wigeontally.platform.wire.BackendNotice;
 
 /**
@@ -67,6 +68,8 @@
 
 	private final Backend backend;
 
+	private final Permit permit;
+
 	private final int enginePriority;
 
 	private final long requiredVersion;
@@ -98,17 +101,19 @@
 	 * @param fingerprint fingerprint of the request's content
 	 * @param triedParts parts of its prompt for which it is on trial
 	 * @param backend backend server to send it to
+	 * @param permit permit for it, or null if the backend server had no limit
 	 * @param enginePriority scheduling priority at the engine; negative for none
 	 * @param requiredVersion oldest version of the weights that may run it; 0 for any
 	 * @param listener receives the result
 	 */
 	BackendAttempt(GatewayContext context, CallerRequest request, Fingerprint fingerprint, Set<PromptPart> triedParts,
-			Backend backend, int enginePriority, long requiredVersion, AttemptListener listener) {
+			Backend backend, Permit permit, int enginePriority, long requiredVersion, AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.fingerprint = fingerprint;
 		this.triedParts = triedParts;
 		this.backend = backend;
+		this.permit = permit;
 		this.enginePriority = enginePriority;
 		this.requiredVersion = requiredVersion;
 		this.listener = listener;
@@ -210,11 +215,12 @@
 
 	private void send(BackendConnection backendConnection) {
 		long nowMs = this.context.nowMs();
-		if (this.backend.isClosed(nowMs, 1)) {
+		boolean closed = this.backend.isClosed(nowMs, 1);
+		if (closed || lacksPermit()) {
 			this.backend.pool().release(backendConnection);
 			markEnded();
 			this.listener.attemptFailed(this, AttemptFailure.NOT_SENT,
-					"backend server is leaving, paused or no longer registered");
+					closed ? "backend server is leaving, paused or no longer registered" : "no valid permit");
 			return;
 		}
 		this.connection = backendConnection;
@@ -236,6 +242,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the backend server has named a limit while its connection was
+	 * opened, or the permit has lapsed meanwhile.
+	 * @return true if the request must not be sent
+	 */
+	boolean lacksPermit() {
+		return this.backend.limit().isNamed() && (this.permit == null || !this.permit.holds(this.context.clock()));
+	}
+
 	private void logSend(long nowMs, long remainingMs, String lastEventId) {
 		if (this.listener.hasForwardedEvents()) {
 			this.context.log()
@@ -292,7 +307,11 @@
 	public void headReceived(int status, HttpHeaders headers) {
 		this.lastReceivedMs = this.context.nowMs();
 		LoadHeader.recordLoad(headers, this.backend, this.lastReceivedMs);
-		this.context.fleet().recordNotice(this.backend, BackendNotice.decode(status, headers::getAll), this.sentAtMs);
+		BackendNotice notice = BackendNotice.decode(status, headers::getAll);
+		this.context.fleet().recordNotice(this.backend, notice);
+		if (this.context.limits().record(this.backend, notice.limitPerSecond(), this.sentAtMs)) {
+			this.context.tellOtherEntries();
+		}
 		this.reader = new ResponseReader(status, headers, this.request.route().kind());
 		String error = this.reader.headError();
 		if (error != null) {
@@ -356,7 +375,7 @@
 		this.backend.health().recordSuccess(nowMs);
 		this.context.metrics().recordAttempt(this.request.service(), "done");
 		if (this.context.harmfulRequests().recordSuccess(this.fingerprint)) {
-			this.context.notifySuspectsChanged();
+			this.context.tellOtherEntries();
 		}
 		if (this.reader.isEventStream()) {
 			this.listener.streamEnded(this.reader);
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -49,11 +49,14 @@
 
 	private final CandidateSelector selector;
 
+	private final PermitClient permits;
+
 	private final Map<HttpConnection, Long> idleSinceMsByConnection = new HashMap<>();
 
-	CallerRequestHandler(GatewayContext context, CandidateSelector candidateSelector) {
+	CallerRequestHandler(GatewayContext context, CandidateSelector candidateSelector, PermitClient permits) {
 		this.context = context;
 		this.selector = candidateSelector;
+		this.permits = permits;
 	}
 
 	void connectionOpened(HttpConnection connection) {
@@ -161,7 +164,7 @@
 		String service = route.get().pickService(this.context.random().nextDouble());
 		CallerRequest callerRequest = new CallerRequest(request, route.get(), organisation, service, body, receivedAtMs,
 				callerTimeoutMs(request));
-		new RequestRelay(this.context, this.selector, callerRequest).start();
+		new RequestRelay(this.context, this.selector, this.permits, callerRequest).start();
 	}
 
 	private static long callerTimeoutMs(HttpServerRequest request) {
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -70,6 +70,24 @@
 		return (shortestMs == Long.MAX_VALUE) ? OptionalLong.empty() : OptionalLong.of(shortestMs);
 	}
 
+	/**
+	 * Returns the backend servers of a service that accept no more requests now because
+	 * their limit is used up.
+	 * @param service name of the service
+	 * @param nowMs the current time
+	 * @return the backend servers
+	 */
+	List<Backend> findUsedUp(String service, long nowMs) {
+		List<Backend> usedUp = new ArrayList<>();
+		for (Backend backend : this.fleet.backends()) {
+			if (backend.record().service().equals(service) && backend.isLimitUsedUp(nowMs)
+					&& !backend.isClosed(nowMs, 0)) {
+				usedUp.add(backend);
+			}
+		}
+		return usedUp;
+	}
+
 	/**
 	 * Returns the number of backend servers of a service, eligible or not.
 	 * @param service name of the service
@@ -90,7 +108,7 @@
 			return false;
 		}
 		if (backend.health().isBackingOff(nowMs) || !backend.pool().hasCapacity()
-				|| !backend.warmupLimiter().hasCapacity(nowMs)) {
+				|| !backend.warmupLimiter().hasCapacity(nowMs) || backend.isLimitUsedUp(nowMs)) {
 			return false;
 		}
 		if (service.engine().isEmpty()) {
--- a/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CrashDetector.java
@@ -78,7 +78,7 @@
 			.backendLost(lossId, loss.atMs(), suspects.stream().map(BackendAttempt::toSuspect).toList());
 		this.context.metrics().recordBackendCrash(backend.record().service());
 		logCrash(backend, loss.attempts(), result.cause());
-		this.context.notifySuspectsChanged();
+		this.context.tellOtherEntries();
 	}
 
 	// A host that cannot be reached lets the connection time out; the link or the host
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -219,7 +219,8 @@
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
 		EntryNews.Builder news = ownNews().setLapseGraceMs(fleet.remainingLapseGraceMs())
-			.addAllLeavingBackends(fleet.leavingBackends());
+			.addAllLeavingBackends(fleet.leavingBackends())
+			.addAllLimitedBackends(this.context.limits().news());
 		SuspectSummary suspects = this.context.harmfulRequests().summary();
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
@@ -274,7 +275,7 @@
 			.setZone(settings.getZone())
 			.setRegion(settings.getRegion())
 			.setIncarnation(this.incarnation)
-			.setReady(isReady())
+			.setReady(this.context.isReady())
 			.setOperatorEnd(fleet.operatorRecords().endPosition())
 			.setBackendEnd(fleet.backendRecords().endPosition())
 			.setConfigurationVersion(fleet.configurationVersion())
@@ -283,10 +284,6 @@
 			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()));
 	}
 
-	boolean isReady() {
-		return !this.context.isDraining() && this.context.fleet().configuration() != null;
-	}
-
 	// A process that started after the store was restored reads the copy's configuration.
 	// The positions alone do not show that another entry holds a newer one.
 	private void addNewestConfiguration(EntryNews.Builder news, EntryNews peerNews) {
@@ -351,6 +348,7 @@
 			.forEach((announced) -> fleet.announcedVersions(announced.getModel())
 				.updateAnnouncementTime(announced.getVersion(), nowMs - announced.getAgeMs()));
 		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
+		peerNews.getLimitedBackendsList().forEach((limited) -> this.context.limits().record(limited, source));
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
@@ -37,7 +37,7 @@
 	}
 
 	void handleReady(HttpServerRequest request) {
-		boolean ready = WireNames.isReadinessPath(request.path()) && this.exchange.isReady();
+		boolean ready = WireNames.isReadinessPath(request.path()) && this.context.isReady();
 		request.response().setStatusCode(ready ? 200 : 503).end();
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -20,7 +19,6 @@
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.WarmupShare;
-import org.wigeontally.limits.ServerLimit;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendDecoder;
 import org.wigeontally.platform.wire.BackendNotice;
@@ -409,13 +407,8 @@
 	 * Records what a backend server said about itself in a response.
 	 * @param backend the backend server
 	 * @param notice the notice
-	 * @param sentAtMs when the request was sent
 	 */
-	void recordNotice(Backend backend, BackendNotice notice, long sentAtMs) {
-		if (notice.limitPerSecond() != BackendNotice.UNKNOWN_LIMIT) {
-			boolean limited = notice.limitPerSecond() > ServerLimit.NONE;
-			recordLimit(backend, notice.limitPerSecond(), limited ? this.clock.monotonicMs() : sentAtMs, "response");
-		}
+	void recordNotice(Backend backend, BackendNotice notice) {
 		if (notice == BackendNotice.NONE || notice == BackendNotice.FOREIGN) {
 			return;
 		}
@@ -432,17 +425,15 @@
 		}
 	}
 
-	private void recordLimit(Backend backend, double perSecond, long atMs, String source) {
-		ServerLimit limit = backend.limit();
-		long nowMs = this.clock.monotonicMs();
-		long sinceMs = limit.sinceMs();
-		ServerLimit.Change change = limit.record(perSecond, atMs, nowMs);
-		if (!change.isUrgent()) {
-			return;
-		}
-		this.log.write(LogEvent.BACKEND, "backend", backend.record().id(), "limit", perSecond, "change",
-				change.name().toLowerCase(Locale.ROOT), "before-ms",
-				(change == ServerLimit.Change.STARTED) ? 0 : nowMs - sinceMs, "source", source);
+	/**
+	 * Returns a process of a backend server.
+	 * @param id id of the backend server
+	 * @param processStartMs start of the process, Unix milliseconds
+	 * @return the backend server, or null if this process is not registered
+	 */
+	Backend backend(String id, long processStartMs) {
+		Backend backend = this.backends.get(id);
+		return (backend != null && backend.record().processStartMs() == processStartMs) ? backend : null;
 	}
 
 	private void recordLeaving(Backend backend, String source) {
@@ -457,8 +448,8 @@
 	 * @param source the entry that says so, for the log
 	 */
 	void recordLeaving(LeavingBackend leaving, String source) {
-		Backend backend = this.backends.get(leaving.getId());
-		if (backend != null && backend.record().processStartMs() == leaving.getProcessStartMs()) {
+		Backend backend = backend(leaving.getId(), leaving.getProcessStartMs());
+		if (backend != null) {
 			recordLeaving(backend, source);
 		}
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
 import org.wigeontally.fleet.RetryBudgetShare;
 import org.wigeontally.harmful.HarmfulPartTracker;
 import org.wigeontally.harmful.HarmfulRequestTracker;
+import org.wigeontally.limits.RejectedRequests;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
@@ -32,6 +33,8 @@
 
 	private final FleetState fleet;
 
+	private final BackendLimits limits;
+
 	private final GatewayMetrics metrics;
 
 	private final HarmfulRequestTracker harmfulRequests;
@@ -48,9 +51,11 @@
 
 	private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
 
+	private final Map<String, RejectedRequests> rejectedByLimits = new HashMap<>();
+
 	private final Map<String, Long> longestTimeoutsMs = new HashMap<>();
 
-	private Runnable suspectsChanged = () -> {
+	private Runnable urgentNews = () -> {
 	};
 
 	private int inFlight;
@@ -66,6 +71,7 @@
 		this.settings = settings;
 		this.log = log;
 		this.fleet = fleet;
+		this.limits = new BackendLimits(fleet, clock, log);
 		this.metrics = metrics;
 		this.harmfulRequests = HarmfulRequestTracker.create(clock);
 		this.harmfulParts = new HarmfulPartGuard(this, HarmfulPartTracker.create(clock));
@@ -75,6 +81,10 @@
 		return this.vertx;
 	}
 
+	Clock clock() {
+		return this.clock;
+	}
+
 	long nowMs() {
 		return this.clock.monotonicMs();
 	}
@@ -91,6 +101,10 @@
 		return this.fleet;
 	}
 
+	BackendLimits limits() {
+		return this.limits;
+	}
+
 	GatewayMetrics metrics() {
 		return this.metrics;
 	}
@@ -128,6 +142,10 @@
 			.setMaxEntries(this.fleet.entryCount());
 	}
 
+	RejectedRequests rejectedByLimits(String service) {
+		return this.rejectedByLimits.computeIfAbsent(service, (key) -> RejectedRequests.create());
+	}
+
 	/**
 	 * Estimates how long ago a caller made its first attempt. All callers of a route are
 	 * assumed to start with the same timeout, so one with less time left is retrying.
@@ -140,12 +158,20 @@
 		return longestTimeoutMs - callerTimeoutMs;
 	}
 
-	void onSuspectsChanged(Runnable action) {
-		this.suspectsChanged = action;
+	/**
+	 * Sets how the other entries are told news at once.
+	 * @param action starts an exchange with them
+	 */
+	void onUrgentNews(Runnable action) {
+		this.urgentNews = action;
 	}
 
-	void notifySuspectsChanged() {
-		this.suspectsChanged.run();
+	/**
+	 * Tells the other entries what this one has learnt, without waiting for the next
+	 * regular exchange.
+	 */
+	void tellOtherEntries() {
+		this.urgentNews.run();
 	}
 
 	int inFlight() {
@@ -173,6 +199,14 @@
 		this.refuseFromMs = nowMs() + acceptMs;
 	}
 
+	/**
+	 * Returns whether this entry takes callers.
+	 * @return true if it has a configuration and is not shutting down
+	 */
+	boolean isReady() {
+		return !this.draining && this.fleet.configuration() != null;
+	}
+
 	boolean acceptsRequests() {
 		return nowMs() < this.refuseFromMs;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -39,6 +39,8 @@
 import org.wigeontally.schema.generated.FleetGrpcService;
 import org.wigeontally.schema.generated.FleetService;
 import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.PermitReply;
+import org.wigeontally.schema.generated.PermitRequest;
 
 /**
  * The process on an entry host of the platform. All of it runs on one event loop, so that
@@ -123,6 +125,8 @@
 
 	private final DatagramSocket datagrams;
 
+	private final PermitServer permitServer;
+
 	private final CallerRequestHandler callerHandler;
 
 	private final StoreClient store;
@@ -148,7 +152,9 @@
 		FleetState fleet = new FleetState(settings, vertx.createNetClient(clientOptions), clock, log);
 		this.context = new GatewayContext(vertx, clock, settings, log, fleet, new GatewayMetrics());
 		CandidateSelector selector = new CandidateSelector(fleet, settings);
-		this.callerHandler = new CallerRequestHandler(this.context, selector);
+		this.permitServer = new PermitServer(this.context, this.entries);
+		this.callerHandler = new CallerRequestHandler(this.context, selector,
+				new PermitClient(this.context, this.permitServer));
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
 		this.briefings = new AgentBriefings(this.context, this.entries);
 		this.datagrams = vertx.createDatagramSocket();
@@ -170,7 +176,7 @@
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
-		this.context.onSuspectsChanged(this.exchange::exchangeWithAllEntries);
+		this.context.onUrgentNews(this.exchange::exchangeWithAllEntries);
 	}
 
 	/**
@@ -222,8 +228,9 @@
 		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
 		HarmfulPartHttpHandler partHandler = new HarmfulPartHttpHandler(this.context.harmfulParts(),
 				this.harmfulPartStore);
+		BackendLimitHttpHandler limitHandler = new BackendLimitHttpHandler(this.context, this.permitServer);
 		servers.add(serve(metricsAddress, publicOptions, (request) -> {
-			if (!partHandler.handle(request)) {
+			if (!partHandler.handle(request) && !limitHandler.handle(request)) {
 				MetricsApi.writeMetrics(this.context.metrics().registry(), request.response());
 			}
 		}));
@@ -312,6 +319,7 @@
 		fleet.setEntryCount(knownEntries);
 		fleet.setOtherEntries(this.entries.recentEntries(this.context.nowMs()));
 		this.context.metrics().setState(fleet.configurationVersion(), this.context.inFlight(), knownEntries);
+		this.context.metrics().setLimitedBackends(this.context.limits().countLimited());
 		this.context.metrics().setStoreAge(StoreTopic.OPERATOR.name(), this.operatorFollower.ageMs());
 		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
 	}
@@ -395,6 +403,11 @@
 			return onEventLoop(() -> GatewayDaemon.this.exchange.handleNews(request));
 		}
 
+		@Override
+		public Future<PermitReply> acquirePermits(PermitRequest request) {
+			return onEventLoop(() -> GatewayDaemon.this.permitServer.handle(request));
+		}
+
 		@Override
 		public Future<AgentBriefing> report(EngineStatus request) {
 			return onEventLoop(() -> GatewayDaemon.this.briefings.handleReport(request));
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -78,6 +78,17 @@
 		.labelNames("service")
 		.register(this.registry);
 
+	private final Gauge limitedBackends = Gauge.builder()
+		.name("wigeontally_limited_backends")
+		.help("Backend servers that name a limit for the requests of all entries")
+		.register(this.registry);
+
+	private final Counter permits = Counter.builder()
+		.name("wigeontally_permits_total")
+		.help("Permits for requests to limited backend servers by service and outcome")
+		.labelNames("service", "outcome")
+		.register(this.registry);
+
 	PrometheusRegistry registry() {
 		return this.registry;
 	}
@@ -106,6 +117,16 @@
 		this.backendCrashes.labelValues(service).inc();
 	}
 
+	void setLimitedBackends(int count) {
+		this.limitedBackends.set(count);
+	}
+
+	void recordPermits(String service, String outcome, int count) {
+		if (count > 0) {
+			this.permits.labelValues(service, outcome).inc(count);
+		}
+	}
+
 	void setState(long configurationVersion, int requestsInFlight, int knownEntries) {
 		this.configurationVersion.set(configurationVersion);
 		this.inFlight.set(requestsInFlight);
--- a/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartGuard.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartGuard.java
@@ -53,7 +53,7 @@
 	void trialStarted(Collection<PromptPart> parts) {
 		if (!parts.isEmpty()) {
 			this.tracker.trialStarted(parts);
-			this.context.notifySuspectsChanged();
+			this.context.tellOtherEntries();
 		}
 	}
 
@@ -64,7 +64,7 @@
 	void answerBegun(Collection<PromptPart> parts) {
 		if (!parts.isEmpty() && this.tracker.recordAnswerBegun(parts)) {
 			handleChanges("answer", false);
-			this.context.notifySuspectsChanged();
+			this.context.tellOtherEntries();
 		}
 	}
 
@@ -81,7 +81,7 @@
 		boolean released = this.tracker.merge(summary);
 		handleChanges(source, false);
 		if (released) {
-			this.context.notifySuspectsChanged();
+			this.context.tellOtherEntries();
 		}
 	}
 
@@ -102,7 +102,7 @@
 		boolean lifted = this.tracker.lift(part);
 		handleChanges("operator", false);
 		if (lifted) {
-			this.context.notifySuspectsChanged();
+			this.context.tellOtherEntries();
 		}
 		return lifted;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.DoubleUnaryOperator;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
@@ -19,6 +20,8 @@
 import org.wigeontally.harmful.PartAdmission;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.Suspicion;
+import org.wigeontally.limits.Permit;
+import org.wigeontally.limits.PermitQueue;
 
 /**
  * Forwards one request of a caller to backend servers and returns the response.
@@ -64,6 +67,8 @@
 
 	private final CandidateSelector selector;
 
+	private final PermitClient permits;
+
 	private final CallerRequest request;
 
 	private final Fingerprint fingerprint;
@@ -102,9 +107,11 @@
 
 	private long timeoutTimer = -1;
 
-	RequestRelay(GatewayContext context, CandidateSelector candidateSelector, CallerRequest request) {
+	RequestRelay(GatewayContext context, CandidateSelector candidateSelector, PermitClient permits,
+			CallerRequest request) {
 		this.context = context;
 		this.selector = candidateSelector;
+		this.permits = permits;
 		this.request = request;
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
@@ -143,16 +150,15 @@
 				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
 						"candidates", 0, "known", this.selector.countBackends(this.request.service()), "tried",
 						this.triedBackendIds.size());
-			OptionalLong pauseMs = this.selector.shortestPauseMs(this.request.service(), nowMs);
-			failRequest(pauseMs.isPresent() ? "backends-paused" : "no-backend",
-					pauseMs.isPresent() ? pauseMs.getAsLong() : NO_BACKEND_RETRY_AFTER_MS);
+			failWithoutCandidate(nowMs);
 			return;
 		}
 		List<BackendCandidate> placementCandidates = candidates.stream()
 			.map((backend) -> this.selector.toPlacementCandidate(backend, nowMs))
 			.toList();
 		if (service.engine().isEmpty()) {
-			send(findById(candidates, this.context.plainPlacement().chooseBackend(placementCandidates)), -1, 0);
+			acquirePermitAndSend(findById(candidates, this.context.plainPlacement().chooseBackend(placementCandidates)),
+					-1, 0);
 			return;
 		}
 		EngineProfile profile = service.engine().get();
@@ -170,10 +176,58 @@
 			return;
 		}
 		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
-		send(findById(candidates, placement.id()), placement.enginePriority(),
+		acquirePermitAndSend(findById(candidates, placement.id()), placement.enginePriority(),
 				this.selector.requiredVersion(profile, nowMs));
 	}
 
+	private void failWithoutCandidate(long nowMs) {
+		OptionalLong pauseMs = this.selector.shortestPauseMs(this.request.service(), nowMs);
+		if (pauseMs.isPresent()) {
+			failRequest("backends-paused", pauseMs.getAsLong());
+			return;
+		}
+		List<Backend> usedUp = this.selector.findUsedUp(this.request.service(), nowMs);
+		if (usedUp.isEmpty()) {
+			failRequest("no-backend", NO_BACKEND_RETRY_AFTER_MS);
+			return;
+		}
+		long nextInMs = usedUp.stream().mapToLong((backend) -> backend.permits().heldMs(nowMs)).min().getAsLong();
+		double totalPerSecond = usedUp.stream().mapToDouble((backend) -> backend.limit().perSecond()).sum();
+		double backlogMs = this.context.rejectedByLimits(this.request.service())
+			.record(totalPerSecond, this.context.fleet().entryCount(), nowMs);
+		failRequest("limits-used-up",
+				(remainingMs) -> RetryAfter.spreadSeconds(nextInMs, backlogMs, remainingMs, this.context.random()));
+	}
+
+	private void acquirePermitAndSend(Backend backend, int enginePriority, long requiredVersion) {
+		if (!backend.limit().isNamed()) {
+			send(backend, null, enginePriority, requiredVersion);
+			return;
+		}
+		this.attempt = null;
+		Permit permit = Permit.askedNow(this.context.clock());
+		this.permits.acquire(backend, new PermitQueue.Waiter() {
+
+			@Override
+			public boolean permitted() {
+				if (RequestRelay.this.finished) {
+					return false;
+				}
+				send(backend, permit, enginePriority, requiredVersion);
+				return true;
+			}
+
+			@Override
+			public void denied() {
+				if (!RequestRelay.this.finished) {
+					RequestRelay.this.triedBackendIds.add(backend.record().id());
+					placeRequest();
+				}
+			}
+
+		});
+	}
+
 	// An answer that has begun shows that the prompt is harmless, so it is not judged
 	// again when the stream is resumed.
 	private boolean admitParts() {
@@ -211,10 +265,10 @@
 		throw new IllegalStateException("placement chose a backend server that is not a candidate: " + id);
 	}
 
-	private void send(Backend backend, int enginePriority, long requiredVersion) {
+	private void send(Backend backend, Permit permit, int enginePriority, long requiredVersion) {
 		this.triedBackendIds.add(backend.record().id());
 		this.attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts, backend,
-				enginePriority, requiredVersion, this);
+				permit, enginePriority, requiredVersion, this);
 		this.attempt.start();
 	}
 
@@ -238,7 +292,7 @@
 	public boolean hasOtherBackend() {
 		Service service = this.context.fleet().service(this.request.service());
 		return this.sentAttempts < this.request.route().maxAttempts()
-				&& !candidates(service, this.context.nowMs()).isEmpty();
+				&& candidates(service, this.context.nowMs()).stream().anyMatch((backend) -> !backend.limit().isNamed());
 	}
 
 	@Override
@@ -322,6 +376,9 @@
 		if (outcome == AttemptFailure.MAY_HAVE_RUN) {
 			this.mayHaveRun = true;
 		}
+		if (outcome == AttemptFailure.NOT_SENT && failedAttempt.lacksPermit()) {
+			this.triedBackendIds.remove(failedAttempt.backendId());
+		}
 		this.connectFailures += (outcome == AttemptFailure.NOT_SENT) ? 1 : 0;
 		boolean retryAllowed = switch (outcome) {
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
@@ -342,9 +399,13 @@
 				&& this.context.retryBudget(this.request.service()).tryAcquireRetry(this.context.nowMs());
 	}
 
+	private void failRequest(String reason, double retryAfterMs) {
+		failRequest(reason, (remainingMs) -> RetryAfter.seconds(retryAfterMs, remainingMs, this.context.random()));
+	}
+
 	// Ends the request without a successful response: aborts a stream that has begun,
 	// returns a stored server error, or sends a response of the entry itself.
-	private void failRequest(String reason, double retryAfterMs) {
+	private void failRequest(String reason, DoubleUnaryOperator retryAfterSeconds) {
 		if (this.streamWriter != null) {
 			abortStream(reason);
 			return;
@@ -358,8 +419,7 @@
 			return;
 		}
 		double callerRemainingMs = this.request.receivedAtMs() + this.request.callerTimeoutMs() - this.context.nowMs();
-		refuse(LocalResponse.notRun(reason,
-				RetryAfter.seconds(retryAfterMs, callerRemainingMs, this.context.random())));
+		refuse(LocalResponse.notRun(reason, retryAfterSeconds.applyAsDouble(callerRemainingMs)));
 	}
 
 	private void timedOut() {
--- a/library/src/main/java/org/wigeontally/fleet/RetryAfter.java
+++ b/library/src/main/java/org/wigeontally/fleet/RetryAfter.java
@@ -24,9 +24,25 @@
 	 * @return seconds
 	 */
 	public static double seconds(double capacityInMs, double remainingMs, RandomGenerator random) {
-		double jitteredMs = capacityInMs * (1 + MAX_JITTER * random.nextDouble());
-		double delayMs = Math.max(0, Math.min(jitteredMs, remainingMs * MAX_FRACTION_OF_REMAINING_TIME));
-		return Math.round(delayMs) / 1000.0;
+		return toSeconds(capacityInMs * (1 + MAX_JITTER * random.nextDouble()), remainingMs);
+	}
+
+	/**
+	 * Computes the delay for one of many callers that return one after the other.
+	 * @param fromMs time until the first of them returns
+	 * @param lengthMs time over which they are spread, as far as callers wait
+	 * @param remainingMs remaining time of the caller
+	 * @param random source of the spread
+	 * @return seconds
+	 */
+	public static double spreadSeconds(double fromMs, double lengthMs, double remainingMs, RandomGenerator random) {
+		double longestMs = Math.max(0, remainingMs * MAX_FRACTION_OF_REMAINING_TIME - fromMs);
+		return toSeconds(fromMs + Math.min(lengthMs, longestMs) * random.nextDouble(), remainingMs);
+	}
+
+	private static double toSeconds(double delayMs, double remainingMs) {
+		double boundedMs = Math.max(0, Math.min(delayMs, remainingMs * MAX_FRACTION_OF_REMAINING_TIME));
+		return Math.round(boundedMs) / 1000.0;
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/limits/ServerLimit.java
+++ b/library/src/main/java/org/wigeontally/limits/ServerLimit.java
@@ -14,6 +14,13 @@
  */
 public final class ServerLimit {
 
+	/**
+	 * Time by which the end of a limit counts as earlier if another entry tells it. News
+	 * seems younger than it is by the time that it takes, and must not lift a limit that
+	 * was named meanwhile.
+	 */
+	private static final long NEWS_DELAY_MS = 200;
+
 	/** Rate of a backend server without a limit. */
 	public static final double NONE = 0;
 
@@ -77,6 +84,18 @@
 		return Change.CHANGED;
 	}
 
+	/**
+	 * Records what another entry knows.
+	 * @param newPerSecond requests per second, or {@link #NONE}
+	 * @param ageMs age of its evidence when it told so
+	 * @param nowMs the current time
+	 * @return how much the limit in force has changed
+	 */
+	public Change recordNews(double newPerSecond, long ageMs, long nowMs) {
+		long delayMs = (newPerSecond > NONE) ? 0 : NEWS_DELAY_MS;
+		return record(newPerSecond, nowMs - Math.max(0, ageMs) - delayMs, nowMs);
+	}
+
 	/**
 	 * Returns whether a limit is in force.
 	 * @return true if it is
--- a/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/ExplainCommand.java
@@ -107,6 +107,7 @@
 			for (String backend : backends) {
 				newestEvent(lines, host, lastTime, "backend", backend).ifPresent(relevantLines::add);
 				newestEvent(lines, host, lastTime, "backend-crash", backend).ifPresent(relevantLines::add);
+				newestEvent(lines, host, lastTime, "backend-limit", backend).ifPresent(relevantLines::add);
 			}
 		}
 		relevantLines.sort(Comparator.comparing((LogLine line) -> line.field("time")));
