--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/OperatorSession.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/OperatorSession.java
@@ -127,11 +127,15 @@
 	}
 
 	private long accepted(Keys author, Change.Builder change) throws Exception {
-		ChangeAnswer answer = submit(author, change);
+		Change signed = sign(author, change);
+		ChangeAnswer answer = submit(signed);
 		long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MS);
 		while (!isFinal(answer) && System.nanoTime() < endNs) {
 			Thread.sleep(POLL_MS);
-			answer = outcome(answer.getId());
+			// An entry that could not read the log has appended nothing, and the outcome
+			// stays unknown until the change is sent again.
+			boolean unknown = answer.getOutcome() == ChangeAnswer.Outcome.UNKNOWN;
+			answer = unknown ? submit(signed) : outcome(signed.getId());
 		}
 		if (answer.getOutcome() != ChangeAnswer.Outcome.ACCEPTED) {
 			throw new IOException("change not accepted: " + answer);
@@ -152,7 +156,10 @@
 	 * @throws Exception if no entry host answers
 	 */
 	public ChangeAnswer submit(Keys author, Change.Builder change) throws Exception {
-		Change signed = sign(author, change);
+		return submit(sign(author, change));
+	}
+
+	private ChangeAnswer submit(Change signed) throws Exception {
 		ChangeAnswer.Builder answer = ChangeAnswer.newBuilder();
 		call(HttpMethod.POST, CHANGES, JsonFormat.printer().print(signed), answer);
 		return answer.build();
