A soak of the platform's entries as real processes

Checked from what callers and backend servers see: own and whole answers, at most one run, true refusals, no cut answers without a reason, an answer until the deadline, limits, ends after SIGTERM, no faults logged, service again 12 s after the last disruption. SoakTests runs two seeds for 20 s each.

Found by the first runs, all in the soak itself: a proxy that lost or reordered bytes within a connection and went on (streams lacked events; a real connection does neither); callers that gave up without closing their connections; engines without a word of their load (entries then assume that all entries send as much). Exceptions inside Vert.x's HTTP/2 streams are logged when a process resumes after a pause; they pass through none of our code and are not counted.

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -36,6 +37,22 @@
 	 */
 	public static ManagedProcess java(String name, Path directory, int heapMb, String mainClass, String... args)
 			throws IOException {
+		return java(name, directory, heapMb, Map.of(), mainClass, args);
+	}
+
+	/**
+	 * Starts a Java process with the class path of this one and further variables.
+	 * @param name name of the process and of its log file
+	 * @param directory where its output goes
+	 * @param heapMb most heap, in MiB
+	 * @param environment variables beside those of this process
+	 * @param mainClass class to run
+	 * @param args its arguments
+	 * @return the running process
+	 * @throws IOException if it cannot be started
+	 */
+	public static ManagedProcess java(String name, Path directory, int heapMb, Map<String, String> environment,
+			String mainClass, String... args) throws IOException {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.add("-Xmx" + heapMb + "m");
@@ -47,9 +64,10 @@
 		command.add(mainClass);
 		command.addAll(List.of(args));
 		File output = directory.resolve(name + ".log").toFile();
-		Process process = new ProcessBuilder(command).redirectErrorStream(true)
-			.redirectOutput(ProcessBuilder.Redirect.appendTo(output))
-			.start();
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+			.redirectOutput(ProcessBuilder.Redirect.appendTo(output));
+		builder.environment().putAll(environment);
+		Process process = builder.start();
 		// A process must not outlive an experiment that is itself ended early.
 		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
 		return new ManagedProcess(name, process);
@@ -102,6 +120,11 @@
 		signal("-CONT");
 	}
 
+	/** Asks the process to end, without waiting for it. */
+	public void requestEnd() {
+		this.process.destroy();
+	}
+
 	/**
 	 * Asks the process to end and waits for it.
 	 * @return true if it ended by itself in time
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -13,8 +13,8 @@
 	static List<Measurement> all() {
 		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ControlMeasurement(),
 				new FaultsMeasurement(), new HarmfulPartsMeasurement(), new OverheadMeasurement(),
-				new PathMeasurement(), new RouteMeasurement(), new ServerLimitMeasurement(), new WeightsMeasurement(),
-				new ZonesMeasurement());
+				new PathMeasurement(), new RouteMeasurement(), new ServerLimitMeasurement(), new SoakMeasurement(),
+				new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/SoakMeasurement.java
@@ -0,0 +1,48 @@
+package org.wigeontally.emulator.measure;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+
+import org.wigeontally.emulator.soak.SoakResult;
+import org.wigeontally.emulator.soak.SoakRun;
+import org.wigeontally.emulator.soak.SoakSetting;
+
+/**
+ * A randomised soak of the platform's entries as real processes. The processes' logs stay
+ * in the directory that is printed.
+ */
+final class SoakMeasurement implements Measurement {
+
+	@Parameter(names = "--seconds", description = "Time with disruptions")
+	private int seconds = 60;
+
+	@Parameter(names = "--entries", description = "Number of entry processes")
+	private int entries = 4;
+
+	@Parameter(names = "--callers", description = "Number of callers")
+	private int callers = 24;
+
+	@Override
+	public String name() {
+		return "soak";
+	}
+
+	@Override
+	public Figures run(long seed) throws Exception {
+		Path directory = Files.createTempDirectory("wigeontally-soak");
+		SoakSetting usual = SoakSetting.usual(seed, this.seconds * 1_000L);
+		SoakResult result = SoakRun.run(new SoakSetting(this.entries, usual.plainBackends(), usual.engines(),
+				this.callers, usual.lengthMs(), seed), directory);
+		System.out.println("logs: " + directory);
+		System.out.println(result.describe());
+		return Figures.create()
+			.put("seed", seed)
+			.put("requests", result.requests())
+			.put("servedShare", result.servedShare())
+			.put("disruptions", result.disruptions().size())
+			.put("violations", result.violations().size());
+	}
+
+}
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -0,0 +1,236 @@
+package org.wigeontally.emulator.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetSocket;
+
+import org.wigeontally.platform.standin.FakeBackend;
+
+/**
+ * A backend server that answers in many ways, some of them wrong, names a limit from time
+ * to time, and crashes and starts again. Used by the thread of its Vert.x instance, but
+ * for the settings.
+ */
+final class SoakBackend implements FakeBackend.Behaviour {
+
+	private static final int SLOTS = 16;
+
+	private static final int MAX_DELAY_MS = 60;
+
+	private static final int MAX_EVENT_PAUSE_MS = 60;
+
+	private static final int LATE_COPY_MS = 40;
+
+	private static final long WINDOW_MS = 4_000;
+
+	private final Vertx vertx;
+
+	private final String id;
+
+	private final boolean engine;
+
+	private final SoakHistory history;
+
+	private final Random random;
+
+	private final LoopbackProxy proxy;
+
+	private FakeBackend server;
+
+	private int starts;
+
+	private volatile boolean faulty;
+
+	private volatile double limit;
+
+	private volatile long limitedSinceMs;
+
+	// Requests that this process runs now.
+	private final Set<String> running = ConcurrentHashMap.newKeySet();
+
+	private volatile boolean reachable = true;
+
+	private final List<Long> limitedArrivalsMs = new CopyOnWriteArrayList<>();
+
+	private SoakBackend(Vertx vertx, String id, boolean engine, SoakHistory history, long seed, LoopbackProxy proxy) {
+		this.vertx = vertx;
+		this.id = id;
+		this.engine = engine;
+		this.history = history;
+		this.random = new Random(seed);
+		this.proxy = proxy;
+	}
+
+	static Future<SoakBackend> start(Vertx vertx, String id, boolean engine, SoakHistory history, long seed) {
+		return LoopbackProxy.start(vertx, 0)
+			.map((proxy) -> new SoakBackend(vertx, id, engine, history, seed, proxy))
+			.compose((backend) -> backend.startServer().map(backend));
+	}
+
+	Future<Void> startServer() {
+		this.starts++;
+		return FakeBackend.start(this.vertx, this.id, this).onSuccess((started) -> {
+			this.server = started;
+			this.proxy.setTargetPort(started.port());
+		}).mapEmpty();
+	}
+
+	String id() {
+		return this.id;
+	}
+
+	JsonObject registration() {
+		return FakeBackend
+			.registration(this.proxy.port(), this.engine ? "engines" : "desk", "zone-a", "ready", this.engine ? 1 : 0)
+			.put("born", this.starts);
+	}
+
+	/**
+	 * Ends the process with all its requests.
+	 * @return completes when it no longer listens
+	 */
+	Future<Void> crash() {
+		this.running.forEach(this.history::spoiled);
+		this.proxy.resetAll();
+		setLimit(0);
+		return this.server.crash();
+	}
+
+	/**
+	 * Disrupts the connections, or lets them go on. What runs meanwhile may stay without
+	 * an answer.
+	 * @param mode what becomes of their bytes
+	 */
+	void setConnections(LoopbackProxy.Mode mode) {
+		this.reachable = mode == LoopbackProxy.Mode.PASS;
+		this.running.forEach(this.history::spoiled);
+		this.proxy.setMode(mode);
+	}
+
+	void setFaulty(boolean isFaulty) {
+		this.faulty = isFaulty;
+	}
+
+	/**
+	 * Names a limit from now on.
+	 * @param perSecond requests per second; 0 for none
+	 */
+	void setLimit(double perSecond) {
+		this.limitedArrivalsMs.clear();
+		this.limitedSinceMs = SoakHistory.nowMs();
+		this.limit = perSecond;
+	}
+
+	/**
+	 * Returns the requests of the worst four seconds since a limit was named, divided by
+	 * what the platform allows.
+	 * @param contactMs time for which it may be exceeded at first
+	 * @return the share; 0 without a limit
+	 */
+	double worstShare(long contactMs) {
+		if (this.limit == 0) {
+			return 0;
+		}
+		long fromMs = this.limitedSinceMs + contactMs;
+		List<Long> times = this.limitedArrivalsMs.stream().filter((atMs) -> atMs >= fromMs).toList();
+		int most = 0;
+		for (long start : times) {
+			most = Math.max(most,
+					(int) times.stream().filter((atMs) -> atMs >= start && atMs < start + WINDOW_MS).count());
+		}
+		return most / Math.floor(1.5 * this.limit * WINDOW_MS / 1_000 + 5);
+	}
+
+	@Override
+	public void respond(FakeBackend.ReceivedRequest request, NetSocket socket) {
+		if (request.attemptId() == null) {
+			socket.write(FakeBackend.response(request, "200 OK", "", ""));
+			return;
+		}
+		if (this.limit > 0) {
+			this.limitedArrivalsMs.add(SoakHistory.nowMs());
+		}
+		int draw = this.faulty ? this.random.nextInt(100) : 100;
+		String headers = FakeBackend.signatureHeader("s-" + this.id) + "X-Replica-Load: " + this.running.size() + ",0,"
+				+ SLOTS + "\r\n" + ((this.limit > 0) ? "Server-Limit: " + this.limit + "\r\n" : "");
+		if (draw < 4) {
+			socket.write(FakeBackend.notRunResponse(request, ""));
+			return;
+		}
+		this.history.ran(request.attemptId());
+		if (!this.reachable) {
+			this.history.spoiled(request.attemptId());
+		}
+		this.running.add(request.attemptId());
+		if (draw < 8) {
+			this.running.remove(request.attemptId());
+			socket.write(FakeBackend.response(request, "500 Internal Server Error", headers, "failed"));
+			return;
+		}
+		if (draw < 12) {
+			this.history.spoiled(request.attemptId());
+			socket.close();
+			return;
+		}
+		if (this.engine) {
+			respondWithStream(request, socket, headers, draw);
+			return;
+		}
+		String answer = FakeBackend.response(request, "200 OK", headers, SoakHistory.plainBody(request.attemptId()));
+		this.vertx.setTimer(1 + this.random.nextInt(MAX_DELAY_MS), (timer) -> {
+			if (draw < 16) {
+				this.history.spoiled(request.attemptId());
+				socket.write(answer.substring(0, answer.length() - 3)).onComplete((written) -> socket.close());
+				return;
+			}
+			this.running.remove(request.attemptId());
+			socket.write(answer);
+			if (draw < 22) {
+				this.vertx.setTimer(LATE_COPY_MS, (copy) -> socket.write(answer));
+			}
+		});
+	}
+
+	private void respondWithStream(FakeBackend.ReceivedRequest request, NetSocket socket, String headers, int draw) {
+		String last = request.headers().get("last-event-id");
+		int first = (last != null) ? Integer.parseInt(last) + 1 : 0;
+		List<Buffer> pieces = new ArrayList<>();
+		pieces.add(Buffer.buffer("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.attemptId() + "\r\n" + headers
+				+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+		for (int number = first; number < SoakHistory.EVENTS; number++) {
+			String event = SoakHistory.event(request.attemptId(), number);
+			pieces.add(Buffer.buffer(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+		}
+		pieces.add(Buffer.buffer("0\r\n\r\n"));
+		int cutAfter = (draw < 20) ? this.random.nextInt(pieces.size()) : pieces.size();
+		writePieces(request, socket, pieces, 0, cutAfter);
+	}
+
+	private void writePieces(FakeBackend.ReceivedRequest request, NetSocket socket, List<Buffer> pieces, int next,
+			int cutAfter) {
+		if (next == pieces.size()) {
+			this.running.remove(request.attemptId());
+			return;
+		}
+		if (next == cutAfter) {
+			// Breaks off within an event.
+			this.history.spoiled(request.attemptId());
+			socket.write(pieces.get(next).slice(0, pieces.get(next).length() / 2))
+				.onComplete((written) -> socket.close());
+			return;
+		}
+		socket.write(pieces.get(next));
+		this.vertx.setTimer(1 + this.random.nextInt(MAX_EVENT_PAUSE_MS),
+				(timer) -> writePieces(request, socket, pieces, next + 1, cutAfter));
+	}
+
+}
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -0,0 +1,183 @@
+package org.wigeontally.emulator.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.wigeontally.platform.standin.TestCaller;
+
+/**
+ * What callers and backend servers saw, and which promises it breaks. Thread-safe.
+ */
+final class SoakHistory {
+
+	/** Routes of the soak. */
+	enum Route {
+
+		/** May run more than once. */
+		PLAIN("plain"),
+		/** Runs at most once. */
+		ONCE("once"),
+		/** A stream that may be resumed. */
+		EVENTS("events");
+
+		private final String pathName;
+
+		Route(String pathName) {
+			this.pathName = pathName;
+		}
+
+		String pathName() {
+			return this.pathName;
+		}
+
+	}
+
+	/** Events of each stream. */
+	static final int EVENTS = 6;
+
+	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+
+	// Requests whose backend server broke off, lost the answer or crashed.
+	private final Map<String, Boolean> spoiled = new ConcurrentHashMap<>();
+
+	private final List<Call> calls = new CopyOnWriteArrayList<>();
+
+	private final List<String> violations = new CopyOnWriteArrayList<>();
+
+	static long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
+	void ran(String attemptId) {
+		this.runs.computeIfAbsent(attemptId, (key) -> new AtomicInteger()).incrementAndGet();
+	}
+
+	void spoiled(String attemptId) {
+		this.spoiled.put(attemptId, true);
+	}
+
+	void violation(String text) {
+		this.violations.add(text);
+	}
+
+	/**
+	 * Returns the body of a complete answer.
+	 * @param attemptId id of the request
+	 * @return the body
+	 */
+	static String plainBody(String attemptId) {
+		return "answer of " + attemptId;
+	}
+
+	static String event(String attemptId, int number) {
+		return "id: " + number + "\ndata: " + attemptId + "/" + number + "\n\n";
+	}
+
+	private static String expectedBody(Route route, String attemptId) {
+		if (route != Route.EVENTS) {
+			return plainBody(attemptId);
+		}
+		StringBuilder body = new StringBuilder();
+		for (int number = 0; number < EVENTS; number++) {
+			body.append(event(attemptId, number));
+		}
+		return body.toString();
+	}
+
+	/**
+	 * Records a response.
+	 * @param call the request
+	 * @param response the response
+	 */
+	void answered(Call call, TestCaller.Response response) {
+		this.calls.add(call.ended(response.status(), null));
+		boolean success = response.status() / 100 == 2;
+		if (success && !response.body().equals(expectedBody(call.route(), call.attemptId()))) {
+			violation("crossed or incomplete: " + call + " got \"" + response.body().replace("\n", "|") + "\"");
+		}
+		if (success && response.signature() == null) {
+			violation("success without a signature: " + call);
+		}
+	}
+
+	/**
+	 * Records that there was no complete response.
+	 * @param call the request
+	 * @param reason what the caller saw
+	 */
+	void broken(Call call, String reason) {
+		this.calls.add(call.ended(0, reason));
+	}
+
+	/**
+	 * Checks what can be told only at the end: requests that ran twice, refusals of
+	 * requests that ran, and requests that an entry left without an answer.
+	 */
+	void checkAtEnd() {
+		for (Call call : this.calls) {
+			int ran = this.runs.getOrDefault(call.attemptId(), new AtomicInteger()).get();
+			if (call.route() == Route.ONCE && ran > 1) {
+				violation("ran " + ran + " times: " + call);
+			}
+			boolean promisesNotRun = call.status() == 429 || call.status() == 503 || call.status() == 408
+					|| call.status() == 421;
+			if (call.route() == Route.ONCE && promisesNotRun && ran > 0) {
+				violation("refused as not run, but ran: " + call);
+			}
+			boolean lost = call.status() == 0 && ran > 0 && !this.spoiled.containsKey(call.attemptId());
+			if (lost && !call.entry().wasDisturbedSince(call.sentAtMs())) {
+				violation("cut without an answer: " + call);
+			}
+		}
+	}
+
+	List<String> violations() {
+		return new ArrayList<>(this.violations);
+	}
+
+	int countCalls() {
+		return this.calls.size();
+	}
+
+	long countCalls(long fromMs) {
+		return this.calls.stream().filter((call) -> call.sentAtMs() >= fromMs).count();
+	}
+
+	double servedShare(long fromMs, long toMs) {
+		List<Call> sent = this.calls.stream()
+			.filter((call) -> call.sentAtMs() >= fromMs && call.sentAtMs() < toMs)
+			.toList();
+		long served = sent.stream().filter((call) -> call.status() / 100 == 2).count();
+		return sent.isEmpty() ? 0 : (double) served / sent.size();
+	}
+
+	/**
+	 * A request of a caller.
+	 *
+	 * @param attemptId its id
+	 * @param route its route
+	 * @param entry the entry that it was sent to
+	 * @param sentAtMs when it was sent
+	 * @param status status of the response; 0 for none
+	 * @param failure why there was no response, or null
+	 */
+	record Call(String attemptId, Route route, SoakEntry entry, long sentAtMs, int status, String failure) {
+
+		Call ended(int newStatus, String newFailure) {
+			return new Call(this.attemptId, this.route, this.entry, this.sentAtMs, newStatus, newFailure);
+		}
+
+		@Override
+		public String toString() {
+			return this.route.pathName() + " " + this.attemptId + " at " + this.entry.name() + " sent " + this.sentAtMs
+					+ " status " + this.status + ((this.failure != null) ? " (" + this.failure + ")" : "");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -0,0 +1,339 @@
+package org.wigeontally.emulator.soak;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+
+import org.wigeontally.platform.standin.FakeConfiguration;
+import org.wigeontally.platform.standin.FakeStore;
+import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.settings.Addresses;
+
+/**
+ * Runs entries as real processes under load and disrupts them: signals, restarts, store
+ * outages, broken connections, faulty and limited backend servers, new configurations.
+ * Disruptions overlap. Checks while it runs, and at the end, what callers and backend
+ * servers saw against the promises of the platform's pages. The sequence of disruptions
+ * follows from the seed; their effects depend on the timing of the machine.
+ */
+public final class SoakRun implements AutoCloseable {
+
+	private static final long START_TIMEOUT_MS = 30_000;
+
+	private static final long END_TIMEOUT_MS = 12_000;
+
+	private static final long MAX_GAP_MS = 900;
+
+	/** Time after the last disruption until everything is to be served again. */
+	private static final long RECOVERY_MS = 12_000;
+
+	private static final long CALM_MS = 3_000;
+
+	private static final double MIN_SERVED_AFTER_RECOVERY = 0.95;
+
+	private static final long CONTACT_MS = 3_000;
+
+	private static final long LIMIT_MS = 9_000;
+
+	private static final long POLL_MS = 50;
+
+	private final SoakSetting setting;
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final SoakHistory history = new SoakHistory();
+
+	private final Random random;
+
+	private final List<SoakEntry> entries = new ArrayList<>();
+
+	private final List<SoakBackend> backends = new ArrayList<>();
+
+	private final List<String> disruptions = new ArrayList<>();
+
+	private FakeStore store;
+
+	private int configurationVersion = 1;
+
+	// Disruptions that end later, in order of their ends.
+	private final List<Ending> endings = new ArrayList<>();
+
+	private SoakRun(SoakSetting setting) {
+		this.setting = setting;
+		this.random = new Random(setting.seed());
+	}
+
+	/**
+	 * Runs a soak.
+	 * @param setting size, length and seed
+	 * @param directory where the processes write their logs
+	 * @return the result
+	 * @throws Exception if the processes cannot be started
+	 */
+	public static SoakResult run(SoakSetting setting, Path directory) throws Exception {
+		try (SoakRun run = new SoakRun(setting)) {
+			run.start(directory);
+			return run.soak();
+		}
+	}
+
+	private void start(Path directory) throws Exception {
+		this.store = await(FakeStore.start(this.vertx));
+		this.store.write("op", "config", FakeConfiguration.create(this.configurationVersion, List.of()));
+		for (int i = 0; i < this.setting.plainBackends() + this.setting.engines(); i++) {
+			boolean engine = i >= this.setting.plainBackends();
+			SoakBackend backend = await(
+					SoakBackend.start(this.vertx, "backend-" + i, engine, this.history, this.random.nextLong()));
+			this.backends.add(backend);
+			this.store.write("servers", backend.id(), backend.registration());
+		}
+		for (int i = 0; i < this.setting.entries(); i++) {
+			this.entries
+				.add(new SoakEntry("entry-" + i, directory, await(LoopbackProxy.start(this.vertx, this.store.port()))));
+		}
+		for (SoakEntry entry : this.entries) {
+			entry.start(this.entries.subList(0, Math.min(3, this.entries.size())));
+		}
+		long deadlineMs = SoakHistory.nowMs() + START_TIMEOUT_MS;
+		for (SoakEntry entry : this.entries) {
+			awaitReady(entry, deadlineMs);
+		}
+	}
+
+	private static void awaitReady(SoakEntry entry, long deadlineMs) throws Exception {
+		while (!isReady(entry)) {
+			if (SoakHistory.nowMs() > deadlineMs) {
+				throw new IllegalStateException(entry.name() + " is not ready in time");
+			}
+			Thread.sleep(POLL_MS);
+		}
+	}
+
+	private static boolean isReady(SoakEntry entry) {
+		try {
+			HttpURLConnection connection = (HttpURLConnection) URI
+				.create("http://" + Addresses.format(entry.ready()) + TestCaller.READINESS_PATH)
+				.toURL()
+				.openConnection();
+			connection.setConnectTimeout(500);
+			connection.setReadTimeout(500);
+			return connection.getResponseCode() == 200;
+		}
+		catch (IOException ex) {
+			// Not listening yet; the caller asks again.
+			return false;
+		}
+	}
+
+	private SoakResult soak() throws Exception {
+		SoakCallers callers = new SoakCallers(this.vertx, this.entries, this.history, this.setting.seed(),
+				this.setting.callers());
+		callers.start(this.setting.callers());
+		long startMs = SoakHistory.nowMs();
+		while (SoakHistory.nowMs() < startMs + this.setting.lengthMs()) {
+			disrupt();
+			sleepAndEnd(50 + this.random.nextInt((int) MAX_GAP_MS));
+		}
+		endAll();
+		sleepAndEnd(RECOVERY_MS);
+		long calmFromMs = SoakHistory.nowMs();
+		sleepAndEnd(CALM_MS);
+		double served = this.history.servedShare(calmFromMs, SoakHistory.nowMs() - 500);
+		if (served < MIN_SERVED_AFTER_RECOVERY) {
+			this.history.violation("served after recovery: " + served + " of " + this.history.countCalls(calmFromMs));
+		}
+		callers.stop();
+		Thread.sleep(CALM_MS);
+		this.history.checkAtEnd();
+		for (SoakEntry entry : this.entries) {
+			long faults = entry.countFaultLines();
+			if (faults > 0) {
+				this.history.violation(entry.name() + " logged " + faults + " faults");
+			}
+		}
+		return new SoakResult(this.history.countCalls(), this.history.servedShare(startMs, Long.MAX_VALUE),
+				List.copyOf(this.disruptions), this.history.violations());
+	}
+
+	private void disrupt() throws Exception {
+		SoakEntry entry = this.entries.get(this.random.nextInt(this.entries.size()));
+		SoakBackend backend = this.backends.get(this.random.nextInt(this.backends.size()));
+		long lengthMs = 300 + this.random.nextInt(3_700);
+		switch (this.random.nextInt(12)) {
+			case 0, 1 -> terminate(entry);
+			case 2 -> kill(entry);
+			case 3 -> pause(entry, lengthMs);
+			case 4, 5 -> cut(entry.name() + " store", entry.store()::setMode, lengthMs);
+			case 6 -> storeMode(lengthMs);
+			case 7 -> cut(backend.id(), backend::setConnections, Math.min(lengthMs, 2_000));
+			case 8 -> faulty(backend, lengthMs * 2);
+			case 9 -> crash(backend, lengthMs);
+			case 10 -> limit(backend);
+			default -> configure();
+		}
+	}
+
+	private void disruption(String text) {
+		this.disruptions.add(SoakHistory.nowMs() + " " + text);
+	}
+
+	// At least one entry stays as it is, so that callers have somewhere to go.
+	private boolean mayStop(SoakEntry entry) {
+		long others = this.entries.stream()
+			.filter((other) -> other != entry && other.isRunning() && !other.isStopping())
+			.filter((other) -> !other.wasDisturbedSince(Long.MAX_VALUE))
+			.count();
+		return entry.isRunning() && !entry.isStopping() && others > 0;
+	}
+
+	private void terminate(SoakEntry entry) {
+		if (!mayStop(entry)) {
+			return;
+		}
+		disruption("SIGTERM " + entry.name());
+		entry.terminate();
+		long deadlineMs = SoakHistory.nowMs() + END_TIMEOUT_MS;
+		startAgainWhenEnded(entry, deadlineMs);
+	}
+
+	private void startAgainWhenEnded(SoakEntry entry, long deadlineMs) {
+		at(POLL_MS, () -> {
+			if (!entry.isRunning()) {
+				entry.start(this.entries.subList(0, Math.min(3, this.entries.size())));
+				return;
+			}
+			if (SoakHistory.nowMs() > deadlineMs) {
+				this.history.violation(entry.name() + " did not end after SIGTERM");
+				entry.kill(SoakHistory.nowMs());
+			}
+			startAgainWhenEnded(entry, Long.MAX_VALUE);
+		});
+	}
+
+	private void kill(SoakEntry entry) {
+		if (!mayStop(entry)) {
+			return;
+		}
+		disruption("SIGKILL " + entry.name());
+		entry.kill(SoakHistory.nowMs());
+		startAgainWhenEnded(entry, Long.MAX_VALUE);
+	}
+
+	private void pause(SoakEntry entry, long lengthMs) throws IOException {
+		if (!mayStop(entry) || entry.wasDisturbedSince(Long.MAX_VALUE)) {
+			return;
+		}
+		disruption("SIGSTOP " + entry.name() + " for " + lengthMs);
+		entry.pause(SoakHistory.nowMs());
+		at(lengthMs, () -> entry.resume(SoakHistory.nowMs()));
+	}
+
+	private void cut(String name, Consumer<LoopbackProxy.Mode> connections, long lengthMs) {
+		LoopbackProxy.Mode mode = LoopbackProxy.Mode.values()[1
+				+ this.random.nextInt(LoopbackProxy.Mode.values().length - 1)];
+		disruption(mode + " " + name + " for " + lengthMs);
+		connections.accept(mode);
+		at(lengthMs, () -> connections.accept(LoopbackProxy.Mode.PASS));
+	}
+
+	private void storeMode(long lengthMs) {
+		FakeStore.Mode mode = FakeStore.Mode.values()[1 + this.random.nextInt(FakeStore.Mode.values().length - 1)];
+		disruption("store " + mode + " for " + lengthMs);
+		this.store.setMode(mode);
+		at(lengthMs, () -> this.store.setMode(FakeStore.Mode.SERVING));
+	}
+
+	private void faulty(SoakBackend backend, long lengthMs) {
+		disruption("faulty " + backend.id() + " for " + lengthMs);
+		backend.setFaulty(true);
+		at(lengthMs, () -> backend.setFaulty(false));
+	}
+
+	private void crash(SoakBackend backend, long lengthMs) throws Exception {
+		disruption("crash " + backend.id() + " for " + lengthMs);
+		await(backend.crash());
+		at(lengthMs, () -> {
+			await(backend.startServer());
+			this.store.write("servers", backend.id(), backend.registration());
+		});
+	}
+
+	private void limit(SoakBackend backend) {
+		double perSecond = 0.5 + this.random.nextInt(10);
+		disruption("limit " + backend.id() + " " + perSecond);
+		backend.setLimit(perSecond);
+		long sinceMs = SoakHistory.nowMs();
+		at(LIMIT_MS, () -> {
+			// Disruptions of an entry excuse it, and arrivals do not tell whose they are.
+			boolean calm = this.entries.stream().noneMatch((entry) -> entry.wasDisturbedSince(sinceMs));
+			double share = backend.worstShare(CONTACT_MS);
+			if (calm && share > 1) {
+				this.history.violation("limit of " + backend.id() + " exceeded: " + share + " of what is allowed");
+			}
+			backend.setLimit(0);
+		});
+	}
+
+	private void configure() {
+		this.configurationVersion++;
+		disruption("configuration " + this.configurationVersion);
+		this.store.write("op", "config", FakeConfiguration.create(this.configurationVersion, List.of()));
+	}
+
+	private void at(long delayMs, Action action) {
+		this.endings.add(new Ending(SoakHistory.nowMs() + delayMs, action));
+	}
+
+	private void sleepAndEnd(long lengthMs) throws Exception {
+		long endMs = SoakHistory.nowMs() + lengthMs;
+		while (SoakHistory.nowMs() < endMs) {
+			for (Ending ending : List.copyOf(this.endings)) {
+				if (SoakHistory.nowMs() >= ending.atMs()) {
+					this.endings.remove(ending);
+					ending.action().run();
+				}
+			}
+			Thread.sleep(10);
+		}
+	}
+
+	private void endAll() throws Exception {
+		while (!this.endings.isEmpty()) {
+			sleepAndEnd(POLL_MS);
+		}
+	}
+
+	private static <T> T await(Future<T> future) throws Exception {
+		return future.toCompletionStage().toCompletableFuture().get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (SoakEntry entry : this.entries) {
+			entry.close();
+		}
+		await(this.vertx.close());
+	}
+
+	/** Something that a run does later. */
+	@FunctionalInterface
+	private interface Action {
+
+		void run() throws Exception;
+
+	}
+
+	private record Ending(long atMs, Action action) {
+
+	}
+
+}
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -19,6 +19,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.schema.generated.Address;
@@ -31,7 +32,7 @@
  */
 public final class GatewayFixture implements AutoCloseable {
 
-	static final String API_KEY = "key-of-org-a";
+	static final String API_KEY = FakeConfiguration.API_KEY;
 
 	private static final long TIMEOUT_MS = 10_000;
 
@@ -169,48 +170,8 @@
 	 * @param omittedNames names of routes, or the API key, to leave out
 	 */
 	void writeConfiguration(String... omittedNames) {
-		JsonArray routes = new JsonArray();
-		List<String> omitted = List.of(omittedNames);
-		for (JsonObject route : List.of(route("plain", "idempotent", "desk").put("max-attempts", 2),
-				route("once", "non_idempotent", "desk").put("max-attempts", 1),
-				route("events", "streaming", "engines").put("max-attempts", 2).put("resume-streams", true),
-				route("homed", "idempotent", "desk").put("allowed-regions", new JsonArray().add("region-b")))) {
-			if (!omitted.contains(route.getString("name"))) {
-				routes.add(route);
-			}
-		}
-		JsonObject engine = new JsonObject().put("slots", 16)
-			.put("kv-capacity-tokens", 317_000)
-			.put("step_ms", 9.27)
-			.put("read_per_s", 20_700)
-			.put("stride", 5)
-			.put("models", new JsonArray().add(new JsonObject().put("name", "m0")))
-			.put("usual", new JsonObject().put("prompt", 979).put("answer", 92));
-		JsonArray services = new JsonArray().add(new JsonObject().put("name", "desk").put("max-connections", 110))
-			.add(new JsonObject().put("name", "engines")
-				.put("max-connections", 400)
-				.put("warmup-per-s", 360)
-				.put("engine", engine));
-		JsonArray tenants = new JsonArray().add(new JsonObject().put("name", "org-a")
-			.put("api-keys", omitted.contains(API_KEY) ? new JsonArray() : new JsonArray().add(API_KEY))
-			.put("priority", 1));
-		tenants.add(new JsonObject().put("name", "org-b").put("api-keys", new JsonArray().add("key-of-org-b")));
 		this.store.write("op", "config",
-				new JsonObject().put("version", this.nextConfigurationVersion++)
-					.put("routes", routes)
-					.put("services", services)
-					.put("tenants", tenants));
-	}
-
-	private static JsonObject route(String name, String kind, String service) {
-		return new JsonObject().put("name", name)
-			.put("host", "h.example")
-			.put("path-prefix", "/" + name + "/")
-			.put("kind", kind)
-			.put("timeout-ms", 1_500)
-			.put("target-latency-ms", 200)
-			.put("priority", 1)
-			.put("service", service);
+				FakeConfiguration.create(this.nextConfigurationVersion++, List.of(omittedNames)));
 	}
 
 	TestCaller.Response call(String route) throws Exception {
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/soak/SoakTests.java
@@ -0,0 +1,38 @@
+package org.wigeontally.soak;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.emulator.soak.SoakResult;
+import org.wigeontally.emulator.soak.SoakRun;
+import org.wigeontally.emulator.soak.SoakSetting;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A short soak of the platform's entries. Longer ones: {@code bin/measure soak --seed N}.
+ * Seen red with a proxy that lost or reordered bytes within a connection, so that streams
+ * lacked events.
+ */
+public class SoakTests {
+
+	private static final long LENGTH_MS = 20_000;
+
+	/** Seeds that failed once stay here, each with its cause. */
+	@DataProvider
+	public Object[][] seeds() {
+		return new Object[][] { { 1L }, { 2L } };
+	}
+
+	@Test(dataProvider = "seeds")
+	public void promisesHoldWhileProcessesAndConnectionsFail(long seed) throws Exception {
+		Path directory = Files.createTempDirectory("wigeontally-soak");
+		SoakResult result = SoakRun.run(SoakSetting.usual(seed, LENGTH_MS), directory);
+		assertThat(result.violations()).as("logs in %s%n%s", directory, result.describe()).isEmpty();
+		assertThat(result.requests()).isGreaterThan(1_000);
+	}
+
+}
