Permits save up to one for each entry, three at most

Cause: at low limits the time between two requests is often longer than the two permits that a coordinator saved, and those that fell due then were lost.

--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -98,15 +98,16 @@
 	 * Issues permits as the coordinator of this backend server.
 	 * @param count number of permits that an entry asks for
 	 * @param share part of the limit that may be used
+	 * @param entries number of entries that may ask
 	 * @param nowMs the current time
 	 * @return the answer
 	 */
-	PermitGrant issuePermits(int count, double share, long nowMs) {
+	PermitGrant issuePermits(int count, double share, int entries, long nowMs) {
 		double perSecond = this.limit.perSecond() * share;
 		if (this.permitIssuer == null) {
 			this.permitIssuer = PermitIssuer.create(perSecond, nowMs);
 		}
-		return this.permitIssuer.issue(count, perSecond, nowMs);
+		return this.permitIssuer.issue(count, perSecond, entries, nowMs);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/PermitServer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/PermitServer.java
@@ -83,7 +83,8 @@
 		if (!backend.limit().isNamed()) {
 			return reply.setGranted(request.getCount()).build();
 		}
-		PermitGrant grant = backend.issuePermits(request.getCount(), share(), this.context.nowMs());
+		int entryCount = 1 + this.entries.liveEntries(this.context.nowMs()).size();
+		PermitGrant grant = backend.issuePermits(request.getCount(), share(), entryCount, this.context.nowMs());
 		return reply.setGranted(grant.granted()).setNextInMs(grant.nextInMs()).build();
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
@@ -92,8 +92,10 @@
 		double share = PermitCoordination.share(this.network.live(entry), this.network.recent(entry),
 				starting ? MIN_ENTRIES_AFTER_START : 1);
 		double limit = entry.limit(server).perSecond();
-		return (limit > 0) ? entry.issuer(server, limit * share, this.network.monotonicMs())
-			.issue(count, limit * share, this.network.monotonicMs()) : new PermitGrant(count, 0);
+		return (limit > 0)
+				? entry.issuer(server, limit * share, this.network.monotonicMs())
+					.issue(count, limit * share, 1 + this.network.live(entry).size(), this.network.monotonicMs())
+				: new PermitGrant(count, 0);
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/limits/PermitIssuer.java
+++ b/library/src/main/java/org/wigeontally/limits/PermitIssuer.java
@@ -12,8 +12,10 @@
  */
 public final class PermitIssuer {
 
-	/** Permits that accumulate at any limit. */
-	private static final double MIN_BURST = 2;
+	/**
+	 * Most permits that accumulate at any limit: one for each entry, up to this number.
+	 */
+	private static final int MAX_SAVED_PERMITS = 3;
 
 	/** Time for which permits accumulate beyond that. */
 	private static final double BURST_S = 0.05;
@@ -45,20 +47,21 @@
 	 * Issues permits.
 	 * @param requested number of requests that wait for one
 	 * @param newPerSecond permits per second from now on
+	 * @param entries number of entries that may ask
 	 * @param nowMs current time in milliseconds
 	 * @return the answer
 	 */
-	public PermitGrant issue(int requested, double newPerSecond, long nowMs) {
-		refill(nowMs);
+	public PermitGrant issue(int requested, double newPerSecond, int entries, long nowMs) {
+		refill(Math.min(MAX_SAVED_PERMITS, entries), nowMs);
 		this.perSecond = newPerSecond;
 		int granted = Math.max(0, Math.min(requested, (int) this.permits));
 		this.permits -= granted;
 		return new PermitGrant(granted, nextInMs());
 	}
 
-	private void refill(long nowMs) {
+	private void refill(int savedPermits, long nowMs) {
 		double elapsedS = Math.max(0, nowMs - this.refilledAtMs) / MS_PER_SECOND;
-		double burst = MIN_BURST + BURST_S * this.perSecond;
+		double burst = savedPermits + BURST_S * this.perSecond;
 		this.permits = Math.min(burst, this.permits + elapsedS * this.perSecond);
 		this.refilledAtMs = nowMs;
 	}
