Placement of a request has a class of its own

What chooses a backend server and the time to return (RequestPlacer, Placement) is apart from what carries the request out. No change of behaviour: tests of packages gateway, fleet and limits green.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -100,22 +100,20 @@
 	 * @param request the request
 	 * @param fingerprint fingerprint of the request's content
 	 * @param triedParts parts of its prompt for which it is on trial
-	 * @param backend backend server to send it to
+	 * @param placed where it is sent
 	 * @param permit permit for it, or null if the backend server had no limit
-	 * @param enginePriority scheduling priority at the engine; negative for none
-	 * @param requiredVersion oldest version of the weights that may run it; 0 for any
 	 * @param listener receives the result
 	 */
 	BackendAttempt(GatewayContext context, CallerRequest request, Fingerprint fingerprint, Set<PromptPart> triedParts,
-			Backend backend, Permit permit, int enginePriority, long requiredVersion, AttemptListener listener) {
+			Placement.Placed placed, Permit permit, AttemptListener listener) {
 		this.context = context;
 		this.request = request;
 		this.fingerprint = fingerprint;
 		this.triedParts = triedParts;
-		this.backend = backend;
+		this.backend = placed.backend();
 		this.permit = permit;
-		this.enginePriority = enginePriority;
-		this.requiredVersion = requiredVersion;
+		this.enginePriority = placed.enginePriority();
+		this.requiredVersion = placed.requiredVersion();
 		this.listener = listener;
 		this.startMs = context.nowMs();
 		this.lastReceivedMs = this.startMs;
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -47,15 +47,15 @@
 
 	private final GatewayContext context;
 
-	private final CandidateSelector selector;
+	private final RequestPlacer placer;
 
 	private final PermitClient permits;
 
 	private final Map<HttpConnection, Long> idleSinceMsByConnection = new HashMap<>();
 
-	CallerRequestHandler(GatewayContext context, CandidateSelector candidateSelector, PermitClient permits) {
+	CallerRequestHandler(GatewayContext context, RequestPlacer placer, PermitClient permits) {
 		this.context = context;
-		this.selector = candidateSelector;
+		this.placer = placer;
 		this.permits = permits;
 	}
 
@@ -164,7 +164,7 @@
 		String service = route.get().pickService(this.context.random().nextDouble());
 		CallerRequest callerRequest = new CallerRequest(request, route.get(), organisation, service, body, receivedAtMs,
 				callerTimeoutMs(request));
-		new RequestRelay(this.context, this.selector, this.permits, callerRequest).start();
+		new RequestRelay(this.context, this.placer, this.permits, callerRequest).start();
 	}
 
 	private static long callerTimeoutMs(HttpServerRequest request) {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -151,9 +151,9 @@
 			.setTcpNoDelay(true);
 		FleetState fleet = new FleetState(settings, vertx.createNetClient(clientOptions), clock, log);
 		this.context = new GatewayContext(vertx, clock, settings, log, fleet, new GatewayMetrics());
-		CandidateSelector selector = new CandidateSelector(fleet, settings);
+		RequestPlacer placer = new RequestPlacer(this.context, new CandidateSelector(fleet, settings));
 		this.permitServer = new PermitServer(this.context, this.entries);
-		this.callerHandler = new CallerRequestHandler(this.context, selector,
+		this.callerHandler = new CallerRequestHandler(this.context, placer,
 				new PermitClient(this.context, this.permitServer));
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
 		this.briefings = new AgentBriefings(this.context, this.entries);
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/Placement.java
@@ -0,0 +1,32 @@
+package org.wigeontally.gateway;
+
+import java.util.function.DoubleUnaryOperator;
+
+/**
+ * Where a request is sent, or why it is not sent anywhere now. Immutable.
+ */
+sealed interface Placement {
+
+	/**
+	 * A backend server can take the request.
+	 *
+	 * @param backend the backend server
+	 * @param enginePriority scheduling priority at the engine; negative for none
+	 * @param requiredVersion oldest version of the weights that may run it; 0 for any
+	 */
+	record Placed(Backend backend, int enginePriority, long requiredVersion) implements Placement {
+
+	}
+
+	/**
+	 * No backend server can take the request.
+	 *
+	 * @param reason reason of the refusal, for the log
+	 * @param retryAfterSeconds when the caller returns, by its remaining time in
+	 * milliseconds
+	 */
+	record NotPlaced(String reason, DoubleUnaryOperator retryAfterSeconds) implements Placement {
+
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -0,0 +1,131 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.BackendCandidate;
+import org.wigeontally.fleet.EngineProfile;
+import org.wigeontally.fleet.EngineRequest;
+import org.wigeontally.fleet.PlacementDecision;
+import org.wigeontally.fleet.RetryAfter;
+import org.wigeontally.fleet.Service;
+
+/**
+ * Chooses the backend server for each sending of a request, and the time to return for
+ * requests that none can take. Runs on the event loop.
+ */
+final class RequestPlacer {
+
+	/**
+	 * Retry delay for callers if no backend server is available. It takes seconds for one
+	 * to become available.
+	 */
+	static final double NO_BACKEND_RETRY_AFTER_MS = 1_200;
+
+	private final GatewayContext context;
+
+	private final CandidateSelector selector;
+
+	RequestPlacer(GatewayContext context, CandidateSelector selector) {
+		this.context = context;
+		this.selector = selector;
+	}
+
+	/**
+	 * Places a request.
+	 * @param request the request
+	 * @param triedBackendIds ids of backend servers that were tried before
+	 * @param targetLeftMs time left to meet its target
+	 * @param deadlineLeftMs time left until its deadline
+	 * @return the decision; reasons against a placement are logged
+	 */
+	Placement place(CallerRequest request, Set<String> triedBackendIds, long targetLeftMs, long deadlineLeftMs) {
+		long nowMs = this.context.nowMs();
+		Service service = this.context.fleet().service(request.service());
+		List<Backend> candidates = candidates(request, service, triedBackendIds, nowMs);
+		if (candidates.isEmpty()) {
+			this.context.log()
+				.write(LogEvent.REQUEST_NOT_PLACED, "id", request.attemptId(), "service", request.service(),
+						"candidates", 0, "known", this.selector.countBackends(request.service()), "tried",
+						triedBackendIds.size());
+			return withoutCandidate(request.service(), nowMs);
+		}
+		List<BackendCandidate> placementCandidates = candidates.stream()
+			.map((backend) -> this.selector.toPlacementCandidate(backend, nowMs))
+			.toList();
+		if (service.engine().isEmpty()) {
+			String id = this.context.plainPlacement().chooseBackend(placementCandidates);
+			return new Placement.Placed(findById(candidates, id), -1, 0);
+		}
+		EngineProfile profile = service.engine().get();
+		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()), targetLeftMs,
+				deadlineLeftMs, request.priority());
+		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
+		if (decision instanceof PlacementDecision.Reject rejection) {
+			logRejection(request, engineRequest, rejection, candidates.size());
+			return notPlaced("engines-full", rejection.retryAfterMs());
+		}
+		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
+		return new Placement.Placed(findById(candidates, placement.id()), placement.enginePriority(),
+				this.selector.requiredVersion(profile, nowMs));
+	}
+
+	private void logRejection(CallerRequest request, EngineRequest engineRequest, PlacementDecision.Reject rejection,
+			int candidates) {
+		this.context.log()
+			.write(LogEvent.REQUEST_NOT_PLACED, "id", request.attemptId(), "service", request.service(), "candidates",
+					candidates, "best-load", rejection.engineLoad(), "first-event-ms",
+					Math.round(rejection.firstEventMs()), "target-left-ms", Math.round(engineRequest.targetLeftMs()),
+					"deadline-left-ms", Math.round(engineRequest.deadlineLeftMs()));
+	}
+
+	private Placement withoutCandidate(String service, long nowMs) {
+		OptionalLong pauseMs = this.selector.shortestPauseMs(service, nowMs);
+		if (pauseMs.isPresent()) {
+			return notPlaced("backends-paused", pauseMs.getAsLong());
+		}
+		List<Backend> usedUp = this.selector.findUsedUp(service, nowMs);
+		if (usedUp.isEmpty()) {
+			return notPlaced("no-backend", NO_BACKEND_RETRY_AFTER_MS);
+		}
+		long nextInMs = usedUp.stream().mapToLong((backend) -> backend.permits().heldMs(nowMs)).min().getAsLong();
+		double totalPerSecond = usedUp.stream().mapToDouble((backend) -> backend.limit().perSecond()).sum();
+		double backlogMs = this.context.rejectedByLimits(service)
+			.record(totalPerSecond, this.context.fleet().entryCount(), nowMs);
+		return new Placement.NotPlaced("limits-used-up",
+				(remainingMs) -> RetryAfter.spreadSeconds(nextInMs, backlogMs, remainingMs, this.context.random()));
+	}
+
+	private Placement notPlaced(String reason, double retryAfterMs) {
+		return new Placement.NotPlaced(reason,
+				(remainingMs) -> RetryAfter.seconds(retryAfterMs, remainingMs, this.context.random()));
+	}
+
+	/**
+	 * Returns whether a backend server without a limit could take the request.
+	 * @param request the request
+	 * @param triedBackendIds ids of backend servers that were tried before
+	 * @return true if one could
+	 */
+	boolean hasUnlimitedCandidate(CallerRequest request, Set<String> triedBackendIds) {
+		Service service = this.context.fleet().service(request.service());
+		return candidates(request, service, triedBackendIds, this.context.nowMs()).stream()
+			.anyMatch((backend) -> !backend.limit().isNamed());
+	}
+
+	private List<Backend> candidates(CallerRequest request, Service service, Set<String> triedBackendIds, long nowMs) {
+		return (service != null) ? this.selector.findCandidates(request, service, triedBackendIds, nowMs) : List.of();
+	}
+
+	private static Backend findById(List<Backend> candidates, String id) {
+		for (Backend candidate : candidates) {
+			if (candidate.record().id().equals(id)) {
+				return candidate;
+			}
+		}
+		throw new IllegalStateException("placement chose a backend server that is not a candidate: " + id);
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -1,8 +1,6 @@
 package org.wigeontally.gateway;
 
 import java.util.HashSet;
-import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 
@@ -10,12 +8,7 @@
 import io.vertx.core.http.HttpServerResponse;
 
 import org.wigeontally.eventlog.LogEvent;
-import org.wigeontally.fleet.BackendCandidate;
-import org.wigeontally.fleet.EngineProfile;
-import org.wigeontally.fleet.EngineRequest;
-import org.wigeontally.fleet.PlacementDecision;
 import org.wigeontally.fleet.RetryAfter;
-import org.wigeontally.fleet.Service;
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.harmful.PartAdmission;
 import org.wigeontally.harmful.PromptPart;
@@ -51,12 +44,6 @@
 	/** Number of failed connects after which the request fails. */
 	private static final int MAX_CONNECT_FAILURES = 4;
 
-	/**
-	 * Retry delay for callers if no backend server is available. It takes seconds for one
-	 * to become available.
-	 */
-	private static final double NO_BACKEND_RETRY_AFTER_MS = 1_200;
-
 	/**
 	 * Target of a stream that is resumed. The events that the caller has received would
 	 * be lost, so it is placed like a request that can meet its target.
@@ -65,7 +52,7 @@
 
 	private final GatewayContext context;
 
-	private final CandidateSelector selector;
+	private final RequestPlacer placer;
 
 	private final PermitClient permits;
 
@@ -107,10 +94,9 @@
 
 	private long timeoutTimer = -1;
 
-	RequestRelay(GatewayContext context, CandidateSelector candidateSelector, PermitClient permits,
-			CallerRequest request) {
+	RequestRelay(GatewayContext context, RequestPlacer placer, PermitClient permits, CallerRequest request) {
 		this.context = context;
-		this.selector = candidateSelector;
+		this.placer = placer;
 		this.permits = permits;
 		this.request = request;
 		this.fingerprint = request.fingerprint();
@@ -142,66 +128,20 @@
 		if (!this.answerBegan && !admitParts()) {
 			return;
 		}
-		long nowMs = this.context.nowMs();
-		Service service = this.context.fleet().service(this.request.service());
-		List<Backend> candidates = candidates(service, nowMs);
-		if (candidates.isEmpty()) {
-			this.context.log()
-				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
-						"candidates", 0, "known", this.selector.countBackends(this.request.service()), "tried",
-						this.triedBackendIds.size());
-			failWithoutCandidate(nowMs);
-			return;
-		}
-		List<BackendCandidate> placementCandidates = candidates.stream()
-			.map((backend) -> this.selector.toPlacementCandidate(backend, nowMs))
-			.toList();
-		if (service.engine().isEmpty()) {
-			acquirePermitAndSend(findById(candidates, this.context.plainPlacement().chooseBackend(placementCandidates)),
-					-1, 0);
-			return;
-		}
-		EngineProfile profile = service.engine().get();
-		EngineRequest engineRequest = new EngineRequest(this.request.promptTokens(profile.meanPromptTokens()),
-				targetLeftMs(nowMs), this.expiresAtMs - nowMs, this.request.priority());
-		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
-		if (decision instanceof PlacementDecision.Reject rejection) {
-			this.context.log()
-				.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
-						"candidates", placementCandidates.size(), "best-load", rejection.engineLoad(), "first-event-ms",
-						Math.round(rejection.firstEventMs()), "target-left-ms",
-						Math.round(engineRequest.targetLeftMs()), "deadline-left-ms",
-						Math.round(engineRequest.deadlineLeftMs()));
-			failRequest("engines-full", rejection.retryAfterMs());
-			return;
-		}
-		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
-		acquirePermitAndSend(findById(candidates, placement.id()), placement.enginePriority(),
-				this.selector.requiredVersion(profile, nowMs));
-	}
-
-	private void failWithoutCandidate(long nowMs) {
-		OptionalLong pauseMs = this.selector.shortestPauseMs(this.request.service(), nowMs);
-		if (pauseMs.isPresent()) {
-			failRequest("backends-paused", pauseMs.getAsLong());
-			return;
-		}
-		List<Backend> usedUp = this.selector.findUsedUp(this.request.service(), nowMs);
-		if (usedUp.isEmpty()) {
-			failRequest("no-backend", NO_BACKEND_RETRY_AFTER_MS);
+		Placement placement = this.placer.place(this.request, this.triedBackendIds, targetLeftMs(),
+				this.expiresAtMs - this.context.nowMs());
+		if (placement instanceof Placement.Placed placed) {
+			acquirePermitAndSend(placed);
 			return;
 		}
-		long nextInMs = usedUp.stream().mapToLong((backend) -> backend.permits().heldMs(nowMs)).min().getAsLong();
-		double totalPerSecond = usedUp.stream().mapToDouble((backend) -> backend.limit().perSecond()).sum();
-		double backlogMs = this.context.rejectedByLimits(this.request.service())
-			.record(totalPerSecond, this.context.fleet().entryCount(), nowMs);
-		failRequest("limits-used-up",
-				(remainingMs) -> RetryAfter.spreadSeconds(nextInMs, backlogMs, remainingMs, this.context.random()));
+		Placement.NotPlaced notPlaced = (Placement.NotPlaced) placement;
+		failRequest(notPlaced.reason(), notPlaced.retryAfterSeconds());
 	}
 
-	private void acquirePermitAndSend(Backend backend, int enginePriority, long requiredVersion) {
+	private void acquirePermitAndSend(Placement.Placed placed) {
+		Backend backend = placed.backend();
 		if (!backend.limit().isNamed()) {
-			send(backend, null, enginePriority, requiredVersion);
+			send(placed, null);
 			return;
 		}
 		this.attempt = null;
@@ -213,7 +153,7 @@
 				if (RequestRelay.this.finished) {
 					return false;
 				}
-				send(backend, permit, enginePriority, requiredVersion);
+				send(placed, permit);
 				return true;
 			}
 
@@ -244,31 +184,17 @@
 		return false;
 	}
 
-	private long targetLeftMs(long nowMs) {
+	private long targetLeftMs() {
 		if (this.streamWriter != null) {
 			return RESUME_TARGET_MS;
 		}
-		return this.request.route().targetMs() - this.elapsedBeforeMs - (nowMs - this.request.receivedAtMs());
-	}
-
-	private List<Backend> candidates(Service service, long nowMs) {
-		return (service != null) ? this.selector.findCandidates(this.request, service, this.triedBackendIds, nowMs)
-				: List.of();
-	}
-
-	private static Backend findById(List<Backend> candidates, String id) {
-		for (Backend candidate : candidates) {
-			if (candidate.record().id().equals(id)) {
-				return candidate;
-			}
-		}
-		throw new IllegalStateException("placement chose a backend server that is not a candidate: " + id);
+		return this.request.route().targetMs() - this.elapsedBeforeMs - elapsedMs();
 	}
 
-	private void send(Backend backend, Permit permit, int enginePriority, long requiredVersion) {
-		this.triedBackendIds.add(backend.record().id());
-		this.attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts, backend,
-				permit, enginePriority, requiredVersion, this);
+	private void send(Placement.Placed placed, Permit permit) {
+		this.triedBackendIds.add(placed.backend().record().id());
+		this.attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts, placed, permit,
+				this);
 		this.attempt.start();
 	}
 
@@ -290,9 +216,8 @@
 
 	@Override
 	public boolean hasOtherBackend() {
-		Service service = this.context.fleet().service(this.request.service());
 		return this.sentAttempts < this.request.route().maxAttempts()
-				&& candidates(service, this.context.nowMs()).stream().anyMatch((backend) -> !backend.limit().isNamed());
+				&& this.placer.hasUnlimitedCandidate(this.request, this.triedBackendIds);
 	}
 
 	@Override
@@ -346,7 +271,7 @@
 			return;
 		}
 		if (this.streamWriter != null) {
-			failRequest(ATTEMPT_FAILED, NO_BACKEND_RETRY_AFTER_MS);
+			failRequest(ATTEMPT_FAILED, RequestPlacer.NO_BACKEND_RETRY_AFTER_MS);
 			return;
 		}
 		// A server error is a valid response, but a retry may succeed. The first one is
@@ -388,7 +313,7 @@
 			case FAILED -> this.request.route().isRetryable() && mayRetry();
 		};
 		if (!retryAllowed || remainingMs() < MIN_REMAINING_MS) {
-			failRequest(ATTEMPT_FAILED, NO_BACKEND_RETRY_AFTER_MS);
+			failRequest(ATTEMPT_FAILED, RequestPlacer.NO_BACKEND_RETRY_AFTER_MS);
 			return;
 		}
 		placeRequest();
