--- a/testsuite/src/test/java/org/wigeontally/tool/ExplainTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/ExplainTests.java
@@ -22,6 +22,7 @@
 		Files.write(first, List.of(
 				"time=2026-12-04T01:00:01.000 level=INFO event=backend host=e1 backend=i-1 draining=false",
 				"time=2026-12-04T01:00:05.000 level=INFO event=backend host=e1 backend=i-1 draining=true",
+				"time=2026-12-04T01:00:05.500 level=INFO event=backend-limit host=e1 backend=i-1 per-second=2.0 change=started",
 				"time=2026-12-04T01:00:06.000 level=INFO event=request-placed host=e1 id=abc backend=i-1 load=3",
 				"time=2026-12-04T01:00:06.100 level=INFO event=attempt-failed host=e1 id=abc backend=i-1 reason=\"connection reset\"",
 				"time=2026-12-04T01:00:06.101 level=INFO event=request-refused host=e1 id=abc status=502",
@@ -33,7 +34,7 @@
 				second.toString());
 		assertThat(code).isEqualTo(ExitCode.SUCCESS);
 		assertThat(out.toString().lines().map((line) -> line.split("  ")[2]).toList()).containsExactly("backend",
-				"request-placed", "attempt-failed", "request-refused");
+				"backend-limit", "request-placed", "attempt-failed", "request-refused");
 		assertThat(out.toString()).contains("draining=true")
 			.contains("reason=connection reset")
 			.doesNotContain("gone=true");
