A claim's holder that cannot be asked is asked again for 200 ms before its claim is fenced

A caller that sends a booking to two entries got NOT_RUN 206 (return after 500 ms) from the one that held the claim and was about to send, if the other one could not ask it: an entry that it has not heard of yet, as shortly after a start, fails the inquiry at once, and the claim was fenced at all agents. True, but needless. A failed inquiry is now repeated each 50 ms for 200 ms, as long as the deadline allows; a holder that answers that it does not know the claim is fenced at once as before, so a holder that was restarted costs nothing. A crashed holder's key is recovered 200 ms later.

--- a/library/src/main/java/org/wigeontally/claims/ClaimRecovery.java
+++ b/library/src/main/java/org/wigeontally/claims/ClaimRecovery.java
@@ -30,6 +30,13 @@
 
 	static final long RETRY_INTERVAL_MS = 50;
 
+	/**
+	 * Time for which a holder that cannot be asked is asked again before the claim is
+	 * fenced. A holder that has just started is not known everywhere yet, and fencing
+	 * would refuse a request that it is about to send.
+	 */
+	static final long HOLDER_PATIENCE_MS = 200;
+
 	private final Claims claims;
 
 	private final ClaimInquiries inquiries;
@@ -119,15 +126,21 @@
 			return CompletableFuture.completedFuture(decision);
 		}
 		CompletableFuture<ClaimDecision> result = new CompletableFuture<>();
-		askHolder(request, held.grant(), result);
+		askHolder(request, held.grant(), this.clock.monotonicMs() + HOLDER_PATIENCE_MS, result);
 		return result;
 	}
 
-	private void askHolder(ClaimRequest request, ClaimGrant held, CompletableFuture<ClaimDecision> result) {
+	private void askHolder(ClaimRequest request, ClaimGrant held, long patientUntilMs,
+			CompletableFuture<ClaimDecision> result) {
 		ClaimReport localReport = this.claims.report(held.claim().getId());
 		CompletionStage<ClaimReport> holderReport = (localReport.getState() != ClaimState.CLAIM_NOT_KNOWN)
 				? CompletableFuture.completedFuture(localReport) : this.inquiries.askHolder(held.claim());
 		holderReport.whenCompleteAsync((report, failure) -> {
+			long retryAtMs = this.clock.monotonicMs() + RETRY_INTERVAL_MS;
+			if (failure != null && retryAtMs <= patientUntilMs && retryAtMs < request.deadlineMs()) {
+				scheduleRetry(request, held, patientUntilMs, result);
+				return;
+			}
 			if (failure != null || report.getState() == ClaimState.CLAIM_NOT_KNOWN) {
 				fenceOnAllAgents(request, held, result);
 				return;
@@ -159,7 +172,7 @@
 			}
 		}
 		if (reports.stream().anyMatch((report) -> report.getState() == ClaimState.CLAIM_RUNNING)) {
-			scheduleRetry(request, held, result);
+			scheduleRetry(request, held, this.clock.monotonicMs() + HOLDER_PATIENCE_MS, result);
 			return;
 		}
 		if (reports.stream().anyMatch((report) -> report.getState() != ClaimState.CLAIM_FENCED)) {
@@ -171,13 +184,15 @@
 			.whenComplete((decision, failure) -> result.complete(decision));
 	}
 
-	private void scheduleRetry(ClaimRequest request, ClaimGrant held, CompletableFuture<ClaimDecision> result) {
+	private void scheduleRetry(ClaimRequest request, ClaimGrant held, long patientUntilMs,
+			CompletableFuture<ClaimDecision> result) {
 		long retryAtMs = this.clock.monotonicMs() + RETRY_INTERVAL_MS;
 		if (retryAtMs >= request.deadlineMs()) {
 			result.complete(new ClaimDecision.OutcomeUnknown());
 			return;
 		}
-		this.scheduledInquiries.add(new ScheduledInquiry(retryAtMs, () -> askHolder(request, held, result)));
+		this.scheduledInquiries
+			.add(new ScheduledInquiry(retryAtMs, () -> askHolder(request, held, patientUntilMs, result)));
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/claims/ClaimSimulation.java
+++ b/testsuite/src/test/java/org/wigeontally/claims/ClaimSimulation.java
@@ -273,6 +273,8 @@
 
 		private Entry replacement;
 
+		private long knownFromMs;
+
 		Entry(String name) {
 			super(name);
 			this.claims = LogBackedClaims.create(new FaultyLog(), ClaimSimulation.this.clock, this::enqueue, name,
@@ -281,6 +283,13 @@
 			this.dispatcher = AtMostOnceDispatcher.create(this.claims, this.recovery, this::enqueue);
 		}
 
+		/**
+		 * Hides this entry from inquiries of others, as if they had not heard of it yet.
+		 */
+		void hide(long durationMs) {
+			this.knownFromMs = ClaimSimulation.this.clock.monotonicMs() + durationMs;
+		}
+
 		/**
 		 * Kills this process and starts another in its place.
 		 */
@@ -323,7 +332,8 @@
 		@Override
 		public CompletionStage<ClaimReport> askHolder(Claim claim) {
 			for (Entry entry : ClaimSimulation.this.entries) {
-				if (entry.name().equals(claim.getHost())) {
+				boolean known = ClaimSimulation.this.clock.monotonicMs() >= entry.knownFromMs;
+				if (known && entry.name().equals(claim.getHost())) {
 					return call(entry, () -> CompletableFuture.completedFuture(entry.claims.report(claim.getId())));
 				}
 			}
--- a/testsuite/src/test/java/org/wigeontally/claims/ClaimTests.java
+++ b/testsuite/src/test/java/org/wigeontally/claims/ClaimTests.java
@@ -87,6 +87,26 @@
 		assertThat(sent.answer()).isNotInstanceOf(ClaimDecision.Granted.class);
 	}
 
+	/**
+	 * The entries have not heard of each other yet, as shortly after their start, and the
+	 * holder is about to send.
+	 */
+	@Test
+	public void holderThatIsNotKnownYetIsNotFenced() {
+		this.firstEntry.hide(150);
+		ClaimSimulation.SentRequest sent = send(1, this.firstEntry, 0);
+		while (this.simulation.log().head(ClaimKey.streamName(key(1).partition())) == 1) {
+			this.simulation.run(5);
+		}
+		this.firstEntry.pause(60);
+		ClaimSimulation.SentRequest other = send(1, this.secondEntry, 0);
+		this.simulation.run(3000);
+		assertThat(sent.answer()).isInstanceOf(ClaimDecision.AlreadyDone.class);
+		assertThat(other.answer()).isInstanceOf(ClaimDecision.AlreadyDone.class);
+		assertThat(sent.runs()).isEqualTo(1);
+		assertThat(other.runs()).isZero();
+	}
+
 	@Test
 	public void logOutageIsReportedAsNotRunAndKeyCanBeResent() {
 		this.simulation.log().outage(true);
