--- a/library/src/main/java/org/wigeontally/limits/RejectedRequests.java
+++ b/library/src/main/java/org/wigeontally/limits/RejectedRequests.java
@@ -1,7 +1,6 @@
 package org.wigeontally.limits;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import org.wigeontally.fleet.SlidingWindowCounter;
 
 /**
  * Requests that this entry rejected lately because the limits of all backend servers of a
@@ -13,7 +12,7 @@
 
 	private static final double MS_PER_SECOND = 1000;
 
-	private final Deque<Long> rejectedAtMs = new ArrayDeque<>();
+	private final SlidingWindowCounter rejected = new SlidingWindowCounter(WINDOW_MS);
 
 	private RejectedRequests() {
 	}
@@ -35,11 +34,8 @@
 	 * @return milliseconds
 	 */
 	public double record(double totalPerSecond, int entries, long nowMs) {
-		while (!this.rejectedAtMs.isEmpty() && nowMs - this.rejectedAtMs.peekFirst() >= WINDOW_MS) {
-			this.rejectedAtMs.removeFirst();
-		}
-		this.rejectedAtMs.addLast(nowMs);
-		return this.rejectedAtMs.size() * entries / totalPerSecond * MS_PER_SECOND;
+		this.rejected.add(nowMs);
+		return this.rejected.count(nowMs) * entries / totalPerSecond * MS_PER_SECOND;
 	}
 
 }
