--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -8,10 +8,10 @@
 import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.WarmupRateLimiter;
+import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitGrant;
 import org.wigeontally.limits.PermitIssuer;
 import org.wigeontally.limits.PermitQueue;
-import org.wigeontally.limits.ServerLimit;
 
 /**
  * A registered backend server with the load, health and connections that this entry
@@ -27,7 +27,7 @@
 
 	private final WarmupRateLimiter warmupLimiter = WarmupRateLimiter.create();
 
-	private final ServerLimit limit = ServerLimit.create();
+	private final BackendLimit limit = BackendLimit.create();
 
 	private final PermitQueue permits = PermitQueue.create();
 
@@ -86,7 +86,7 @@
 		return this.warmupLimiter;
 	}
 
-	ServerLimit limit() {
+	BackendLimit limit() {
 		return this.limit;
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendLimits.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendLimits.java
@@ -6,7 +6,7 @@
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
-import org.wigeontally.limits.ServerLimit;
+import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.BackendNotice;
 import org.wigeontally.schema.generated.LimitedBackend;
@@ -42,8 +42,8 @@
 			return false;
 		}
 		long nowMs = this.clock.monotonicMs();
-		long atMs = (perSecond > ServerLimit.NONE) ? nowMs : sentAtMs;
-		ServerLimit.Change change = backend.limit().record(perSecond, atMs, nowMs);
+		long atMs = (perSecond > BackendLimit.NONE) ? nowMs : sentAtMs;
+		BackendLimit.Change change = backend.limit().record(perSecond, atMs, nowMs);
 		changed(backend, change, "response");
 		return change.isUrgent();
 	}
@@ -68,13 +68,13 @@
 			.recordNews(limited.getPerSecond(), limited.getEvidenceAgeMs(), this.clock.monotonicMs()), source);
 	}
 
-	private void changed(Backend backend, ServerLimit.Change change, String source) {
+	private void changed(Backend backend, BackendLimit.Change change, String source) {
 		if (change.isUrgent()) {
 			this.log.write(LogEvent.BACKEND_LIMIT, "backend", backend.record().id(), "per-second",
 					backend.limit().perSecond(), "change", change.name().toLowerCase(Locale.ROOT), "permitted",
 					backend.permits().permitted(), "source", source);
 		}
-		if (change == ServerLimit.Change.ENDED) {
+		if (change == BackendLimit.Change.ENDED) {
 			backend.permits().limitEnded();
 		}
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
@@ -51,7 +51,7 @@
 	}
 
 	private void ask(Backend backend) {
-		int count = backend.permits().beginQuestion(this.context.nowMs());
+		int count = backend.permits().beginInquiry(this.context.nowMs());
 		if (count == 0) {
 			return;
 		}
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/EqualSharePolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/EqualSharePolicy.java
@@ -17,12 +17,12 @@
 	}
 
 	@Override
-	public boolean isHeld(SimulatedEntry entry, SimulatedServer server) {
+	public boolean isHeld(SimulatedEntry entry, SimulatedBackend server) {
 		return this.network.nowMs() < entry.nextSendMs(server);
 	}
 
 	@Override
-	public void acquire(SimulatedEntry entry, SimulatedServer server, PermitQueue.Waiter waiter) {
+	public void acquire(SimulatedEntry entry, SimulatedBackend server, PermitQueue.Waiter waiter) {
 		int entries = 1 + this.network.live(entry).size();
 		double intervalMs = MS_PER_SECOND * entries / entry.limit(server).perSecond();
 		double offsetMs = intervalMs * entry.index() / entries;
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/LimitPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/LimitPolicy.java
@@ -13,7 +13,7 @@
 	 * @param server the backend server
 	 * @return true if it has no permit for now
 	 */
-	boolean isHeld(SimulatedEntry entry, SimulatedServer server);
+	boolean isHeld(SimulatedEntry entry, SimulatedBackend server);
 
 	/**
 	 * Acquires a permit.
@@ -21,6 +21,6 @@
 	 * @param server the backend server
 	 * @param waiter receives the outcome
 	 */
-	void acquire(SimulatedEntry entry, SimulatedServer server, PermitQueue.Waiter waiter);
+	void acquire(SimulatedEntry entry, SimulatedBackend server, PermitQueue.Waiter waiter);
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/LimitSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/LimitSimulation.java
@@ -9,8 +9,8 @@
 
 import org.wigeontally.fleet.BackendCandidate;
 import org.wigeontally.fleet.LeastLoadedPlacement;
+import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitQueue;
-import org.wigeontally.limits.ServerLimit;
 
 /**
  * Entries and backend servers of one service, some of which name a limit for a while.
@@ -65,7 +65,7 @@
 
 	private final LeastLoadedPlacement placement;
 
-	private final List<SimulatedServer> servers = new ArrayList<>();
+	private final List<SimulatedBackend> servers = new ArrayList<>();
 
 	private final double endsAtMs;
 
@@ -88,7 +88,7 @@
 			this.network.addEntry(PROCESS_START_MS);
 		}
 		for (int i = 0; i < setting.limitedServers() + setting.unlimitedServers(); i++) {
-			this.servers.add(new SimulatedServer("server-" + i, setting.slots()));
+			this.servers.add(new SimulatedBackend("server-" + i, setting.slots()));
 		}
 	}
 
@@ -123,9 +123,9 @@
 	}
 
 	private LimitResult run() {
-		List<SimulatedServer> limited = this.servers.subList(0, this.setting.limitedServers());
+		List<SimulatedBackend> limited = this.servers.subList(0, this.setting.limitedServers());
 		this.network.after(NAMED_AT_MS, () -> setLimits(limited, this.setting.perSecond()));
-		this.network.after(this.endsAtMs, () -> setLimits(limited, ServerLimit.NONE));
+		this.network.after(this.endsAtMs, () -> setLimits(limited, BackendLimit.NONE));
 		this.network.after(DISRUPTION_AT_MS, this::disrupt);
 		double endMs = this.endsAtMs + TAIL_MS;
 		scheduleArrivals(endMs);
@@ -138,12 +138,12 @@
 		return result(limited);
 	}
 
-	private LimitResult result(List<SimulatedServer> limited) {
+	private LimitResult result(List<SimulatedBackend> limited) {
 		double fromMs = NAMED_AT_MS + CONTACT_MS;
 		double lengthS = (this.endsAtMs - fromMs) / MS_PER_SECOND;
 		List<Double> shares = new ArrayList<>();
 		int sent = 0;
-		for (SimulatedServer server : limited) {
+		for (SimulatedBackend server : limited) {
 			shares.addAll(server.windowShares(fromMs, this.endsAtMs, this.setting.perSecond()));
 			sent += server.arrivals(fromMs, this.endsAtMs);
 		}
@@ -154,7 +154,7 @@
 				Math.min(1, this.served / best), this.falseRefusals, Math.max(0, this.lastRefusalMs - this.endsAtMs));
 	}
 
-	private void setLimits(List<SimulatedServer> limited, double perSecond) {
+	private void setLimits(List<SimulatedBackend> limited, double perSecond) {
 		limited.forEach((server) -> server.setLimit(perSecond, this.network.nowMs()));
 	}
 
@@ -177,9 +177,9 @@
 		return this.network.nowMs() >= NAMED_AT_MS + CONTACT_MS && this.network.nowMs() < this.endsAtMs;
 	}
 
-	private void place(SimulatedEntry entry, Set<SimulatedServer> denied) {
+	private void place(SimulatedEntry entry, Set<SimulatedBackend> denied) {
 		List<BackendCandidate> candidates = new ArrayList<>();
-		for (SimulatedServer server : this.servers) {
+		for (SimulatedBackend server : this.servers) {
 			boolean held = entry.limit(server).isNamed() && this.policy.isHeld(entry, server);
 			if (!held && !denied.contains(server) && server.hasSlot()) {
 				candidates.add(new BackendCandidate(server.id(), 0, server.running(), 1, 0));
@@ -190,7 +190,7 @@
 			return;
 		}
 		String id = this.placement.chooseBackend(candidates);
-		SimulatedServer chosen = this.servers.stream().filter((server) -> server.id().equals(id)).findFirst().get();
+		SimulatedBackend chosen = this.servers.stream().filter((server) -> server.id().equals(id)).findFirst().get();
 		if (!entry.limit(chosen).isNamed()) {
 			send(entry, chosen);
 			return;
@@ -222,7 +222,7 @@
 		this.lastRefusalMs = this.network.nowMs();
 	}
 
-	private void send(SimulatedEntry entry, SimulatedServer server) {
+	private void send(SimulatedEntry entry, SimulatedBackend server) {
 		double sentAtMs = this.network.nowMs();
 		int life = entry.life();
 		this.network.after(LINK_MS, () -> {
@@ -246,10 +246,10 @@
 				? 0.9 + 0.2 * this.random.nextDouble() : 1;
 	}
 
-	private void hear(SimulatedEntry entry, SimulatedServer server, double named, double sentAtMs) {
+	private void hear(SimulatedEntry entry, SimulatedBackend server, double named, double sentAtMs) {
 		long nowMs = this.network.monotonicMs();
-		ServerLimit.Change change = entry.limit(server).record(named, (named > 0) ? nowMs : (long) sentAtMs, nowMs);
-		if (change == ServerLimit.Change.ENDED) {
+		BackendLimit.Change change = entry.limit(server).record(named, (named > 0) ? nowMs : (long) sentAtMs, nowMs);
+		if (change == BackendLimit.Change.ENDED) {
 			entry.permits(server).limitEnded();
 		}
 		if (change.isUrgent()) {
@@ -267,16 +267,16 @@
 		if (from == to) {
 			return;
 		}
-		for (SimulatedServer server : this.servers) {
-			ServerLimit limit = from.limit(server);
+		for (SimulatedBackend server : this.servers) {
+			BackendLimit limit = from.limit(server);
 			if (!limit.wasEverNamed()) {
 				continue;
 			}
 			double perSecond = limit.perSecond();
 			long ageMs = this.network.monotonicMs() - limit.evidenceAtMs();
 			this.network.send(from, to, () -> {
-				ServerLimit.Change change = to.limit(server).recordNews(perSecond, ageMs, this.network.monotonicMs());
-				if (change == ServerLimit.Change.ENDED) {
+				BackendLimit.Change change = to.limit(server).recordNews(perSecond, ageMs, this.network.monotonicMs());
+				if (change == BackendLimit.Change.ENDED) {
 					to.permits(server).limitEnded();
 				}
 			});
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/NoLimitPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/NoLimitPolicy.java
@@ -8,12 +8,12 @@
 final class NoLimitPolicy implements LimitPolicy {
 
 	@Override
-	public boolean isHeld(SimulatedEntry entry, SimulatedServer server) {
+	public boolean isHeld(SimulatedEntry entry, SimulatedBackend server) {
 		return false;
 	}
 
 	@Override
-	public void acquire(SimulatedEntry entry, SimulatedServer server, PermitQueue.Waiter waiter) {
+	public void acquire(SimulatedEntry entry, SimulatedBackend server, PermitQueue.Waiter waiter) {
 		waiter.permitted();
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
@@ -25,19 +25,19 @@
 	}
 
 	@Override
-	public boolean isHeld(SimulatedEntry entry, SimulatedServer server) {
+	public boolean isHeld(SimulatedEntry entry, SimulatedBackend server) {
 		return entry.permits(server).heldMs(this.network.monotonicMs()) > 0;
 	}
 
 	@Override
-	public void acquire(SimulatedEntry entry, SimulatedServer server, PermitQueue.Waiter waiter) {
+	public void acquire(SimulatedEntry entry, SimulatedBackend server, PermitQueue.Waiter waiter) {
 		entry.permits(server).add(waiter);
 		ask(entry, server);
 	}
 
-	private void ask(SimulatedEntry entry, SimulatedServer server) {
+	private void ask(SimulatedEntry entry, SimulatedBackend server) {
 		PermitQueue queue = entry.permits(server);
-		int count = queue.beginQuestion(this.network.monotonicMs());
+		int count = queue.beginInquiry(this.network.monotonicMs());
 		if (count == 0) {
 			return;
 		}
@@ -68,7 +68,7 @@
 		});
 	}
 
-	private void answer(SimulatedEntry entry, SimulatedServer server, PermitGrant grant) {
+	private void answer(SimulatedEntry entry, SimulatedBackend server, PermitGrant grant) {
 		entry.permits(server).answered(grant, this.network.monotonicMs());
 		ask(entry, server);
 	}
@@ -80,11 +80,11 @@
 	 * @param server the backend server
 	 * @return the coordinator in its view
 	 */
-	static EntryNews coordinator(LimitNetwork network, SimulatedEntry entry, SimulatedServer server) {
+	static EntryNews coordinator(LimitNetwork network, SimulatedEntry entry, SimulatedBackend server) {
 		return PermitCoordination.coordinator(server.id(), LimitNetwork.REGION, entry.news(), network.live(entry));
 	}
 
-	private PermitGrant issue(SimulatedEntry entry, SimulatedServer server, int count) {
+	private PermitGrant issue(SimulatedEntry entry, SimulatedBackend server, int count) {
 		if (!coordinator(this.network, entry, server).equals(entry.news())) {
 			return new PermitGrant(0, NOT_COORDINATOR_HOLD_MS);
 		}
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedServer.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedBackend.java
@@ -6,7 +6,7 @@
 /**
  * A backend server of a simulation. Used by one thread.
  */
-final class SimulatedServer {
+final class SimulatedBackend {
 
 	private static final double MS_PER_SECOND = 1000;
 
@@ -35,7 +35,7 @@
 
 	private double creditFullAtMs = Double.MAX_VALUE;
 
-	SimulatedServer(String id, int slots) {
+	SimulatedBackend(String id, int slots) {
 		this.id = id;
 		this.slots = slots;
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedEntry.java
@@ -3,9 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitIssuer;
 import org.wigeontally.limits.PermitQueue;
-import org.wigeontally.limits.ServerLimit;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
 
@@ -20,13 +20,13 @@
 
 	private final EntryNews news;
 
-	private final Map<SimulatedServer, ServerLimit> limits = new HashMap<>();
+	private final Map<SimulatedBackend, BackendLimit> limits = new HashMap<>();
 
-	private final Map<SimulatedServer, PermitQueue> permits = new HashMap<>();
+	private final Map<SimulatedBackend, PermitQueue> permits = new HashMap<>();
 
-	private final Map<SimulatedServer, PermitIssuer> issuers = new HashMap<>();
+	private final Map<SimulatedBackend, PermitIssuer> issuers = new HashMap<>();
 
-	private final Map<SimulatedServer, Double> nextSendsMs = new HashMap<>();
+	private final Map<SimulatedBackend, Double> nextSendsMs = new HashMap<>();
 
 	private double startedAtMs;
 
@@ -56,23 +56,23 @@
 		return this.news;
 	}
 
-	ServerLimit limit(SimulatedServer server) {
-		return this.limits.computeIfAbsent(server, (key) -> ServerLimit.create());
+	BackendLimit limit(SimulatedBackend server) {
+		return this.limits.computeIfAbsent(server, (key) -> BackendLimit.create());
 	}
 
-	PermitQueue permits(SimulatedServer server) {
+	PermitQueue permits(SimulatedBackend server) {
 		return this.permits.computeIfAbsent(server, (key) -> PermitQueue.create());
 	}
 
-	PermitIssuer issuer(SimulatedServer server, double perSecond, long nowMs) {
+	PermitIssuer issuer(SimulatedBackend server, double perSecond, long nowMs) {
 		return this.issuers.computeIfAbsent(server, (key) -> PermitIssuer.create(perSecond, nowMs));
 	}
 
-	double nextSendMs(SimulatedServer server) {
+	double nextSendMs(SimulatedBackend server) {
 		return this.nextSendsMs.getOrDefault(server, 0.0);
 	}
 
-	void setNextSendMs(SimulatedServer server, double atMs) {
+	void setNextSendMs(SimulatedBackend server, double atMs) {
 		this.nextSendsMs.put(server, atMs);
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/ServerLimitMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/BackendLimitMeasurement.java
@@ -15,7 +15,7 @@
  * with the real decision classes. Prints the worst of all loads. The baselines get the
  * same arrivals: entries that do not know of limits, and an equal share for each entry.
  */
-final class ServerLimitMeasurement implements Measurement {
+final class BackendLimitMeasurement implements Measurement {
 
 	private static final double[] LIMITS_PER_SECOND = { 0.1, 0.5, 1, 1.9, 20, 400 };
 
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -13,7 +13,7 @@
 	static List<Measurement> all() {
 		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ControlMeasurement(),
 				new FaultsMeasurement(), new HarmfulPartsMeasurement(), new OverheadMeasurement(),
-				new PathMeasurement(), new RouteMeasurement(), new ServerLimitMeasurement(), new SoakMeasurement(),
+				new PathMeasurement(), new RouteMeasurement(), new BackendLimitMeasurement(), new SoakMeasurement(),
 				new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
--- a/library/src/main/java/org/wigeontally/limits/ServerLimit.java
+++ b/library/src/main/java/org/wigeontally/limits/BackendLimit.java
@@ -12,7 +12,7 @@
  * after its request was sent, so it counts as of that time: a stream that began before
  * the limit cannot lift it.
  */
-public final class ServerLimit {
+public final class BackendLimit {
 
 	/**
 	 * Time by which the end of a limit counts as earlier if another entry tells it. News
@@ -40,15 +40,15 @@
 
 	private boolean everNamed;
 
-	private ServerLimit() {
+	private BackendLimit() {
 	}
 
 	/**
 	 * Creates the state of a process that has not named a limit.
 	 * @return the state
 	 */
-	public static ServerLimit create() {
-		return new ServerLimit();
+	public static BackendLimit create() {
+		return new BackendLimit();
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/limits/Permit.java
+++ b/library/src/main/java/org/wigeontally/limits/Permit.java
@@ -9,14 +9,14 @@
  * <p>
  * A process can be paused between getting the permit and sending the request. The
  * monotonic clock may not count that time, so the wall clock must agree. A step of the
- * wall clock also ends the permit, which costs one more question.
+ * wall clock also ends the permit, which costs one more inquiry.
  *
  * @param monotonicMs when it was asked for
  * @param wallMs the same by the wall clock
  */
 public record Permit(long monotonicMs, long wallMs) {
 
-	/** Time for which a permit holds, from the question for it. */
+	/** Time for which a permit holds, from the inquiry for it. */
 	public static final long MAX_AGE_MS = 1_000;
 
 	/**
--- a/library/src/main/java/org/wigeontally/limits/PermitQueue.java
+++ b/library/src/main/java/org/wigeontally/limits/PermitQueue.java
@@ -8,7 +8,7 @@
  * server. Used by one thread.
  *
  * <p>
- * One question to the coordinator is under way at a time; it asks for all requests that
+ * One inquiry to the coordinator is under way at a time; it asks for all requests that
  * wait. When the coordinator has no more permits it says when it has the next one, and
  * until then the backend server counts as unavailable, so nobody waits for it and nobody
  * asks again.
@@ -19,10 +19,10 @@
 	private static final long FAILURE_HOLD_MS = 250;
 
 	/**
-	 * Time after which a question is slow. Requests that arrive later do not wait for its
+	 * Time after which an inquiry is slow. Requests that arrive later do not wait for its
 	 * answer.
 	 */
-	private static final long SLOW_QUESTION_MS = 40;
+	private static final long SLOW_INQUIRY_MS = 40;
 
 	private static final long NOT_HELD_MS = Long.MIN_VALUE / 2;
 
@@ -53,8 +53,8 @@
 	 * @return milliseconds; 0 if the coordinator may have one
 	 */
 	public long heldMs(long nowMs) {
-		boolean slow = this.asked > 0 && nowMs - this.askedAtMs > SLOW_QUESTION_MS;
-		return Math.max(slow ? SLOW_QUESTION_MS : 0, this.heldUntilMs - nowMs);
+		boolean slow = this.asked > 0 && nowMs - this.askedAtMs > SLOW_INQUIRY_MS;
+		return Math.max(slow ? SLOW_INQUIRY_MS : 0, this.heldUntilMs - nowMs);
 	}
 
 	/**
@@ -74,11 +74,11 @@
 	}
 
 	/**
-	 * Begins a question if requests wait and none is under way.
+	 * Begins an inquiry if requests wait and none is under way.
 	 * @param nowMs current time in milliseconds
-	 * @return number of permits to ask for; 0 for no question
+	 * @return number of permits to ask for; 0 for no inquiry
 	 */
-	public int beginQuestion(long nowMs) {
+	public int beginInquiry(long nowMs) {
 		if (this.asked > 0) {
 			return 0;
 		}
@@ -88,7 +88,7 @@
 	}
 
 	/**
-	 * Ends the question with an answer of the coordinator. Permits go to the requests in
+	 * Ends the inquiry with an answer of the coordinator. Permits go to the requests in
 	 * their order, and if the coordinator has no more, the others are denied.
 	 * @param grant the answer
 	 * @param nowMs current time in milliseconds
@@ -110,7 +110,7 @@
 	}
 
 	/**
-	 * Ends the question without an answer.
+	 * Ends the inquiry without an answer.
 	 * @param nowMs current time in milliseconds
 	 */
 	public void failed(long nowMs) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/ServerLimitTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ServerLimitTests.java
@@ -184,7 +184,7 @@
 	/**
 	 * The coordinator of the only backend server exchanges news and never answers for
 	 * permits, like a process that is paused. Requests are rejected within the time that
-	 * a question takes.
+	 * an inquiry takes.
 	 */
 	@Test
 	public void silentCoordinatorDoesNotHoldRequests() throws Exception {
@@ -205,7 +205,7 @@
 			assertThat(LimitedBackend.nowMs() - startMs).isLessThan(400);
 			Thread.sleep(20);
 		}
-		assertThat(coordinator.questions()).isPositive();
+		assertThat(coordinator.inquiries()).isPositive();
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/SilentCoordinator.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SilentCoordinator.java
@@ -24,7 +24,7 @@
 
 	private final AtomicInteger exchanges = new AtomicInteger();
 
-	private final AtomicInteger questions = new AtomicInteger();
+	private final AtomicInteger inquiries = new AtomicInteger();
 
 	private final EntryNews news;
 
@@ -73,8 +73,8 @@
 		return this.exchanges.get() > 1;
 	}
 
-	int questions() {
-		return this.questions.get();
+	int inquiries() {
+		return this.inquiries.get();
 	}
 
 	@Override
@@ -85,7 +85,7 @@
 
 	@Override
 	public Future<PermitReply> acquirePermits(PermitRequest request) {
-		this.questions.incrementAndGet();
+		this.inquiries.incrementAndGet();
 		return Promise.<PermitReply>promise().future();
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/limits/PermitIssuerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/PermitIssuerTests.java
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Questions come in bursts, and the limit varies by a tenth. No four seconds may have
+	 * Inquiries come in bursts, and the limit varies by a tenth. No four seconds may have
 	 * more permits than the limit allows and the burst, and demand above the limit uses
 	 * it.
 	 */
--- a/testsuite/src/test/java/org/wigeontally/limits/PermitQueueTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/PermitQueueTests.java
@@ -40,9 +40,9 @@
 		queue.add(waiter("a", false));
 		queue.add(waiter("b", true));
 		queue.add(waiter("c", true));
-		assertThat(queue.beginQuestion(0)).isEqualTo(3);
+		assertThat(queue.beginInquiry(0)).isEqualTo(3);
 		queue.add(waiter("d", true));
-		assertThat(queue.beginQuestion(5)).isZero();
+		assertThat(queue.beginInquiry(5)).isZero();
 		queue.answered(new PermitGrant(1, 500), 10);
 		assertThat(this.outcomes).containsExactly("a gone", "b sent", "c denied", "d denied");
 		assertThat(queue.permitted()).isEqualTo(1);
@@ -51,15 +51,15 @@
 	}
 
 	@Test
-	public void requestsThatArriveDuringAQuestionAreAskedForNext() {
+	public void requestsThatArriveDuringAnInquiryAreAskedForNext() {
 		this.outcomes.clear();
 		PermitQueue queue = PermitQueue.create();
 		queue.add(waiter("a", true));
-		queue.beginQuestion(0);
+		queue.beginInquiry(0);
 		queue.add(waiter("b", true));
 		queue.answered(new PermitGrant(1, 0), 10);
 		assertThat(this.outcomes).containsExactly("a sent");
-		assertThat(queue.beginQuestion(10)).isEqualTo(1);
+		assertThat(queue.beginInquiry(10)).isEqualTo(1);
 	}
 
 	/** The coordinator was killed or paused: few requests wait, and none for long. */
@@ -68,7 +68,7 @@
 		this.outcomes.clear();
 		PermitQueue queue = PermitQueue.create();
 		queue.add(waiter("a", true));
-		queue.beginQuestion(0);
+		queue.beginInquiry(0);
 		assertThat(queue.heldMs(30)).isZero();
 		assertThat(queue.heldMs(60)).isPositive();
 		queue.failed(200);
@@ -83,14 +83,14 @@
 		PermitQueue queue = PermitQueue.create();
 		queue.add(waiter("a", true));
 		queue.add(waiter("b", true));
-		queue.beginQuestion(0);
+		queue.beginInquiry(0);
 		queue.limitEnded();
 		assertThat(this.outcomes).containsExactly("a sent", "b sent");
 		assertThat(queue.heldMs(0)).isZero();
 	}
 
 	/**
-	 * A process is paused between the question and the sending. Whichever clock went on,
+	 * A process is paused between the inquiry and the sending. Whichever clock went on,
 	 * the permit has lapsed.
 	 */
 	@Test
