--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
@@ -44,7 +44,7 @@
 
 	private volatile long disturbedAtMs = Long.MIN_VALUE / 2;
 
-	private volatile boolean disturbed;
+	private volatile boolean paused;
 
 	SoakEntry(String name, Path directory, LoopbackProxy store) throws IOException {
 		this.name = name;
@@ -124,6 +124,10 @@
 		return this.process.isAlive();
 	}
 
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	boolean isStopping() {
 		return this.stopping;
 	}
@@ -136,24 +140,20 @@
 
 	void kill(long nowMs) {
 		this.stopping = true;
-		disturbedAt(nowMs);
+		this.disturbedAtMs = nowMs;
 		this.process.kill();
 	}
 
 	void pause(long nowMs) throws IOException {
-		this.disturbed = true;
-		disturbedAt(nowMs);
+		this.paused = true;
+		this.disturbedAtMs = nowMs;
 		this.process.pause();
 	}
 
 	void resume(long nowMs) throws IOException {
 		this.process.resume();
-		disturbedAt(nowMs);
-		this.disturbed = false;
-	}
-
-	private void disturbedAt(long nowMs) {
 		this.disturbedAtMs = nowMs;
+		this.paused = false;
 	}
 
 	/**
@@ -162,7 +162,7 @@
 	 * @return true if it was
 	 */
 	boolean wasDisturbedSince(long sinceMs) {
-		return this.disturbed || this.disturbedAtMs >= sinceMs;
+		return this.paused || this.disturbedAtMs >= sinceMs;
 	}
 
 	/**
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -190,7 +190,7 @@
 	private boolean mayStop(SoakEntry entry) {
 		long others = this.entries.stream()
 			.filter((other) -> other != entry && other.isRunning() && !other.isStopping())
-			.filter((other) -> !other.wasDisturbedSince(Long.MAX_VALUE))
+			.filter((other) -> !other.isPaused())
 			.count();
 		return entry.isRunning() && !entry.isStopping() && others > 0;
 	}
@@ -229,7 +229,7 @@
 	}
 
 	private void pause(SoakEntry entry, long lengthMs) throws IOException {
-		if (!mayStop(entry) || entry.wasDisturbedSince(Long.MAX_VALUE)) {
+		if (!mayStop(entry) || entry.isPaused()) {
 			return;
 		}
 		disruption("SIGSTOP " + entry.name() + " for " + lengthMs);
