Simulation of limits: requests sent before a limit was known no longer hide room for long

A wrong check: the simulation counts a rejection as false if the limit allows a request that was not sent. At the naming all entries send at the old rate for some milliseconds; at 20 a second that put 120 requests on the account, so for six seconds nothing counted as room, and "falseRefusals 0" said little. The debt is now at most the three permits that a coordinator saves, which is stricter.

--- a/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedBackend.java
@@ -16,6 +16,9 @@
 
 	private static final double WINDOW_MS = 4_000;
 
+	/** Requests in advance that make the backend server count as full. */
+	private static final double MAX_DEBT = 3;
+
 	private final String id;
 
 	private final int slots;
@@ -63,7 +66,8 @@
 
 	void arrived(double nowMs, boolean excused) {
 		updateCredit(nowMs);
-		this.credit--;
+		// Requests that were sent before the limit was known do not count for long.
+		this.credit = Math.max(-MAX_DEBT, this.credit - 1);
 		this.creditFullAtMs = Double.MAX_VALUE;
 		this.running++;
 		this.arrivalsMs.add(nowMs);
