--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
@@ -130,7 +130,7 @@
 	 * @return true if it ended by itself in time
 	 */
 	public boolean terminate() {
-		this.process.destroy();
+		requestEnd();
 		try {
 			return this.process.waitFor(END_TIMEOUT_S, TimeUnit.SECONDS);
 		}
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/SimulatedBackend.java
@@ -10,12 +10,6 @@
 
 	private static final double MS_PER_SECOND = 1000;
 
-	private static final double BOUND_FACTOR = 1.5;
-
-	private static final int BOUND_SLACK = 5;
-
-	private static final double WINDOW_MS = 4_000;
-
 	/** Requests in advance that make the backend server count as full. */
 	private static final double MAX_DEBT = 3;
 
@@ -115,17 +109,9 @@
 	 * @return the share for each window that begins with a request
 	 */
 	List<Double> windowShares(double fromMs, double toMs, double perSecond) {
-		double allowed = Math.floor(BOUND_FACTOR * perSecond * WINDOW_MS / MS_PER_SECOND + BOUND_SLACK);
+		double allowed = LimitWindows.allowed(perSecond);
 		List<Double> times = this.countedArrivalsMs.stream().filter((atMs) -> atMs >= fromMs && atMs < toMs).toList();
-		List<Double> shares = new ArrayList<>();
-		int end = 0;
-		for (int start = 0; start < times.size(); start++) {
-			while (end < times.size() && times.get(end) < times.get(start) + WINDOW_MS) {
-				end++;
-			}
-			shares.add((end - start) / allowed);
-		}
-		return shares;
+		return LimitWindows.counts(times).stream().map((count) -> count / allowed).toList();
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -13,6 +13,7 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetSocket;
 
+import org.wigeontally.emulator.limits.LimitWindows;
 import org.wigeontally.platform.standin.FakeBackend;
 
 /**
@@ -30,8 +31,6 @@
 
 	private static final int LATE_COPY_MS = 40;
 
-	private static final long WINDOW_MS = 4_000;
-
 	private final Vertx vertx;
 
 	private final String id;
@@ -146,12 +145,7 @@
 		}
 		long fromMs = this.limitedSinceMs + contactMs;
 		List<Long> times = this.limitedArrivalsMs.stream().filter((atMs) -> atMs >= fromMs).toList();
-		int most = 0;
-		for (long start : times) {
-			most = Math.max(most,
-					(int) times.stream().filter((atMs) -> atMs >= start && atMs < start + WINDOW_MS).count());
-		}
-		return most / Math.floor(1.5 * this.limit * WINDOW_MS / 1_000 + 5);
+		return LimitWindows.most(times) / LimitWindows.allowed(this.limit);
 	}
 
 	@Override
@@ -164,8 +158,9 @@
 			this.limitedArrivalsMs.add(SoakHistory.nowMs());
 		}
 		int draw = this.faulty ? this.random.nextInt(100) : 100;
-		String headers = FakeBackend.signatureHeader("s-" + this.id) + "X-Replica-Load: " + this.running.size() + ",0,"
-				+ SLOTS + "\r\n" + ((this.limit > 0) ? "Server-Limit: " + this.limit + "\r\n" : "");
+		String headers = FakeBackend.signatureHeader("s-" + this.id)
+				+ FakeBackend.loadHeader(this.running.size(), SLOTS)
+				+ (isLimited() ? FakeBackend.limitHeader("" + this.limit) : "");
 		if (draw < 4) {
 			socket.write(FakeBackend.notRunResponse(request, ""));
 			return;
@@ -208,13 +203,11 @@
 		String last = request.headers().get("last-event-id");
 		int first = (last != null) ? Integer.parseInt(last) + 1 : 0;
 		List<Buffer> pieces = new ArrayList<>();
-		pieces.add(Buffer.buffer("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.attemptId() + "\r\n" + headers
-				+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+		pieces.add(Buffer.buffer(FakeBackend.eventStreamHead(request, headers)));
 		for (int number = first; number < SoakHistory.EVENTS; number++) {
-			String event = SoakHistory.event(request.attemptId(), number);
-			pieces.add(Buffer.buffer(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+			pieces.add(Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number))));
 		}
-		pieces.add(Buffer.buffer("0\r\n\r\n"));
+		pieces.add(Buffer.buffer(FakeBackend.LAST_CHUNK));
 		int cutAfter = (draw < 20) ? this.random.nextInt(pieces.size()) : pieces.size();
 		writePieces(request, socket, pieces, 0, cutAfter);
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.TestCaller;
 
 /**
@@ -50,7 +50,7 @@
 	private final List<String> violations = new CopyOnWriteArrayList<>();
 
 	static long nowMs() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		return Clock.system().monotonicMs();
 	}
 
 	void ran(String attemptId) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/LimitedBackend.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LimitedBackend.java
@@ -1,13 +1,13 @@
 package org.wigeontally.gateway;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 
+import org.wigeontally.emulator.limits.LimitWindows;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
 
 /**
@@ -16,8 +16,6 @@
  */
 final class LimitedBackend implements FakeBackend.Behaviour {
 
-	private static final long WINDOW_MS = 4_000;
-
 	private final List<Long> arrivalsMs = new CopyOnWriteArrayList<>();
 
 	private final Answer answer;
@@ -33,7 +31,7 @@
 	 * @param value value of the header; null for none
 	 */
 	void setLimit(String value) {
-		this.limitHeader = (value != null) ? "Server-Limit: " + value + "\r\n" : "";
+		this.limitHeader = (value != null) ? FakeBackend.limitHeader(value) : "";
 	}
 
 	@Override
@@ -43,14 +41,14 @@
 		String response = switch (this.answer) {
 			case WHOLE -> FakeBackend.response(request, "200 OK", signature, "ok");
 			case ERROR -> FakeBackend.response(request, "500 Internal Server Error", signature, "");
-			case STREAM -> FakeBackend.partialEventStream(request, "s", 0, 4)
-				.replace("\r\nContent-Type", "\r\n" + this.limitHeader + "Content-Type") + "0\r\n\r\n";
+			case STREAM -> FakeBackend.eventStreamHead(request, signature) + FakeBackend.eventChunks(0, 4)
+					+ FakeBackend.LAST_CHUNK;
 		};
 		socket.write(Buffer.buffer(response));
 	}
 
 	static long nowMs() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		return Clock.system().monotonicMs();
 	}
 
 	int arrivals(long fromMs, long toMs) {
@@ -63,12 +61,7 @@
 	 * @return number of requests
 	 */
 	int mostArrivals(long fromMs) {
-		List<Integer> counts = new ArrayList<>();
-		counts.add(0);
-		this.arrivalsMs.stream()
-			.filter((atMs) -> atMs >= fromMs)
-			.forEach((atMs) -> counts.add(arrivals(atMs, atMs + WINDOW_MS)));
-		return counts.stream().mapToInt(Integer::intValue).max().getAsInt();
+		return LimitWindows.most(this.arrivalsMs.stream().filter((atMs) -> atMs >= fromMs).toList());
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/limits/PermitIssuerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/PermitIssuerTests.java
@@ -7,6 +7,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.wigeontally.emulator.limits.LimitWindows;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -14,8 +16,6 @@
  */
 public class PermitIssuerTests {
 
-	private static final long WINDOW_MS = 4_000;
-
 	private static final int ENTRIES = 9;
 
 	@DataProvider
@@ -45,13 +45,7 @@
 			assertThat(grant.nextInMs()).isLessThanOrEqualTo((long) Math.ceil(1_000 / (perSecond * 0.95)));
 		}
 		double bound = 1.05 * (4 * perSecond) + 3 + 0.06 * perSecond;
-		int end = 0;
-		for (int start = 0; start < grantedAtMs.size(); start++) {
-			while (end < grantedAtMs.size() && grantedAtMs.get(end) < grantedAtMs.get(start) + WINDOW_MS) {
-				end++;
-			}
-			assertThat(end - start).isLessThanOrEqualTo((int) Math.ceil(bound));
-		}
+		assertThat(LimitWindows.most(grantedAtMs)).isLessThanOrEqualTo((int) Math.ceil(bound));
 		assertThat(grantedAtMs.size()).isGreaterThan((int) (0.9 * perSecond * endMs / 1_000));
 	}
 
