Limits: the simulation uses the product's times

Timeout of an inquiry, hold of an entry that asks the wrong one, and the starting time stood in the entry and again in the simulation, whose timeout was 150 ms where the entry waits 200. They are in the library now (PermitQueue, PermitGrant, PermitCoordination), one copy each. The entry behaves as before.

--- a/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
@@ -19,8 +19,6 @@
  */
 final class PermitClient {
 
-	private static final long TIMEOUT_MS = 200;
-
 	private static final long MESSAGE_LIMIT_BYTES = 64 * 1024;
 
 	/** Consecutive failures after which the connection is closed. */
@@ -37,7 +35,7 @@
 	PermitClient(GatewayContext context, PermitServer server) {
 		this.context = context;
 		this.server = server;
-		this.client = PeerClient.create(context.vertx(), "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
+		this.client = PeerClient.create(context.vertx(), "", PermitQueue.INQUIRY_TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/PermitServer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/PermitServer.java
@@ -17,19 +17,6 @@
  */
 final class PermitServer {
 
-	/**
-	 * Time for which an entry does not ask again that takes this one for the coordinator
-	 * of a backend server, while this one takes another for it or does not know it. The
-	 * two agree once they hear the same entries.
-	 */
-	private static final long NOT_COORDINATOR_HOLD_MS = 200;
-
-	/**
-	 * Time after the start in which as many entries are assumed as for other limits. It
-	 * is enough for several exchanges, by which this one hears of all of them.
-	 */
-	private static final long STARTING_MS = 2_000;
-
 	private final GatewayContext context;
 
 	private final EntryTable entries;
@@ -77,7 +64,7 @@
 		this.context.limits().record(asked, source);
 		Backend backend = this.context.fleet().backend(asked.getId(), asked.getProcessStartMs());
 		if (backend == null || !isCoordinator(coordinator(backend))) {
-			return PermitReply.newBuilder().setNextInMs(NOT_COORDINATOR_HOLD_MS).build();
+			return PermitReply.newBuilder().setNextInMs(PermitGrant.NOT_COORDINATOR.nextInMs()).build();
 		}
 		PermitReply.Builder reply = PermitReply.newBuilder().setBackend(this.context.limits().toNews(backend));
 		if (!backend.limit().isNamed()) {
@@ -95,9 +82,8 @@
 	double share() {
 		long nowMs = this.context.nowMs();
 		List<EntryNews> live = this.entries.liveEntries(nowMs);
-		boolean starting = nowMs - this.startedAtMs < STARTING_MS;
-		return PermitCoordination.share(live, this.entries.recentEntries(nowMs),
-				starting ? FleetState.MIN_ENTRY_COUNT : 1);
+		return PermitCoordination.share(live, this.entries.recentEntries(nowMs), nowMs - this.startedAtMs,
+				FleetState.MIN_ENTRY_COUNT);
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/PermitPolicy.java
@@ -10,14 +10,8 @@
  */
 final class PermitPolicy implements LimitPolicy {
 
-	private static final long TIMEOUT_MS = 150;
-
-	private static final long NOT_COORDINATOR_HOLD_MS = 200;
-
 	private static final int MIN_ENTRIES_AFTER_START = 9;
 
-	private static final long STARTING_MS = 2_000;
-
 	private final LimitNetwork network;
 
 	PermitPolicy(LimitNetwork network) {
@@ -50,7 +44,7 @@
 		}
 		boolean[] ended = new boolean[1];
 		int life = entry.life();
-		this.network.after(TIMEOUT_MS, () -> {
+		this.network.after(PermitQueue.INQUIRY_TIMEOUT_MS, () -> {
 			if (!ended[0] && entry.life() == life) {
 				ended[0] = true;
 				queue.failed(this.network.monotonicMs());
@@ -86,11 +80,11 @@
 
 	private PermitGrant issue(SimulatedEntry entry, SimulatedBackend server, int count) {
 		if (!coordinator(this.network, entry, server).equals(entry.news())) {
-			return new PermitGrant(0, NOT_COORDINATOR_HOLD_MS);
+			return PermitGrant.NOT_COORDINATOR;
 		}
-		boolean starting = this.network.nowMs() < entry.startedAtMs() + STARTING_MS;
-		double share = PermitCoordination.share(this.network.live(entry), this.network.recent(entry),
-				starting ? MIN_ENTRIES_AFTER_START : 1);
+		long uptimeMs = (long) (this.network.nowMs() - entry.startedAtMs());
+		double share = PermitCoordination.share(this.network.live(entry), this.network.recent(entry), uptimeMs,
+				MIN_ENTRIES_AFTER_START);
 		double limit = entry.limit(server).perSecond();
 		return (limit > 0)
 				? entry.issuer(server, limit * share, this.network.monotonicMs())
--- a/library/src/main/java/org/wigeontally/limits/PermitCoordination.java
+++ b/library/src/main/java/org/wigeontally/limits/PermitCoordination.java
@@ -19,6 +19,12 @@
  */
 public final class PermitCoordination {
 
+	/**
+	 * Time after the start in which a least number of entries is assumed. It is enough
+	 * for several exchanges, by which an entry hears of all others.
+	 */
+	private static final long STARTING_MS = 2_000;
+
 	private PermitCoordination() {
 	}
 
@@ -54,13 +60,14 @@
 	 * Returns the part of a limit that the entries of this group may use.
 	 * @param live the other entries that are heard of
 	 * @param recent the other entries that were heard of lately, with those that are live
-	 * @param minEntries number of entries that are assumed at least
+	 * @param uptimeMs time since the start of this entry
+	 * @param minEntries number of entries that are assumed at least after the start
 	 * @return from 0 to 1
 	 */
-	public static double share(List<EntryNews> live, List<EntryNews> recent, int minEntries) {
+	public static double share(List<EntryNews> live, List<EntryNews> recent, long uptimeMs, int minEntries) {
 		int reachable = 1 + (int) live.stream().filter(EntryNews::getReady).count();
 		int known = 1 + (int) recent.stream().filter(EntryNews::getReady).count();
-		return Math.min(1, (double) reachable / Math.max(known, minEntries));
+		return Math.min(1, (double) reachable / Math.max(known, (uptimeMs < STARTING_MS) ? minEntries : 1));
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/limits/PermitQueue.java
+++ b/library/src/main/java/org/wigeontally/limits/PermitQueue.java
@@ -15,6 +15,9 @@
  */
 public final class PermitQueue {
 
+	/** Time after which an inquiry has failed. */
+	public static final long INQUIRY_TIMEOUT_MS = 200;
+
 	/** Time for which the backend server is unavailable if nobody answers. */
 	private static final long FAILURE_HOLD_MS = 250;
 
--- a/testsuite/src/test/java/org/wigeontally/limits/PermitCoordinationTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/PermitCoordinationTests.java
@@ -17,6 +17,8 @@
  */
 public class PermitCoordinationTests {
 
+	private static final long RUNNING_MS = 60_000;
+
 	private static EntryNews entry(int number, String region, boolean ready) {
 		return EntryNews.newBuilder()
 			.setControl(Address.newBuilder().setIp("10.0.0." + number).setPort(8_000))
@@ -70,7 +72,7 @@
 		double sum = 0;
 		for (List<EntryNews> group : List.of(entries.subList(0, 3), entries.subList(3, 9))) {
 			EntryNews own = group.get(0);
-			sum += PermitCoordination.share(without(group, own), without(entries, own), 1);
+			sum += PermitCoordination.share(without(group, own), without(entries, own), RUNNING_MS, 9);
 		}
 		assertThat(sum).isLessThanOrEqualTo(1.000_001);
 	}
@@ -78,13 +80,14 @@
 	@Test
 	public void entriesThatShutDownAreNotCounted() {
 		List<EntryNews> live = List.of(entry(1, "west", true));
-		assertThat(PermitCoordination.share(live, List.of(live.get(0), entry(2, "west", false)), 1)).isEqualTo(1);
+		assertThat(PermitCoordination.share(live, List.of(live.get(0), entry(2, "west", false)), RUNNING_MS, 9))
+			.isEqualTo(1);
 	}
 
 	/** All entries start at once and have not heard of each other yet. */
 	@Test
 	public void entriesThatKnowNobodyAfterTheirStartAssumeOthers() {
-		assertThat(PermitCoordination.share(List.of(), List.of(), 9)).isEqualTo(1.0 / 9);
+		assertThat(PermitCoordination.share(List.of(), List.of(), 500, 9)).isEqualTo(1.0 / 9);
 	}
 
 }
