--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -22,6 +22,12 @@
 	STORE_ERA_UNREADABLE(RateLimit.RARE),
 	/** A record of the store is malformed. */
 	RECORD_UNREADABLE(RateLimit.SOME),
+	/** Another entry did not answer. */
+	EXCHANGE_FAILED(RateLimit.SOME),
+	/** The content of a large record was received from another entry. */
+	CONTENT(RateLimit.SOME),
+	/** A part of the content of a large record was not received, or it is corrupt. */
+	CONTENT_FAILED(RateLimit.SOME),
 	/** A new version of the configuration is in force. */
 	CONFIGURATION(RateLimit.MANY),
 	/** An availability zone was evacuated or restored. */
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -1,19 +1,17 @@
 package org.wigeontally.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-import com.google.protobuf.ByteString;
-
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.StoreReadPlan;
+import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.rpc.ConsecutiveFailures;
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.schema.generated.Address;
@@ -21,7 +19,6 @@
 import org.wigeontally.schema.generated.FleetGrpcClient;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.RecordUpdate;
-import org.wigeontally.schema.generated.StoreRecord;
 import org.wigeontally.schema.generated.SuspectSummary;
 import org.wigeontally.schema.generated.VersionAge;
 import org.wigeontally.settings.Addresses;
@@ -62,6 +59,8 @@
 
 	private final PeerClient client;
 
+	private final ContentExchange contents;
+
 	private final ConsecutiveFailures failures = ConsecutiveFailures.create(MAX_CONSECUTIVE_FAILURES);
 
 	private final Map<String, Boolean> pendingExchanges = new HashMap<>();
@@ -80,6 +79,28 @@
 		this.table = table;
 		this.incarnation = incarnation;
 		this.client = PeerClient.create(context.vertx(), "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
+		this.contents = new ContentExchange(context, table, this::applyReceivedRecord, this::exchangeWithRegion);
+	}
+
+	ContentExchange contents() {
+		return this.contents;
+	}
+
+	/**
+	 * Returns what the other entries of the region know of the operators' records.
+	 * @return their knowledge
+	 */
+	RegionSupply operatorSupply() {
+		return new EntryRegionSupply(this, this.table, this.context, EntryNews::getOperatorEnd, true);
+	}
+
+	/**
+	 * Returns what the other entries of the region know of the backend servers'
+	 * registrations, which are small.
+	 * @return their knowledge
+	 */
+	RegionSupply backendSupply() {
+		return new EntryRegionSupply(this, this.table, this.context, EntryNews::getBackendEnd, false);
 	}
 
 	void setFollowers(StoreFollower operator, StoreFollower backend) {
@@ -99,6 +120,15 @@
 		return StoreReadPlan.reader(ownNews().build(), this.table.liveEntries(this.context.nowMs()));
 	}
 
+	/**
+	 * Returns the place of this entry in the order in which the entries of its region
+	 * read the store.
+	 * @return 0 for the reader
+	 */
+	int readRank() {
+		return StoreReadPlan.rank(ownNews().build(), this.table.liveEntries(this.context.nowMs()));
+	}
+
 	/**
 	 * Exchanges with the entry that reads the store for this region, and with the entries
 	 * that sent no message lately.
@@ -127,7 +157,7 @@
 
 	/**
 	 * Exchanges with the entries of this region at once, because there are new records of
-	 * operators. Other regions have their own reader.
+	 * operators or such are being received. Other regions have their own reader.
 	 */
 	void exchangeWithRegion() {
 		String region = this.context.settings().getRegion();
@@ -163,6 +193,9 @@
 					fetchIfBehind(result.result());
 				}
 				else {
+					this.context.log()
+						.write(LogEvent.EXCHANGE_FAILED, "entry", key, "wants-records", wantsRecords, "reason",
+								result.cause().getMessage());
 					this.table.recordFailure(entry, this.context.nowMs());
 				}
 			});
@@ -252,11 +285,12 @@
 	private void addRecords(EntryNews.Builder news, EntryNews peerNews) {
 		FleetState fleet = this.context.fleet();
 		if (peerNews.getOperatorEnd() < fleet.operatorRecords().endPosition()) {
-			news.setOperatorUpdate(recordUpdateSince(fleet.operatorRecords(), peerNews.getOperatorEnd()));
+			news.setOperatorUpdate(
+					recordUpdateSince(fleet.operatorRecords(), peerNews.getOperatorEnd(), peerNews.getReadsContent()));
 		}
 		addNewestConfiguration(news, peerNews);
 		if (peerNews.getBackendEnd() < fleet.backendRecords().endPosition()) {
-			news.setBackendUpdate(recordUpdateSince(fleet.backendRecords(), peerNews.getBackendEnd()));
+			news.setBackendUpdate(recordUpdateSince(fleet.backendRecords(), peerNews.getBackendEnd(), false));
 		}
 	}
 
@@ -281,7 +315,9 @@
 			.setConfigurationVersion(fleet.configurationVersion())
 			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
 			.setOperatorAgeMs(Math.max(0, this.operatorFollower.ageMs()))
-			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()));
+			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()))
+			.setReadsContent(true)
+			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
 	}
 
 	// A process that started after the store was restored reads the copy's configuration.
@@ -290,30 +326,16 @@
 		CompactedTopic.TopicRecord newest = this.context.fleet().configurationRecord();
 		if (newest != null && peerNews.getConfigurationVersion() < news.getConfigurationVersion()
 				&& newest.position() < peerNews.getOperatorEnd()) {
-			news.setNewestConfiguration(toStoreRecord(newest));
+			news.setNewestConfiguration(this.contents.encode(newest, peerNews.getReadsContent()));
 		}
 	}
 
-	private static StoreRecord toStoreRecord(CompactedTopic.TopicRecord topicRecord) {
-		return StoreRecord.newBuilder()
-			.setKey(topicRecord.key())
-			.setPosition(topicRecord.position())
-			.setRemoved(topicRecord.removed())
-			.setValue(ByteString.copyFrom(topicRecord.value()))
-			.build();
-	}
-
-	private static CompactedTopic.TopicRecord toTopicRecord(StoreRecord record) {
-		return new CompactedTopic.TopicRecord(record.getKey(), record.getPosition(), record.getValue().toByteArray(),
-				record.getRemoved());
-	}
-
-	private static RecordUpdate recordUpdateSince(CompactedTopic records, long peerEnd) {
+	private RecordUpdate recordUpdateSince(CompactedTopic records, long peerEnd, boolean byReference) {
 		RecordUpdate.Builder update = RecordUpdate.newBuilder()
 			.setFrom((peerEnd < records.tombstoneStart()) ? 0 : peerEnd)
 			.setEnd(records.endPosition());
 		for (CompactedTopic.TopicRecord topicRecord : records.recordsSince(peerEnd)) {
-			update.addRecords(toStoreRecord(topicRecord));
+			update.addRecords(this.contents.encode(topicRecord, byReference));
 		}
 		return update.build();
 	}
@@ -335,7 +357,8 @@
 					sinceMs);
 		}
 		if (peerNews.hasNewestConfiguration()) {
-			fleet.applyConfigurationRecord(toTopicRecord(peerNews.getNewestConfiguration()), source);
+			this.contents.decode(List.of(peerNews.getNewestConfiguration()), (key) -> fleet.configurationRecord())
+				.forEach((topicRecord) -> fleet.applyConfigurationRecord(topicRecord, source));
 		}
 		if (peerNews.hasBackendUpdate()) {
 			// Registrations may lapse while the store is away; the reader knows that it
@@ -358,13 +381,26 @@
 		fleet.setEntryCount(this.table.liveEntries(this.context.nowMs()).size() + 1);
 	}
 
-	private static List<String> applyRecordUpdate(CompactedTopic records, RecordUpdate update) {
-		List<CompactedTopic.TopicRecord> topicRecords = new ArrayList<>();
-		for (StoreRecord record : update.getRecordsList()) {
-			topicRecords.add(toTopicRecord(record));
+	// Small records take effect at once. The topic is complete only when the content of
+	// the large ones has arrived too.
+	private List<String> applyRecordUpdate(CompactedTopic records, RecordUpdate update) {
+		List<CompactedTopic.TopicRecord> topicRecords = this.contents.decode(update.getRecordsList(), records::record);
+		if (topicRecords.size() < update.getRecordsCount()) {
+			return records.applySingleRecords(topicRecords);
 		}
 		return (update.getFrom() == 0) ? records.applySnapshot(topicRecords, update.getEnd())
 				: records.applyUpdate(update.getFrom(), topicRecords, update.getEnd());
 	}
 
+	private void applyReceivedRecord(CompactedTopic.TopicRecord topicRecord) {
+		FleetState fleet = this.context.fleet();
+		String source = "entries";
+		fleet.applyOperatorRecords(fleet.operatorRecords().applySingleRecords(List.of(topicRecord)), source,
+				this.context.nowMs() - INTERVAL_MS);
+		if (ConfigurationDecoder.isConfigurationKey(topicRecord.key())) {
+			fleet.applyConfigurationRecord(topicRecord, source);
+		}
+		exchange(storeReader(), true);
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -239,8 +239,8 @@
 		this.configuration = newest;
 		this.configurationRecord = topicRecord;
 		this.backends.values().forEach(this::applyLimits);
-		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "position",
-				StorePosition.format(topicRecord.position()), "source", source);
+		this.log.write(LogEvent.CONFIGURATION, "version", newest.version(), "bytes", topicRecord.value().length,
+				"position", StorePosition.format(topicRecord.position()), "source", source);
 	}
 
 	// A version in the first snapshot may have been announced at any earlier time. It
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -34,6 +34,8 @@
 import org.wigeontally.rpc.PeerServerOptions;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.schema.generated.ContentPart;
+import org.wigeontally.schema.generated.ContentRequest;
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.FleetGrpcService;
@@ -162,13 +164,13 @@
 		this.harmfulPartStore = new HarmfulPartStore(this.context, clock, this.store);
 		this.context.harmfulParts().onHarmfulPartsFound(this::keepHarmfulParts);
 		this.operatorFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.OPERATOR,
-				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS, this.exchange::isStoreReader,
+				fleet.operatorRecords(), OPERATOR_READ_PAUSE_MS, this.exchange.operatorSupply(),
 				new StoreFollower.RestoreBehaviour(OPERATOR_RESTORE_GRACE_MS, new OperatorRestorePolicy(log),
 						this::writeOwnRecords),
 				this::operatorRecordsChanged, () -> {
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
-				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange::isStoreReader,
+				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
 				new StoreFollower.RestoreBehaviour(LAPSE_GRACE_MS, new BackendRestorePolicy(log),
 						() -> fleet.startLapseGrace(LAPSE_GRACE_MS)),
 				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source),
@@ -403,6 +405,11 @@
 			return onEventLoop(() -> GatewayDaemon.this.exchange.handleNews(request));
 		}
 
+		@Override
+		public Future<ContentPart> readContent(ContentRequest request) {
+			return onEventLoop(() -> GatewayDaemon.this.exchange.contents().handle(request));
+		}
+
 		@Override
 		public Future<PermitReply> acquirePermits(PermitRequest request) {
 			return onEventLoop(() -> GatewayDaemon.this.permitServer.handle(request));
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -1,7 +1,6 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 
@@ -47,6 +46,12 @@
 
 	private static final long MAX_RETRY_DELAY_MS = 600;
 
+	/** Bytes of a response from which on the entries of the region wait for it. */
+	private static final int LARGE_RESPONSE_BYTES = 16 * 1024;
+
+	/** Time without further bytes after which they no longer wait. */
+	private static final long MAX_RECEIVE_PAUSE_MS = 600;
+
 	private final Vertx vertx;
 
 	private final Clock clock;
@@ -61,7 +66,7 @@
 
 	private final long readPauseMs;
 
-	private final BooleanSupplier isReader;
+	private final RegionSupply region;
 
 	private final RestoreBehaviour restore;
 
@@ -71,6 +76,9 @@
 
 	private boolean snapshotNeeded = true;
 
+	// Until the store's first answer.
+	private boolean starting = true;
+
 	private int failures;
 
 	private long lastResponseAtMs;
@@ -94,8 +102,14 @@
 
 	private boolean stopped;
 
+	private final long startedAtMs;
+
+	private int announcedBytes;
+
+	private long lastReceivedAtMs;
+
 	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, CompactedTopic records,
-			long readPauseMs, BooleanSupplier isReader, RestoreBehaviour restore, RecordsListener listener,
+			long readPauseMs, RegionSupply region, RestoreBehaviour restore, RecordsListener listener,
 			Runnable storeRegained) {
 		this.vertx = vertx;
 		this.clock = clock;
@@ -104,11 +118,13 @@
 		this.topic = topic;
 		this.records = records;
 		this.readPauseMs = readPauseMs;
-		this.isReader = isReader;
+		this.region = region;
 		this.restore = restore;
 		this.listener = listener;
 		this.storeRegained = storeRegained;
-		this.lastResponseAtMs = clock.monotonicMs();
+		this.startedAtMs = clock.monotonicMs();
+		this.lastReceivedAtMs = this.startedAtMs - MAX_RECEIVE_PAUSE_MS;
+		this.lastResponseAtMs = this.startedAtMs;
 		this.lastFailedCallAtMs = this.lastResponseAtMs;
 		this.knownAsOfMs = this.lastResponseAtMs;
 	}
@@ -142,34 +158,70 @@
 		return this.failures == 0;
 	}
 
+	/**
+	 * Returns whether a large response of the store is arriving.
+	 * @return true if some of it arrived lately
+	 */
+	boolean isReceiving() {
+		return this.announcedBytes > 0 && this.clock.monotonicMs() - this.lastReceivedAtMs < MAX_RECEIVE_PAUSE_MS;
+	}
+
 	private void readNext() {
 		if (this.stopped) {
 			return;
 		}
-		// Another entry may have sent a snapshot meanwhile.
-		if (this.snapshotNeeded && this.failures > 0 && this.records.endPosition() > 0) {
+		// Another entry may have sent all records meanwhile.
+		if (this.snapshotNeeded && this.records.endPosition() > 0 && (this.failures > 0 || this.starting)) {
 			this.snapshotNeeded = false;
 		}
 		boolean snapshotDue = this.snapshotNeeded || isSettlementDue();
-		boolean reader = this.isReader.getAsBoolean();
-		long delayMs = snapshotDue ? 0 : StoreReadPlan.readDelayMs(reader, ageMs());
+		int rank = this.region.rank();
+		long delayMs = snapshotDue ? snapshotDelayMs(rank)
+				: StoreReadPlan.readDelayMs(rank, ageMs(), this.region.isReceiving());
 		if (delayMs > 0) {
 			this.polling = false;
 			scheduleNextRead(Math.max(MIN_CHECK_DELAY_MS, delayMs));
 			return;
 		}
 		this.callStartedAtMs = this.clock.monotonicMs();
+		this.announcedBytes = 0;
 		if (snapshotDue) {
-			this.store.readSnapshot(this.topic).onSuccess(this::applySnapshot).onFailure(this::recordFailure);
+			this.store.readSnapshot(this.topic, this::recordProgress)
+				.onSuccess(this::applySnapshot)
+				.onFailure(this::recordFailure);
 			return;
 		}
 		long start = this.records.endPosition();
-		long waitMs = reader ? POLL_WAIT_MS : 0;
-		this.store.read(this.topic, start, waitMs)
+		long waitMs = (rank == 0) ? POLL_WAIT_MS : 0;
+		this.store.read(this.topic, start, waitMs, this::recordProgress)
 			.onSuccess((page) -> applyUpdate(start, page, waitMs))
 			.onFailure(this::recordFailure);
 	}
 
+	// Only at the start others may have what the snapshot holds. Later, it is needed
+	// because the store dropped records or was restored.
+	private long snapshotDelayMs(int rank) {
+		if (!this.starting) {
+			return 0;
+		}
+		long waitedMs = this.clock.monotonicMs() - this.startedAtMs;
+		return StoreReadPlan.firstReadDelayMs(rank, waitedMs, this.region.hasRecords() || this.region.isReceiving());
+	}
+
+	// Returns false if an entry that comes before this one receives the same.
+	private boolean recordProgress(int receivedBytes) {
+		if (receivedBytes < LARGE_RESPONSE_BYTES) {
+			return true;
+		}
+		this.lastReceivedAtMs = this.clock.monotonicMs();
+		boolean first = this.announcedBytes == 0;
+		this.announcedBytes = receivedBytes;
+		if (first) {
+			this.region.announceReceiving();
+		}
+		return !this.region.isReceivedByEarlierEntry();
+	}
+
 	// The restore may also be known from another entry, before this follower read
 	// anything of the new era.
 	private boolean isSettlementDue() {
@@ -226,6 +278,7 @@
 		if (this.records.isOfLaterEra(page.endPosition())) {
 			// The offset of the request was one of the earlier era.
 			this.snapshotNeeded = true;
+			this.starting = false;
 			this.failures = 0;
 			scheduleNextRead(0);
 			return;
@@ -251,6 +304,8 @@
 	}
 
 	private void recordSuccess(long asOfMs) {
+		this.announcedBytes = 0;
+		this.starting = false;
 		if (this.failures > 1) {
 			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms",
 					this.clock.monotonicMs() - this.lastResponseAtMs);
@@ -264,12 +319,19 @@
 	}
 
 	private void recordFailure(Throwable failure) {
+		this.announcedBytes = 0;
 		if (failure instanceof PlatformException platform && platform.areRecordsGone()) {
 			this.snapshotNeeded = true;
+			this.starting = false;
 			this.failures = 0;
 			scheduleNextRead(0);
 			return;
 		}
+		if (failure instanceof PlatformException platform && platform.isGivenUp()) {
+			this.polling = false;
+			scheduleNextRead(RETRY_DELAY_MS);
+			return;
+		}
 		this.failures++;
 		this.polling = false;
 		this.lastFailedCallAtMs = this.callStartedAtMs;
--- a/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
+++ b/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.Http2Settings;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.net.SocketAddress;
@@ -22,6 +23,12 @@
  */
 public final class PeerClient {
 
+	/**
+	 * Bytes of responses that a peer may send before the first ones are processed. Larger
+	 * than a response, so that none waits for the receiver within it.
+	 */
+	private static final int WINDOW_BYTES = 512 * 1024;
+
 	private final GrpcClient client;
 
 	private final long timeoutMs;
@@ -42,6 +49,8 @@
 	public static PeerClient create(Vertx vertx, String metricsName, long timeoutMs, long messageLimitBytes) {
 		HttpClientOptions options = new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2)
 			.setHttp2ClearTextUpgrade(false)
+			.setHttp2ConnectionWindowSize(WINDOW_BYTES)
+			.setInitialSettings(new Http2Settings().setInitialWindowSize(WINDOW_BYTES))
 			.setConnectTimeout((int) timeoutMs)
 			.setMetricsName(metricsName);
 		GrpcClientOptions limits = new GrpcClientOptions().setMaxMessageSize(messageLimitBytes);
--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -111,7 +111,12 @@
 	/** A record of the log cannot be read. */
 	BAD_RECORD(402, Severity.WARNING, "the record at offset %s cannot be read"),
 	/** Records were dropped before they were read and no checkpoint covers them. */
-	LOG_GAP(403, Severity.ERROR, "records from offset %s are gone and no checkpoint covers them");
+	LOG_GAP(403, Severity.ERROR, "records from offset %s are gone and no checkpoint covers them"),
+	/**
+	 * The content of a large record that another entry sent is not the one that was
+	 * named.
+	 */
+	CORRUPT_CONTENT(404, Severity.WARNING, "content of a large record is corrupt: %s");
 
 	private final int number;
 
--- a/library/src/main/java/org/wigeontally/fleet/CompactedTopic.java
+++ b/library/src/main/java/org/wigeontally/fleet/CompactedTopic.java
@@ -212,6 +212,15 @@
 		return changedKeys;
 	}
 
+	/**
+	 * Applies single records, whatever other records were written before or between them.
+	 * @param update the records
+	 * @return keys whose record changed
+	 */
+	public List<String> applySingleRecords(Collection<TopicRecord> update) {
+		return applyUpdate(0, update, 0);
+	}
+
 	private boolean putIfNewer(TopicRecord record) {
 		TopicRecord known = this.records.get(record.key());
 		if (known != null && known.position() >= record.position()) {
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -37,6 +37,9 @@
 	 */
 	public static final long REMOTE_LIVENESS_TIMEOUT_MS = 5_500;
 
+	/** Time for which an entry counts as receiving something after it said so. */
+	private static final long RECEIVING_LIFETIME_MS = 1_000;
+
 	/** Time for which an entry that is not heard of may still run. */
 	private static final long RECENT_MS = 30_000;
 
@@ -152,6 +155,38 @@
 		return lastMessages((row) -> row.lastMessage != null && nowMs - row.lastMessageMs <= RECENT_MS);
 	}
 
+	/**
+	 * Returns the entries of this region that are receiving a large record.
+	 * @param nowMs current time in milliseconds
+	 * @return last message of each entry that said so lately
+	 */
+	public List<EntryNews> receivingNearby(long nowMs) {
+		return lastMessages((row) -> isNear(row) && row.lastMessage.getReceiving()
+				&& nowMs - row.lastMessageMs <= RECEIVING_LIFETIME_MS);
+	}
+
+	/**
+	 * Returns the live entries of this region.
+	 * @param nowMs current time in milliseconds
+	 * @return last message of each entry
+	 */
+	public List<EntryNews> nearEntries(long nowMs) {
+		return lastMessages((row) -> isNear(row) && isLive(row, nowMs));
+	}
+
+	/**
+	 * Returns the live entries of other regions.
+	 * @param nowMs current time in milliseconds
+	 * @return last message of each entry
+	 */
+	public List<EntryNews> remoteEntries(long nowMs) {
+		return lastMessages((row) -> isRemote(row) && isLive(row, nowMs));
+	}
+
+	private boolean isNear(Row row) {
+		return row.lastMessage != null && !isRemote(row);
+	}
+
 	private List<EntryNews> lastMessages(Predicate<Row> condition) {
 		return this.rows.values().stream().filter(condition).map((row) -> row.lastMessage).toList();
 	}
--- a/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
@@ -26,6 +26,12 @@
  * reads the store itself, whoever the reader is. A reader that dies, freezes, is cut off,
  * or is turned away by the store therefore delays changes by no more than this time,
  * without being recognised as such first.
+ *
+ * <p>
+ * A record can be larger than what the link between two regions carries in that time. If
+ * all entries of a region then read it for themselves, they divide the link among them
+ * and none gets it. So the entries of a region begin one after the other, in the order in
+ * which they would be readers, and wait while one of them receives something.
  */
 public final class StoreReadPlan {
 
@@ -36,6 +42,25 @@
 	 */
 	public static final long MAX_AGE_MS = 1_400;
 
+	/**
+	 * Time between the entries of a region that begin to read the same. The first one has
+	 * announced by then that it receives something.
+	 */
+	static final long STAGGER_MS = 100;
+
+	/**
+	 * Number of entries of a region that begin one after the other; the others follow.
+	 */
+	private static final int MAX_STAGGERED = 3;
+
+	/** Interval at which an entry that waits for another one looks again. */
+	static final long SUPPLY_CHECK_MS = 100;
+
+	/**
+	 * Time after the start in which an entry hears from others that have the records.
+	 */
+	static final long FIRST_CONTACT_MS = 250;
+
 	private StoreReadPlan() {
 	}
 
@@ -48,30 +73,84 @@
 	public static Address reader(EntryNews own, List<EntryNews> others) {
 		EntryNews reader = own;
 		for (EntryNews entry : others) {
-			boolean candidate = entry.getRegion().equals(own.getRegion()) && canRead(entry);
-			if (candidate && (!canRead(reader) || rank(entry) < rank(reader))) {
+			if (isInRegionOf(own, entry) && isBefore(entry, reader)) {
 				reader = entry;
 			}
 		}
 		return reader.getControl();
 	}
 
+	/**
+	 * Returns the place of an entry in the order of the entries of its region.
+	 * @param own state of this entry
+	 * @param others last messages of the live entries
+	 * @return 0 for the reader
+	 */
+	public static int rank(EntryNews own, List<EntryNews> others) {
+		return (int) others.stream().filter((entry) -> isInRegionOf(own, entry) && isBefore(entry, own)).count();
+	}
+
+	private static boolean isInRegionOf(EntryNews own, EntryNews entry) {
+		return entry.getRegion().equals(own.getRegion());
+	}
+
+	private static boolean isBefore(EntryNews entry, EntryNews other) {
+		if (canRead(entry) != canRead(other)) {
+			return canRead(entry);
+		}
+		return hash(entry) < hash(other);
+	}
+
 	private static boolean canRead(EntryNews entry) {
 		return entry.getReady() && entry.getStoreReachable();
 	}
 
-	private static long rank(EntryNews entry) {
+	private static long hash(EntryNews entry) {
 		return RendezvousHash.of(Addresses.format(entry.getControl()));
 	}
 
 	/**
-	 * Returns the time until an entry reads a topic.
-	 * @param isReader true if this entry reads for its region
+	 * Returns the time until an entry reads the records that were added to a topic.
+	 * @param rank place of the entry in its region
 	 * @param ageMs age of its knowledge of the topic in milliseconds
+	 * @param supplied true if this entry or another one of the region is receiving a
+	 * large record
 	 * @return milliseconds; 0 to read now
 	 */
-	public static long readDelayMs(boolean isReader, long ageMs) {
-		return isReader ? 0 : Math.max(0, MAX_AGE_MS - ageMs);
+	public static long readDelayMs(int rank, long ageMs, boolean supplied) {
+		if (rank == 0) {
+			return 0;
+		}
+		long delayMs = MAX_AGE_MS + staggerMs(rank - 1) - ageMs;
+		return Math.max(delayMs, supplied ? SUPPLY_CHECK_MS : 0);
+	}
+
+	/**
+	 * Returns the time until an entry reads all records of a topic after its start.
+	 * @param rank place of the entry in its region
+	 * @param waitedMs time since the start in milliseconds
+	 * @param supplied true if another entry of the region has the records or is receiving
+	 * them
+	 * @return milliseconds; 0 to read now
+	 */
+	public static long firstReadDelayMs(int rank, long waitedMs, boolean supplied) {
+		long delayMs = FIRST_CONTACT_MS + staggerMs(rank) - waitedMs;
+		return Math.max(delayMs, supplied ? SUPPLY_CHECK_MS : 0);
+	}
+
+	/**
+	 * Returns whether an entry may read a large record from an entry of another region.
+	 * @param rank place of the entry in its region
+	 * @param waitedMs time for which the entry has known of the record, milliseconds
+	 * @param supplied true if another entry of the region is receiving a large record
+	 * @return true if it may
+	 */
+	public static boolean mayReadFromOtherRegion(int rank, long waitedMs, boolean supplied) {
+		return !supplied && waitedMs >= staggerMs(rank);
+	}
+
+	private static long staggerMs(int entriesBefore) {
+		return STAGGER_MS * Math.min(MAX_STAGGERED, entriesBefore);
 	}
 
 }
