--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -27,6 +27,12 @@
 	/** Retry delay for callers while the entry has no configuration. */
 	private static final double NO_CONFIGURATION_RETRY_AFTER_S = 0.3;
 
+	/** Other entries can serve the caller at once. */
+	private static final double OUTDATED_RETRY_AFTER_S = 0.05;
+
+	/** Time within which a newer configuration usually arrives. */
+	private static final double BEHIND_RETRY_AFTER_S = 0.3;
+
 	/**
 	 * Retry delay for callers that a shutting-down entry refuses; they can use another
 	 * entry immediately.
@@ -146,14 +152,18 @@
 			refuse(request, LocalResponse.notRun("leaving", DRAINING_RETRY_AFTER_S));
 			return;
 		}
+		if (this.context.isConfigurationOutdated()) {
+			refuse(request, LocalResponse.notRun("configuration-outdated", OUTDATED_RETRY_AFTER_S));
+			return;
+		}
 		Optional<Route> route = configuration.route(host(request), request.path());
 		if (route.isEmpty()) {
-			refuse(request, LocalResponse.rejected(404, "no-route"));
+			refuseUnknown(request, LocalResponse.rejected(404, "no-route"));
 			return;
 		}
 		Optional<Organisation> organisation = configuration.organisation(request.getHeader(WireNames.API_KEY));
 		if (configuration.requiresKeys() && !route.get().keyExempt() && organisation.isEmpty()) {
-			refuse(request, LocalResponse.rejected(401, "unknown-key"));
+			refuseUnknown(request, LocalResponse.rejected(401, "unknown-key"));
 			return;
 		}
 		String id = request.getHeader(WireNames.ATTEMPT_ID);
@@ -207,6 +217,12 @@
 		this.context.vertx().setTimer(LINGER_MS, (id) -> request.connection().close());
 	}
 
+	// A newer configuration may have the route or the key.
+	private void refuseUnknown(HttpServerRequest request, LocalResponse refusal) {
+		boolean behind = this.context.isConfigurationBehind();
+		refuse(request, behind ? LocalResponse.notRun("configuration-outdated", BEHIND_RETRY_AFTER_S) : refusal);
+	}
+
 	private void refuse(HttpServerRequest request, LocalResponse refusal) {
 		FleetConfiguration configuration = this.context.fleet().configuration();
 		this.context.log()
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -378,7 +378,9 @@
 		if (peerNews.hasSuspectParts()) {
 			this.context.harmfulParts().merge(peerNews.getSuspectParts(), source);
 		}
-		fleet.setEntryCount(this.table.liveEntries(this.context.nowMs()).size() + 1);
+		List<EntryNews> others = this.table.liveEntries(nowMs);
+		fleet.setEntryCount(others.size() + 1);
+		this.context.updateConfigurationLag(others);
 	}
 
 	// Small records take effect at once. The topic is complete only when the content of
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -1,12 +1,14 @@
 package org.wigeontally.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
 
 import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.fleet.ConfigurationLag;
 import org.wigeontally.fleet.EnginePlacement;
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.LeastLoadedPlacement;
@@ -15,6 +17,7 @@
 import org.wigeontally.harmful.HarmfulRequestTracker;
 import org.wigeontally.limits.RejectedRequests;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
 
@@ -58,6 +61,8 @@
 	private Runnable urgentNews = () -> {
 	};
 
+	private final ConfigurationLag configurationLag;
+
 	private int inFlight;
 
 	private boolean draining;
@@ -74,6 +79,7 @@
 		this.limits = new BackendLimits(fleet, clock, log);
 		this.metrics = metrics;
 		this.harmfulRequests = HarmfulRequestTracker.create(clock);
+		this.configurationLag = ConfigurationLag.create(settings.getBounds().getConfigurationMs());
 		this.harmfulParts = new HarmfulPartGuard(this, HarmfulPartTracker.create(clock));
 	}
 
@@ -201,10 +207,27 @@
 
 	/**
 	 * Returns whether this entry takes callers.
-	 * @return true if it has a configuration and is not shutting down
+	 * @return true if it has a configuration, which is not outdated, and is not shutting
+	 * down
 	 */
 	boolean isReady() {
-		return !this.draining && this.fleet.configuration() != null;
+		return !this.draining && this.fleet.configuration() != null && !isConfigurationOutdated();
+	}
+
+	/**
+	 * Compares the configuration in force with those of the other entries.
+	 * @param others last messages of the live entries
+	 */
+	void updateConfigurationLag(List<EntryNews> others) {
+		this.configurationLag.update(this.fleet.configurationVersion(), this.settings.getRegion(), others, nowMs());
+	}
+
+	boolean isConfigurationBehind() {
+		return this.configurationLag.isBehind();
+	}
+
+	boolean isConfigurationOutdated() {
+		return this.configurationLag.isOutdated(nowMs());
 	}
 
 	boolean acceptsRequests() {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -317,7 +317,9 @@
 		fleet.removeLapsedBackends();
 		fleet.backends().forEach((backend) -> backend.pool().closeExpired());
 		this.callerHandler.closeIdle();
-		int knownEntries = this.entries.liveEntries(this.context.nowMs()).size() + 1;
+		List<EntryNews> others = this.entries.liveEntries(this.context.nowMs());
+		this.context.updateConfigurationLag(others);
+		int knownEntries = others.size() + 1;
 		fleet.setEntryCount(knownEntries);
 		fleet.setOtherEntries(this.entries.recentEntries(this.context.nowMs()));
 		this.context.metrics().setState(fleet.configurationVersion(), this.context.inFlight(), knownEntries);
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -205,7 +205,7 @@
 			return 0;
 		}
 		long waitedMs = this.clock.monotonicMs() - this.startedAtMs;
-		return StoreReadPlan.firstReadDelayMs(rank, waitedMs, this.region.hasRecords() || this.region.isReceiving());
+		return StoreReadPlan.firstReadDelayMs(rank, waitedMs, this.region.hasRecords(), this.region.isReceiving());
 	}
 
 	// Returns false if an entry that comes before this one receives the same.
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
@@ -115,6 +115,7 @@
 				  version_ms: 8000
 				  directory_ttl_s: 5
 				  relay_ms: 120
+				  configuration_ms: 2000
 				""".formatted(this.name, Addresses.format(this.front), Addresses.format(this.ready),
 				Addresses.format(this.control), Addresses.format(this.directoryAddress), this.internalPort,
 				this.metricsPort, String.join(", ", addresses), this.store.port());
--- a/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
@@ -61,6 +61,12 @@
 	 */
 	static final long FIRST_CONTACT_MS = 250;
 
+	/**
+	 * Time after the start within which the entries that have the records send them, or
+	 * begin to.
+	 */
+	static final long FIRST_SUPPLY_MS = 1_500;
+
 	private StoreReadPlan() {
 	}
 
@@ -129,12 +135,13 @@
 	 * Returns the time until an entry reads all records of a topic after its start.
 	 * @param rank place of the entry in its region
 	 * @param waitedMs time since the start in milliseconds
-	 * @param supplied true if another entry of the region has the records or is receiving
-	 * them
+	 * @param offered true if another entry of the region has the records
+	 * @param supplied true if this entry or another one of the region is receiving a
+	 * large record
 	 * @return milliseconds; 0 to read now
 	 */
-	public static long firstReadDelayMs(int rank, long waitedMs, boolean supplied) {
-		long delayMs = FIRST_CONTACT_MS + staggerMs(rank) - waitedMs;
+	public static long firstReadDelayMs(int rank, long waitedMs, boolean offered, boolean supplied) {
+		long delayMs = (offered ? FIRST_SUPPLY_MS : FIRST_CONTACT_MS) + staggerMs(rank) - waitedMs;
 		return Math.max(delayMs, supplied ? SUPPLY_CHECK_MS : 0);
 	}
 
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/fleet/ConfigurationLagTests.java
@@ -0,0 +1,62 @@
+package org.wigeontally.fleet;
+
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.schema.generated.EntryNews;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Entries of a region of which some miss a change of the configuration. */
+public class ConfigurationLagTests {
+
+	private static final long DUE_MS = 3_000;
+
+	private static final long MAX_LAG_MS = DUE_MS - ConfigurationLag.NEWS_DELAY_MS;
+
+	private ConfigurationLag lag;
+
+	@BeforeMethod
+	public void create() {
+		this.lag = ConfigurationLag.create(DUE_MS);
+	}
+
+	private static EntryNews entry(String region, long version, boolean ready) {
+		return EntryNews.newBuilder().setRegion(region).setConfigurationVersion(version).setReady(ready).build();
+	}
+
+	@Test
+	public void entryThatMissedAChangeLeavesItsCallersToOthersBeforeTheChangeIsDue() {
+		List<EntryNews> others = List.of(entry("a", 2, true), entry("a", 1, true));
+		this.lag.update(1, "a", others, 0);
+		assertThat(this.lag.isBehind()).isTrue();
+		assertThat(this.lag.isOutdated(MAX_LAG_MS - 1)).isFalse();
+		// A still newer one does not give it more time.
+		this.lag.update(1, "a", List.of(entry("a", 3, true)), MAX_LAG_MS - 1);
+		assertThat(this.lag.isOutdated(MAX_LAG_MS)).isTrue();
+		this.lag.update(3, "a", List.of(entry("a", 3, true)), MAX_LAG_MS + 1);
+		assertThat(this.lag.isBehind()).isFalse();
+		assertThat(this.lag.isOutdated(MAX_LAG_MS + 1)).isFalse();
+	}
+
+	/** The whole region misses the change, or only a leaving entry has it. */
+	@Test
+	public void entryServesOnIfNoOtherOfItsRegionHasTheChange() {
+		for (EntryNews other : List.of(entry("b", 2, true), entry("a", 2, false))) {
+			this.lag = ConfigurationLag.create(DUE_MS);
+			this.lag.update(1, "a", List.of(other), 0);
+			assertThat(this.lag.isOutdated(60_000)).isFalse();
+			assertThat(this.lag.isBehind()).isTrue();
+		}
+	}
+
+	@Test
+	public void deploymentWithoutABoundNeverStopsAnEntry() {
+		this.lag = ConfigurationLag.create(0);
+		this.lag.update(1, "a", List.of(entry("a", 2, true)), 0);
+		assertThat(this.lag.isOutdated(1_000_000_000)).isFalse();
+	}
+
+}
--- a/testsuite/src/test/java/org/wigeontally/fleet/StoreReadPlanTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/StoreReadPlanTests.java
@@ -96,6 +96,18 @@
 		assertThat(StoreReadPlan.mayReadFromOtherRegion(0, 10_000, true)).isFalse();
 	}
 
+	/**
+	 * The others have the records but their messages do not get through. The test fails
+	 * if an entry waits for them without end.
+	 */
+	@Test
+	public void startingEntryReadsTheStoreIfNobodySendsTheRecords() {
+		assertThat(StoreReadPlan.firstReadDelayMs(5, 0, true, false)).isPositive();
+		assertThat(StoreReadPlan.firstReadDelayMs(5, 1_900, true, false)).isZero();
+		assertThat(StoreReadPlan.firstReadDelayMs(5, 1_900, true, true)).isPositive();
+		assertThat(StoreReadPlan.firstReadDelayMs(0, 250, false, false)).isZero();
+	}
+
 	/** What happens to a reader. */
 	private enum Fault {
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -96,7 +96,8 @@
 				.setColdSlack(5)
 				.setVersionMs(8_000)
 				.setDirectoryTtlS(5)
-				.setRelayMs(120));
+				.setRelayMs(120)
+				.setConfigurationMs(2_000));
 		this.settings.forEach((other) -> builder.addSeeds(other.getControl()));
 		HostSettings entrySettings = builder.build();
 		this.settings.add(entrySettings);
--- a/testsuite/src/test/java/org/wigeontally/tool/UnreadOutputTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/UnreadOutputTests.java
@@ -97,6 +97,7 @@
 				  version_ms: 8000
 				  directory_ttl_s: 5
 				  relay_ms: 120
+				  configuration_ms: 2000
 				""");
 		text.append("front: \"127.0.0.1:").append(front.getPort()).append("\"\n");
 		for (String name : List.of("ready", "control", "directory")) {
