A refusal that names no request counts only on a new connection

Callers were told 503 "not run" for a request that a backend server was running, and where the route allows it such a request was sent to a second one: a faulty backend server had written the refusal of an earlier request once more on a kept connection, without the id. A response without an id was taken for the answer to whatever ran; a success of another request in the same way.

Now such a response is taken only on a connection that has carried nothing else. Otherwise the connection is closed and the request may have run: 502, or sent elsewhere where its route allows that. After a response without an id the connection is not used again, since a second copy could not be told from the next response. Sound backend servers return the id.

StaleRefusalTests before: 503 instead of 502 for 503, 429, 400 and 421, with two arrivals instead of one where two attempts are allowed, and 200 with the body of another request. Guards: refusals that name another request are dropped, one without an id counts on a new connection, and a refused request is not sent to the same backend server again; each was red on a planted fault.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -31,10 +31,12 @@
  * <p>
  * A response is matched to the request by the attempt id that it echoes. A backend server
  * may send a second response to an earlier request before the expected one; such a
- * response is read and dropped. The connection is not reused in the other cases in which
- * it is uncertain where the next response begins: data arrives while no request is open,
- * a response arrives before the request was written, or a response is delimited by the
- * end of the connection. Runs on the event loop.
+ * response is read and dropped. A response without an id is matched only if no other
+ * request can be meant: on a connection that has carried no other one. The connection is
+ * not reused in the cases in which the next response cannot be matched or it is uncertain
+ * where it begins: a response has no id, data arrives while no request is open, a
+ * response arrives before the request was written, or a response is delimited by the end
+ * of the connection. Runs on the event loop.
  */
 final class BackendConnection {
 
@@ -78,6 +80,10 @@
 
 	private boolean reusable = true;
 
+	private boolean used;
+
+	private boolean mayHoldOtherResponses;
+
 	private boolean delimitedByClose;
 
 	private boolean reset;
@@ -114,6 +120,8 @@
 	 * @param whenIdle runs when the connection can carry another request
 	 */
 	void send(BackendRequest backendRequest, BackendResponseHandler handler, Runnable whenIdle) {
+		this.mayHoldOtherResponses = this.used;
+		this.used = true;
 		this.request = backendRequest;
 		this.responseHandler = handler;
 		this.onIdle = whenIdle;
@@ -196,15 +204,20 @@
 		String attemptId = response.headers().get(WireNames.ATTEMPT_ID);
 		this.skippingResponse = attemptId != null && !attemptId.equals(this.request.attemptId());
 		if (this.skippingResponse) {
+			this.mayHoldOtherResponses = true;
 			this.unrelatedResponses++;
 			if (this.unrelatedResponses > MAX_UNRELATED_RESPONSES) {
 				abort("too many responses to other requests");
 			}
 			return;
 		}
+		if (attemptId == null && this.mayHoldOtherResponses) {
+			abort("response names no request, on a connection that may hold others");
+			return;
+		}
 		this.delimitedByClose = !this.isHeadRequest && !HttpUtil.isContentLengthSet(response)
 				&& !HttpUtil.isTransferEncodingChunked(response) && hasBody(response.status());
-		if (!this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
+		if (attemptId == null || !this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
 			this.reusable = false;
 		}
 		readKeepAliveTimeout(response);
