A response that names several requests is the answer to none

Of several ids in a response only the first was read: with the request's own first and another one behind it, a refusal was taken for the answer (503, "not run"), and in the other order the answer was dropped and the request waited for its timeout (504).

Now all ids must be that of the request. If only some are, the connection is closed and the request may have run.

StaleRefusalTests#refusalThatNamesSeveralRequestsProvesNothing before: 503 and 504 instead of 502.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -1,5 +1,7 @@
 package org.wigeontally.gateway;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -201,8 +203,8 @@
 			return;
 		}
 		this.headReceived = true;
-		String attemptId = response.headers().get(WireNames.ATTEMPT_ID);
-		this.skippingResponse = attemptId != null && !attemptId.equals(this.request.attemptId());
+		List<String> attemptIds = response.headers().getAll(WireNames.ATTEMPT_ID);
+		this.skippingResponse = !attemptIds.isEmpty() && !attemptIds.contains(this.request.attemptId());
 		if (this.skippingResponse) {
 			this.mayHoldOtherResponses = true;
 			this.unrelatedResponses++;
@@ -211,13 +213,17 @@
 			}
 			return;
 		}
-		if (attemptId == null && this.mayHoldOtherResponses) {
+		if (!attemptIds.stream().allMatch(this.request.attemptId()::equals)) {
+			abort("response names several requests");
+			return;
+		}
+		if (attemptIds.isEmpty() && this.mayHoldOtherResponses) {
 			abort("response names no request, on a connection that may hold others");
 			return;
 		}
 		this.delimitedByClose = !this.isHeadRequest && !HttpUtil.isContentLengthSet(response)
 				&& !HttpUtil.isTransferEncodingChunked(response) && hasBody(response.status());
-		if (attemptId == null || !this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
+		if (attemptIds.isEmpty() || !this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
 			this.reusable = false;
 		}
 		readKeepAliveTimeout(response);
--- a/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
@@ -130,6 +130,25 @@
 		assertThat(this.fixture.call("once").body()).isEqualTo("own");
 	}
 
+	@DataProvider
+	public Object[][] severalIds() {
+		return new Object[][] { { "other", "own" }, { "own", "other" } };
+	}
+
+	@Test(dataProvider = "severalIds")
+	public void refusalThatNamesSeveralRequestsProvesNothing(String firstId, String secondId) throws Exception {
+		this.first.setBehaviour((arrival, socket) -> socket
+			.write(withoutId(FakeBackend.notRunResponse(arrival, idHeader(firstId) + idHeader(secondId)))));
+		assertThat(this.fixture.call(0, "once", "own", GatewayFixture.API_KEY, "").status()).isEqualTo(502);
+	}
+
+	@Test
+	public void refusalThatNamesItsRequestTwiceCounts() throws Exception {
+		this.first.setBehaviour(
+				(arrival, socket) -> socket.write(FakeBackend.notRunResponse(arrival, idHeader(arrival.attemptId()))));
+		assertThat(this.fixture.call("once").status()).isEqualTo(503);
+	}
+
 	/**
 	 * A backend server gets a request once, so an earlier refusal of the same request
 	 * cannot be the answer to a second sending.
@@ -172,6 +191,10 @@
 		return new FakeBackend.ReceivedRequest("POST", "/", Map.of("x-attempt-id", "other"), "");
 	}
 
+	private static String idHeader(String id) {
+		return "X-Attempt-Id: " + id + "\r\n";
+	}
+
 	private static String withoutId(String response) {
 		return response.replaceFirst("X-Attempt-Id: [^\r]*\r\n", "");
 	}
