Only refusals can say that a request did not run

A response with X-Not-Executed was taken for "not run" whatever its status. Beside a signed success, a 500 or a 504 it contradicts the status: the request was sent to a second backend server, though its route allows it to run once, and callers were told 503.

Now the header counts beside 400, 421, 429 and 503. A success that has it is no valid response: the request may have run. A 500 or 504 is returned like any other.

--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -1,6 +1,7 @@
 package org.wigeontally.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -16,6 +17,9 @@
 
 	private static final int MISDIRECTED = 421;
 
+	/** Statuses of responses that can say that the request did not run. */
+	private static final Set<Integer> REFUSALS = Set.of(400, MISDIRECTED, 429, 503);
+
 	/** Maximum size of a response that is not a stream. */
 	static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -45,13 +49,17 @@
 
 	/**
 	 * Checks that the status and headers are those of a valid response of a backend
-	 * server: a success is signed, and the body has no content encoding.
+	 * server: a success is signed and does not say that the request did not run, and the
+	 * body has no content encoding.
 	 * @return a description of the error, or null if there is none
 	 */
 	String headError() {
 		if (isSuccess() && !this.headers.contains(WireNames.SIGNATURE)) {
 			return "successful response without a signature";
 		}
+		if (isSuccess() && this.headers.contains(WireNames.NOT_RUN)) {
+			return "successful response that says that the request did not run";
+		}
 		String encoding = this.headers.get("Content-Encoding");
 		if (encoding != null && !encoding.equalsIgnoreCase("identity")) {
 			return "response has an unsupported content encoding";
@@ -71,8 +79,14 @@
 		return this.status >= 200 && this.status < 300;
 	}
 
+	/**
+	 * Returns whether the response is a refusal that says that the request did not run.
+	 * Beside any other status the header proves nothing.
+	 * @return true if the request certainly did not run
+	 */
 	boolean isNotRun() {
-		return this.status == MISDIRECTED || this.headers.contains(WireNames.NOT_RUN);
+		return this.status == MISDIRECTED
+				|| (REFUSALS.contains(this.status) && this.headers.contains(WireNames.NOT_RUN));
 	}
 
 	boolean isEventStream() {
--- a/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
@@ -149,6 +149,37 @@
 		assertThat(this.fixture.call("once").status()).isEqualTo(503);
 	}
 
+	/** The two contradict each other: the request may have run. */
+	@Test
+	public void signedSuccessThatSaysNotRunIsNotSentAgain() throws Exception {
+		startSecondBackend();
+		FakeBackend.Behaviour contradict = (arrival, socket) -> socket.write(FakeBackend.response(arrival, "200 OK",
+				FakeBackend.signatureHeader("s") + FakeBackend.NOT_RUN_HEADER, "done"));
+		this.first.setBehaviour(contradict);
+		this.second.setBehaviour(contradict);
+		int arrivals = countArrivals();
+		assertThat(this.fixture.call("once").status()).isEqualTo(502);
+		assertThat(countArrivals()).isEqualTo(arrivals + 1);
+	}
+
+	@DataProvider
+	public Object[][] errorsThatRan() {
+		return new Object[][] { { "500 Internal Server Error", 500 }, { "504 Gateway Timeout", 504 } };
+	}
+
+	/** Only refusals can say that a request did not run. */
+	@Test(dataProvider = "errorsThatRan")
+	public void errorOfARequestThatRanIsNotSentAgain(String status, int code) throws Exception {
+		startSecondBackend();
+		FakeBackend.Behaviour fail = (arrival, socket) -> socket
+			.write(FakeBackend.response(arrival, status, FakeBackend.NOT_RUN_HEADER, "failed"));
+		this.first.setBehaviour(fail);
+		this.second.setBehaviour(fail);
+		int arrivals = countArrivals();
+		assertThat(this.fixture.call("once").status()).isEqualTo(code);
+		assertThat(countArrivals()).isEqualTo(arrivals + 1);
+	}
+
 	/**
 	 * A backend server gets a request once, so an earlier refusal of the same request
 	 * cannot be the answer to a second sending.
