Part of a response is not joined with the next one

A backend server wrote the beginning of a refusal after a complete response. The decoder kept these bytes, the connection looked idle, and the head of the next response became the rest of the refusal, with the id of the next request: its caller was told 503 "not run", though it had run. Only bytes that formed a whole head closed the connection.

Now any byte that arrives while no request is open closes it, and a response with unread bytes behind it ends its use.

StaleRefusalTests#partOfARefusalIsNotJoinedWithTheNextResponse before: 503 instead of 200, with the bytes in the same segment and 50 ms later.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -62,6 +63,8 @@
 
 	private final NetSocketInternal socket;
 
+	private final ResponseDecoder decoder = new ResponseDecoder();
+
 	private final Clock clock;
 
 	private final Runnable onClosed;
@@ -109,7 +112,7 @@
 		this.idleSinceMs = clock.monotonicMs();
 		ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
 		pipeline.addBefore("handler", "request-encoder", new HttpRequestEncoder());
-		pipeline.addBefore("handler", "answer-decoder", new ResponseDecoder());
+		pipeline.addBefore("handler", "answer-decoder", this.decoder);
 		this.socket.messageHandler(this::handleMessage);
 		this.socket.exceptionHandler((failure) -> this.reset = true);
 		this.socket.closeHandler((v) -> handleClosed());
@@ -277,6 +280,11 @@
 		}
 		this.responseHandler = null;
 		this.idleSinceMs = this.clock.monotonicMs();
+		// Further bytes belong to no request. Even an incomplete head would be joined
+		// with that of the next response.
+		if (this.decoder.hasUnreadBytes()) {
+			this.reusable = false;
+		}
 		if (this.reusable && !this.closed) {
 			this.onIdle.run();
 		}
@@ -306,7 +314,8 @@
 	}
 
 	/**
-	 * Response decoder that expects no body in the response to a HEAD request.
+	 * Response decoder that expects no body in the response to a HEAD request, and no
+	 * bytes while no request is open.
 	 */
 	private final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -315,6 +324,20 @@
 			return BackendConnection.this.isHeadRequest || super.isContentAlwaysEmpty(message);
 		}
 
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+			if (BackendConnection.this.responseHandler == null) {
+				ReferenceCountUtil.release(message);
+				BackendConnection.this.close();
+				return;
+			}
+			super.channelRead(context, message);
+		}
+
+		private boolean hasUnreadBytes() {
+			return actualReadableBytes() > 0;
+		}
+
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
@@ -180,6 +180,39 @@
 		assertThat(countArrivals()).isEqualTo(arrivals + 1);
 	}
 
+	@DataProvider
+	public Object[][] delaysMs() {
+		return new Object[][] { { 0 }, { 50 } };
+	}
+
+	/**
+	 * Part of a refusal arrives after a complete response. The head of the next response
+	 * would be read as its continuation, with the id of the next request.
+	 */
+	@Test(dataProvider = "delaysMs")
+	public void partOfARefusalIsNotJoinedWithTheNextResponse(int delayMs) throws Exception {
+		AtomicBoolean begun = new AtomicBoolean();
+		this.first.setBehaviour((arrival, socket) -> {
+			String response = FakeBackend.signedResponse(arrival, "of " + arrival.attemptId());
+			if (begun.getAndSet(true)) {
+				socket.write(response);
+				return;
+			}
+			String part = "HTTP/1.1 503 Service Unavailable\r\n" + FakeBackend.NOT_RUN_HEADER + "X-Part: ";
+			if (delayMs == 0) {
+				socket.write(response + part);
+				return;
+			}
+			socket.write(response);
+			this.fixture.vertx().setTimer(delayMs, (id) -> socket.write(part));
+		});
+		assertThat(this.fixture.call("once").status()).isEqualTo(200);
+		Thread.sleep(2 * delayMs + 50);
+		TestCaller.Response response = this.fixture.call(0, "once", "next", GatewayFixture.API_KEY, "");
+		assertThat(response.status()).isEqualTo(200);
+		assertThat(response.body()).isEqualTo("of next");
+	}
+
 	/**
 	 * A backend server gets a request once, so an earlier refusal of the same request
 	 * cannot be the answer to a second sending.
