A broken stream is continued after an answer that is no stream

A stream broke off, and the next backend server answered with an error or a success of another type. The caller's stream was cut, though the route allowed a third backend server, which could have continued it. Nothing of the answer reached the caller.

Now such an answer counts as a failed attempt: the stream goes on elsewhere where route and budget allow that, and is cut otherwise.

BrokenStreamTests#streamIsContinuedAfterAnAnswerThatIsNoStream before: the connection was closed after three of six events in seven of ten cases. Guards that passed before: nothing of ten kinds of answer reaches the caller, and streams are continued and broken off in chunks, with a length and delimited by close.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -271,7 +271,7 @@
 			return;
 		}
 		if (this.streamWriter != null) {
-			failRequest(ATTEMPT_FAILED, RequestPlacer.NO_BACKEND_RETRY_AFTER_MS);
+			attemptFailed(this.attempt, AttemptFailure.FAILED, "no stream, status " + response.status());
 			return;
 		}
 		// A server error is a valid response, but a retry may succeed. The first one is
@@ -287,7 +287,7 @@
 
 	@Override
 	public void attemptFailed(BackendAttempt failedAttempt, AttemptFailure outcome, String reason) {
-		// BackendAttempt has counted a server error already.
+		// BackendAttempt has counted complete responses already.
 		if (outcome != AttemptFailure.FAILED) {
 			this.context.metrics().recordAttempt(this.request.service(), outcome.label());
 		}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -0,0 +1,222 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetSocket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
+import org.wigeontally.platform.standin.TestCaller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Streams that break off and are continued by a backend server that answers with
+ * something else. The caller gets the events of one stream and nothing else, and sees its
+ * connection broken if they are not all.
+ */
+public class BrokenStreamTests {
+
+	private static final String EVENT_TYPE = "Content-Type: text/event-stream\r\n";
+
+	private GatewayFixture fixture;
+
+	private final AtomicInteger attempts = new AtomicInteger();
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.fixture = new GatewayFixture();
+		this.attempts.set(0);
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	@DataProvider
+	public Object[][] otherAnswers() {
+		String signature = FakeBackend.signatureHeader("s2");
+		return new Object[][] {
+				{ "error", response((arrival) -> FakeBackend.response(arrival, "500 Error", signature, "failed")) },
+				{ "error of the type of a stream",
+						response((arrival) -> FakeBackend.response(arrival, "500 Error", signature + EVENT_TYPE,
+								"failed\n\n")) },
+				{ "error with events",
+						response((arrival) -> FakeBackend.response(arrival, "503 Service Unavailable", EVENT_TYPE,
+								events(3, 6))) },
+				{ "error with events in chunks",
+						response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 3, 6)
+							.replaceFirst("200 OK", "500 Error") + FakeBackend.LAST_CHUNK) },
+				{ "refusal", response((arrival) -> FakeBackend.notRunResponse(arrival, EVENT_TYPE)) },
+				{ "error of the caller",
+						response((arrival) -> FakeBackend.response(arrival, "404 Not Found", signature, "no stream")) },
+				{ "success of another type",
+						response((arrival) -> FakeBackend.response(arrival, "200 OK",
+								signature + "Content-Type: application/json\r\n", "{}")) },
+				{ "success without a type", response((arrival) -> FakeBackend.signedResponse(arrival, events(3, 6))) },
+				{ "unsigned stream",
+						response((arrival) -> FakeBackend.eventStreamHead(arrival, "") + FakeBackend.eventChunks(3, 6)
+								+ FakeBackend.LAST_CHUNK) },
+				{ "bytes that are no response", response((arrival) -> "engine failed\r\n\r\n") } };
+	}
+
+	/** No part of an answer that is no stream reaches the caller. */
+	@Test(dataProvider = "otherAnswers")
+	public void answerThatIsNoStreamBreaksTheStream(String name, FakeBackend.Behaviour answer) throws Exception {
+		startEngines(2, breakAfterThreeEvents(), answer);
+		assertBroken(name, call());
+	}
+
+	@Test(dataProvider = "otherAnswers")
+	public void streamIsContinuedAfterAnAnswerThatIsNoStream(String name, FakeBackend.Behaviour answer)
+			throws Exception {
+		startEngines(3, breakAfterThreeEvents(), answer, continueStream());
+		assertWhole(name, call());
+	}
+
+	@DataProvider
+	public Object[][] framings() {
+		return new Object[][] { { "chunks", continueStream() },
+				{ "length",
+						response((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "Content-Length: "
+								+ events(3, 6).length() + "\r\n\r\n" + events(3, 6)) },
+				{ "close", closing(
+						(arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n" + events(3, 6)) } };
+	}
+
+	@Test(dataProvider = "framings")
+	public void streamIsContinuedInAnyFraming(String name, FakeBackend.Behaviour continued) throws Exception {
+		startEngines(2, breakAfterThreeEvents(), continued);
+		assertWhole(name, call());
+	}
+
+	@DataProvider
+	public Object[][] brokenFramings() {
+		return new Object[][] { { "chunks", closing((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 3, 5)) },
+				{ "length",
+						closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE
+								+ "Content-Length: 9999\r\n\r\n" + events(3, 5)) },
+				{ "close", closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n"
+						+ events(3, 5) + "id: 5\nda") } };
+	}
+
+	@Test(dataProvider = "brokenFramings")
+	public void streamThatBreaksTwiceIsBroken(String name, FakeBackend.Behaviour broken) throws Exception {
+		startEngines(2, breakAfterThreeEvents(), broken);
+		assertThat(call()).as(name).isEqualTo(new Received(chunks(0, 5), true));
+	}
+
+	@Test(dataProvider = "brokenFramings")
+	public void streamThatBreaksTwiceIsContinued(String name, FakeBackend.Behaviour broken) throws Exception {
+		startEngines(3, breakAfterThreeEvents(), broken,
+				response((arrival) -> FakeBackend.partialEventStream(arrival, "s3", 5, 6) + FakeBackend.LAST_CHUNK));
+		assertWhole(name, call());
+	}
+
+	private static void assertBroken(String name, Received received) {
+		assertThat(received).as(name).isEqualTo(new Received(chunks(0, 3), true));
+	}
+
+	private static void assertWhole(String name, Received received) {
+		assertThat(received).as(name).isEqualTo(new Received(chunks(0, 6) + FakeBackend.LAST_CHUNK, false));
+	}
+
+	/** Each sending of a request gets the next answer, whichever engine it goes to. */
+	private void startEngines(int maxAttempts, FakeBackend.Behaviour... answers) throws Exception {
+		JsonObject configuration = FakeConfiguration.create(1, List.of());
+		configuration.getJsonArray("routes").forEach((route) -> ((JsonObject) route).put("max-attempts", maxAttempts));
+		this.fixture.store().write("op", "config", configuration);
+		FakeBackend.Behaviour behaviour = (arrival, socket) -> {
+			if (arrival.attemptId().startsWith("probe")) {
+				socket.write(FakeBackend.partialEventStream(arrival, "s", 0, 1) + FakeBackend.LAST_CHUNK);
+				return;
+			}
+			answers[this.attempts.getAndIncrement()].respond(arrival, socket);
+		};
+		for (int i = 1; i <= 3; i++) {
+			this.fixture.startBackend("engine-" + i, "engines", "zone-a", behaviour);
+		}
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "events", 200);
+	}
+
+	/** Sends a request and returns the bytes that follow the head of the response. */
+	private Received call() throws Exception {
+		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
+			.createNetClient()
+			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
+		Buffer received = Buffer.buffer();
+		AtomicBoolean ended = new AtomicBoolean();
+		AtomicBoolean broken = new AtomicBoolean();
+		socket.handler((bytes) -> {
+			received.appendBuffer(bytes);
+			ended.set(received.toString().endsWith("\r\n" + FakeBackend.LAST_CHUNK));
+		});
+		socket.closeHandler((v) -> broken.set(true));
+		socket.write(
+				TestCaller.requestText("POST /events/x", "call", GatewayFixture.API_KEY, "Content-Length: 0\r\n", ""));
+		GatewayFixture.awaitTrue(() -> ended.get() || broken.get());
+		String text = received.toString();
+		assertThat(text).startsWith("HTTP/1.1 200 OK\r\n");
+		return new Received(text.substring(text.indexOf("\r\n\r\n") + 4), broken.get());
+	}
+
+	private static FakeBackend.Behaviour response(Writer writer) {
+		return (arrival, socket) -> socket.write(writer.write(arrival));
+	}
+
+	private static FakeBackend.Behaviour closing(Writer writer) {
+		return (arrival, socket) -> socket.write(writer.write(arrival)).onComplete((written) -> socket.close());
+	}
+
+	private static FakeBackend.Behaviour breakAfterThreeEvents() {
+		return closing((arrival) -> FakeBackend.partialEventStream(arrival, "s1", 0, 3) + "9\r\nid: 3\nda");
+	}
+
+	private static FakeBackend.Behaviour continueStream() {
+		return response((arrival) -> FakeBackend.partialEventStream(arrival, "s3",
+				Integer.parseInt(arrival.headers().get("last-event-id")) + 1, 6) + FakeBackend.LAST_CHUNK);
+	}
+
+	private static String chunks(int firstEvent, int endEvent) {
+		return FakeBackend.eventChunks(firstEvent, endEvent);
+	}
+
+	private static String events(int firstEvent, int endEvent) {
+		StringBuilder out = new StringBuilder();
+		for (int number = firstEvent; number < endEvent; number++) {
+			out.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
+		}
+		return out.toString();
+	}
+
+	/**
+	 * Writes the response to a request.
+	 */
+	@FunctionalInterface
+	private interface Writer {
+
+		String write(FakeBackend.ReceivedRequest arrival);
+
+	}
+
+	/**
+	 * What a caller received.
+	 *
+	 * @param body bytes after the head
+	 * @param broken whether the connection was closed
+	 */
+	private record Received(String body, boolean broken) {
+
+	}
+
+}
