An error within a stream is not forwarded as an event

A backend server broke off a stream without chunks and wrote an error in its place. The head of a response ends with an empty line, as an event does, so callers found it in the middle of their stream, which then ended as if it were complete. Text with an empty line behind it was forwarded in the same way, and an error in place of the first event began the response.

Now text that is no event breaks the stream off: it has no field of an event, or one that only the head of a response has. Fields that are not known are still forwarded within events. The stream goes on at another backend server where the route allows that.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -332,6 +332,9 @@
 				recordAnswerBegun();
 			}
 		}
+		if (!this.ended && this.reader.isMalformed()) {
+			abandon("stream contains text that is no event");
+		}
 		if (!this.ended && this.reader.isTooLarge()) {
 			abandon("response too large");
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -40,6 +40,8 @@
 
 	private int takenEvents;
 
+	private boolean malformed;
+
 	ResponseReader(int status, HttpHeaders headers, RequestKind kind) {
 		this.status = status;
 		this.headers = headers;
@@ -113,12 +115,22 @@
 	}
 
 	boolean hasEvent() {
-		if (this.nextEvent == null) {
-			this.nextEvent = this.splitter.next();
+		if (this.nextEvent == null && !this.malformed) {
+			EventStreamSplitter.Event event = this.splitter.next();
+			this.malformed = event != null && !EventSyntax.isEvent(event.bytes());
+			this.nextEvent = this.malformed ? null : event;
 		}
 		return this.nextEvent != null;
 	}
 
+	/**
+	 * Returns whether the events that were taken are followed by text that is no event.
+	 * @return true if the rest of the stream cannot be used
+	 */
+	boolean isMalformed() {
+		return this.malformed;
+	}
+
 	EventStreamSplitter.Event takeEvent() {
 		EventStreamSplitter.Event taken = hasEvent() ? this.nextEvent : null;
 		this.takenEvents += (taken != null) ? 1 : 0;
--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -27,6 +27,9 @@
 
 	private static final String EVENT_TYPE = "Content-Type: text/event-stream\r\n";
 
+	private static final String ERROR = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\n"
+			+ FakeBackend.NOT_RUN_HEADER + "Content-Length: 0\r\n\r\n";
+
 	private GatewayFixture fixture;
 
 	private final AtomicInteger attempts = new AtomicInteger();
@@ -83,6 +86,55 @@
 		assertWhole(name, call());
 	}
 
+	@DataProvider
+	public Object[][] errorsWithinAStream() {
+		return new Object[][] { { "head, delimited by close", "\r\n" + events(0, 3) + ERROR },
+				{ "head within an event", "\r\n" + events(0, 3) + "id: 3\ndata: e" + ERROR },
+				{ "head and body", "\r\n" + events(0, 3) + ERROR + "engine failed\n\n" },
+				{ "text", "\r\n" + events(0, 3) + "engine failed\n\n" },
+				{ "head, counted",
+						"Content-Length: " + (events(0, 3) + ERROR).length() + "\r\n\r\n" + events(0, 3) + ERROR },
+				{ "head in a chunk",
+						"Transfer-Encoding: chunked\r\n\r\n" + chunks(0, 3) + FakeBackend.chunk(ERROR)
+								+ FakeBackend.LAST_CHUNK },
+				{ "head between chunks", "Transfer-Encoding: chunked\r\n\r\n" + chunks(0, 3) + ERROR } };
+	}
+
+	/** The backend server breaks off its stream and writes an error in its place. */
+	@Test(dataProvider = "errorsWithinAStream")
+	public void errorWithinAStreamBreaksIt(String name, String response) throws Exception {
+		startEngines(1, closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + response));
+		assertBroken(name, call());
+	}
+
+	@Test(dataProvider = "errorsWithinAStream")
+	public void streamIsContinuedAfterAnErrorWithinIt(String name, String response) throws Exception {
+		startEngines(2, closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + response),
+				continueStream());
+		assertWhole(name, call());
+	}
+
+	@DataProvider
+	public Object[][] soundEvents() {
+		return new Object[][] { { "x-weight-versions: 2\nid: 1\ndata: a\n\n" }, { ": ping\n\n" }, { "retry: 100\n\n" },
+				{ "\r\nid: 7\r\ndata: HTTP/1.1 503\r\ndata: Connection: close\r\n\r\n" },
+				{ "event: token\nid: 1\nfurther: field\ndata\n\n" }, { "data: [DONE]\n\n" } };
+	}
+
+	/** The test fails if fields that are not known make an event unsound. */
+	@Test(dataProvider = "soundEvents")
+	public void soundEventIsForwarded(String event) throws Exception {
+		startEngines(1, response((arrival) -> FakeBackend.partialEventStream(arrival, "s1", 0, 1)
+				+ FakeBackend.chunk(event) + FakeBackend.LAST_CHUNK));
+		assertThat(call()).isEqualTo(new Received(chunk(0) + FakeBackend.chunk(event) + FakeBackend.LAST_CHUNK, false));
+	}
+
+	@Test
+	public void errorInPlaceOfTheFirstEventIsNoAnswer() throws Exception {
+		startEngines(1, closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n" + ERROR));
+		assertThat(this.fixture.call("events").status()).isEqualTo(502);
+	}
+
 	@DataProvider
 	public Object[][] framings() {
 		return new Object[][] { { "chunks", continueStream() },
@@ -191,6 +243,10 @@
 		return FakeBackend.eventChunks(firstEvent, endEvent);
 	}
 
+	private static String chunk(int event) {
+		return FakeBackend.eventChunks(event, event + 1);
+	}
+
 	private static String events(int firstEvent, int endEvent) {
 		StringBuilder out = new StringBuilder();
 		for (int number = firstEvent; number < endEvent; number++) {
