A stream that does not follow is not joined to a broken one

A stream broke off, and the next backend server began its stream too late or with an event without an id. The caller's stream missed events, or had one whose place is not known. Where the first stream had events without ids, the second one began anew and sent them twice.

Now the first new event may be no further from the last forwarded one than any two events before, as ids need not be consecutive; otherwise the attempt has failed. With a single event before, the distance is not known and any is accepted. A stream with events without ids is not sent again.

BrokenStreamTests before: a gap (streamThatDoesNotFollowIsNotJoined, streamIsContinuedAfterOneThatDoesNotFollow) and an event twice (streamWithoutIdsIsNotSentAgain). Guard: streamWithLargerStepsIsJoined.

--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -41,8 +41,9 @@
 	/**
 	 * Called when data of an event stream arrived that completes at least one event.
 	 * @param reader provides the complete events
+	 * @return false if the events do not continue the stream that the caller has received
 	 */
-	void eventsReceived(ResponseReader reader);
+	boolean eventsReceived(ResponseReader reader);
 
 	/**
 	 * Called when the event stream ended normally.
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -327,7 +327,10 @@
 			// Only complete events count as progress, so that a stream with a byte now
 			// and then is noticed as stalled.
 			this.lastReceivedMs = this.context.nowMs();
-			this.listener.eventsReceived(this.reader);
+			if (!this.listener.eventsReceived(this.reader)) {
+				abandon("events do not follow those before");
+				return;
+			}
 			if (this.reader.takenEvents() >= MIN_SOUND_EVENTS) {
 				recordAnswerBegun();
 			}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -216,10 +216,14 @@
 
 	@Override
 	public boolean hasOtherBackend() {
-		return this.sentAttempts < this.request.route().maxAttempts()
+		return isResumable() && this.sentAttempts < this.request.route().maxAttempts()
 				&& this.placer.hasUnlimitedCandidate(this.request, this.triedBackendIds);
 	}
 
+	private boolean isResumable() {
+		return this.streamWriter == null || this.streamWriter.isResumable();
+	}
+
 	@Override
 	public void requestSent() {
 		this.sentAttempts++;
@@ -232,9 +236,9 @@
 	}
 
 	@Override
-	public void eventsReceived(ResponseReader reader) {
+	public boolean eventsReceived(ResponseReader reader) {
 		if (this.finished) {
-			return;
+			return true;
 		}
 		long nowMs = this.context.nowMs();
 		if (this.streamWriter == null) {
@@ -246,7 +250,7 @@
 			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsMs);
 		}
 		this.lastEventsMs = nowMs;
-		this.streamWriter.writeEvents(reader);
+		return this.streamWriter.writeEvents(reader);
 	}
 
 	private void startStream(ResponseReader reader) {
@@ -305,7 +309,7 @@
 			this.triedBackendIds.remove(failedAttempt.backendId());
 		}
 		this.connectFailures += (outcome == AttemptFailure.NOT_SENT) ? 1 : 0;
-		boolean retryAllowed = switch (outcome) {
+		boolean retryAllowed = isResumable() && switch (outcome) {
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
 			case NOT_RUN -> mayRetry();
 			// A trial that ends in a loss is not repeated before its result is known.
--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -86,6 +86,51 @@
 		assertWhole(name, call());
 	}
 
+	@DataProvider
+	public Object[][] unconnectedStreams() {
+		return new Object[][] {
+				{ "events are missing", response(
+						(arrival) -> FakeBackend.partialEventStream(arrival, "s2", 4, 6) + FakeBackend.LAST_CHUNK) },
+				{ "event without an id",
+						response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 0)
+								+ FakeBackend.chunk("event: error\ndata: failed\n\n") + FakeBackend.eventChunks(3, 6)
+								+ FakeBackend.LAST_CHUNK) } };
+	}
+
+	/** The caller would miss events, or find some whose place is not known. */
+	@Test(dataProvider = "unconnectedStreams")
+	public void streamThatDoesNotFollowIsNotJoined(String name, FakeBackend.Behaviour answer) throws Exception {
+		startEngines(2, breakAfterThreeEvents(), answer);
+		assertBroken(name, call());
+	}
+
+	@Test(dataProvider = "unconnectedStreams")
+	public void streamIsContinuedAfterOneThatDoesNotFollow(String name, FakeBackend.Behaviour answer) throws Exception {
+		startEngines(3, breakAfterThreeEvents(), answer, continueStream());
+		assertWhole(name, call());
+	}
+
+	/** Ids may be counts of something else; the distance is that of the events before. */
+	@Test
+	public void streamWithLargerStepsIsJoined() throws Exception {
+		startEngines(2,
+				closing((arrival) -> FakeBackend.partialEventStream(arrival, "s1", 0, 0) + chunk(5) + chunk(10)),
+				response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 0) + chunk(14) + chunk(19)
+						+ FakeBackend.LAST_CHUNK));
+		assertThat(call())
+			.isEqualTo(new Received(chunk(5) + chunk(10) + chunk(14) + chunk(19) + FakeBackend.LAST_CHUNK, false));
+	}
+
+	/** The second stream would begin with events that the caller has. */
+	@Test
+	public void streamWithoutIdsIsNotSentAgain() throws Exception {
+		String event = FakeBackend.chunk("data: a\n\n");
+		startEngines(3, closing((arrival) -> FakeBackend.partialEventStream(arrival, "s1", 0, 0) + event), response(
+				(arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 0) + event + FakeBackend.LAST_CHUNK));
+		assertThat(call()).isEqualTo(new Received(event, true));
+		assertThat(this.attempts.get()).isEqualTo(1);
+	}
+
 	@DataProvider
 	public Object[][] errorsWithinAStream() {
 		return new Object[][] { { "head, delimited by close", "\r\n" + events(0, 3) + ERROR },
