A stream without further events does not end a broken one

A stream broke off, and the next backend server answered with a whole stream without an event, or with earlier ones only. The caller's stream ended as if it were complete, though its last event was not known to have arrived.

Now a stream that has neither the last forwarded event nor a new one ends only itself: the stream goes on elsewhere where the route allows that, and is cut otherwise. A stream that broke off after its very last event is cut too then; the caller can resume it.

--- a/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
@@ -104,6 +104,16 @@
 		return this.lastEventId != EventStreamSplitter.Event.NO_ID;
 	}
 
+	/**
+	 * Returns whether a stream that has ended normally is the end of this one too. One
+	 * that had neither a new event nor the last one says nothing of events after it.
+	 * @param reader reader of the stream
+	 * @return true if this stream is complete
+	 */
+	boolean isEndedBy(ResponseReader reader) {
+		return (reader == this.currentReader) ? this.connected : !hasLastEvent();
+	}
+
 	/**
 	 * Returns whether another stream can continue this one.
 	 * @return true if all events that were written have an id
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -265,6 +265,10 @@
 		if (this.streamWriter == null) {
 			startStream(reader);
 		}
+		if (!this.streamWriter.isEndedBy(reader)) {
+			attemptFailed(this.attempt, AttemptFailure.FAILED, "stream ended without further events");
+			return;
+		}
 		recordCompletion(reader.status());
 		this.streamWriter.end();
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -86,6 +86,47 @@
 		assertWhole(name, call());
 	}
 
+	@DataProvider
+	public Object[][] emptyStreams() {
+		return new Object[][] {
+				{ "in chunks", response(
+						(arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 0) + FakeBackend.LAST_CHUNK) },
+				{ "with a length",
+						response((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE
+								+ "Content-Length: 0\r\n\r\n") },
+				{ "delimited by close",
+						closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n") },
+				{ "comment",
+						response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 0)
+								+ FakeBackend.chunk(": ping\n\n") + FakeBackend.LAST_CHUNK) },
+				{ "earlier events only", response(
+						(arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 2) + FakeBackend.LAST_CHUNK) } };
+	}
+
+	/** The last event is not known to have been forwarded. */
+	@Test(dataProvider = "emptyStreams")
+	public void streamWithoutFurtherEventsDoesNotEndABrokenOne(String name, FakeBackend.Behaviour answer)
+			throws Exception {
+		startEngines(2, breakAfterThreeEvents(), answer);
+		assertThat(withoutComments(call())).as(name).isEqualTo(new Received(chunks(0, 3), true));
+	}
+
+	@Test(dataProvider = "emptyStreams")
+	public void streamIsContinuedAfterOneWithoutFurtherEvents(String name, FakeBackend.Behaviour answer)
+			throws Exception {
+		startEngines(3, breakAfterThreeEvents(), answer, continueStream());
+		assertThat(withoutComments(call())).as(name)
+			.isEqualTo(new Received(chunks(0, 6) + FakeBackend.LAST_CHUNK, false));
+	}
+
+	/** The backend server has the last forwarded event, and none after it. */
+	@Test
+	public void streamThatRepeatsTheLastEventEndsABrokenOne() throws Exception {
+		startEngines(2, breakAfterThreeEvents(),
+				response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 0, 3) + FakeBackend.LAST_CHUNK));
+		assertThat(call()).isEqualTo(new Received(chunks(0, 3) + FakeBackend.LAST_CHUNK, false));
+	}
+
 	@DataProvider
 	public Object[][] unconnectedStreams() {
 		return new Object[][] {
@@ -227,6 +268,10 @@
 		assertThat(received).as(name).isEqualTo(new Received(chunks(0, 6) + FakeBackend.LAST_CHUNK, false));
 	}
 
+	private static Received withoutComments(Received received) {
+		return new Received(received.body().replace(FakeBackend.chunk(": ping\n\n"), ""), received.broken());
+	}
+
 	/** Each sending of a request gets the next answer, whichever engine it goes to. */
 	private void startEngines(int maxAttempts, FakeBackend.Behaviour... answers) throws Exception {
 		JsonObject configuration = FakeConfiguration.create(1, List.of());
