--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -72,7 +72,10 @@
 				{ "bytes that are no response", response((arrival) -> "engine failed\r\n\r\n") } };
 	}
 
-	/** No part of an answer that is no stream reaches the caller. */
+	/**
+	 * No part of an answer that is no stream reaches the caller. The test fails if only
+	 * the type of the content says what a stream is.
+	 */
 	@Test(dataProvider = "otherAnswers")
 	public void answerThatIsNoStreamBreaksTheStream(String name, FakeBackend.Behaviour answer) throws Exception {
 		startEngines(2, breakAfterThreeEvents(), answer);
@@ -119,7 +122,10 @@
 			.isEqualTo(new Received(chunks(0, 6) + FakeBackend.LAST_CHUNK, false));
 	}
 
-	/** The backend server has the last forwarded event, and none after it. */
+	/**
+	 * The backend server has the last forwarded event, and none after it. The test fails
+	 * if only a new event shows that.
+	 */
 	@Test
 	public void streamThatRepeatsTheLastEventEndsABrokenOne() throws Exception {
 		startEngines(2, breakAfterThreeEvents(),
@@ -151,7 +157,10 @@
 		assertWhole(name, call());
 	}
 
-	/** Ids may be counts of something else; the distance is that of the events before. */
+	/**
+	 * Ids may be counts of something else; the distance is that of the events before. The
+	 * test fails if ids must be consecutive.
+	 */
 	@Test
 	public void streamWithLargerStepsIsJoined() throws Exception {
 		startEngines(2,
@@ -231,6 +240,7 @@
 						(arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n" + events(3, 6)) } };
 	}
 
+	/** The test fails if the end of a connection is never the end of a stream. */
 	@Test(dataProvider = "framings")
 	public void streamIsContinuedInAnyFraming(String name, FakeBackend.Behaviour continued) throws Exception {
 		startEngines(2, breakAfterThreeEvents(), continued);
@@ -247,6 +257,7 @@
 						+ events(3, 5) + "id: 5\nda") } };
 	}
 
+	/** The test fails if a lost connection or part of an event ends a stream. */
 	@Test(dataProvider = "brokenFramings")
 	public void streamThatBreaksTwiceIsBroken(String name, FakeBackend.Behaviour broken) throws Exception {
 		startEngines(2, breakAfterThreeEvents(), broken);
--- a/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
@@ -97,7 +97,8 @@
 
 	/**
 	 * Only one request was sent on the connection, so the refusal is the answer to it.
-	 * The next response could not be told from one more copy.
+	 * The next response could not be told from one more copy. The test fails if every
+	 * response must name its request.
 	 */
 	@Test
 	public void refusalThatNamesNoRequestCountsOnANewConnection() throws Exception {
@@ -120,7 +121,10 @@
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
 	}
 
-	/** The refusal of the request before is dropped, whatever its status. */
+	/**
+	 * The refusal of the request before is dropped, whatever its status. The test fails
+	 * if ids are not compared.
+	 */
 	@Test(dataProvider = "refusals")
 	public void refusalThatNamesAnotherRequestIsDropped(String status, String headers) throws Exception {
 		this.first.setBehaviour((arrival, socket) -> {
@@ -142,6 +146,7 @@
 		assertThat(this.fixture.call(0, "once", "own", GatewayFixture.API_KEY, "").status()).isEqualTo(502);
 	}
 
+	/** The test fails if a second id is an error in itself. */
 	@Test
 	public void refusalThatNamesItsRequestTwiceCounts() throws Exception {
 		this.first.setBehaviour(
@@ -215,7 +220,8 @@
 
 	/**
 	 * A backend server gets a request once, so an earlier refusal of the same request
-	 * cannot be the answer to a second sending.
+	 * cannot be the answer to a second sending. The test fails if backend servers that
+	 * were tried can be chosen again.
 	 */
 	@Test
 	public void refusedRequestIsNotSentToTheSameBackendAgain() throws Exception {
