--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -327,11 +327,17 @@
 			// Only complete events count as progress, so that a stream with a byte now
 			// and then is noticed as stalled.
 			this.lastReceivedMs = this.context.nowMs();
-			this.listener.eventsReceived(this.reader);
+			if (!this.listener.eventsReceived(this.reader)) {
+				abandon("events do not follow those before");
+				return;
+			}
 			if (this.reader.takenEvents() >= MIN_SOUND_EVENTS) {
 				recordAnswerBegun();
 			}
 		}
+		if (!this.ended && this.reader.isMalformed()) {
+			abandon("stream contains text that is no event");
+		}
 		if (!this.ended && this.reader.isTooLarge()) {
 			abandon("response too large");
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -1,8 +1,11 @@
 package org.wigeontally.gateway;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -31,10 +34,12 @@
  * <p>
  * A response is matched to the request by the attempt id that it echoes. A backend server
  * may send a second response to an earlier request before the expected one; such a
- * response is read and dropped. The connection is not reused in the other cases in which
- * it is uncertain where the next response begins: data arrives while no request is open,
- * a response arrives before the request was written, or a response is delimited by the
- * end of the connection. Runs on the event loop.
+ * response is read and dropped. A response without an id is matched only if no other
+ * request can be meant: on a connection that has carried no other one. The connection is
+ * not reused in the cases in which the next response cannot be matched or it is uncertain
+ * where it begins: a response has no id, data arrives while no request is open, a
+ * response arrives before the request was written, or a response is delimited by the end
+ * of the connection. Runs on the event loop.
  */
 final class BackendConnection {
 
@@ -58,6 +63,8 @@
 
 	private final NetSocketInternal socket;
 
+	private final ResponseDecoder decoder = new ResponseDecoder();
+
 	private final Clock clock;
 
 	private final Runnable onClosed;
@@ -78,6 +85,10 @@
 
 	private boolean reusable = true;
 
+	private boolean used;
+
+	private boolean mayHoldOtherResponses;
+
 	private boolean delimitedByClose;
 
 	private boolean reset;
@@ -101,7 +112,7 @@
 		this.idleSinceMs = clock.monotonicMs();
 		ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
 		pipeline.addBefore("handler", "request-encoder", new HttpRequestEncoder());
-		pipeline.addBefore("handler", "answer-decoder", new ResponseDecoder());
+		pipeline.addBefore("handler", "answer-decoder", this.decoder);
 		this.socket.messageHandler(this::handleMessage);
 		this.socket.exceptionHandler((failure) -> this.reset = true);
 		this.socket.closeHandler((v) -> handleClosed());
@@ -114,6 +125,8 @@
 	 * @param whenIdle runs when the connection can carry another request
 	 */
 	void send(BackendRequest backendRequest, BackendResponseHandler handler, Runnable whenIdle) {
+		this.mayHoldOtherResponses = this.used;
+		this.used = true;
 		this.request = backendRequest;
 		this.responseHandler = handler;
 		this.onIdle = whenIdle;
@@ -193,18 +206,27 @@
 			return;
 		}
 		this.headReceived = true;
-		String attemptId = response.headers().get(WireNames.ATTEMPT_ID);
-		this.skippingResponse = attemptId != null && !attemptId.equals(this.request.attemptId());
+		List<String> attemptIds = response.headers().getAll(WireNames.ATTEMPT_ID);
+		this.skippingResponse = !attemptIds.isEmpty() && !attemptIds.contains(this.request.attemptId());
 		if (this.skippingResponse) {
+			this.mayHoldOtherResponses = true;
 			this.unrelatedResponses++;
 			if (this.unrelatedResponses > MAX_UNRELATED_RESPONSES) {
 				abort("too many responses to other requests");
 			}
 			return;
 		}
+		if (!attemptIds.stream().allMatch(this.request.attemptId()::equals)) {
+			abort("response names several requests");
+			return;
+		}
+		if (attemptIds.isEmpty() && this.mayHoldOtherResponses) {
+			abort("response names no request, on a connection that may hold others");
+			return;
+		}
 		this.delimitedByClose = !this.isHeadRequest && !HttpUtil.isContentLengthSet(response)
 				&& !HttpUtil.isTransferEncodingChunked(response) && hasBody(response.status());
-		if (!this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
+		if (attemptIds.isEmpty() || !this.requestWritten || this.delimitedByClose || !HttpUtil.isKeepAlive(response)) {
 			this.reusable = false;
 		}
 		readKeepAliveTimeout(response);
@@ -258,6 +280,11 @@
 		}
 		this.responseHandler = null;
 		this.idleSinceMs = this.clock.monotonicMs();
+		// Further bytes belong to no request. Even an incomplete head would be joined
+		// with that of the next response.
+		if (this.decoder.hasUnreadBytes()) {
+			this.reusable = false;
+		}
 		if (this.reusable && !this.closed) {
 			this.onIdle.run();
 		}
@@ -287,7 +314,8 @@
 	}
 
 	/**
-	 * Response decoder that expects no body in the response to a HEAD request.
+	 * Response decoder that expects no body in the response to a HEAD request, and no
+	 * bytes while no request is open.
 	 */
 	private final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -296,6 +324,20 @@
 			return BackendConnection.this.isHeadRequest || super.isContentAlwaysEmpty(message);
 		}
 
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+			if (BackendConnection.this.responseHandler == null) {
+				ReferenceCountUtil.release(message);
+				BackendConnection.this.close();
+				return;
+			}
+			super.channelRead(context, message);
+		}
+
+		private boolean hasUnreadBytes() {
+			return actualReadableBytes() > 0;
+		}
+
 	}
 
 }
