Following the store goes on whatever a step throws

Operators saw entries that ran on with the registrations of some minute and followed the store no more (LOST), after another writer had put a deeply nested registration there. Each step of StoreFollower plans the next one. Handling the records threw a StackOverflowError (stacks have 256 KB), which left the response handler before the next read was planned.

All steps now run through one wrapper: whatever a step throws, an Error too, is logged as a fault, and the next read is planned unless the step had done so.

StoreFollowerTests#recordsAreFollowedWhateverAStepThrows failed before: no record was seen within 10 s. It throws from what receives the records and from the question whether this entry reads.

--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 
 import org.wigeontally.eventlog.EventLog;
@@ -92,6 +93,9 @@
 
 	private long settleAtMs = NOT_SCHEDULED;
 
+	// Whether the step that runs now has planned the next read.
+	private boolean readPlanned;
+
 	private boolean stopped;
 
 	StoreFollower(Vertx vertx, Clock clock, EventLog log, StoreClient store, StoreTopic topic, CompactedTopic records,
@@ -114,7 +118,7 @@
 	}
 
 	void start() {
-		readNext();
+		goingOn((v) -> readNext()).handle(null);
 	}
 
 	void stop() {
@@ -160,14 +164,16 @@
 		}
 		this.callStartedAtMs = this.clock.monotonicMs();
 		if (snapshotDue) {
-			this.store.readSnapshot(this.topic).onSuccess(this::applySnapshot).onFailure(this::recordFailure);
+			this.store.readSnapshot(this.topic)
+				.onSuccess(goingOn(this::applySnapshot))
+				.onFailure(goingOn(this::recordFailure));
 			return;
 		}
 		long start = this.records.endPosition();
 		long waitMs = reader ? POLL_WAIT_MS : 0;
 		this.store.read(this.topic, start, waitMs)
-			.onSuccess((page) -> applyUpdate(start, page, waitMs))
-			.onFailure(this::recordFailure);
+			.onSuccess(goingOn((page) -> applyUpdate(start, page, waitMs)))
+			.onFailure(goingOn(this::recordFailure));
 	}
 
 	// The restore may also be known from another entry, before this follower read
@@ -283,11 +289,29 @@
 		if (this.stopped) {
 			return;
 		}
+		this.readPlanned = true;
 		if (delayMs <= 0) {
-			this.vertx.runOnContext((v) -> readNext());
+			this.vertx.runOnContext(goingOn((v) -> readNext()));
 			return;
 		}
-		this.vertx.setTimer(delayMs, (id) -> readNext());
+		this.vertx.setTimer(delayMs, goingOn((id) -> readNext()));
+	}
+
+	// Each step plans the next one. Whatever it throws, an Error too, must not end the
+	// reading.
+	private <T> Handler<T> goingOn(Handler<T> step) {
+		return (value) -> {
+			this.readPlanned = false;
+			try {
+				step.handle(value);
+			}
+			catch (Throwable ex) {
+				if (!this.readPlanned) {
+					scheduleNextRead(MAX_RETRY_DELAY_MS);
+				}
+				this.log.write(LogEvent.FAULT, "topic", this.topic, "reason", ex);
+			}
+		};
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -1,5 +1,11 @@
 package org.wigeontally.gateway;
 
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Context;
@@ -17,7 +23,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Change time of a record that was written during a store outage.
+ * Change time of a record that was written during a store outage, and reading that goes
+ * on after a fault.
  */
 public class StoreFollowerTests {
 
@@ -62,4 +69,53 @@
 		}
 	}
 
+	/**
+	 * What receives the records throws at the snapshot, at the first update and at the
+	 * second one, and so does the question whether this entry reads.
+	 */
+	@Test
+	public void recordsAreFollowedWhateverAStepThrows() throws Exception {
+		GatewayFixture fixture = new GatewayFixture();
+		try {
+			fixture.store().write("op", "config", new JsonObject().put("version", 1));
+			Address address = Address.newBuilder().setIp("127.0.0.1").setPort(fixture.store().port()).build();
+			Deque<Throwable> faults = new ConcurrentLinkedDeque<>(
+					List.of(new StackOverflowError(), new IllegalStateException("odd"), new OutOfMemoryError("odd")));
+			AtomicInteger questions = new AtomicInteger();
+			Set<String> keysSeen = ConcurrentHashMap.newKeySet();
+			StoreFollower follower = new StoreFollower(fixture.vertx(), Clock.system(),
+					EventLog.create(Clock.system(), "entry"), StoreClient.create(fixture.vertx(), address),
+					StoreTopic.OPERATOR, CompactedTopic.create(), 30, () -> {
+						if (questions.incrementAndGet() % 2 == 1) {
+							throw new StackOverflowError();
+						}
+						return true;
+					}, new StoreFollower.RestoreBehaviour(1_000,
+							new OperatorRestorePolicy(EventLog.create(Clock.system(), "entry")), () -> {
+							}),
+					(keys, source, since) -> {
+						keysSeen.addAll(keys);
+						Throwable fault = faults.poll();
+						if (fault instanceof Error error) {
+							throw error;
+						}
+						if (fault instanceof RuntimeException exception) {
+							throw exception;
+						}
+					}, () -> {
+					});
+			fixture.vertx().getOrCreateContext().runOnContext((v) -> follower.start());
+			GatewayFixture.awaitTrue(() -> keysSeen.contains("config"));
+			for (String key : List.of("a", "b", "c", "d")) {
+				fixture.store().write("op", key, new JsonObject());
+				GatewayFixture.awaitTrue(() -> keysSeen.contains(key));
+			}
+			assertThat(faults).isEmpty();
+			follower.stop();
+		}
+		finally {
+			fixture.close();
+		}
+	}
+
 }
