--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -36,11 +36,11 @@
 
 	private static final long TIMEOUT_MS = 10_000;
 
-	private final Vertx vertx = Vertx.vertx();
+	private final Vertx vertx;
 
 	private final FakeStore store;
 
-	private final HttpClient client = this.vertx.createHttpClient();
+	private final HttpClient client;
 
 	private final List<GatewayDaemon> entries = new ArrayList<>();
 
@@ -49,6 +49,12 @@
 	private int nextConfigurationVersion = 1;
 
 	public GatewayFixture() throws Exception {
+		this(Vertx.vertx());
+	}
+
+	public GatewayFixture(Vertx vertx) throws Exception {
+		this.vertx = vertx;
+		this.client = vertx.createHttpClient();
 		this.store = await(FakeStore.start(this.vertx));
 	}
 
@@ -73,6 +79,15 @@
 	}
 
 	public void startEntry() throws Exception {
+		startEntry(this.settings.stream().map(HostSettings::getControl).toList());
+	}
+
+	/** Starts an entry that learns of the others from the store only. */
+	void startEntryWithoutSeeds() throws Exception {
+		startEntry(List.of());
+	}
+
+	private void startEntry(List<Address> seeds) throws Exception {
 		HostSettings.Builder builder = HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
 			.setZone("zone-a")
@@ -97,8 +112,7 @@
 				.setVersionMs(8_000)
 				.setDirectoryTtlS(5)
 				.setRelayMs(120));
-		this.settings.forEach((other) -> builder.addSeeds(other.getControl()));
-		HostSettings entrySettings = builder.build();
+		HostSettings entrySettings = builder.addAllSeeds(seeds).build();
 		this.settings.add(entrySettings);
 		this.entries.add(await(GatewayDaemon.start(this.vertx, entrySettings, Clock.system(),
 				EventLog.create(Clock.system(), entrySettings.getHost()))));
