A fault in one record does not hide the others of its read

Records are marked as known before they are applied, and are not read again. If applying one threw, the others of the same read or message were lost until they changed: backend servers that no request was sent to, or a zone that stayed in use. Each record is now applied on its own, and a fault is logged with its key.

OddRecordTests#faultInOneRecordDoesNotHideTheOthersOfItsRead failed before with the exception of the first record.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -185,6 +185,9 @@
 			catch (PlatformException ex) {
 				logUnreadable(topicRecord, source, ex.getMessage());
 			}
+			catch (RuntimeException | StackOverflowError ex) {
+				logFault(key, source, ex);
+			}
 		}
 	}
 
@@ -226,6 +229,12 @@
 		}
 	}
 
+	// A record that is read is not read again, so a fault in one must not end the round
+	// for the others.
+	private void logFault(String key, String source, Throwable fault) {
+		this.log.write(LogEvent.FAULT, "key", key, "source", source, "reason", fault);
+	}
+
 	private void logUnreadable(CompactedTopic.TopicRecord topicRecord, String source, String reason) {
 		this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
 				StorePosition.format(topicRecord.position()), "source", source, "reason", reason);
@@ -264,22 +273,31 @@
 	void applyBackendRecords(List<String> keys, String source) {
 		long nowMs = this.clock.monotonicMs();
 		for (String id : keys) {
-			CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
-			if (!topicRecord.removed()) {
-				this.lapsedIds.remove(id);
-				registerBackend(id, topicRecord, source);
-				continue;
+			try {
+				applyBackendRecord(id, source, nowMs);
 			}
-			if (nowMs < this.lapseGraceEndsAtMs) {
-				// The registration may have lapsed because the store was unavailable;
-				// it is removed only if it is not renewed within the grace period.
-				this.lapsedIds.add(id);
-				continue;
+			catch (RuntimeException | StackOverflowError ex) {
+				logFault(id, source, ex);
 			}
-			removeBackend(id, topicRecord.position(), source);
 		}
 	}
 
+	private void applyBackendRecord(String id, String source, long nowMs) {
+		CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
+		if (!topicRecord.removed()) {
+			this.lapsedIds.remove(id);
+			registerBackend(id, topicRecord, source);
+			return;
+		}
+		if (nowMs < this.lapseGraceEndsAtMs) {
+			// The registration may have lapsed because the store was unavailable; it is
+			// removed only if it is not renewed within the grace period.
+			this.lapsedIds.add(id);
+			return;
+		}
+		removeBackend(id, topicRecord.position(), source);
+	}
+
 	/**
 	 * Starts the grace period for registrations that lapsed while the store was
 	 * unavailable. They are kept until it ends.
--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -12,8 +12,12 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.schema.generated.HostSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -113,6 +117,24 @@
 		assertThat(messages("event=record-unreadable host=entry-0")).hasSize(1);
 	}
 
+	/** What the first of several changed records throws. */
+	@Test
+	public void faultInOneRecordDoesNotHideTheOthersOfItsRead() {
+		EventLog log = EventLog.create(Clock.system(), "entry");
+		FleetState fleet = new FleetState(HostSettings.getDefaultInstance(), this.fixture.vertx().createNetClient(),
+				Clock.system(), log);
+		byte[] registration = FakeBackend.registration(9, "desk", "zone-a", "ready", 1).toBuffer().getBytes();
+		fleet.backendRecords()
+			.applyUpdate(0, List.of(new CompactedTopic.TopicRecord("desk-1", 0, registration, false)), 1);
+		fleet.operatorRecords()
+			.applyUpdate(0, List.of(new CompactedTopic.TopicRecord("evacuate/zone-a", 0, new byte[] { 1 }, false)), 1);
+		fleet.applyBackendRecords(List.of("unknown", "desk-1"), "store");
+		fleet.applyOperatorRecords(List.of("unknown", "evacuate/zone-a"), "store", 0);
+		assertThat(fleet.backends()).extracting((backend) -> backend.record().id()).containsExactly("desk-1");
+		assertThat(fleet.isZoneEvacuated("zone-a")).isTrue();
+		assertThat(messages("event=fault")).hasSize(2);
+	}
+
 	/** The addresses of entries are read in the order of their keys. */
 	@Test
 	public void entriesFindEachOtherBesideAnOddEntryRecord() throws Exception {
