An unreadable record is logged once, not each time it is renewed

A writer that renews its odd registration every second filled the log with the same line, up to 20 a second, and other unreadable records went uncounted. The reason for each key is remembered, 1,024 at most, and a line is written when it changes.

OddRecordTests#oddRegistrationThatIsWrittenAgainIsLoggedOnce failed before: one line for each of the five writes.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -51,6 +51,9 @@
 
 	private static final int MIN_CONNECTIONS = 2;
 
+	/** Unreadable records that are remembered; after more, they are reported again. */
+	private static final int MAX_UNREADABLE_RECORDS = 1_024;
+
 	private final HostSettings settings;
 
 	private final NetClient client;
@@ -75,6 +78,9 @@
 	// store was unavailable.
 	private final Set<String> lapsedIds = new HashSet<>();
 
+	// Why records were unreadable, by their key, to report each once.
+	private final Map<String, String> unreadableRecords = new HashMap<>();
+
 	private FleetConfiguration configuration;
 
 	// Record that the configuration in force was decoded from.
@@ -181,6 +187,7 @@
 			CompactedTopic.TopicRecord topicRecord = this.operatorRecords.record(key);
 			try {
 				applyOperatorRecord(topicRecord, source, sinceMs);
+				this.unreadableRecords.remove(key);
 			}
 			catch (PlatformException ex) {
 				logUnreadable(topicRecord, source, ex.getMessage());
@@ -235,7 +242,14 @@
 		this.log.write(LogEvent.FAULT, "key", key, "source", source, "reason", fault);
 	}
 
+	// Its writer may renew an unreadable record every second.
 	private void logUnreadable(CompactedTopic.TopicRecord topicRecord, String source, String reason) {
+		if (this.unreadableRecords.size() >= MAX_UNREADABLE_RECORDS) {
+			this.unreadableRecords.clear();
+		}
+		if (reason.equals(this.unreadableRecords.put(topicRecord.key(), reason))) {
+			return;
+		}
 		this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
 				StorePosition.format(topicRecord.position()), "source", source, "reason", reason);
 	}
@@ -337,6 +351,7 @@
 			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
+		this.unreadableRecords.remove(id);
 		Backend known = this.backends.get(id);
 		if (known != null && known.record().address().equals(record.address())
 				&& known.record().processStartMs() == record.processStartMs()
--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -93,6 +93,21 @@
 		assertThat(messages("event=backend host=")).noneMatch((line) -> line.contains("backend=desk-0"));
 	}
 
+	/** A writer that writes the same odd registration each second is reported once. */
+	@Test
+	public void oddRegistrationThatIsWrittenAgainIsLoggedOnce() throws Exception {
+		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("first"));
+		this.fixture.startEntry();
+		awaitBody(0, "first");
+		for (int i = 0; i < 5; i++) {
+			this.fixture.store().writeText("servers", "desk-0", "{\"seq\":" + i + "}");
+			Thread.sleep(100);
+		}
+		replaceBackend("desk-1", "desk-2", "second");
+		awaitBody(0, "second");
+		assertThat(messages("event=record-unreadable")).hasSize(1);
+	}
+
 	@DataProvider
 	public Object[][] oddOperatorRecords() {
 		return new Object[][] { { "config", new OddContent("deep", "{\"version\":99,\"extra\":" + DEEP + "}") },
