Records without a whole key do not hold up the reading

A page of the store that held only records without a whole key was taken as empty, so the same offset was read again, at once and without end, until another record followed; a record of length 0 ended the page, so that nothing after it was ever read.

--- a/testsuite/src/test/java/org/wigeontally/platform/wire/OddContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/OddContentTests.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.fleet.BackendRecord;
+import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.gateway.SmallStackVertx;
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
@@ -250,6 +251,21 @@
 		return text.replace("\"@\"", deep);
 	}
 
+	/** Records without a key do not keep the reader at their position. */
+	@Test
+	public void pageOfRecordsWithoutKeyIsPassed() {
+		Buffer page = Buffer.buffer().appendLong(8).appendLong(0);
+		page.appendInt(1).appendUnsignedByte((short) 5);
+		page.appendInt(0);
+		RecordPage odd = RecordCodec.decodePage(page, 5, 0);
+		assertThat(odd.records()).isEmpty();
+		assertThat(odd.endPosition()).isEqualTo(7);
+		page.appendBuffer(RecordCodec.encode("k", bytes("v")));
+		RecordPage withNext = RecordCodec.decodePage(page, 5, 0);
+		assertThat(withNext.endPosition()).isEqualTo(8);
+		assertThat(withNext.records()).extracting(CompactedTopic.TopicRecord::position).containsExactly(7L);
+	}
+
 	private static Object[] odd(String kind, String text) {
 		return new Object[] { new OddContent(kind, text) };
 	}
