Agents report although another step of their poll throws

After each poll of its engine an agent takes over the state, reports and takes the next step towards the target version. If the first threw, the others did not run, and entries heard nothing of the agent as long as that lasted. Each step now runs on its own and its fault is logged; a poll that cannot be sent ends too.

OddAgentContentTests#agentReportsAlthoughAnotherStepThrows failed before: no entry was called within 10 s. That a poll which cannot be sent ends has no test: nothing is known that throws there.

--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -202,17 +203,35 @@
 		}
 		this.pollInProgress = true;
 		this.lastPollMs = nowMs;
-		this.client.fetchState(this.settings.getBackend()).onComplete((result) -> {
-			this.pollInProgress = false;
-			if (result.succeeded()) {
-				handleEngineState(result.result());
-			}
-			else {
-				handlePollFailure(result.cause());
-			}
-			reportStatus(false);
-			reconcile();
-		});
+		// Within compose whatever is thrown fails the future, so that the poll ends.
+		Future.succeededFuture()
+			.compose((start) -> this.client.fetchState(this.settings.getBackend()))
+			.onComplete((result) -> {
+				this.pollInProgress = false;
+				runStep("state", () -> handlePollResult(result));
+				runStep("report", () -> reportStatus(false));
+				runStep("reconcile", this::reconcile);
+			});
+	}
+
+	private void handlePollResult(AsyncResult<EngineState> result) {
+		if (result.succeeded()) {
+			handleEngineState(result.result());
+		}
+		else {
+			handlePollFailure(result.cause());
+		}
+	}
+
+	// A step that throws must not keep the others from running: without reports the
+	// entries send the engine no requests.
+	private void runStep(String step, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.log.write(LogEvent.FAULT, "step", step, "reason", ex);
+		}
 	}
 
 	private long minReportIntervalMs() {
--- a/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
@@ -131,6 +131,16 @@
 		GatewayFixture.awaitTrue(() -> this.engine.loadedVersion() == 2);
 	}
 
+	/** Entries hear of the agent although it cannot take over its engine's state. */
+	@Test
+	public void agentReportsAlthoughAnotherStepThrows() throws Exception {
+		this.fixture.startEntry();
+		Clock clock = new FaultyClock("handleEngineState");
+		startAgent(List.of(this.fixture.settings(0).getControl()), clock);
+		GatewayFixture.awaitTrue(() -> !messages("event=peer host=agent entry=").isEmpty());
+		assertThat(messages("event=fault host=agent step=state")).isNotEmpty();
+	}
+
 	private void startAgent(List<Address> entries) throws Exception {
 		startAgent(entries, Clock.system());
 	}
@@ -169,4 +179,28 @@
 			.toList();
 	}
 
+	/**
+	 * Throws if it is asked for the time by one method.
+	 *
+	 * @param method name of the method
+	 */
+	private record FaultyClock(String method) implements Clock {
+
+		@Override
+		public long monotonicMs() {
+			boolean faulty = StackWalker.getInstance()
+				.walk((frames) -> frames.anyMatch((frame) -> frame.getMethodName().equals(this.method)));
+			if (faulty) {
+				throw new StackOverflowError();
+			}
+			return Clock.system().monotonicMs();
+		}
+
+		@Override
+		public long wallMs() {
+			return Clock.system().wallMs();
+		}
+
+	}
+
 }
