A load that cannot be announced ends

The loader is marked as running before the entries are told. If telling them threw, it stayed marked, and the agent ordered no further load until its restart. The notice is now part of the future that ends the load.

OddAgentContentTests#loadThatCannotBeAnnouncedEnds failed before.

--- a/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
@@ -70,8 +70,11 @@
 	Future<Boolean> load(String model, long version, VerifiedWeights weights, Runnable announceLoad) {
 		this.running = true;
 		List<byte[]> chunks = weights.chunks();
-		announceLoad.run();
-		return this.vertx.timer(LOAD_NOTICE_MS)
+		// Within compose whatever is thrown fails the future, so that the load ends.
+		return Future.succeededFuture().compose((start) -> {
+			announceLoad.run();
+			return this.vertx.timer(LOAD_NOTICE_MS);
+		})
 			.compose((v) -> stageUntilValid(model, chunks, 0))
 			.compose((v) -> this.client.fetchState(this.engine))
 			.compose((state) -> this.client.sendLoadOrder(this.engine, model, version, state.startedOrders()))
--- a/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import io.vertx.core.Future;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.slf4j.LoggerFactory;
@@ -19,8 +20,12 @@
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeEngine;
 import org.wigeontally.platform.standin.FakeWeightOrigin;
+import org.wigeontally.platform.wire.EngineClient;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.Manifest;
+import org.wigeontally.weights.ChunkStore;
+import org.wigeontally.weights.VerifiedWeights;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -131,6 +136,19 @@
 		GatewayFixture.awaitTrue(() -> this.engine.loadedVersion() == 2);
 	}
 
+	@Test
+	public void loadThatCannotBeAnnouncedEnds() throws Exception {
+		EngineLoader loader = new EngineLoader(this.fixture.vertx(), EventLog.create(Clock.system(), "agent"),
+				EngineClient.create(this.fixture.vertx()), engineAddress());
+		VerifiedWeights weights = VerifiedWeights.of(Manifest.getDefaultInstance(), ChunkStore.create(1)).orElseThrow();
+		Future<Boolean> load = Future.succeededFuture().compose((v) -> loader.load("m0", 2, weights, () -> {
+			throw new StackOverflowError();
+		}));
+		GatewayFixture.awaitTrue(load::isComplete);
+		assertThat(load.failed()).isTrue();
+		assertThat(loader.isRunning()).isFalse();
+	}
+
 	/** Entries hear of the agent although it cannot take over its engine's state. */
 	@Test
 	public void agentReportsAlthoughAnotherStepThrows() throws Exception {
