Waiting chunks are requested whatever a received one leads to

An agent opens few connections to the origin; further requests wait until one ends. If what received a chunk threw, none of those that waited was started, and after as many faults as there are connections, none ever.

OddAgentContentTests#chunkIsFetchedAfterWhatReceivedOthersThrew failed before: the third of three chunks was not fetched within 10 s.

--- a/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
@@ -74,11 +74,18 @@
 
 	private Future<byte[]> fetchChunk(VersionDownload download, int index) {
 		Promise<byte[]> fetched = Promise.promise();
-		this.waiting.add(() -> requestChunk(download, index).onComplete((result) -> {
-			this.activeRequests--;
-			fetched.handle(result);
-			startWaiting();
-		}));
+		// Within compose whatever is thrown fails the future, so that the request ends.
+		this.waiting.add(() -> Future.succeededFuture()
+			.compose((start) -> requestChunk(download, index))
+			.onComplete((result) -> {
+				this.activeRequests--;
+				try {
+					fetched.handle(result);
+				}
+				finally {
+					startWaiting();
+				}
+			}));
 		startWaiting();
 		return fetched.future();
 	}
--- a/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
@@ -1,11 +1,13 @@
 package org.wigeontally.sidecar;
 
 import java.util.List;
+import java.util.TreeMap;
 
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.slf4j.LoggerFactory;
@@ -22,6 +24,7 @@
 import org.wigeontally.platform.standin.FakeWeightOrigin;
 import org.wigeontally.platform.wire.EngineClient;
 import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.Manifest;
 import org.wigeontally.weights.ChunkStore;
@@ -159,6 +162,33 @@
 		assertThat(messages("event=fault host=agent step=state")).isNotEmpty();
 	}
 
+	/** The first two requests for chunks fill the connections that an agent may open. */
+	@Test
+	public void chunkIsFetchedAfterWhatReceivedOthersThrew() throws Exception {
+		FleetView view = new FleetView();
+		view.updateBriefing(AgentBriefing.newBuilder()
+			.setModel("m0")
+			.setVersion(1)
+			.setOrigin(Address.newBuilder().setIp("127.0.0.1").setPort(this.origin.port()))
+			.setOriginConnections(1)
+			.build(), 0);
+		List<String> digests = List.of("00".repeat(32), "11".repeat(32), "22".repeat(32));
+		TreeMap<Long, VersionDownload> downloads = new TreeMap<>();
+		downloads.put(1L, VersionDownload.create(1, "m0", digests, FakeWeightOrigin.CHUNK_BYTES, 0));
+		PlatformOriginClient client = new PlatformOriginClient(EngineClient.create(this.fixture.vertx()), view,
+				EventLog.create(Clock.system(), "agent"), downloads);
+		Promise<byte[]> third = Promise.promise();
+		this.fixture.vertx().runOnContext((v) -> {
+			for (String digest : digests.subList(0, 2)) {
+				client.fetchChunk(digest, FakeWeightOrigin.CHUNK_BYTES).onComplete((chunk) -> {
+					throw new StackOverflowError();
+				});
+			}
+			client.fetchChunk(digests.get(2), FakeWeightOrigin.CHUNK_BYTES).onComplete(third);
+		});
+		assertThat(GatewayFixture.await(third.future())).hasSize(FakeWeightOrigin.CHUNK_BYTES);
+	}
+
 	private void startAgent(List<Address> entries) throws Exception {
 		startAgent(entries, Clock.system());
 	}
