A weight node goes on after a step threw

Each step of a node plans the next one at its end. One that threw was the last: the node fetched nothing more until another version was announced. The next step is now planned in any case; Vert.x logs what was thrown.

WeightNodeTests#nodeGoesOnAfterAStepThrew failed before: no further step within 30 s.

--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -233,12 +233,22 @@
 	}
 
 	private void tick() {
+		boolean anyIncomplete = true;
+		try {
+			anyIncomplete = tickReplicas();
+		}
+		finally {
+			schedule(anyIncomplete ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS);
+		}
+	}
+
+	private boolean tickReplicas() {
 		boolean anyIncomplete = false;
 		for (VersionReplica replica : this.replicas.values()) {
 			replica.tick();
 			anyIncomplete = anyIncomplete || !replica.isComplete();
 		}
-		schedule(anyIncomplete ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS);
+		return anyIncomplete;
 	}
 
 	private VersionReplica findReplica(String manifestDigest) {
--- a/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
@@ -99,6 +100,39 @@
 		loadAll(model);
 	}
 
+	/** What supplies the other hosts throws once. */
+	@Test
+	public void nodeGoesOnAfterAStepThrew() {
+		AtomicInteger questions = new AtomicInteger();
+		HostIdentity self = HostIdentity.newBuilder().setHost("h0").setRegion("r0").setZone("z0").build();
+		WeightNode node = WeightNode.start(this.vertx,
+				new WeightSettings(self, "r0", 1, 0, Map.of(), UploadTransport.DIRECT), () -> {
+					if (questions.incrementAndGet() == 2) {
+						throw new StackOverflowError();
+					}
+					return List.of();
+				}, unavailableOrigin(), Clock.system(), 1);
+		node.fetchVersion(Model.newBuilder().setName("assist").setVersion("v1").setManifest("00").build());
+		await(() -> questions.get() >= 4);
+		node.close();
+	}
+
+	private static OriginClient unavailableOrigin() {
+		return new OriginClient() {
+
+			@Override
+			public Future<byte[]> fetchManifest(String digest) {
+				return Future.failedFuture("unavailable");
+			}
+
+			@Override
+			public Future<byte[]> fetchChunk(String digest, int size) {
+				return Future.failedFuture("unavailable");
+			}
+
+		};
+	}
+
 	@Test
 	public void corruptSegmentsReachNoEngine() {
 		addHosts(6);
