--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -51,6 +51,9 @@
 
 	private static final int MIN_CONNECTIONS = 2;
 
+	/** Unreadable records that are remembered; after more, they are reported again. */
+	private static final int MAX_UNREADABLE_RECORDS = 1_024;
+
 	private final HostSettings settings;
 
 	private final NetClient client;
@@ -75,6 +78,9 @@
 	// store was unavailable.
 	private final Set<String> lapsedIds = new HashSet<>();
 
+	// Why records were unreadable, by their key, to report each once.
+	private final Map<String, String> unreadableRecords = new HashMap<>();
+
 	private FleetConfiguration configuration;
 
 	// Record that the configuration in force was decoded from.
@@ -181,10 +187,14 @@
 			CompactedTopic.TopicRecord topicRecord = this.operatorRecords.record(key);
 			try {
 				applyOperatorRecord(topicRecord, source, sinceMs);
+				this.unreadableRecords.remove(key);
 			}
 			catch (PlatformException ex) {
 				logUnreadable(topicRecord, source, ex.getMessage());
 			}
+			catch (RuntimeException | StackOverflowError ex) {
+				logFault(key, source, ex);
+			}
 		}
 	}
 
@@ -226,7 +236,20 @@
 		}
 	}
 
+	// A record that is read is not read again, so a fault in one must not end the round
+	// for the others.
+	private void logFault(String key, String source, Throwable fault) {
+		this.log.write(LogEvent.FAULT, "key", key, "source", source, "reason", fault);
+	}
+
+	// Its writer may renew an unreadable record every second.
 	private void logUnreadable(CompactedTopic.TopicRecord topicRecord, String source, String reason) {
+		if (this.unreadableRecords.size() >= MAX_UNREADABLE_RECORDS) {
+			this.unreadableRecords.clear();
+		}
+		if (reason.equals(this.unreadableRecords.put(topicRecord.key(), reason))) {
+			return;
+		}
 		this.log.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
 				StorePosition.format(topicRecord.position()), "source", source, "reason", reason);
 	}
@@ -264,22 +287,31 @@
 	void applyBackendRecords(List<String> keys, String source) {
 		long nowMs = this.clock.monotonicMs();
 		for (String id : keys) {
-			CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
-			if (!topicRecord.removed()) {
-				this.lapsedIds.remove(id);
-				registerBackend(id, topicRecord, source);
-				continue;
+			try {
+				applyBackendRecord(id, source, nowMs);
 			}
-			if (nowMs < this.lapseGraceEndsAtMs) {
-				// The registration may have lapsed because the store was unavailable;
-				// it is removed only if it is not renewed within the grace period.
-				this.lapsedIds.add(id);
-				continue;
+			catch (RuntimeException | StackOverflowError ex) {
+				logFault(id, source, ex);
 			}
-			removeBackend(id, topicRecord.position(), source);
 		}
 	}
 
+	private void applyBackendRecord(String id, String source, long nowMs) {
+		CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
+		if (!topicRecord.removed()) {
+			this.lapsedIds.remove(id);
+			registerBackend(id, topicRecord, source);
+			return;
+		}
+		if (nowMs < this.lapseGraceEndsAtMs) {
+			// The registration may have lapsed because the store was unavailable; it is
+			// removed only if it is not renewed within the grace period.
+			this.lapsedIds.add(id);
+			return;
+		}
+		removeBackend(id, topicRecord.position(), source);
+	}
+
 	/**
 	 * Starts the grace period for registrations that lapsed while the store was
 	 * unavailable. They are kept until it ends.
@@ -319,6 +351,7 @@
 			removeBackend(id, topicRecord.position(), "unreadable");
 			return;
 		}
+		this.unreadableRecords.remove(id);
 		Backend known = this.backends.get(id);
 		if (known != null && known.record().address().equals(record.address())
 				&& known.record().processStartMs() == record.processStartMs()
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 
 import org.wigeontally.eventlog.EventLog;
@@ -100,6 +101,9 @@
 
 	private long settleAtMs = NOT_SCHEDULED;
 
+	// Whether the step that runs now has planned the next read.
+	private boolean readPlanned;
+
 	private boolean stopped;
 
 	private final long startedAtMs;
@@ -130,7 +134,7 @@
 	}
 
 	void start() {
-		readNext();
+		goingOn((v) -> readNext()).handle(null);
 	}
 
 	void stop() {
@@ -187,15 +191,15 @@
 		this.announcedBytes = 0;
 		if (snapshotDue) {
 			this.store.readSnapshot(this.topic, this::recordProgress)
-				.onSuccess(this::applySnapshot)
-				.onFailure(this::recordFailure);
+				.onSuccess(goingOn(this::applySnapshot))
+				.onFailure(goingOn(this::recordFailure));
 			return;
 		}
 		long start = this.records.endPosition();
 		long waitMs = (rank == 0) ? POLL_WAIT_MS : 0;
 		this.store.read(this.topic, start, waitMs, this::recordProgress)
-			.onSuccess((page) -> applyUpdate(start, page, waitMs))
-			.onFailure(this::recordFailure);
+			.onSuccess(goingOn((page) -> applyUpdate(start, page, waitMs)))
+			.onFailure(goingOn(this::recordFailure));
 	}
 
 	// Only at the start others may have what the snapshot holds. Later, it is needed
@@ -345,11 +349,29 @@
 		if (this.stopped) {
 			return;
 		}
+		this.readPlanned = true;
 		if (delayMs <= 0) {
-			this.vertx.runOnContext((v) -> readNext());
+			this.vertx.runOnContext(goingOn((v) -> readNext()));
 			return;
 		}
-		this.vertx.setTimer(delayMs, (id) -> readNext());
+		this.vertx.setTimer(delayMs, goingOn((id) -> readNext()));
+	}
+
+	// Each step plans the next one. Whatever it throws, an Error too, must not end the
+	// reading.
+	private <T> Handler<T> goingOn(Handler<T> step) {
+		return (value) -> {
+			this.readPlanned = false;
+			try {
+				step.handle(value);
+			}
+			catch (Throwable ex) {
+				if (!this.readPlanned) {
+					scheduleNextRead(MAX_RETRY_DELAY_MS);
+				}
+				this.log.write(LogEvent.FAULT, "topic", this.topic, "reason", ex);
+			}
+		};
 	}
 
 	/**
