Measurement configuration-spread: large configurations in virtual time

Runs ContentDownload, ContentUploads, StoreReadPlan and EntryTable in virtual time over queues for the links between regions and those of entries; what carries the decisions out (exchanges, followers of the store) is modelled after the daemons. Ten disruptions; the baseline is the code of: whole records in each exchange, one limit for each read of the store.

--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -11,10 +11,10 @@
 	}
 
 	static List<Measurement> all() {
-		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ControlMeasurement(),
-				new FaultsMeasurement(), new HarmfulPartsMeasurement(), new OverheadMeasurement(),
-				new PathMeasurement(), new RouteMeasurement(), new BackendLimitMeasurement(), new SoakMeasurement(),
-				new WeightsMeasurement(), new ZonesMeasurement());
+		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ConfigurationSpreadMeasurement(),
+				new ControlMeasurement(), new FaultsMeasurement(), new HarmfulPartsMeasurement(),
+				new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(), new BackendLimitMeasurement(),
+				new SoakMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
