Entries that a busy holder turns away stay in their region

Cause: the reader of a region serves four entries at a time. While it was busy it was paused as a source, so the others had none nearby, and as nobody of the region was receiving any more, all of them were allowed to read over the border at once. They divided the border among them and kept to these sources although their region had the content in full by then.

Now a holder of the own region that is only busy keeps the download from other regions; one that does not answer, or lacks the content, does not.

ContentDownloadTests.busySourceOfTheOwnRegionComesBeforeOtherRegions failed before.

--- a/library/src/main/java/org/wigeontally/contents/ContentDownload.java
+++ b/library/src/main/java/org/wigeontally/contents/ContentDownload.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,9 +26,9 @@
  * <p>
  * Sources are the entries that hold the content. Those of the own region come first, in
  * an order that differs from entry to entry. A source of another region is used only if
- * the caller allows it (see {@link org.wigeontally.fleet.StoreReadPlan}). A source that
- * does not answer, is busy or lacks the content is left alone for a while. Used by one
- * thread.
+ * the caller allows it (see {@link org.wigeontally.fleet.StoreReadPlan}), and not while
+ * one of the own region is only busy. A source that does not answer, is busy or lacks the
+ * content is left alone for a while. Used by one thread.
  */
 public final class ContentDownload {
 
@@ -56,6 +57,8 @@
 
 	private final Map<Address, Long> pausedUntilMs = new HashMap<>();
 
+	private final Set<Address> busySources = new HashSet<>();
+
 	private final Set<Address> hintedHolders = new LinkedHashSet<>();
 
 	private Address lastSource;
@@ -146,7 +149,19 @@
 				&& !isPaused(this.lastSource, nowMs)) {
 			return Optional.of(this.lastSource);
 		}
-		return first(near, nowMs).or(() -> first(remoteHolders, nowMs));
+		Optional<Address> nearSource = first(near, nowMs);
+		if (nearSource.isPresent()) {
+			return nearSource;
+		}
+		if (isAnyBusy(near, nowMs)) {
+			return Optional.empty();
+		}
+		return first(remoteHolders, nowMs);
+	}
+
+	// The entries that a busy source sends to are the next sources.
+	private boolean isAnyBusy(Collection<Address> holders, long nowMs) {
+		return holders.stream().anyMatch((holder) -> this.busySources.contains(holder) && isPaused(holder, nowMs));
 	}
 
 	private Optional<Address> first(Collection<Address> holders, long nowMs) {
@@ -194,6 +209,7 @@
 	 */
 	public void recordBusy(Address source, List<Address> holders, long nowMs) {
 		pause(source, nowMs + BUSY_PAUSE_MS);
+		this.busySources.add(source);
 		this.hintedHolders.addAll(holders);
 	}
 
@@ -217,6 +233,7 @@
 
 	private void pause(Address source, long untilMs) {
 		this.pausedUntilMs.put(source, untilMs);
+		this.busySources.remove(source);
 		if (source.equals(this.lastSource)) {
 			this.lastSource = null;
 		}
--- a/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
@@ -66,6 +66,21 @@
 		assertThat(this.download.selectSource(List.of(NEAR), List.of(), 100)).contains(NEAR);
 	}
 
+	/**
+	 * Its holder serves others of the region first. Those that it turns away would
+	 * otherwise all read over the border.
+	 */
+	@Test
+	public void busySourceOfTheOwnRegionComesBeforeOtherRegions() {
+		this.download.recordBusy(NEAR, List.of(), 0);
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 1)).isEmpty();
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 100)).contains(NEAR);
+		this.download.recordFailure(NEAR, 100);
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 101)).contains(REMOTE);
+		this.download.recordBusy(NEAR, List.of(), 200);
+		assertThat(this.download.selectSource(List.of(), List.of(REMOTE), 201)).contains(REMOTE);
+	}
+
 	/** An answer without data would otherwise be asked for without end. */
 	@Test
 	public void emptyPartCountsAsAFailure() {
