Entries that wait for a busy holder do not read the store

Nobody was receiving any more, and a download that waits for its turn at a busy holder counted as idle 600 ms after its start.

Now waiting for a busy holder of the own region is no idleness; a holder that lacks the content, or does not answer, makes it idle as before, so that a replaced content is still left.

ContentDownloadTests.downloadThatWaitsForABusySourceIsNotIdle failed before.

--- a/library/src/main/java/org/wigeontally/contents/ContentDownload.java
+++ b/library/src/main/java/org/wigeontally/contents/ContentDownload.java
@@ -65,14 +65,14 @@
 
 	private int receivedBytes;
 
-	private long lastProgressMs;
+	private long lastSuppliedMs;
 
 	private ContentDownload(ContentReference reference, Address own, long nowMs) {
 		this.reference = reference;
 		this.received = new byte[reference.getCompressedBytes()];
 		this.ownAddress = Addresses.format(own);
 		this.startedAtMs = nowMs;
-		this.lastProgressMs = nowMs;
+		this.lastSuppliedMs = nowMs;
 	}
 
 	/**
@@ -116,12 +116,13 @@
 	}
 
 	/**
-	 * Returns the time since the download started or received something.
+	 * Returns the time since the download started, received something, or waited for a
+	 * busy source of its own region.
 	 * @param nowMs current time in milliseconds
 	 * @return milliseconds
 	 */
 	public long idleMs(long nowMs) {
-		return nowMs - this.lastProgressMs;
+		return nowMs - this.lastSuppliedMs;
 	}
 
 	/**
@@ -154,6 +155,7 @@
 			return nearSource;
 		}
 		if (isAnyBusy(near, nowMs)) {
+			this.lastSuppliedMs = nowMs;
 			return Optional.empty();
 		}
 		return first(remoteHolders, nowMs);
@@ -197,7 +199,7 @@
 		}
 		System.arraycopy(data, 0, this.received, this.receivedBytes, length);
 		this.receivedBytes += length;
-		this.lastProgressMs = nowMs;
+		this.lastSuppliedMs = nowMs;
 		this.lastSource = source;
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
@@ -81,6 +81,20 @@
 		assertThat(this.download.selectSource(List.of(), List.of(REMOTE), 201)).contains(REMOTE);
 	}
 
+	/**
+	 * The entries of a region read the store if nothing of it receives a content. One
+	 * that waits for its turn would otherwise read it as soon as the reader has ended.
+	 */
+	@Test
+	public void downloadThatWaitsForABusySourceIsNotIdle() {
+		this.download.recordBusy(NEAR, List.of(), 2_000);
+		this.download.selectSource(List.of(NEAR), List.of(), 2_001);
+		assertThat(this.download.idleMs(2_100)).isEqualTo(99);
+		this.download.recordUnknown(NEAR, 2_200);
+		this.download.selectSource(List.of(NEAR), List.of(), 2_201);
+		assertThat(this.download.idleMs(2_300)).isEqualTo(299);
+	}
+
 	/** An answer without data would otherwise be asked for without end. */
 	@Test
 	public void emptyPartCountsAsAFailure() {
