--- a/library/src/main/java/org/wigeontally/contents/ContentDownload.java
+++ b/library/src/main/java/org/wigeontally/contents/ContentDownload.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,9 +26,9 @@
  * <p>
  * Sources are the entries that hold the content. Those of the own region come first, in
  * an order that differs from entry to entry. A source of another region is used only if
- * the caller allows it (see {@link org.wigeontally.fleet.StoreReadPlan}). A source that
- * does not answer, is busy or lacks the content is left alone for a while. Used by one
- * thread.
+ * the caller allows it (see {@link org.wigeontally.fleet.StoreReadPlan}), and not while
+ * one of the own region is only busy. A source that does not answer, is busy or lacks the
+ * content is left alone for a while. Used by one thread.
  */
 public final class ContentDownload {
 
@@ -56,20 +57,22 @@
 
 	private final Map<Address, Long> pausedUntilMs = new HashMap<>();
 
+	private final Set<Address> busySources = new HashSet<>();
+
 	private final Set<Address> hintedHolders = new LinkedHashSet<>();
 
 	private Address lastSource;
 
 	private int receivedBytes;
 
-	private long lastProgressMs;
+	private long lastSuppliedMs;
 
 	private ContentDownload(ContentReference reference, Address own, long nowMs) {
 		this.reference = reference;
 		this.received = new byte[reference.getCompressedBytes()];
 		this.ownAddress = Addresses.format(own);
 		this.startedAtMs = nowMs;
-		this.lastProgressMs = nowMs;
+		this.lastSuppliedMs = nowMs;
 	}
 
 	/**
@@ -113,12 +116,13 @@
 	}
 
 	/**
-	 * Returns the time since the download started or received something.
+	 * Returns the time since the download started, received something, or waited for a
+	 * busy source of its own region.
 	 * @param nowMs current time in milliseconds
 	 * @return milliseconds
 	 */
 	public long idleMs(long nowMs) {
-		return nowMs - this.lastProgressMs;
+		return nowMs - this.lastSuppliedMs;
 	}
 
 	/**
@@ -146,7 +150,20 @@
 				&& !isPaused(this.lastSource, nowMs)) {
 			return Optional.of(this.lastSource);
 		}
-		return first(near, nowMs).or(() -> first(remoteHolders, nowMs));
+		Optional<Address> nearSource = first(near, nowMs);
+		if (nearSource.isPresent()) {
+			return nearSource;
+		}
+		if (isAnyBusy(near, nowMs)) {
+			this.lastSuppliedMs = nowMs;
+			return Optional.empty();
+		}
+		return first(remoteHolders, nowMs);
+	}
+
+	// The entries that a busy source sends to are the next sources.
+	private boolean isAnyBusy(Collection<Address> holders, long nowMs) {
+		return holders.stream().anyMatch((holder) -> this.busySources.contains(holder) && isPaused(holder, nowMs));
 	}
 
 	private Optional<Address> first(Collection<Address> holders, long nowMs) {
@@ -182,7 +199,7 @@
 		}
 		System.arraycopy(data, 0, this.received, this.receivedBytes, length);
 		this.receivedBytes += length;
-		this.lastProgressMs = nowMs;
+		this.lastSuppliedMs = nowMs;
 		this.lastSource = source;
 	}
 
@@ -194,6 +211,7 @@
 	 */
 	public void recordBusy(Address source, List<Address> holders, long nowMs) {
 		pause(source, nowMs + BUSY_PAUSE_MS);
+		this.busySources.add(source);
 		this.hintedHolders.addAll(holders);
 	}
 
@@ -217,6 +235,7 @@
 
 	private void pause(Address source, long untilMs) {
 		this.pausedUntilMs.put(source, untilMs);
+		this.busySources.remove(source);
 		if (source.equals(this.lastSource)) {
 			this.lastSource = null;
 		}
--- a/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/contents/ContentDownloadTests.java
@@ -66,6 +66,35 @@
 		assertThat(this.download.selectSource(List.of(NEAR), List.of(), 100)).contains(NEAR);
 	}
 
+	/**
+	 * Its holder serves others of the region first. Those that it turns away would
+	 * otherwise all read over the border.
+	 */
+	@Test
+	public void busySourceOfTheOwnRegionComesBeforeOtherRegions() {
+		this.download.recordBusy(NEAR, List.of(), 0);
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 1)).isEmpty();
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 100)).contains(NEAR);
+		this.download.recordFailure(NEAR, 100);
+		assertThat(this.download.selectSource(List.of(NEAR), List.of(REMOTE), 101)).contains(REMOTE);
+		this.download.recordBusy(NEAR, List.of(), 200);
+		assertThat(this.download.selectSource(List.of(), List.of(REMOTE), 201)).contains(REMOTE);
+	}
+
+	/**
+	 * The entries of a region read the store if nothing of it receives a content. One
+	 * that waits for its turn would otherwise read it as soon as the reader has ended.
+	 */
+	@Test
+	public void downloadThatWaitsForABusySourceIsNotIdle() {
+		this.download.recordBusy(NEAR, List.of(), 2_000);
+		this.download.selectSource(List.of(NEAR), List.of(), 2_001);
+		assertThat(this.download.idleMs(2_100)).isEqualTo(99);
+		this.download.recordUnknown(NEAR, 2_200);
+		this.download.selectSource(List.of(NEAR), List.of(), 2_201);
+		assertThat(this.download.idleMs(2_300)).isEqualTo(299);
+	}
+
 	/** An answer without data would otherwise be asked for without end. */
 	@Test
 	public void emptyPartCountsAsAFailure() {
