Log: lines of libraries are one bounded event each

Operators saw 181 traces of several lines in 8 s from two processes ("Caught Throwable from listener onStreamClosed.", java.lang.NullPointerException in VertxHttp2Stream$3.cancel). Only lines of the event log were structured and limited; those of io.vertx and io.netty went to standard output with their traces, without a limit, and shared the queue with the project's events.

Lines of all loggers but the event log's become the event library-fault with logger, message, exception, innermost cause, first frame and first frame in the project's code. EventLine and LineRateLimit come out of EventLog, which uses them.

A start loads one more class before the settings are read (EventLineQueue), and SystemClock earlier than before.

--- a/daemons/src/main/java/org/wigeontally/eventlog/EventLog.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/EventLog.java
@@ -16,21 +16,22 @@
  */
 public final class EventLog {
 
-	private static final Logger logger = LoggerFactory.getLogger("wigeontally");
+	/** Name of the logger of all events. */
+	public static final String LOGGER_NAME = "wigeontally";
 
-	private static final long SECOND_MS = 1_000;
+	private static final Logger logger = LoggerFactory.getLogger(LOGGER_NAME);
 
 	private final Clock clock;
 
 	private final String host;
 
-	private final Map<LogEvent, RateLimitWindow> windows = new EnumMap<>(LogEvent.class);
+	private final Map<LogEvent, LineRateLimit> limits = new EnumMap<>(LogEvent.class);
 
 	private EventLog(Clock clock, String host) {
 		this.clock = clock;
 		this.host = host;
 		for (LogEvent event : LogEvent.values()) {
-			this.windows.put(event, new RateLimitWindow());
+			this.limits.put(event, new LineRateLimit());
 		}
 	}
 
@@ -50,56 +51,15 @@
 	 * @param fields alternating names and values
 	 */
 	public void write(LogEvent event, Object... fields) {
-		int droppedBefore = this.windows.get(event).admit(this.clock.monotonicMs(), event.linesPerSecond());
+		int droppedBefore = this.limits.get(event).admit(this.clock.monotonicMs(), event.linesPerSecond());
 		if (droppedBefore < 0) {
 			return;
 		}
-		StringBuilder line = new StringBuilder(160);
-		line.append("event=").append(event.label()).append(" host=").append(this.host);
+		EventLine line = EventLine.of(event).field("host", this.host);
 		for (int i = 0; i + 1 < fields.length; i += 2) {
-			line.append(' ').append(fields[i]).append('=');
-			appendValue(line, String.valueOf(fields[i + 1]));
+			line.field(fields[i], fields[i + 1]);
 		}
-		if (droppedBefore > 0) {
-			line.append(" left-out=").append(droppedBefore);
-		}
-		logger.info(line.toString());
-	}
-
-	private static void appendValue(StringBuilder line, String value) {
-		if (value.isEmpty() || value.chars().anyMatch((c) -> c <= ' ' || c == '"' || c == '=')) {
-			line.append('"').append(value.replace('"', '\'').replace('\n', ' ').replace('\r', ' ')).append('"');
-		}
-		else {
-			line.append(value);
-		}
-	}
-
-	private static final class RateLimitWindow {
-
-		private long startMs = Long.MIN_VALUE / 2;
-
-		private int lines;
-
-		private int droppedLines;
-
-		// Returns the number of lines dropped since the last one, or -1 if this line
-		// is to be dropped.
-		private synchronized int admit(long nowMs, int limit) {
-			if (nowMs - this.startMs >= SECOND_MS) {
-				this.startMs = nowMs;
-				this.lines = 0;
-			}
-			if (this.lines >= limit) {
-				this.droppedLines++;
-				return -1;
-			}
-			this.lines++;
-			int droppedBefore = this.droppedLines;
-			this.droppedLines = 0;
-			return droppedBefore;
-		}
-
+		logger.info(line.leftOut(droppedBefore).toString());
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -71,7 +71,9 @@
 	/** The engine on this host responds again, or no longer responds. */
 	ENGINE(RateLimit.SOME),
 	/** An internal error of the process. */
-	FAULT(RateLimit.SOME);
+	FAULT(RateLimit.SOME),
+	/** A library logged a line; the limit applies to each of its loggers. */
+	LIBRARY_FAULT(RateLimit.RARE);
 
 	private final int linesPerSecond;
 
@@ -82,7 +84,11 @@
 		this.label = name().toLowerCase().replace('_', '-');
 	}
 
-	int linesPerSecond() {
+	/**
+	 * Returns the limit on the lines of this event.
+	 * @return maximum number of lines per second
+	 */
+	public int linesPerSecond() {
 		return this.linesPerSecond;
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/tool/HostLoggingTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/HostLoggingTests.java
@@ -12,6 +12,8 @@
 import ch.qos.logback.core.OutputStreamAppender;
 import org.testng.annotations.Test;
 
+import org.wigeontally.misc.Clock;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -43,7 +45,7 @@
 		});
 		LoggerContext context = new LoggerContext();
 		context.setMDCAdapter(new LogbackMDCAdapter());
-		HostLogging.attachAppender(context, blockedAppender);
+		HostLogging.attachAppender(context, blockedAppender, Clock.system());
 		Thread writer = new Thread(() -> {
 			for (int i = 0; i < LINE_COUNT; i++) {
 				context.getLogger("wigeontally").info("event=test number={}", i);
--- a/tool/src/main/java/org/wigeontally/tool/HostLogging.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostLogging.java
@@ -1,6 +1,5 @@
 package org.wigeontally.tool;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -11,6 +10,8 @@
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
 
+import org.wigeontally.misc.Clock;
+
 /**
  * Configures the log of the processes on the platform's hosts. Logback loads this class
  * as a service provider. Without the system property {@value #LOG_PROPERTY}, programs use
@@ -25,7 +26,7 @@
 	/** Value of the property that selects this configuration. */
 	static final String HOST_LOG = "host";
 
-	private static final String PATTERN = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%level %msg%n%ex{short}";
+	private static final String PATTERN = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%level %msg%n%nopex";
 
 	/**
 	 * Maximum number of lines that wait to be written to standard output. They take about
@@ -38,7 +39,7 @@
 		if (!HOST_LOG.equals(System.getProperty(LOG_PROPERTY))) {
 			return ExecutionStatus.INVOKE_NEXT_IF_ANY;
 		}
-		attachAppender(context, new ConsoleAppender<>());
+		attachAppender(context, new ConsoleAppender<>(), Clock.system());
 		return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
 	}
 
@@ -47,8 +48,9 @@
 	 * are dropped if the queue is full.
 	 * @param context logger context to configure
 	 * @param appender appender that may block
+	 * @param clock source of time for the limits on lines
 	 */
-	static void attachAppender(LoggerContext context, OutputStreamAppender<ILoggingEvent> appender) {
+	static void attachAppender(LoggerContext context, OutputStreamAppender<ILoggingEvent> appender, Clock clock) {
 		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
 		encoder.setContext(context);
 		encoder.setPattern(PATTERN);
@@ -56,7 +58,7 @@
 		appender.setContext(context);
 		appender.setEncoder(encoder);
 		appender.start();
-		AsyncAppender queue = new AsyncAppender();
+		EventLineQueue queue = new EventLineQueue(clock);
 		queue.setContext(context);
 		queue.setQueueSize(QUEUE_CAPACITY_LINES);
 		queue.setDiscardingThreshold(0);
