--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedFollower.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedFollower.java
@@ -94,7 +94,7 @@
 		SpreadPolicy policy = this.owner.network().policy();
 		long delayMs = snapshot
 				? policy.firstReadDelayMs(rank, (long) (this.owner.nowMs() - this.startedAtMs),
-						receiving || this.owner.hasRegionRecords(this.operator))
+						this.owner.hasRegionRecords(this.operator), receiving)
 				: policy.readDelayMs(rank, (long) ageMs(), receiving);
 		if (delayMs > 0) {
 			schedule(Math.max(MIN_CHECK_DELAY_MS, delayMs));
--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SpreadPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SpreadPolicy.java
@@ -21,8 +21,8 @@
 		}
 
 		@Override
-		public long firstReadDelayMs(int rank, long waitedMs, boolean supplied) {
-			return StoreReadPlan.firstReadDelayMs(rank, waitedMs, supplied);
+		public long firstReadDelayMs(int rank, long waitedMs, boolean offered, boolean supplied) {
+			return StoreReadPlan.firstReadDelayMs(rank, waitedMs, offered, supplied);
 		}
 
 	};
@@ -44,7 +44,7 @@
 		}
 
 		@Override
-		public long firstReadDelayMs(int rank, long waitedMs, boolean supplied) {
+		public long firstReadDelayMs(int rank, long waitedMs, boolean offered, boolean supplied) {
 			return 0;
 		}
 
@@ -70,9 +70,10 @@
 	 * Returns the time until an entry reads all records after its start.
 	 * @param rank place of the entry in its region
 	 * @param waitedMs time since the start
-	 * @param supplied true if the region has the records or is receiving them
+	 * @param offered true if another entry of the region has the records
+	 * @param supplied true if the region is receiving a large record
 	 * @return milliseconds; 0 to read now
 	 */
-	long firstReadDelayMs(int rank, long waitedMs, boolean supplied);
+	long firstReadDelayMs(int rank, long waitedMs, boolean offered, boolean supplied);
 
 }
