Implausible records of harmful parts refuse no requests

Entries refuse requests because of what they find in the store under harmful parts. The times in it were taken as they came: an age that overflows or is negative, or a time of writing before 1970 or far in the future, counted as a loss of just now, at every start of an entry, and a record could name another part than its key, so that an operator who allowed the part again did not remove it. Such records are now logged as unreadable and left out.

OddRecordTests#oddRecordsOfHarmfulPartsRefuseNoRequests failed before: all five odd parts were refused beside the sound record.

--- a/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartStore.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/HarmfulPartStore.java
@@ -8,6 +8,8 @@
 
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.StorePosition;
+import org.wigeontally.harmful.HarmfulPartTracker;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.StoreClient;
@@ -28,6 +30,9 @@
 
 	private static final long MAX_RETRY_MS = 30_000;
 
+	/** A greater difference between the clocks of two hosts is an error. */
+	private static final long MAX_CLOCK_DIFFERENCE_MS = 600_000;
+
 	/** Longest key that the store accepts. */
 	private static final int MAX_KEY_BYTES = 255;
 
@@ -65,6 +70,11 @@
 		}
 		try {
 			HarmfulPartRecord part = HarmfulPartRecord.parseFrom(topicRecord.value());
+			String fault = describeFault(topicRecord.key(), part);
+			if (fault != null) {
+				logUnreadable(topicRecord, fault);
+				return;
+			}
 			long elapsedMs = Math.max(0, this.clock.wallMs() - part.getWrittenAtMs());
 			SuspectContent.Builder content = part.getContent().toBuilder().clearTrialAgeMs();
 			for (BackendLoss.Builder loss : content.getLossesBuilderList()) {
@@ -73,10 +83,35 @@
 			this.context.harmfulParts().merge(SuspectSummary.newBuilder().addContents(content).build(), "store");
 		}
 		catch (InvalidProtocolBufferException ex) {
-			this.context.log()
-				.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position", topicRecord.position(),
-						"reason", ex.getMessage());
+			logUnreadable(topicRecord, ex.getMessage());
+		}
+	}
+
+	// Requests are refused because of these records, so they must be plausible. Returns
+	// null if they are.
+	private String describeFault(String key, HarmfulPartRecord part) {
+		if (!key.equals(key(new PromptPart(part.getContent().getService(), part.getContent().getPartId())))) {
+			return "it is about another part than its key";
+		}
+		if (part.getWrittenAtMs() < 0 || part.getWrittenAtMs() > this.clock.wallMs() + MAX_CLOCK_DIFFERENCE_MS) {
+			return "it was written at " + part.getWrittenAtMs();
 		}
+		for (BackendLoss loss : part.getContent().getLossesList()) {
+			if (loss.getAgeMs() < 0 || loss.getAgeMs() > HarmfulPartTracker.LOSS_RETENTION_MS) {
+				return "a loss is " + loss.getAgeMs() + " ms old";
+			}
+		}
+		return null;
+	}
+
+	private void logUnreadable(CompactedTopic.TopicRecord topicRecord, String reason) {
+		this.context.log()
+			.write(LogEvent.RECORD_UNREADABLE, "key", topicRecord.key(), "position",
+					StorePosition.format(topicRecord.position()), "reason", reason);
+	}
+
+	private static String key(PromptPart part) {
+		return part.service() + "/" + part.id();
 	}
 
 	/**
@@ -125,7 +160,7 @@
 	}
 
 	private Future<Void> write(PromptPart part, byte[] value) {
-		String key = part.service() + "/" + part.id();
+		String key = key(part);
 		if (key.getBytes(StandardCharsets.UTF_8).length > MAX_KEY_BYTES) {
 			this.context.log()
 				.write(LogEvent.PROMPT_PART, "service", part.service(), "part", part.id(), "reason",
--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -17,7 +17,14 @@
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.platform.wire.StoreClient;
+import org.wigeontally.platform.wire.StoreTopic;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.BackendLoss;
+import org.wigeontally.schema.generated.HarmfulPartRecord;
 import org.wigeontally.schema.generated.HostSettings;
+import org.wigeontally.schema.generated.LossTrial;
+import org.wigeontally.schema.generated.SuspectContent;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -164,6 +171,49 @@
 		GatewayFixture.awaitTrue(() -> !messages("event=peer host=entry-1 entry=entry-0").isEmpty());
 	}
 
+	/** Each odd record would make an entry refuse requests with the part for minutes. */
+	@Test
+	public void oddRecordsOfHarmfulPartsRefuseNoRequests() throws Exception {
+		long nowMs = System.currentTimeMillis();
+		writeHarmfulPart("engines/a1", "a1", nowMs - 1_000, Long.MAX_VALUE);
+		writeHarmfulPart("engines/a2", "a2", nowMs, -1);
+		writeHarmfulPart("engines/a3", "a3", Long.MAX_VALUE, 0);
+		writeHarmfulPart("engines/a4", "a4", Long.MIN_VALUE, 0);
+		writeHarmfulPart("engines/a5", "other", nowMs, 0);
+		writeHarmfulPart("engines/sound", "sound", nowMs - 1_000, 5_000);
+		this.fixture.startEntry();
+		GatewayFixture.awaitTrue(() -> harmfulParts().contains("sound"));
+		assertThat(harmfulParts()).doesNotContain("a1", "a2", "a3", "a4", "other");
+		assertThat(messages("event=record-unreadable")).hasSize(5);
+	}
+
+	private String harmfulParts() {
+		try {
+			return this.fixture.get(this.fixture.metricsAddress(0), "/harmful-parts").body();
+		}
+		catch (Exception ex) {
+			return "";
+		}
+	}
+
+	private void writeHarmfulPart(String key, String part, long writtenAtMs, long ageMs) throws Exception {
+		SuspectContent.Builder content = SuspectContent.newBuilder().setService("engines").setPartId(part);
+		for (int i = 0; i < 3; i++) {
+			content.addLosses(BackendLoss.newBuilder()
+				.setId(part + "-" + i)
+				.setAgeMs(ageMs)
+				.setTrial(LossTrial.LOSS_TRIAL_ALONE));
+		}
+		byte[] value = HarmfulPartRecord.newBuilder()
+			.setContent(content)
+			.setWrittenAtMs(writtenAtMs)
+			.build()
+			.toByteArray();
+		Address store = Address.newBuilder().setIp("127.0.0.1").setPort(this.fixture.store().port()).build();
+		GatewayFixture
+			.await(StoreClient.create(this.fixture.vertx(), store).write(StoreTopic.HARMFUL_PARTS, key, value));
+	}
+
 	private void replaceBackend(String oldId, String newId, String body) throws Exception {
 		this.fixture.startBackend(newId, "desk", "zone-a", GatewayFixture.respondWithSuccess(body));
 		this.fixture.store().write("servers", oldId, null);
