Model of configurations: no second way over the border, no read for known records

Now the own read of the store counts as supply in StoreReadPlan.mayReadFromOtherRegion, and a read is given up when the records from its start on are known.

--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedContents.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedContents.java
@@ -124,8 +124,9 @@
 	}
 
 	private boolean mayReadFromOtherRegion(long nowMs) {
-		return this.remoteSource || StoreReadPlan.mayReadFromOtherRegion(contentRank(nowMs),
-				this.download.elapsedMs(nowMs), !this.owner.table().receivingNearby(nowMs).isEmpty());
+		boolean supplied = this.owner.isReceivingFromStore() || !this.owner.table().receivingNearby(nowMs).isEmpty();
+		return this.remoteSource
+				|| StoreReadPlan.mayReadFromOtherRegion(contentRank(nowMs), this.download.elapsedMs(nowMs), supplied);
 	}
 
 	private int contentRank(long nowMs) {
--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedEntry.java
@@ -228,6 +228,10 @@
 		return () -> this.incarnation == current && condition.getAsBoolean();
 	}
 
+	boolean isReceivingFromStore() {
+		return this.operatorFollower.isReceiving();
+	}
+
 	int rank() {
 		return StoreReadPlan.rank(news(), this.table.liveEntries((long) nowMs()));
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedFollower.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedFollower.java
@@ -122,7 +122,8 @@
 		if (first) {
 			this.owner.exchangeWithRegion();
 		}
-		return !this.owner.isReceivedByEarlierEntry();
+		boolean known = this.end > this.call.start;
+		return !known && !this.owner.isReceivedByEarlierEntry();
 	}
 
 	private void recordSuccess(long newEnd, double asOfMs, boolean empty) {
