--- a/daemons/src/main/java/org/wigeontally/entry/AtMostOnceRequests.java
+++ b/daemons/src/main/java/org/wigeontally/entry/AtMostOnceRequests.java
@@ -32,6 +32,8 @@
 import org.wigeontally.claims.LogBackedClaims;
 import org.wigeontally.control.ControlView;
 import org.wigeontally.errors.ErrorType;
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Refusal;
@@ -71,6 +73,8 @@
 
 	private final Clock clock;
 
+	private final EventLog eventLog;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private LogBackedClaims claims;
@@ -88,6 +92,7 @@
 		this.agents = agents;
 		this.inquiries = inquiries;
 		this.clock = clock;
+		this.eventLog = EventLog.create(clock, view.self().getHost());
 	}
 
 	static Future<AtMostOnceRequests> start(Vertx vertx, PlatformLog log, ControlView view, AgentClient agents,
@@ -183,15 +188,32 @@
 				Dispatch dispatch = new Dispatch(UUID.randomUUID().toString(), request, version,
 						this.view.configuration().revision(), ticket.headerValue(), fingerprint(request), false,
 						this.clock);
-				this.agents.send(host.getHost().getAddress(), dispatch)
-					.onSuccess((dispatchResult) -> completeReport(dispatchResult, report));
+				this.agents.send(host.getHost().getAddress(), dispatch).onSuccess((dispatchResult) -> {
+					logFailure(dispatchResult, request, host.getHost().getHost());
+					completeReport(dispatchResult, report);
+				});
 				return report.future().toCompletionStage();
 			}
 		}
+		logFailure(new DispatchResult.NotRun(
+				Refusal.notRun(ErrorType.NOT_SERVING, RETRY_AFTER_MS, "its configuration is not confirmed"), null),
+				request, this.view.self().getHost());
 		report.complete(ClaimReport.newBuilder().setState(ClaimState.CLAIM_FENCED).build());
 		return report.future().toCompletionStage();
 	}
 
+	private void logFailure(DispatchResult dispatchResult, CallerRequest request, String refusedBy) {
+		if (dispatchResult instanceof DispatchResult.NotRun notRun) {
+			this.eventLog.write(LogEvent.ATTEMPT_FAILED, "key", request.idempotencyKey(), "backend", refusedBy,
+					"outcome", notRun.refusal().outcome().headerValue(), "error", notRun.refusal().error().number(),
+					"reason", notRun.refusal().message());
+		}
+		else if (dispatchResult instanceof DispatchResult.Unknown unknown) {
+			this.eventLog.write(LogEvent.ATTEMPT_FAILED, "key", request.idempotencyKey(), "backend", refusedBy,
+					"outcome", org.wigeontally.http.Outcome.UNKNOWN.headerValue(), "reason", unknown.detail());
+		}
+	}
+
 	private static Fingerprint fingerprint(CallerRequest request) {
 		return Fingerprint.of(request.service().getName(), request.path(), request.body().getBytes());
 	}
