Harmful parts: a loss that is cleared late is kept until the other entries have heard of it

What callers saw: an entry that could not reach the others for more than ten seconds kept requests with a sound part back (one on trial, the others told to return) although another entry knew by an answer that the part is harmless. And that entry took the same news for new with each exchange and told all entries at once each time, without end.

Cause: a cleared loss was forgotten CLEARED_RETENTION_MS after the loss. If the loss was older than that when it was heard of, it was cleared and forgotten in the same step, so the summary never said that it is cleared; the next summary of the other entry brought it again, and merge() reported a released part again.

Fix: the time runs from the clearing at this process. So that entries do not keep such a loss alive by telling it each other in turn, a cleared loss of that age that is not known here is not taken over. HarmfulRequestTracker keeps its rule.

--- a/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulPartTracker.java
@@ -64,7 +64,10 @@
 	/** Time after which a part with one loss is forgotten. */
 	static final long SINGLE_LOSS_RETENTION_MS = 60_000;
 
-	/** Time for which a cleared loss is kept, so that every entry hears of it. */
+	/**
+	 * Time for which a cleared loss is kept after it was cleared, so that every entry
+	 * hears of it.
+	 */
 	private static final long CLEARED_RETENTION_MS = 10_000;
 
 	/**
@@ -220,7 +223,7 @@
 		}
 		Loss.Trial kind = (suspect.triedParts().size() == 1) ? Loss.Trial.ALONE : Loss.Trial.WITH_OTHERS;
 		PartTrial trial = this.trials.get(part);
-		return new Loss(lostAtMs, false, kind, (trial != null) ? trial.id() : Loss.NO_TRIAL);
+		return Loss.of(lostAtMs, kind, (trial != null) ? trial.id() : Loss.NO_TRIAL);
 	}
 
 	/**
@@ -252,7 +255,8 @@
 
 	private boolean clearAnswered(PromptPart part) {
 		Long lastAnswerMs = this.lastAnswersMs.get(part);
-		return lastAnswerMs != null && this.table.clear(part, lastAnswerMs + AGE_TOLERANCE_MS);
+		return lastAnswerMs != null
+				&& this.table.clear(part, lastAnswerMs + AGE_TOLERANCE_MS, this.clock.monotonicMs());
 	}
 
 	/**
@@ -261,7 +265,7 @@
 	 * @return true if it had losses
 	 */
 	public boolean lift(PromptPart part) {
-		boolean lifted = this.table.clear(part, Long.MAX_VALUE);
+		boolean lifted = this.table.clear(part, Long.MAX_VALUE, this.clock.monotonicMs());
 		update();
 		return lifted;
 	}
@@ -300,7 +304,7 @@
 	 */
 	public boolean merge(SuspectSummary summary) {
 		long nowMs = this.clock.monotonicMs();
-		boolean changed = this.table.merge(summary, nowMs, LOSS_RETENTION_MS);
+		boolean changed = this.table.merge(summary, nowMs, LOSS_RETENTION_MS, CLEARED_RETENTION_MS);
 		boolean released = false;
 		for (SuspectContent content : summary.getContentsList()) {
 			PromptPart part = PartCodec.part(content);
@@ -406,16 +410,17 @@
 	private void removeExpired() {
 		long nowMs = this.clock.monotonicMs();
 		this.lastExpiryMs = nowMs;
-		this.table.removeIf((loss, uncleared) -> nowMs - loss.atMs() >= retentionMs(loss, uncleared));
+		this.table.removeIf((loss, uncleared) -> isExpired(loss, uncleared, nowMs));
 		this.lossTimesMs.values().removeIf((atMs) -> nowMs - atMs >= LOSS_RETENTION_MS);
 		this.trials.values().removeIf((trial) -> nowMs - trial.startMs() >= TRIAL_MS);
 	}
 
-	private static long retentionMs(Loss loss, int uncleared) {
+	private static boolean isExpired(Loss loss, int uncleared, long nowMs) {
 		if (loss.cleared()) {
-			return CLEARED_RETENTION_MS;
+			return nowMs - loss.clearedAtMs() >= CLEARED_RETENTION_MS;
 		}
-		return (uncleared >= LOSSES_BEFORE_TRIAL) ? LOSS_RETENTION_MS : SINGLE_LOSS_RETENTION_MS;
+		long retentionMs = (uncleared >= LOSSES_BEFORE_TRIAL) ? LOSS_RETENTION_MS : SINGLE_LOSS_RETENTION_MS;
+		return nowMs - loss.atMs() >= retentionMs;
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
+++ b/library/src/main/java/org/wigeontally/harmful/HarmfulRequestTracker.java
@@ -99,7 +99,7 @@
 	 * to be informed
 	 */
 	public synchronized boolean recordSuccess(Fingerprint fingerprint) {
-		boolean cleared = this.table.clear(fingerprint, Long.MAX_VALUE);
+		boolean cleared = this.table.clear(fingerprint, Long.MAX_VALUE, this.clock.monotonicMs());
 		if (cleared) {
 			enforceBoundsAndUpdateExplained();
 		}
@@ -120,7 +120,7 @@
 	 * @param summary summary of the other entry
 	 */
 	public synchronized void merge(SuspectSummary summary) {
-		this.table.merge(summary, this.clock.monotonicMs(), LOSS_RETENTION_MS);
+		this.table.merge(summary, this.clock.monotonicMs(), LOSS_RETENTION_MS, LOSS_RETENTION_MS);
 		enforceBoundsAndUpdateExplained();
 	}
 
--- a/library/src/main/java/org/wigeontally/harmful/Loss.java
+++ b/library/src/main/java/org/wigeontally/harmful/Loss.java
@@ -8,8 +8,10 @@
  * @param cleared true if the content has proved harmless since
  * @param trial whether the content was on trial there
  * @param trialId identifies that trial; 0 for none
+ * @param clearedAtMs when this process cleared it or heard that it is cleared; 0 if it is
+ * not cleared
  */
-record Loss(long atMs, boolean cleared, Trial trial, long trialId) {
+record Loss(long atMs, boolean cleared, Trial trial, long trialId, long clearedAtMs) {
 
 	/** The id of no trial. */
 	static final long NO_TRIAL = 0;
@@ -30,17 +32,28 @@
 	}
 
 	static Loss of(long atMs) {
-		return new Loss(atMs, false, Trial.NONE, NO_TRIAL);
+		return of(atMs, Trial.NONE, NO_TRIAL);
 	}
 
-	Loss clear() {
-		return new Loss(this.atMs, true, this.trial, this.trialId);
+	static Loss of(long atMs, Trial trial, long trialId) {
+		return new Loss(atMs, false, trial, trialId, 0);
+	}
+
+	Loss clear(long nowMs) {
+		return this.cleared ? this : new Loss(this.atMs, true, this.trial, this.trialId, nowMs);
 	}
 
 	Loss merge(Loss other) {
 		Trial strongest = (this.trial.compareTo(other.trial) >= 0) ? this.trial : other.trial;
 		return new Loss(Math.min(this.atMs, other.atMs), this.cleared || other.cleared, strongest,
-				Math.max(this.trialId, other.trialId));
+				Math.max(this.trialId, other.trialId), firstClearedAtMs(other));
+	}
+
+	private long firstClearedAtMs(Loss other) {
+		if (this.cleared && other.cleared) {
+			return Math.min(this.clearedAtMs, other.clearedAtMs);
+		}
+		return this.cleared ? this.clearedAtMs : other.clearedAtMs;
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -88,9 +88,10 @@
 	 * Clears a content of the losses that happened before a time.
 	 * @param content the content
 	 * @param beforeMs the time
+	 * @param nowMs the current time
 	 * @return true if one of them was not cleared
 	 */
-	boolean clear(C content, long beforeMs) {
+	boolean clear(C content, long beforeMs, long nowMs) {
 		Map<String, Loss> losses = this.lossesByContent.get(content);
 		if (losses == null) {
 			return false;
@@ -99,7 +100,7 @@
 		for (Map.Entry<String, Loss> entry : losses.entrySet()) {
 			Loss loss = entry.getValue();
 			if (!loss.cleared() && loss.atMs() < beforeMs) {
-				entry.setValue(loss.clear());
+				entry.setValue(loss.clear(nowMs));
 				changed = true;
 			}
 		}
@@ -176,22 +177,29 @@
 	 * @param summary summary of the other table
 	 * @param nowMs the current time
 	 * @param maxAgeMs age from which losses are left out
+	 * @param clearedRetentionMs age from which cleared losses that are not known here are
+	 * left out
 	 * @return true if the table has changed
 	 */
-	boolean merge(SuspectSummary summary, long nowMs, long maxAgeMs) {
+	boolean merge(SuspectSummary summary, long nowMs, long maxAgeMs, long clearedRetentionMs) {
 		boolean changed = false;
 		for (SuspectContent contentSummary : summary.getContentsList()) {
 			C content = this.codec.read(contentSummary);
 			for (BackendLoss loss : contentSummary.getLossesList()) {
-				if (loss.getAgeMs() < maxAgeMs) {
-					changed |= add(content, loss.getId(), new Loss(nowMs - Math.max(0, loss.getAgeMs()),
-							loss.getCleared(), trial(loss), loss.getTrialId()));
+				if (loss.getAgeMs() < maxAgeMs && !isForgotten(content, loss, clearedRetentionMs)) {
+					Loss merged = Loss.of(nowMs - Math.max(0, loss.getAgeMs()), trial(loss), loss.getTrialId());
+					changed |= add(content, loss.getId(), loss.getCleared() ? merged.clear(nowMs) : merged);
 				}
 			}
 		}
 		return changed;
 	}
 
+	// Would otherwise be kept alive by entries that tell it each other in turn.
+	private boolean isForgotten(C content, BackendLoss loss, long clearedRetentionMs) {
+		return loss.getCleared() && loss.getAgeMs() >= clearedRetentionMs && !losses(content).containsKey(loss.getId());
+	}
+
 	private static Loss.Trial trial(BackendLoss loss) {
 		return switch (loss.getTrial()) {
 			case LOSS_TRIAL_ALONE -> Loss.Trial.ALONE;
--- a/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/harmful/HarmfulPartTrackerTests.java
@@ -234,6 +234,33 @@
 		}
 	}
 
+	/**
+	 * The entry with the losses could not reach the one that saw the answer begin, such
+	 * as while their regions had lost each other.
+	 */
+	@Test
+	public void oldLossThatAnotherEntryHasClearedIsClearedHereAndToldOnce() {
+		List<HarmfulPartTracker> entries = entries(2);
+		loseBackend(entries.get(0), List.of(HARMFUL), Set.of());
+		loseBackend(entries.get(0), List.of(HARMFUL), Set.of());
+		this.clock.advance(200);
+		entries.get(1).recordAnswerBegun(List.of(HARMFUL));
+		this.clock.advance(30_000);
+		int released = 0;
+		for (int i = 0; i < 20; i++) {
+			released += entries.get(1).merge(entries.get(0).summary()) ? 1 : 0;
+			this.clock.advance(5);
+			entries.get(0).merge(entries.get(1).summary());
+			this.clock.advance(5);
+		}
+		assertThat(entries.get(0).admit(List.of(HARMFUL)).action()).isEqualTo(PartAdmission.Action.SEND);
+		assertThat(released).isEqualTo(1);
+		this.clock.advance(30_000);
+		exchange(entries);
+		assertThat(entries.get(0).summary().getContentsList()).isEmpty();
+		assertThat(entries.get(1).summary().getContentsList()).isEmpty();
+	}
+
 	@Test
 	public void lossesExpireEvenIfEntriesExchangeThemRepeatedly() {
 		List<HarmfulPartTracker> entries = entries(2);
