Simulation of harmful parts: a part that news releases is told at once, as the entries do

HarmfulPartGuard tells the other entries if merged news releases a part; the simulation ignored that result, so some requests were kept back there until the next regular exchange. It now tells them, and news during an exchange with an entry waits for its end.

No test is red without this change.

--- a/emulator/src/main/java/org/wigeontally/emulator/harmful/CountPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/harmful/CountPolicy.java
@@ -55,10 +55,11 @@
 	}
 
 	@Override
-	public void merge(PartPolicy other) {
+	public boolean merge(PartPolicy other) {
 		CountPolicy from = (CountPolicy) other;
 		from.losses.forEach((part, ids) -> this.losses.computeIfAbsent(part, (key) -> new HashSet<>()).addAll(ids));
 		from.cleared.forEach((part, ids) -> this.cleared.computeIfAbsent(part, (key) -> new HashSet<>()).addAll(ids));
+		return false;
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/harmful/HarmfulPartSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/harmful/HarmfulPartSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +28,8 @@
  * one second to end it. An engine that crashes closes all its connections; entries
  * confirm it after 35 ms and are back on it three seconds later. A request whose answer
  * had not begun is sent to another engine once. Entries tell each other of changes within
- * 6 ms, and of everything each 500 ms. Used by one thread.
+ * 6 ms, and of everything each 500 ms; news during an exchange is told right after it.
+ * Used by one thread.
  */
 public final class HarmfulPartSimulation {
 
@@ -67,6 +69,10 @@
 
 	private final Map<PromptPart, Double> fifthCrashMs = new HashMap<>();
 
+	private final Set<Pair> exchanges = new HashSet<>();
+
+	private final Set<Pair> exchangesDue = new HashSet<>();
+
 	private int requests;
 
 	private int losses;
@@ -258,14 +264,39 @@
 	}
 
 	private void tellOthers(int from) {
-		for (int i = 0; i < this.policies.size(); i++) {
-			int to = i;
+		for (int to = 0; to < this.policies.size(); to++) {
 			if (to != from) {
-				this.time.after(NEWS_DELAY_MS, () -> this.policies.get(to).merge(this.policies.get(from)));
+				tell(new Pair(from, to));
 			}
 		}
 	}
 
+	private void tell(Pair pair) {
+		if (!this.exchanges.add(pair)) {
+			this.exchangesDue.add(pair);
+			return;
+		}
+		this.time.after(NEWS_DELAY_MS, () -> {
+			this.exchanges.remove(pair);
+			if (this.policies.get(pair.to()).merge(this.policies.get(pair.from()))) {
+				tellOthers(pair.to());
+			}
+			if (this.exchangesDue.remove(pair)) {
+				tell(pair);
+			}
+		});
+	}
+
+	/**
+	 * An entry that tells another one what it knows.
+	 *
+	 * @param from the one
+	 * @param to the other
+	 */
+	private record Pair(int from, int to) {
+
+	}
+
 	private static final class Engine {
 
 		private final Set<SimulatedRequest> running = new LinkedHashSet<>();
--- a/emulator/src/main/java/org/wigeontally/emulator/harmful/PartPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/harmful/PartPolicy.java
@@ -41,7 +41,8 @@
 	/**
 	 * Takes over what another entry knows.
 	 * @param other policy of the other entry, of the same kind
+	 * @return true if the other entries are to be told at once
 	 */
-	void merge(PartPolicy other);
+	boolean merge(PartPolicy other);
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/harmful/TrialPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/harmful/TrialPolicy.java
@@ -43,8 +43,8 @@
 	}
 
 	@Override
-	public void merge(PartPolicy other) {
-		this.tracker.merge(((TrialPolicy) other).tracker.summary());
+	public boolean merge(PartPolicy other) {
+		return this.tracker.merge(((TrialPolicy) other).tracker.summary());
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/harmful/WholeRequestPolicy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/harmful/WholeRequestPolicy.java
@@ -42,8 +42,9 @@
 	}
 
 	@Override
-	public void merge(PartPolicy other) {
+	public boolean merge(PartPolicy other) {
 		this.tracker.merge(((WholeRequestPolicy) other).tracker.summary());
+		return false;
 	}
 
 }
