Peer calls: an overdue response that has begun is cancelled

Callers: after a response that takes longer than its timeout on a slow link, the next small call to the peer times out as well.

Cause: a timeout failed the call's future, but not its stream. The peer sent the response to its end, for nobody, before the next ones; only after several failures in a row the connection was closed.

Now the stream is reset if its response has begun. Calls without a response are left alone: an overdue request that is still on its way would never arrive over a slow link, and a peer that responds to a reset stream logs an error each time.

Evidence: PeerClientTests, two Vert.x instances over a link of 500 KB/s, a response of 3 MB, timeout 1.5 s. Before: the next call of 1 byte timed out. The two guards pass before and were seen red on planted faults: cancelling every overdue call (the request of 1 MB never arrived within 10 s), and cancelling without a begun response (IllegalStateException "The stream is failed: CANCELLED" at the peer).

Not avoided: the NullPointerException of VertxHttp2Stream$3.cancel. Vert.x 5.0.7 queues the trailers of a response without a promise, behind data that waits; whatever closes the stream then, a reset or a closed connection, logs it at the peer. The tests show it with either.

--- a/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
+++ b/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
@@ -12,6 +12,7 @@
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.client.GrpcClientOptions;
 import io.vertx.grpc.client.GrpcClientRequest;
+import io.vertx.grpc.client.GrpcClientResponse;
 import io.vertx.grpc.common.ServiceMethod;
 
 import org.wigeontally.schema.generated.Address;
@@ -77,14 +78,19 @@
 	}
 
 	private <Q, A> Future<A> send(GrpcClientRequest<Q, A> request, Q message, BooleanSupplier closeOnFailure) {
-		return request.end(message)
-			.compose((sent) -> request.response())
-			.compose((response) -> response.last())
+		Future<GrpcClientResponse<Q, A>> begunResponse = request.end(message).compose((sent) -> request.response());
+		return begunResponse.compose((response) -> response.last())
 			.timeout(this.timeoutMs, TimeUnit.MILLISECONDS)
 			.onFailure((failure) -> {
 				if (closeOnFailure.getAsBoolean()) {
 					request.connection().close();
 				}
+				else if (begunResponse.succeeded()) {
+					// The rest of the response would delay those of later calls. A call
+					// without a response is not cancelled: its request may still be on
+					// its way, or the peer about to respond.
+					request.cancel();
+				}
 			});
 	}
 
