--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -178,8 +178,8 @@
 	}
 
 	private void exchange(Address entry, String key, boolean wantsRecords) {
-		this.pendingExchanges.put(key, true);
 		EntryNews message = newsFor(null).setWantsRecords(wantsRecords).build();
+		this.pendingExchanges.put(key, true);
 		long sentAtMs = this.context.nowMs();
 		this.client.call(entry, FleetGrpcClient.Exchange, message, () -> this.failures.recordFailure(entry))
 			.onSuccess((reply) -> this.failures.recordSuccess(entry))
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -108,6 +108,9 @@
 
 	private final long startedAtMs;
 
+	// End of the records at which the pending call is of use.
+	private long neededUpTo = Long.MAX_VALUE;
+
 	private int announcedBytes;
 
 	private long lastReceivedAtMs;
@@ -189,6 +192,8 @@
 		}
 		this.callStartedAtMs = this.clock.monotonicMs();
 		this.announcedBytes = 0;
+		boolean othersHaveTheSame = !snapshotDue || this.starting;
+		this.neededUpTo = othersHaveTheSame ? this.records.endPosition() : Long.MAX_VALUE;
 		if (snapshotDue) {
 			this.store.readSnapshot(this.topic, this::recordProgress)
 				.onSuccess(goingOn(this::applySnapshot))
@@ -212,7 +217,8 @@
 		return StoreReadPlan.firstReadDelayMs(rank, waitedMs, this.region.hasRecords(), this.region.isReceiving());
 	}
 
-	// Returns false if an entry that comes before this one receives the same.
+	// Returns false if an entry that comes before this one receives the same, or has sent
+	// it meanwhile.
 	private boolean recordProgress(int receivedBytes) {
 		if (receivedBytes < LARGE_RESPONSE_BYTES) {
 			return true;
@@ -223,7 +229,7 @@
 		if (first) {
 			this.region.announceReceiving();
 		}
-		return !this.region.isReceivedByEarlierEntry();
+		return this.records.endPosition() <= this.neededUpTo && !this.region.isReceivedByEarlierEntry();
 	}
 
 	// The restore may also be known from another entry, before this follower read
