Calls between entries: the time limit covers the opening of a connection

A paused process accepts connections and does not speak; the call to it had no limit until its settings arrived, so an exchange or a download waited for as long as the pause lasts. PeerClientTests#callToAPeerThatAcceptsAndStaysSilentFailsInTime: not ended after 10 s before.

--- a/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
+++ b/daemons/src/main/java/org/wigeontally/rpc/PeerClient.java
@@ -73,10 +73,17 @@
 		// Runs within compose, so that a closed client fails the future instead of
 		// throwing.
 		return Future.succeededFuture()
-			.compose((start) -> this.client.request(socketAddress(peer), method))
+			.compose((start) -> open(peer, method))
 			.compose((request) -> send(request, message, closeOnFailure));
 	}
 
+	// A peer that is paused accepts connections and does not answer on them.
+	private <Q, A> Future<GrpcClientRequest<Q, A>> open(Address peer, ServiceMethod<A, Q> method) {
+		Future<GrpcClientRequest<Q, A>> opened = this.client.request(socketAddress(peer), method);
+		return opened.timeout(this.timeoutMs, TimeUnit.MILLISECONDS)
+			.onFailure((failure) -> opened.onSuccess(GrpcClientRequest::cancel));
+	}
+
 	private <Q, A> Future<A> send(GrpcClientRequest<Q, A> request, Q message, BooleanSupplier closeOnFailure) {
 		Future<GrpcClientResponse<Q, A>> begunResponse = request.end(message).compose((sent) -> request.response());
 		return begunResponse.compose((response) -> response.last())
--- a/testsuite/src/test/java/org/wigeontally/rpc/PeerClientTests.java
+++ b/testsuite/src/test/java/org/wigeontally/rpc/PeerClientTests.java
@@ -113,6 +113,21 @@
 		GatewayFixture.await(this.serverVertx.close());
 	}
 
+	/** A paused process accepts connections, and nothing comes back. */
+	@Test
+	public void callToAPeerThatAcceptsAndStaysSilentFailsInTime() throws Exception {
+		int port = GatewayFixture
+			.await(this.serverVertx.createNetServer().connectHandler(NetSocket::pause).listen(0, "127.0.0.1"))
+			.actualPort();
+		Address silent = Address.newBuilder().setIp("127.0.0.1").setPort(port).build();
+		long startNs = System.nanoTime();
+		Future<ContentPart> call = this.client.call(silent, FleetGrpcClient.ReadContent,
+				ContentRequest.getDefaultInstance(), () -> false);
+		GatewayFixture.awaitTrue(call::isComplete);
+		assertThat(call.failed()).isTrue();
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)).isLessThan(2 * TIMEOUT_MS);
+	}
+
 	/** What nobody waits for any more would delay the next calls on the link. */
 	@Test
 	public void overdueResponseIsNotSentOnAndItsConnectionStaysInUse() throws Exception {
