An entry leaves its callers to others only for a change that is due, and only to enough of them

Found by review. The lag began anew only when no newer version was known at all, so in a quick series every entry that is always one change behind left after the first change was due; a still newer change that nobody of the region has hid the one that was due; and one entry with a version that nobody else gets emptied its region, and turned 404 into 503 everywhere for good. The refusal closes its connection.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -230,7 +230,8 @@
 					"path", request.path(), "status", refusal.status(), "reason", refusal.reason(), "configuration",
 					(configuration != null) ? configuration.version() : 0);
 		this.context.metrics().recordAnswer("none", "none", refusal.reason());
-		writeResponse(request.response(), refusal, this.context.isDraining());
+		boolean leave = this.context.isDraining() || this.context.isConfigurationOutdated();
+		writeResponse(request.response(), refusal, leave);
 	}
 
 	static void writeResponse(HttpServerResponse response, LocalResponse localResponse, boolean close) {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -223,7 +223,7 @@
 	}
 
 	boolean isConfigurationBehind() {
-		return this.configurationLag.isBehind();
+		return this.configurationLag.isBehind(nowMs());
 	}
 
 	boolean isConfigurationOutdated() {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -308,6 +308,7 @@
 
 	private void operatorRecordsChanged(List<String> keys, String source, long sinceMs) {
 		this.context.fleet().applyOperatorRecords(keys, source, sinceMs);
+		this.context.updateConfigurationLag(this.entries.liveEntries(this.context.nowMs()));
 		this.briefings.notifyNewVersion(this.datagrams);
 		this.exchange.exchangeWithRegion();
 	}
