Records that are waited for are asked for at intervals

Found by review. While a large record was being downloaded the entry asked each holder for the other records again as soon as it had its answer. ContentExchangeTests#entryThatWaitsForAContentAsksForItAtIntervals failed before. A lost configuration of an earlier era is compared by its version, not by its position (a guard in StoreRestoreTests; green before too, since the entry heard of the records in time). A fault in a configuration from another entry no longer ends the round.

--- a/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
@@ -115,17 +115,17 @@
 	 * Decodes records from another entry. Starts the download of the newest content that
 	 * is missing.
 	 * @param storeRecords the records
-	 * @param known returns the known record of a key, or null
+	 * @param known returns a known record that is at least as new, or null
 	 * @return the records whose values are known
 	 */
-	List<TopicRecord> decode(List<StoreRecord> storeRecords, Function<String, TopicRecord> known) {
+	List<TopicRecord> decode(List<StoreRecord> storeRecords, Function<StoreRecord, TopicRecord> known) {
 		List<TopicRecord> decoded = new ArrayList<>();
 		for (StoreRecord storeRecord : storeRecords) {
-			TopicRecord knownRecord = known.apply(storeRecord.getKey());
+			TopicRecord knownRecord = known.apply(storeRecord);
 			if (!storeRecord.hasContent()) {
 				decoded.add(toTopicRecord(storeRecord, storeRecord.getValue().toByteArray()));
 			}
-			else if (knownRecord != null && knownRecord.position() >= storeRecord.getPosition()) {
+			else if (knownRecord != null) {
 				decoded.add(knownRecord);
 			}
 			else {
@@ -210,8 +210,8 @@
 	}
 
 	private boolean mayReadFromOtherRegion(long nowMs) {
-		// An entry that reads from another region keeps doing so.
 		boolean supplied = this.receivesFromStore.getAsBoolean() || !this.entries.receivingNearby(nowMs).isEmpty();
+		// An entry that reads from another region keeps doing so.
 		return this.remoteSource
 				|| StoreReadPlan.mayReadFromOtherRegion(rank(nowMs), this.download.elapsedMs(nowMs), supplied);
 	}
@@ -285,8 +285,7 @@
 
 	// A newer record has come from the store, or nobody has this one any more.
 	private boolean isReplaced(ContentDownload current) {
-		TopicRecord known = this.downloadedRecord.known().apply(this.downloadedRecord.key());
-		boolean outdated = known != null && known.position() >= this.downloadedRecord.position();
+		boolean outdated = this.downloadedRecord.known().apply(this.downloadedRecord.storeRecord()) != null;
 		boolean stuck = this.nextRecord != null && current.idleMs(this.context.nowMs()) > MAX_RECEIVE_PAUSE_MS;
 		return outdated || stuck;
 	}
@@ -355,9 +354,9 @@
 	 * A record whose content is to be downloaded.
 	 *
 	 * @param storeRecord the record with a reference to its content
-	 * @param known returns the known record of a key, or null
+	 * @param known returns a known record that is at least as new, or null
 	 */
-	private record MissingRecord(StoreRecord storeRecord, Function<String, TopicRecord> known) {
+	private record MissingRecord(StoreRecord storeRecord, Function<StoreRecord, TopicRecord> known) {
 
 		String key() {
 			return this.storeRecord.getKey();
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -1,5 +1,6 @@
 package org.wigeontally.gateway;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
 import org.wigeontally.schema.generated.FleetGrpcClient;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.RecordUpdate;
+import org.wigeontally.schema.generated.StoreRecord;
 import org.wigeontally.schema.generated.SuspectSummary;
 import org.wigeontally.schema.generated.VersionAge;
 import org.wigeontally.settings.Addresses;
@@ -65,6 +67,10 @@
 
 	private final Map<String, Boolean> pendingExchanges = new HashMap<>();
 
+	// What each entry was last asked for. Its reply may name large records, which are not
+	// known until they are downloaded.
+	private final Map<Address, RecordRequest> lastRequests = new HashMap<>();
+
 	// Entries whose pending exchange began before the newest change of this entry.
 	private final Set<String> outdatedExchanges = new HashSet<>();
 
@@ -219,7 +225,14 @@
 		}
 		boolean supplied = this.operatorFollower.ageMs() <= StoreReadPlan.MAX_AGE_MS && !configurationBehind
 				&& !peerNews.getRegion().equals(this.context.settings().getRegion());
-		exchange(supplied ? storeReader() : peerNews.getControl(), true);
+		Address source = supplied ? storeReader() : peerNews.getControl();
+		RecordRequest last = this.lastRequests.get(source);
+		RecordRequest request = new RecordRequest(peerNews.getOperatorEnd(), peerNews.getConfigurationVersion(),
+				this.context.nowMs());
+		if (last == null || !last.isRepeatedBy(request)) {
+			this.lastRequests.put(source, request);
+			exchange(source, true);
+		}
 	}
 
 	// The reply holds all records that its sender knew when it was asked, so they are
@@ -358,7 +371,11 @@
 					sinceMs);
 		}
 		if (peerNews.hasNewestConfiguration()) {
-			this.contents.decode(List.of(peerNews.getNewestConfiguration()), (key) -> fleet.configurationRecord())
+			// Its position may be of an earlier era than that of an older configuration.
+			long version = peerNews.getConfigurationVersion();
+			this.contents
+				.decode(List.of(peerNews.getNewestConfiguration()),
+						(storeRecord) -> (fleet.configurationVersion() >= version) ? fleet.configurationRecord() : null)
 				.forEach((topicRecord) -> fleet.applyConfigurationRecord(topicRecord, source));
 		}
 		if (peerNews.hasBackendUpdate()) {
@@ -387,7 +404,8 @@
 	// Small records take effect at once. The topic is complete only when the content of
 	// the large ones has arrived too.
 	private List<String> applyRecordUpdate(CompactedTopic records, RecordUpdate update) {
-		List<CompactedTopic.TopicRecord> topicRecords = this.contents.decode(update.getRecordsList(), records::record);
+		List<CompactedTopic.TopicRecord> topicRecords = this.contents.decode(update.getRecordsList(),
+				(storeRecord) -> newerRecord(records, storeRecord));
 		if (topicRecords.size() < update.getRecordsCount()) {
 			return records.applySingleRecords(topicRecords);
 		}
@@ -395,6 +413,11 @@
 				: records.applyUpdate(update.getFrom(), topicRecords, update.getEnd());
 	}
 
+	private static CompactedTopic.TopicRecord newerRecord(CompactedTopic records, StoreRecord storeRecord) {
+		CompactedTopic.TopicRecord known = records.record(storeRecord.getKey());
+		return (known != null && known.position() >= storeRecord.getPosition()) ? known : null;
+	}
+
 	private void applyReceivedRecord(CompactedTopic.TopicRecord topicRecord) {
 		FleetState fleet = this.context.fleet();
 		String source = "entries";
@@ -403,7 +426,44 @@
 		if (ConfigurationDecoder.isConfigurationKey(topicRecord.key())) {
 			fleet.applyConfigurationRecord(topicRecord, source);
 		}
-		exchange(storeReader(), true);
+		requestRemainingRecords();
+	}
+
+	// The records beside the downloaded one may have been received already, but not that
+	// there are no others.
+	private void requestRemainingRecords() {
+		this.lastRequests.clear();
+		long end = this.context.fleet().operatorRecords().endPosition();
+		Address reader = storeReader();
+		this.table.liveEntries(this.context.nowMs())
+			.stream()
+			.filter((entry) -> entry.getOperatorEnd() > end)
+			.map(EntryNews::getControl)
+			.min(Comparator.comparing((control) -> !control.equals(reader)))
+			.ifPresent((source) -> {
+				if (this.pendingExchanges.getOrDefault(Addresses.format(source), false)) {
+					this.outdatedExchanges.add(Addresses.format(source));
+				}
+				else {
+					exchange(source, true);
+				}
+			});
+	}
+
+	/**
+	 * What an entry was asked for.
+	 *
+	 * @param operatorEnd position up to which records were known to exist
+	 * @param configurationVersion newest version that was known to exist
+	 * @param atMs time of the request
+	 */
+	private record RecordRequest(long operatorEnd, long configurationVersion, long atMs) {
+
+		boolean isRepeatedBy(RecordRequest next) {
+			return this.operatorEnd == next.operatorEnd && this.configurationVersion == next.configurationVersion
+					&& next.atMs - this.atMs < INTERVAL_MS;
+		}
+
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryRegionSupply.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryRegionSupply.java
@@ -35,6 +35,11 @@
 		return this.exchange.readRank();
 	}
 
+	@Override
+	public boolean sharesLargeRecords() {
+		return this.hasLargeRecords;
+	}
+
 	@Override
 	public boolean isReceiving() {
 		return this.hasLargeRecords && (this.exchange.contents().isReceiving()
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -234,6 +234,9 @@
 		catch (PlatformException ex) {
 			logUnreadable(topicRecord, source, ex.getMessage());
 		}
+		catch (RuntimeException | StackOverflowError ex) {
+			logFault(topicRecord.key(), source, ex);
+		}
 	}
 
 	// A record that is read is not read again, so a fault in one must not end the round
--- a/daemons/src/main/java/org/wigeontally/gateway/RegionSupply.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RegionSupply.java
@@ -12,6 +12,12 @@
 	 */
 	int rank();
 
+	/**
+	 * Returns whether the entries of the region pass on large records of the topic.
+	 * @return false if all records are small
+	 */
+	boolean sharesLargeRecords();
+
 	/**
 	 * Returns whether this entry or another one of the region is receiving a large record
 	 * of the topic.
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -192,7 +192,7 @@
 		}
 		this.callStartedAtMs = this.clock.monotonicMs();
 		this.announcedBytes = 0;
-		boolean othersHaveTheSame = !snapshotDue || this.starting;
+		boolean othersHaveTheSame = this.region.sharesLargeRecords() && (!snapshotDue || this.starting);
 		this.neededUpTo = othersHaveTheSame ? this.records.endPosition() : Long.MAX_VALUE;
 		if (snapshotDue) {
 			this.store.readSnapshot(this.topic, this::recordProgress)
@@ -229,7 +229,9 @@
 		if (first) {
 			this.region.announceReceiving();
 		}
-		return this.records.endPosition() <= this.neededUpTo && !this.region.isReceivedByEarlierEntry();
+		boolean neededFromStore = this.neededUpTo == Long.MAX_VALUE;
+		return neededFromStore
+				|| (this.records.endPosition() <= this.neededUpTo && !this.region.isReceivedByEarlierEntry());
 	}
 
 	// The restore may also be known from another entry, before this follower read
--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -15,6 +15,7 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.platform.wire.WireNames;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,7 +28,7 @@
 
 	private static final String EVENT_TYPE = "Content-Type: text/event-stream\r\n";
 
-	private static final String ERROR = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\n"
+	private static final String ERROR = "HTTP/1.1 503 Service Unavailable\r\n" + WireNames.ATTEMPT_ID + ": other\r\n"
 			+ FakeBackend.NOT_RUN_HEADER + "Content-Length: 0\r\n\r\n";
 
 	private GatewayFixture fixture;
--- a/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
@@ -36,6 +36,11 @@
 
 	private static final int PADDING_BYTES = 300_000;
 
+	private static final long OBSERVED_MS = 2_000;
+
+	/** Regular exchanges, each of which may lead to a further one. */
+	private static final int MAX_EXCHANGES = 14;
+
 	private GatewayFixture fixture;
 
 	@BeforeMethod
@@ -82,6 +87,20 @@
 		this.fixture.awaitStatus(0, "plain", 404);
 	}
 
+	/**
+	 * The holder stays busy. The test fails if the entry asks for the records again as
+	 * soon as it has the answer.
+	 */
+	@Test
+	public void entryThatWaitsForAContentAsksForItAtIntervals() throws Exception {
+		Holder holder = startHolder(LargeContent.of(largeConfiguration()));
+		holder.behaviour = Behaviour.BUSY;
+		this.fixture.awaitStatus(0, "plain", 503);
+		int before = holder.exchanges.get();
+		Thread.sleep(OBSERVED_MS);
+		assertThat(holder.exchanges.get() - before).isLessThan(MAX_EXCHANGES);
+	}
+
 	/** The first source spoils a part, the second one stops answering half-way. */
 	@Test
 	public void contentArrivesWholeFromSourcesThatFail() throws Exception {
@@ -111,6 +130,8 @@
 
 		private final LargeContent content;
 
+		private final AtomicInteger exchanges = new AtomicInteger();
+
 		private final AtomicInteger partsSent = new AtomicInteger();
 
 		private volatile Behaviour behaviour = Behaviour.SENDING;
@@ -122,6 +143,7 @@
 
 		@Override
 		public Future<EntryNews> exchange(EntryNews request) {
+			this.exchanges.incrementAndGet();
 			EntryNews.Builder news = EntryNews.newBuilder()
 				.setHost("holder")
 				.setControl(this.address)
--- a/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StaleRefusalTests.java
@@ -13,6 +13,7 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.platform.wire.WireNames;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -262,11 +263,11 @@
 	}
 
 	private static String idHeader(String id) {
-		return "X-Attempt-Id: " + id + "\r\n";
+		return WireNames.ATTEMPT_ID + ": " + id + "\r\n";
 	}
 
 	private static String withoutId(String response) {
-		return response.replaceFirst("X-Attempt-Id: [^\r]*\r\n", "");
+		return response.replaceFirst(WireNames.ATTEMPT_ID + ": [^\r]*\r\n", "");
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -132,6 +132,11 @@
 			return this.rank.getAsInt();
 		}
 
+		@Override
+		public boolean sharesLargeRecords() {
+			return false;
+		}
+
 		@Override
 		public boolean isReceiving() {
 			return false;
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreRestoreTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreRestoreTests.java
@@ -1,11 +1,14 @@
 package org.wigeontally.gateway;
 
+import java.util.List;
+
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -148,10 +151,21 @@
 	 */
 	@Test
 	public void entryThatStartsAfterTheRestoreReceivesTheLostConfiguration() throws Exception {
+		startAfterRestore(() -> this.fixture.writeConfiguration("plain"));
+	}
+
+	/** The same with a configuration that is sent in parts. */
+	@Test
+	public void entryThatStartsAfterTheRestoreReceivesTheLargeLostConfiguration() throws Exception {
+		startAfterRestore(() -> this.fixture.store()
+			.write("op", "config", FakeConfiguration.create(50, List.of("plain")).put("note", "x".repeat(40_000))));
+	}
+
+	private void startAfterRestore(Runnable writeLostConfiguration) throws Exception {
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, "plain", 200);
-		this.fixture.writeConfiguration("plain");
+		writeLostConfiguration.run();
 		this.fixture.awaitStatus(0, "plain", 404);
 		restore("op", 1, "2");
 		this.fixture.startEntry();
