--- a/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
@@ -45,8 +45,11 @@
 	/** Interval at which a source is looked for while there is none. */
 	private static final long SOURCE_CHECK_MS = 30;
 
-	/** Time without a further part after which the region no longer waits for it. */
-	private static final long MAX_RECEIVE_PAUSE_MS = 600;
+	/**
+	 * Time without a further part after which the region no longer waits for it; longer
+	 * than a part may take.
+	 */
+	private static final long MAX_RECEIVE_PAUSE_MS = 1_200;
 
 	private final GatewayContext context;
 
--- a/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedContents.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/configuration/SimulatedContents.java
@@ -28,7 +28,7 @@
 
 	private static final double SOURCE_CHECK_MS = 30;
 
-	private static final double MAX_RECEIVE_PAUSE_MS = 600;
+	private static final double MAX_RECEIVE_PAUSE_MS = 1_200;
 
 	private static final int MAX_CACHED = 3;
 
--- a/library/src/main/java/org/wigeontally/contents/ContentUploads.java
+++ b/library/src/main/java/org/wigeontally/contents/ContentUploads.java
@@ -26,8 +26,11 @@
 	/** Number of entries served at a time. */
 	static final int MAX_RECEIVERS = 4;
 
-	/** Time without a request after which an entry no longer counts as being served. */
-	static final long IDLE_MS = 400;
+	/**
+	 * Time without a request after which an entry no longer counts as being served; longer
+	 * than a part may take.
+	 */
+	static final long IDLE_MS = 1_200;
 
 	private static final int MAX_HOLDERS = 8;
 
