--- a/library/src/main/java/org/wigeontally/contents/ContentUploads.java
+++ b/library/src/main/java/org/wigeontally/contents/ContentUploads.java
@@ -27,8 +27,8 @@
 	static final int MAX_RECEIVERS = 4;
 
 	/**
-	 * Time without a request after which an entry no longer counts as being served; longer
-	 * than a part may take.
+	 * Time without a request after which an entry no longer counts as being served;
+	 * longer than a part may take.
 	 */
 	static final long IDLE_MS = 1_200;
 
