--- /dev/null
+++ b/review/standin/Caller.java
@@ -0,0 +1,109 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Stand-in of a client: one connection to one entry, one request at a time. */
+final class Caller {
+
+	/** What a request came to: status 0 if the connection ended without a complete answer. */
+	record Answer(int status, String body, String signature, String failure, double sentAt, double endedAt) {
+
+		boolean complete() {
+			return this.status != 0;
+		}
+
+	}
+
+	private final Record record;
+
+	private final String name;
+
+	private final int port;
+
+	private Socket socket;
+
+	private InputStream in;
+
+	Caller(Record record, String name, int port) {
+		this.record = record;
+		this.name = name;
+		this.port = port;
+	}
+
+	/** Asks the directory; returns the ports of the addresses in its answer. */
+	static String resolve(int directoryPort) throws IOException {
+		HttpURLConnection connection = (HttpURLConnection) URI
+			.create("http://127.0.0.1:" + directoryPort + "/wigeontally/resolve?name=h.example&region=region-a&zone=zone-a")
+			.toURL()
+			.openConnection();
+		connection.setConnectTimeout(1_000);
+		connection.setReadTimeout(1_000);
+		return new String(connection.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	static boolean names(String directoryAnswer, int frontPort) {
+		Matcher address = Pattern.compile("127\\.0\\.0\\.1:" + frontPort + "\"").matcher(directoryAnswer);
+		return address.find();
+	}
+
+	boolean isOpen() {
+		return this.socket != null;
+	}
+
+	Answer send(String method, String path, String id, byte[] body, int deadlineMs) {
+		double sentAt = this.record.seconds();
+		this.record.add("client", this.name, "sends",
+				id + " " + path + (isOpen() ? " on a kept connection" : " on a new connection"));
+		try {
+			if (!isOpen()) {
+				this.socket = new Socket();
+				this.socket.setTcpNoDelay(true);
+				this.socket.connect(new InetSocketAddress("127.0.0.1", this.port), 1_000);
+				this.in = new BufferedInputStream(this.socket.getInputStream());
+			}
+			this.socket.setSoTimeout(deadlineMs);
+			byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
+					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: key-of-org-a\r\nContent-Length: "
+					+ body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+			this.socket.getOutputStream().write(head);
+			this.socket.getOutputStream().write(body);
+			int status = Integer.parseInt(Http.line(this.in).split(" ")[1]);
+			Map<String, String> headers = Http.headers(this.in);
+			byte[] answer = Http.body(this.in, headers);
+			if ("close".equalsIgnoreCase(headers.get("connection"))) {
+				close();
+			}
+			this.record.add("client", this.name, "has a complete answer",
+					id + " status " + status + " after " + Math.round((this.record.seconds() - sentAt) * 1000) + " ms");
+			return new Answer(status, new String(answer, StandardCharsets.ISO_8859_1),
+					headers.get("x-replica-signature"), null, sentAt, this.record.seconds());
+		}
+		catch (IOException ex) {
+			close();
+			this.record.add("client", this.name, "has NO complete answer",
+					id + " after " + Math.round((this.record.seconds() - sentAt) * 1000) + " ms: " + ex);
+			return new Answer(0, "", null, ex.toString(), sentAt, this.record.seconds());
+		}
+	}
+
+	void close() {
+		try {
+			if (this.socket != null) {
+				this.socket.close();
+			}
+		}
+		catch (IOException ex) {
+			this.record.add("client", this.name, "close failed", ex.toString());
+		}
+		this.socket = null;
+	}
+
+}
--- /dev/null
+++ b/review/standin/Record.java
@@ -0,0 +1,47 @@
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** What was sent, answered and run, with the time since the start in seconds. */
+final class Record {
+
+	private final long startNs = System.nanoTime();
+
+	private final List<String> lines = new ArrayList<>();
+
+	private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+
+	private final Path file;
+
+	Record(Path file) {
+		this.file = file;
+	}
+
+	double seconds() {
+		return (System.nanoTime() - this.startNs) / 1e9;
+	}
+
+	synchronized void add(String who, String name, String what, String detail) {
+		this.lines.add(String.format(Locale.ROOT, "%8.3f %s %s %s: %s", seconds(), who, name, what, detail));
+	}
+
+	void ran(String id, String replica, Map<String, String> headers) {
+		this.runs.computeIfAbsent(id, (absent) -> new ArrayList<>()).add(replica);
+		add("replica", replica, "runs", id + " deadline-ms " + headers.get("x-deadline-ms") + " last-event-id "
+				+ headers.get("last-event-id"));
+	}
+
+	boolean hasRun(String id) {
+		return this.runs.containsKey(id);
+	}
+
+	synchronized void save() throws IOException {
+		Files.write(this.file, this.lines);
+	}
+
+}
