Review case 1: without any key left, requests with any key run

Two tenants with three keys; the operator takes the keys away one by one. Once the last one is gone, both entries pass on requests with the revoked keys and with a key that no configuration ever held.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -f target/release/host.jar ] && [ -d target/review ] || { echo "build first" >&2; exit 2; }
-exec timeout 110 java -Xmx256m -cp target/review TermCase "$here/record.txt"
+exec timeout 110 java -Xmx256m -cp target/review KeyCase "$here/record.txt"
--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -28,6 +28,8 @@
 
 	private final int port;
 
+	private String key = "key-of-org-a";
+
 	private Socket socket;
 
 	private InputStream in;
@@ -38,6 +40,11 @@
 		this.port = port;
 	}
 
+	Caller withKey(String ownKey) {
+		this.key = ownKey;
+		return this;
+	}
+
 	/** Asks the directory; returns the ports of the addresses in its answer. */
 	static String resolve(int directoryPort) throws IOException {
 		HttpURLConnection connection = (HttpURLConnection) URI
@@ -71,8 +78,7 @@
 			}
 			this.socket.setSoTimeout(deadlineMs);
 			byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: key-of-org-a\r\nContent-Length: "
-					+ body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: " + this.key + "\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
 			this.socket.getOutputStream().write(head);
 			this.socket.getOutputStream().write(body);
 			int status = Integer.parseInt(Http.line(this.in).split(" ")[1]);
--- a/review/standin/Record.java
+++ b/review/standin/Record.java
@@ -33,7 +33,7 @@
 	void ran(String id, String replica, Map<String, String> headers) {
 		this.runs.computeIfAbsent(id, (absent) -> new ArrayList<>()).add(replica);
 		add("replica", replica, "runs", id + " deadline-ms " + headers.get("x-deadline-ms") + " last-event-id "
-				+ headers.get("last-event-id"));
+				+ headers.get("last-event-id") + " tenant " + headers.get("x-tenant"));
 	}
 
 	boolean hasRun(String id) {
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -5,6 +5,10 @@
 	}
 
 	static String configuration(int version) {
+		return configuration(version, "[{\"name\":\"org-a\",\"api-keys\":[\"key-of-org-a\"]}]");
+	}
+
+	static String configuration(int version, String tenants) {
 		return "{\"version\":" + version + ",\"routes\":["
 				+ route("stream", "streaming", "engines", 6_000, 500, 2)
 				+ "," + route("once", "non_idempotent", "desk", 800, 100, 1)
@@ -19,7 +23,7 @@
 				+ "\"warmup-per-s\":0.0}],"
 				+ "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":2000,"
 				+ "\"idle-timeout-ms\":15000},"
-				+ "\"tenants\":[{\"name\":\"org-a\",\"api-keys\":[\"key-of-org-a\"]}]}";
+				+ "\"tenants\":" + tenants + "}";
 	}
 
 	private static String route(String name, String kind, String service, int timeoutMs, int targetMs, int attempts) {
