Review case 3: old configuration for 4 s after silent connections to the store

Two entries of one region. The open connections to the store of the entry that does not read it go silent; 6 s later the reading entry is killed and the operator moves two routes and takes a key away. The first entry runs requests as only the old configuration allows until 4.2 to 4.6 s after the acknowledgement; allowed are 2 s.

--- a/review/standin/Record.java
+++ b/review/standin/Record.java
@@ -16,8 +16,13 @@
 
 	private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
 
+	private final Map<String, List<Run>> runsByReplica = new ConcurrentHashMap<>();
+
 	private final Path file;
 
+	private record Run(String id, double atS) {
+	}
+
 	Record(Path file) {
 		this.file = file;
 	}
@@ -32,10 +37,33 @@
 
 	void ran(String id, String replica, Map<String, String> headers) {
 		this.runs.computeIfAbsent(id, (absent) -> new ArrayList<>()).add(replica);
+		this.runsByReplica.computeIfAbsent(replica, (absent) -> new java.util.concurrent.CopyOnWriteArrayList<>())
+			.add(new Run(id, seconds()));
 		add("replica", replica, "runs", id + " deadline-ms " + headers.get("x-deadline-ms") + " last-event-id "
 				+ headers.get("last-event-id") + " tenant " + headers.get("x-tenant"));
 	}
 
+	/** Returns the replicas at which a request ran. */
+	List<String> ranAt(String id) {
+		return this.runs.getOrDefault(id, List.of());
+	}
+
+	List<String> runsAfter(String replica, double atS) {
+		return this.runsByReplica.getOrDefault(replica, List.of())
+			.stream()
+			.filter((run) -> run.atS() > atS)
+			.map((run) -> run.id() + " at " + run.atS())
+			.toList();
+	}
+
+	double lastRun(String replica, double sinceS) {
+		return this.runsByReplica.getOrDefault(replica, List.of())
+			.stream()
+			.mapToDouble((run) -> run.atS() - sinceS)
+			.max()
+			.orElse(0);
+	}
+
 	boolean hasRun(String id) {
 		return this.runs.containsKey(id);
 	}
