Review case 4: a 503 of a replica that ran the request passes for a promise

One replica of seven turns grey: it runs requests and answers two of five with 503 without X-Not-Executed. The entry returns the 503 for a request that must not be repeated, so that the client repeats it and it runs twice.

bash review/build.sh; bash review/4/run.sh: failed 5 times of 5, one request each time. TROUBLE=0 bash review/4/run.sh: passed.

--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -35,6 +35,10 @@
 
 	private volatile boolean registered = true;
 
+	private volatile boolean grey;
+
+	private int ranWhileGrey;
+
 	private int seq;
 
 	Replica(Store store, Record record, String id, String service, boolean engine, int events, int eventMs)
@@ -55,6 +59,15 @@
 		return this.id;
 	}
 
+	/** From now on two of five requests that it has run end with status 503. */
+	void turnGrey() {
+		this.grey = true;
+	}
+
+	private synchronized boolean fails() {
+		return this.grey && this.ranWhileGrey++ % 5 < 2;
+	}
+
 	private void beat() {
 		while (true) {
 			synchronized (this) {
@@ -113,7 +126,12 @@
 				this.record.ran(id, this.id, headers);
 				String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Replica-Signature: s." + this.id + "."
 						+ id + "\r\nKeep-Alive: timeout=5\r\n";
-				if (first[1].startsWith("/stream/")) {
+				if (fails()) {
+					sleep(15);
+					write(out, head.replace("200 OK", "503 Service Unavailable") + "Content-Length: 0\r\n\r\n");
+					this.record.add("replica", this.id, "ran it and failed, 503 without X-Not-Executed", id);
+				}
+				else if (first[1].startsWith("/stream/")) {
 					stream(out, head, headers);
 				}
 				else {
