Review case 4: a request runs with a part of its body missing

24 clients send bodies of 4,000,000 bytes at once, within max-body-bytes. The entry runs out of heap while it collects them, loses single parts and passes the requests on with a shorter body.

--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -78,7 +78,8 @@
 			}
 			this.socket.setSoTimeout(deadlineMs);
 			byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: " + this.key + "\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: " + this.key + "\r\nX-Body-Bytes: " + body.length
+					+ "\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
 			this.socket.getOutputStream().write(head);
 			this.socket.getOutputStream().write(body);
 			int status = Integer.parseInt(Http.line(this.in).split(" ")[1]);
--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -115,7 +115,7 @@
 			while (true) {
 				String[] first = Http.line(in).split(" ");
 				Map<String, String> headers = Http.headers(in);
-				Http.body(in, headers);
+				byte[] body = Http.body(in, headers);
 				id = headers.get("x-attempt-id");
 				String expected = headers.get("x-expect-replica");
 				if (expected != null && !expected.equals(this.id)) {
@@ -124,6 +124,10 @@
 					continue;
 				}
 				this.record.ran(id, this.id, headers);
+				String sentBytes = headers.get("x-body-bytes");
+				if (sentBytes != null && Integer.parseInt(sentBytes) != body.length) {
+					this.record.bodyChanged(id, this.id, body.length + " bytes instead of " + sentBytes);
+				}
 				String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Replica-Signature: s." + this.id + "."
 						+ id + "\r\nKeep-Alive: timeout=5\r\n";
 				if (fails()) {
@@ -136,8 +140,8 @@
 				}
 				else {
 					sleep(15);
-					String body = "answer of " + id;
-					write(out, head + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+					String answer = "answer of " + id;
+					write(out, head + "Content-Length: " + answer.length() + "\r\n\r\n" + answer);
 				}
 				this.record.add("replica", this.id, "end", id);
 			}
