--- a/review/standin/BodyCase.java
+++ b/review/standin/BodyCase.java
@@ -12,7 +12,7 @@
 
 	private static final int CLIENTS = 24;
 
-	private static final int ROUNDS = 4;
+	private static final int ROUNDS = 8;
 
 	private static final int BODY_BYTES = 4_000_000;
 
--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -7,6 +7,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -22,6 +23,9 @@
 
 	}
 
+	/** Time after which a client leaves a request that may be repeated and isn't taken. */
+	private static final int UNREAD_MS = 1_000;
+
 	private final Record record;
 
 	private final String name;
@@ -69,6 +73,8 @@
 		double sentAt = this.record.seconds();
 		this.record.add("client", this.name, "sends",
 				id + " " + path + (isOpen() ? " on a kept connection" : " on a new connection"));
+		AtomicBoolean written = new AtomicBoolean();
+		AtomicBoolean answered = new AtomicBoolean();
 		try {
 			if (!isOpen()) {
 				this.socket = new Socket();
@@ -77,14 +83,17 @@
 				this.in = new BufferedInputStream(this.socket.getInputStream());
 			}
 			this.socket.setSoTimeout(deadlineMs);
+			watch(this.socket, written, answered, path.startsWith("/once/") ? deadlineMs : UNREAD_MS, deadlineMs);
 			byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
 					+ "\r\nX-Deadline-Ms: " + deadlineMs + "\r\nX-Credential: " + this.key + "\r\nX-Body-Bytes: " + body.length
 					+ "\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
 			this.socket.getOutputStream().write(head);
 			this.socket.getOutputStream().write(body);
+			written.set(true);
 			int status = Integer.parseInt(Http.line(this.in).split(" ")[1]);
 			Map<String, String> headers = Http.headers(this.in);
 			byte[] answer = Http.body(this.in, headers);
+			answered.set(true);
 			if ("close".equalsIgnoreCase(headers.get("connection"))) {
 				close();
 			}
@@ -94,6 +103,7 @@
 					headers.get("x-replica-signature"), null, sentAt, this.record.seconds());
 		}
 		catch (IOException ex) {
+			answered.set(true);
 			close();
 			this.record.add("client", this.name, "has NO complete answer",
 					id + " after " + Math.round((this.record.seconds() - sentAt) * 1000) + " ms: " + ex);
@@ -101,6 +111,25 @@
 		}
 	}
 
+	// Closes the connection of a request that isn't taken in time or has no answer at its
+	// deadline.
+	private static void watch(Socket used, AtomicBoolean written, AtomicBoolean answered, int unreadMs, int deadlineMs) {
+		Store.daemon(() -> {
+			Replica.sleep(Math.min(unreadMs, deadlineMs));
+			if (written.get()) {
+				Replica.sleep(deadlineMs - unreadMs);
+			}
+			if (!answered.get()) {
+				try {
+					used.close();
+				}
+				catch (IOException ex) {
+					// The connection is closed already.
+				}
+			}
+		}).start();
+	}
+
 	void close() {
 		try {
 			if (this.socket != null) {
--- a/review/standin/KeyCase.java
+++ b/review/standin/KeyCase.java
@@ -10,7 +10,8 @@
  */
 public final class KeyCase {
 
-	private static final long CONFIG_APPLY_MS = 2_000;
+	/** Longer than config-apply-ms (2,000) and revoke-ms (5,000). */
+	private static final long APPLIED_MS = 6_500;
 
 	private KeyCase() {
 	}
@@ -71,7 +72,7 @@
 					+ (trouble ? ", keys left: " + (3 - gone) : ", all keys"));
 			Replica.sleep(1_000);
 		}
-		Replica.sleep(CONFIG_APPLY_MS + 1_500);
+		Replica.sleep(APPLIED_MS);
 		int broken = 0;
 		for (Entry entry : entries) {
 			for (String key : List.of("key-a1", "key-a2", "key-b1", "key-of-nobody")) {
--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -15,6 +15,8 @@
  */
 final class Replica {
 
+	private static final int KEEP_ALIVE_S = 5;
+
 	private final String id;
 
 	private final String service;
@@ -113,7 +115,9 @@
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			OutputStream out = socket.getOutputStream();
 			while (true) {
+				socket.setSoTimeout(KEEP_ALIVE_S * 1_000);
 				String[] first = Http.line(in).split(" ");
+				socket.setSoTimeout(0);
 				Map<String, String> headers = Http.headers(in);
 				byte[] body = Http.body(in, headers);
 				id = headers.get("x-attempt-id");
@@ -129,7 +133,7 @@
 					this.record.bodyChanged(id, this.id, body.length + " bytes instead of " + sentBytes);
 				}
 				String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Replica-Signature: s." + this.id + "."
-						+ id + "\r\nKeep-Alive: timeout=5\r\n";
+						+ id + "\r\nKeep-Alive: timeout=" + KEEP_ALIVE_S + "\r\n";
 				if (fails()) {
 					sleep(15);
 					write(out, head.replace("200 OK", "503 Service Unavailable") + "Content-Length: 0\r\n\r\n");
