Requests accepted late in the grace period are no longer cut at its end

Requests in flight at the end of the grace period got no answer, also those that must not be repeated.

Cause: three unrelated times. New requests were accepted for 4.0 s after the signal, a request lasts as long as deadline and route allow (6 s), and the process ended 0.4 s before grace-s with what was in flight.

Ruled out: backend servers, deadlines, idle limits.

Why this works: a request is started only if its latest end lies before the last answer of the entry (DrainSchedule, all times derived from grace-s), also when it is retried or has waited; what is in flight at the last answer gets 503 or 502 by what is known of it.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -33,12 +33,6 @@
 	/** Time within which a newer configuration usually arrives. */
 	private static final double BEHIND_RETRY_AFTER_S = 0.3;
 
-	/**
-	 * Retry delay for callers that a shutting-down entry refuses; they can use another
-	 * entry immediately.
-	 */
-	private static final double DRAINING_RETRY_AFTER_S = 0;
-
 	/** Assumed timeout of a caller that sends none. */
 	private static final long DEFAULT_CALLER_TIMEOUT_MS = 30_000;
 
@@ -148,10 +142,6 @@
 			refuse(request, LocalResponse.notRun("no-configuration", NO_CONFIGURATION_RETRY_AFTER_S));
 			return;
 		}
-		if (!this.context.acceptsRequests()) {
-			refuse(request, LocalResponse.notRun("leaving", DRAINING_RETRY_AFTER_S));
-			return;
-		}
 		if (this.context.isConfigurationOutdated()) {
 			refuse(request, LocalResponse.notRun("configuration-outdated", OUTDATED_RETRY_AFTER_S));
 			return;
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -1,14 +1,18 @@
 package org.wigeontally.gateway;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.fleet.ConfigurationLag;
+import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EnginePlacement;
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.LeastLoadedPlacement;
@@ -63,11 +67,9 @@
 
 	private final ConfigurationLag configurationLag;
 
-	private int inFlight;
+	private final Set<RequestRelay> requestsInFlight = new LinkedHashSet<>();
 
-	private boolean draining;
-
-	private long refuseFromMs = Long.MAX_VALUE;
+	private Optional<DrainSchedule> drainSchedule = Optional.empty();
 
 	GatewayContext(Vertx vertx, Clock clock, HostSettings settings, EventLog log, FleetState fleet,
 			GatewayMetrics metrics) {
@@ -181,28 +183,41 @@
 	}
 
 	int inFlight() {
-		return this.inFlight;
+		return this.requestsInFlight.size();
+	}
+
+	/**
+	 * Returns the requests in flight at this moment.
+	 * @return a copy, since requests end while it is used
+	 */
+	List<RequestRelay> requestsInFlight() {
+		return List.copyOf(this.requestsInFlight);
 	}
 
-	void requestStarted() {
-		this.inFlight++;
+	void requestStarted(RequestRelay request) {
+		this.requestsInFlight.add(request);
 	}
 
-	void requestEnded() {
-		this.inFlight--;
+	void requestEnded(RequestRelay request) {
+		this.requestsInFlight.remove(request);
 	}
 
 	boolean isDraining() {
-		return this.draining;
+		return this.drainSchedule.isPresent();
+	}
+
+	void startDraining(DrainSchedule schedule) {
+		this.drainSchedule = Optional.of(schedule);
 	}
 
 	/**
-	 * Marks the process as draining.
-	 * @param acceptMs time during which new requests are still accepted
+	 * Returns whether this process can run a request to its end.
+	 * @param expiresAtMs time by which the request has ended in any case, on the
+	 * monotonic clock
+	 * @return false if the process may end earlier
 	 */
-	void startDraining(long acceptMs) {
-		this.draining = true;
-		this.refuseFromMs = nowMs() + acceptMs;
+	boolean outlasts(long expiresAtMs) {
+		return this.drainSchedule.isEmpty() || this.drainSchedule.get().isEndingInTime(expiresAtMs);
 	}
 
 	/**
@@ -211,7 +226,7 @@
 	 * down
 	 */
 	boolean isReady() {
-		return !this.draining && this.fleet.configuration() != null && !isConfigurationOutdated();
+		return !isDraining() && this.fleet.configuration() != null && !isConfigurationOutdated();
 	}
 
 	/**
@@ -230,8 +245,4 @@
 		return this.configurationLag.isOutdated(nowMs());
 	}
 
-	boolean acceptsRequests() {
-		return nowMs() < this.refuseFromMs;
-	}
-
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -23,6 +23,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.metrics.MetricsApi;
@@ -93,19 +94,7 @@
 
 	private static final long HOUSEKEEPING_INTERVAL_MS = 250;
 
-	/**
-	 * Time after SIGTERM during which new requests are accepted, because callers cache
-	 * addresses.
-	 */
-	private static final long ACCEPT_AFTER_TERM_MS = 4_000;
-
-	/** Minimum time between SIGTERM and the end, for callers that still connect. */
-	private static final long MIN_DRAIN_MS = 6_300;
-
-	/** Time by which draining ends before the grace period does. */
-	private static final long GRACE_MARGIN_MS = 400;
-
-	private static final long DRAIN_CHECK_INTERVAL_MS = 50;
+	private static final long DRAIN_CHECK_INTERVAL_MS = 20;
 
 	private final Vertx vertx;
 
@@ -340,8 +329,8 @@
 
 	/**
 	 * Drains the process: deregisters it from the store, notifies the other entries,
-	 * serves new requests for a while, and ends once no request is in flight or the grace
-	 * period is over.
+	 * serves requests that end in time, and ends once no request is in flight or the
+	 * grace period is over.
 	 * @return the number of requests in flight at the end
 	 */
 	public Future<Integer> drain() {
@@ -361,18 +350,20 @@
 	}
 
 	private void startDraining(Promise<Integer> drained) {
-		long startMs = this.context.nowMs();
-		this.context.startDraining(ACCEPT_AFTER_TERM_MS);
+		DrainSchedule schedule = DrainSchedule.of(this.context.nowMs(),
+				(long) (this.settings.getBounds().getGraceS() * 1000));
+		this.context.startDraining(schedule);
 		this.log.write(LogEvent.STOP, "phase", "draining", "in-flight", this.context.inFlight());
 		this.exchange.exchangeWithAllEntries();
 		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
 			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
 					failure.getMessage()));
-		long graceMs = (long) (this.settings.getBounds().getGraceS() * 1000) - GRACE_MARGIN_MS;
 		this.vertx.setPeriodic(DRAIN_CHECK_INTERVAL_MS, (id) -> {
-			long elapsedMs = this.context.nowMs() - startMs;
-			boolean idle = this.context.inFlight() == 0 && elapsedMs >= Math.min(MIN_DRAIN_MS, graceMs);
-			if (idle || elapsedMs >= graceMs) {
+			long nowMs = this.context.nowMs();
+			if (schedule.isAnswerDue(nowMs)) {
+				this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
+			}
+			if (schedule.isOver(nowMs, this.context.inFlight())) {
 				this.vertx.cancelTimer(id);
 				this.log.write(LogEvent.STOP, "phase", "ended", "in-flight", this.context.inFlight());
 				drained.tryComplete(this.context.inFlight());
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -50,6 +50,12 @@
 	 */
 	private static final long RESUME_TARGET_MS = 1_000;
 
+	/** Refusal reason of an entry that is shutting down. */
+	private static final String LEAVING = "leaving";
+
+	/** Callers that a shutting-down entry refuses can use another one immediately. */
+	private static final double LEAVING_RETRY_AFTER_S = 0;
+
 	private final GatewayContext context;
 
 	private final RequestPlacer placer;
@@ -105,7 +111,7 @@
 	}
 
 	void start() {
-		this.context.requestStarted();
+		this.context.requestStarted(this);
 		this.request.http().response().closeHandler((v) -> callerDisconnected());
 		this.request.http().response().exceptionHandler((failure) -> callerDisconnected());
 		Suspicion suspicion = this.context.harmfulRequests().classify(this.fingerprint);
@@ -125,6 +131,11 @@
 	}
 
 	private void placeRequest() {
+		// A stream that has begun is resumed in any case; its events would be lost.
+		if (this.streamWriter == null && !this.context.outlasts(this.expiresAtMs)) {
+			failRequest(LEAVING, (remainingMs) -> LEAVING_RETRY_AFTER_S);
+			return;
+		}
 		if (!this.answerBegan && !admitParts()) {
 			return;
 		}
@@ -357,22 +368,33 @@
 
 	private void timedOut() {
 		this.timeoutTimer = -1;
+		endUnfinished(LocalResponse.timeout("timeout"));
+	}
+
+	/**
+	 * Ends the request with what is known of it, because the process ends.
+	 */
+	void endForShutdown() {
+		endUnfinished(LocalResponse.unknownOutcome(LEAVING));
+	}
+
+	private void endUnfinished(LocalResponse answerIfSent) {
 		if (this.finished) {
 			return;
 		}
 		boolean attemptRunning = this.attempt != null && this.attempt.isSent();
 		cancelAttempt();
 		if (this.streamWriter != null) {
-			abortStream("timeout");
+			abortStream(answerIfSent.reason());
 		}
 		else if (this.serverErrorResponse != null) {
 			deliver(this.serverErrorResponse);
 		}
 		else if (attemptRunning || this.mayHaveRun) {
-			refuse(LocalResponse.timeout("timeout"));
+			refuse(answerIfSent);
 		}
 		else {
-			refuse(LocalResponse.notRun("timeout", 0));
+			refuse(LocalResponse.notRun(answerIfSent.reason(), 0));
 		}
 	}
 
@@ -442,7 +464,7 @@
 
 	private void finish(String outcome) {
 		this.finished = true;
-		this.context.requestEnded();
+		this.context.requestEnded(this);
 		this.context.metrics().recordAnswer(this.request.route().name(), this.request.organisationName(), outcome);
 		if (this.timeoutTimer >= 0) {
 			this.context.vertx().cancelTimer(this.timeoutTimer);
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -36,6 +36,8 @@
 
 	private static final long TIMEOUT_MS = 10_000;
 
+	private static final double DEFAULT_GRACE_S = 8;
+
 	private final Vertx vertx;
 
 	private final FakeStore store;
@@ -79,15 +81,20 @@
 	}
 
 	public void startEntry() throws Exception {
-		startEntry(this.settings.stream().map(HostSettings::getControl).toList());
+		startEntry(this.settings.stream().map(HostSettings::getControl).toList(), DEFAULT_GRACE_S);
 	}
 
 	/** Starts an entry that learns of the others from the store only. */
 	void startEntryWithoutSeeds() throws Exception {
-		startEntry(List.of());
+		startEntry(List.of(), DEFAULT_GRACE_S);
+	}
+
+	/** Starts an entry that has the given time to end after SIGTERM. */
+	void startEntryWithGrace(double graceS) throws Exception {
+		startEntry(List.of(), graceS);
 	}
 
-	private void startEntry(List<Address> seeds) throws Exception {
+	private void startEntry(List<Address> seeds, double graceS) throws Exception {
 		HostSettings.Builder builder = HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
 			.setZone("zone-a")
@@ -103,7 +110,7 @@
 			.setInternalPort(freeAddress().getPort())
 			.setStore(Address.newBuilder().setIp("127.0.0.1").setPort(this.store.port()))
 			.setBounds(HostBounds.newBuilder()
-				.setGraceS(8)
+				.setGraceS(graceS)
 				.setRetryRatio(0.2)
 				.setRetryWindowS(10)
 				.setRetrySlack(104)
@@ -211,6 +218,20 @@
 				body);
 	}
 
+	/** Drains an entry as after SIGTERM; it has ended when the result completes. */
+	Future<Void> terminate(int entry) {
+		GatewayDaemon daemon = this.entries.get(entry);
+		return daemon.drain().compose((inFlight) -> {
+			try {
+				daemon.close();
+				return Future.succeededFuture();
+			}
+			catch (Exception ex) {
+				return Future.failedFuture(ex);
+			}
+		});
+	}
+
 	/** Ends all entries at once, as a loss of power does. */
 	void stopEntries() throws Exception {
 		for (GatewayDaemon entry : this.entries) {
