A backend server's refusal without proof is no promise to the caller

Cause: what a response proves was used for retries only. A stored 5xx was delivered by failRequest, a 429 or 408 at once.

Why this works: one function, NotRunPromise, decides about the status of each answer, from what is known of the request and its kind. Idempotent routes are answered as before.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerResponse;
 
 import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.NotRunPromise;
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.harmful.PartAdmission;
@@ -317,9 +318,7 @@
 		if (this.finished) {
 			return;
 		}
-		if (outcome == AttemptFailure.MAY_HAVE_RUN) {
-			this.mayHaveRun = true;
-		}
+		this.mayHaveRun |= outcome == AttemptFailure.MAY_HAVE_RUN || outcome == AttemptFailure.FAILED;
 		if (outcome == AttemptFailure.NOT_SENT && failedAttempt.lacksPermit()) {
 			this.triedBackendIds.remove(failedAttempt.backendId());
 		}
@@ -416,10 +415,12 @@
 		}
 	}
 
-	private void refuse(LocalResponse refusal) {
+	private void refuse(LocalResponse response) {
 		if (this.finished) {
 			return;
 		}
+		boolean kept = NotRunPromise.isKept(response.status(), this.mayHaveRun, this.request.route().isRetryable());
+		LocalResponse refusal = kept ? response : LocalResponse.unknownOutcome(response.reason());
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
 					"organisation", this.request.organisationName(), "status", refusal.status(), "reason",
@@ -441,6 +442,10 @@
 	}
 
 	private void deliver(BufferedResponse backendResponse) {
+		if (!NotRunPromise.isKept(backendResponse.status(), true, this.request.route().isRetryable())) {
+			refuse(LocalResponse.unknownOutcome("unproven-refusal"));
+			return;
+		}
 		HttpServerResponse callerResponse = this.request.http().response();
 		EventStreamWriter.copyHead(backendResponse.status(), backendResponse.headers(), callerResponse,
 				this.context.isDraining());
