No request runs with any key once the last API key is taken away

Cause: an empty map from key to organisation stood for "no keys are needed". Ruled out: an old configuration in force, unreadable records.

Why this works: ApiKeys tells "not required" from "required, none valid", and the decoder decides by whether the field is there. AllowedRegions does the same for regions; there the platform itself writes an empty list for "all", which the decoder alone knows now.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -12,6 +12,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpServerRequest;
 
+import org.wigeontally.fleet.AllowedRegions;
 import org.wigeontally.fleet.Organisation;
 import org.wigeontally.fleet.Route;
 import org.wigeontally.harmful.Fingerprint;
@@ -104,10 +105,8 @@
 	}
 
 	boolean isRegionAllowed(String region) {
-		Set<String> routeRegions = this.route.regions();
-		Set<String> organisationRegions = this.organisation.map(Organisation::regions).orElse(Set.of());
-		return (routeRegions.isEmpty() || routeRegions.contains(region))
-				&& (organisationRegions.isEmpty() || organisationRegions.contains(region));
+		AllowedRegions organisationRegions = this.organisation.map(Organisation::regions).orElse(AllowedRegions.all());
+		return this.route.regions().contains(region) && organisationRegions.contains(region);
 	}
 
 	int promptTokens(int defaultTokens) {
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -151,8 +151,9 @@
 			refuseUnknown(request, LocalResponse.rejected(404, "no-route"));
 			return;
 		}
-		Optional<Organisation> organisation = configuration.organisation(request.getHeader(WireNames.API_KEY));
-		if (configuration.requiresKeys() && !route.get().keyExempt() && organisation.isEmpty()) {
+		Optional<Organisation> organisation = configuration.apiKeys()
+			.organisation(request.getHeader(WireNames.API_KEY));
+		if (configuration.apiKeys().areRequired() && !route.get().keyExempt() && organisation.isEmpty()) {
 			refuseUnknown(request, LocalResponse.rejected(401, "unknown-key"));
 			return;
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
@@ -1,12 +1,11 @@
 package org.wigeontally.gateway;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 import io.vertx.core.http.HttpServerRequest;
 
+import org.wigeontally.fleet.AllowedRegions;
 import org.wigeontally.fleet.DirectoryQuery;
 import org.wigeontally.fleet.EntrySelection;
 import org.wigeontally.fleet.EntryTable;
@@ -50,7 +49,8 @@
 		List<EntryNews> liveEntries = new ArrayList<>(this.entries.liveEntries(this.context.nowMs()));
 		liveEntries.add(this.exchange.ownNews().build());
 		FleetConfiguration configuration = this.context.fleet().configuration();
-		Set<String> regions = (configuration != null) ? allowedRegions(configuration, query.host()) : Set.of();
+		AllowedRegions regions = (configuration != null) ? allowedRegions(configuration, query.host())
+				: AllowedRegions.all();
 		List<String> addresses = EntrySelection.selectAddresses(query, liveEntries, regions);
 		if (addresses.isEmpty()) {
 			request.response().setStatusCode(503).end();
@@ -62,15 +62,12 @@
 			.end(DirectoryCodec.encodeResponse(addresses, ttlS));
 	}
 
-	private static Set<String> allowedRegions(FleetConfiguration configuration, String host) {
-		Set<String> regions = new HashSet<>();
-		for (Route route : configuration.routes(host)) {
-			if (route.regions().isEmpty()) {
-				return Set.of();
-			}
-			regions.addAll(route.regions());
-		}
-		return regions;
+	private static AllowedRegions allowedRegions(FleetConfiguration configuration, String host) {
+		return configuration.routes(host)
+			.stream()
+			.map(Route::regions)
+			.reduce(AllowedRegions::or)
+			.orElse(AllowedRegions.all());
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/EntrySelection.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntrySelection.java
@@ -29,17 +29,17 @@
 	 * Selects the entries for one caller.
 	 * @param query location of the caller
 	 * @param entries known entries, including this one
-	 * @param regions regions that may receive the requests; empty for all
+	 * @param regions regions that may receive the requests
 	 * @return addresses to connect to
 	 */
-	public static List<String> selectAddresses(DirectoryQuery query, List<EntryNews> entries, Set<String> regions) {
+	public static List<String> selectAddresses(DirectoryQuery query, List<EntryNews> entries, AllowedRegions regions) {
 		LinkedHashSet<String> selected = new LinkedHashSet<>();
 		addMatching(selected, entries, (entry) -> entry.getZone().equals(query.zone()));
 		if (selected.size() < MIN_ENTRIES) {
 			addMatching(selected, entries, (entry) -> entry.getRegion().equals(query.region()));
 		}
-		if (selected.isEmpty() || (selected.size() < MIN_ENTRIES && regions.isEmpty())) {
-			addMatching(selected, entries, (entry) -> regions.isEmpty() || regions.contains(entry.getRegion()));
+		if (selected.isEmpty() || (selected.size() < MIN_ENTRIES && regions.areUnrestricted())) {
+			addMatching(selected, entries, (entry) -> regions.contains(entry.getRegion()));
 		}
 		List<String> listed = new ArrayList<>(selected);
 		return (listed.size() > MAX_ENTRIES) ? listed.subList(0, MAX_ENTRIES) : listed;
--- a/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
+++ b/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
@@ -18,17 +18,17 @@
 
 	private final Optional<WeightOrigin> origin;
 
-	private final Map<String, Organisation> organisationsByKey;
+	private final ApiKeys apiKeys;
 
 	private final CallerLimits limits;
 
 	private FleetConfiguration(long version, Map<String, List<Route>> routesByHost, Map<String, Service> services,
-			Optional<WeightOrigin> origin, Map<String, Organisation> organisationsByKey, CallerLimits limits) {
+			Optional<WeightOrigin> origin, ApiKeys apiKeys, CallerLimits limits) {
 		this.version = version;
 		this.routesByHost = routesByHost;
 		this.services = services;
 		this.origin = origin;
-		this.organisationsByKey = organisationsByKey;
+		this.apiKeys = apiKeys;
 		this.limits = limits;
 	}
 
@@ -38,13 +38,12 @@
 	 * @param routes all routes
 	 * @param services all services
 	 * @param origin the origin of weights, if there is one
-	 * @param organisationsByKey organisation of each API key; empty if requests need no
-	 * key
+	 * @param apiKeys API keys of the organisations
 	 * @param limits limits on requests and connections of callers
 	 * @return the configuration
 	 */
 	public static FleetConfiguration of(long version, List<Route> routes, List<Service> services,
-			Optional<WeightOrigin> origin, Map<String, Organisation> organisationsByKey, CallerLimits limits) {
+			Optional<WeightOrigin> origin, ApiKeys apiKeys, CallerLimits limits) {
 		Map<String, List<Route>> byHost = new HashMap<>();
 		for (Route route : routes) {
 			byHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
@@ -55,7 +54,7 @@
 		for (Service service : services) {
 			byName.put(service.name(), service);
 		}
-		return new FleetConfiguration(version, byHost, byName, origin, Map.copyOf(organisationsByKey), limits);
+		return new FleetConfiguration(version, byHost, byName, origin, apiKeys, limits);
 	}
 
 	/**
@@ -116,20 +115,11 @@
 	}
 
 	/**
-	 * Returns whether requests need an API key unless their route exempts them.
-	 * @return true if they do
+	 * Returns the API keys of the organisations.
+	 * @return the keys
 	 */
-	public boolean requiresKeys() {
-		return !this.organisationsByKey.isEmpty();
-	}
-
-	/**
-	 * Finds the organisation of an API key.
-	 * @param key the key; may be null
-	 * @return the organisation
-	 */
-	public Optional<Organisation> organisation(String key) {
-		return (key != null) ? Optional.ofNullable(this.organisationsByKey.get(key)) : Optional.empty();
+	public ApiKeys apiKeys() {
+		return this.apiKeys;
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/Route.java
+++ b/library/src/main/java/org/wigeontally/fleet/Route.java
@@ -1,7 +1,6 @@
 package org.wigeontally.fleet;
 
 import java.util.List;
-import java.util.Set;
 
 /**
  * A route of the configuration.
@@ -17,11 +16,11 @@
  * @param maxAttempts maximum number of backend servers for one attempt of the caller
  * @param keyExempt true if requests need no API key
  * @param resumable true if a broken stream may be resumed at another backend server
- * @param regions regions that may serve the requests; empty for all
+ * @param regions regions that may serve the requests
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, long timeoutMs, long targetMs,
 		int priority, List<WeightedService> services, int maxAttempts, boolean keyExempt, boolean resumable,
-		Set<String> regions) {
+		AllowedRegions regions) {
 
 	/**
 	 * Returns whether a request that may have been executed may be sent again.
--- a/testsuite/src/test/java/org/wigeontally/fleet/DirectoryTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/DirectoryTests.java
@@ -17,7 +17,7 @@
 	public void callerGetsEntriesOfItsZone() {
 		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(2, "a", "r1", true),
 				entry(3, "b", "r2", true));
-		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, Set.of()))
+		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, AllowedRegions.all()))
 			.containsExactlyInAnyOrder("10.0.0.1:80", "10.0.0.2:80");
 	}
 
@@ -25,7 +25,7 @@
 	public void entryThatIsNotReadyIsNotSelected() {
 		List<EntryNews> entries = List.of(entry(1, "a", "r1", false), entry(2, "a", "r1", true),
 				entry(3, "a", "r1", true));
-		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, Set.of()))
+		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, AllowedRegions.all()))
 			.containsExactlyInAnyOrder("10.0.0.2:80", "10.0.0.3:80");
 	}
 
@@ -33,7 +33,7 @@
 	@Test
 	public void otherEntriesAreSelectedIfTheZoneHasTooFew() {
 		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(3, "b", "r2", true));
-		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, Set.of()))
+		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, AllowedRegions.all()))
 			.containsExactlyInAnyOrder("10.0.0.1:80", "10.0.0.3:80");
 	}
 
@@ -41,9 +41,11 @@
 	public void regionRestrictionIsRespected() {
 		List<EntryNews> entries = List.of(entry(1, "a", "r1", true), entry(3, "b", "r2", true),
 				entry(4, "c", "r3", true));
-		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries, Set.of("r1")))
+		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r1", "a"), entries,
+				AllowedRegions.only(Set.of("r1"))))
 			.containsExactly("10.0.0.1:80");
-		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r9", "z"), entries, Set.of("r3")))
+		assertThat(EntrySelection.selectAddresses(new DirectoryQuery("h", "r9", "z"), entries,
+				AllowedRegions.only(Set.of("r3"))))
 			.containsExactly("10.0.0.4:80");
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -196,6 +196,19 @@
 				FakeConfiguration.create(this.nextConfigurationVersion++, List.of(omittedNames)));
 	}
 
+	/**
+	 * Writes the next version of the configuration with other organisations.
+	 * @param organisations the organisations; null to leave the field out
+	 */
+	void writeOrganisations(JsonArray organisations) {
+		JsonObject configuration = FakeConfiguration.create(this.nextConfigurationVersion++, List.of());
+		configuration.remove("tenants");
+		if (organisations != null) {
+			configuration.put("tenants", organisations);
+		}
+		this.store.write("op", "config", configuration);
+	}
+
 	TestCaller.Response call(String route) throws Exception {
 		return call(0, route, "id-" + System.nanoTime(), API_KEY, "body");
 	}
--- a/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
@@ -50,9 +50,11 @@
 		assertThat(longestPrefixRoute.pickService(0.95)).isEqualTo("s2");
 		Route streamingRoute = configuration.route("a.example", "/x/z").orElseThrow();
 		assertThat(streamingRoute.isRetryable()).isTrue();
-		assertThat(streamingRoute.regions()).containsExactly("viti-west");
+		assertThat(streamingRoute.regions().contains("viti-west")).isTrue();
+		assertThat(streamingRoute.regions().contains("viti-east")).isFalse();
+		assertThat(longestPrefixRoute.regions().areUnrestricted()).isTrue();
 		assertThat(configuration.route("a.example", "/w")).isEmpty();
-		assertThat(configuration.organisation("k2").orElseThrow().name()).isEqualTo("t1");
+		assertThat(configuration.apiKeys().organisation("k2").orElseThrow().name()).isEqualTo("t1");
 		assertThat(configuration.service("s1").orElseThrow().engine().orElseThrow().chunkCount()).isEqualTo(96);
 		assertThat(configuration.origin().orElseThrow().maxConnections()).isEqualTo(48);
 	}
