--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -27,6 +27,9 @@
 	/** Retry delay for callers while the entry has no configuration. */
 	private static final double NO_CONFIGURATION_RETRY_AFTER_S = 0.3;
 
+	/** Retry delay for callers of a route whose services all have the weight zero. */
+	private static final double NO_SERVICE_RETRY_AFTER_S = 1;
+
 	/** Other entries can serve the caller at once. */
 	private static final double OUTDATED_RETRY_AFTER_S = 0.05;
 
@@ -162,9 +165,13 @@
 			refuse(request, LocalResponse.rejected(400, "no-attempt-id"));
 			return;
 		}
-		String service = route.get().pickService(this.context.random().nextDouble());
-		CallerRequest callerRequest = new CallerRequest(request, route.get(), organisation, service, body, receivedAtMs,
-				callerTimeoutMs(request));
+		Optional<String> service = route.get().pickService(this.context.random().nextDouble());
+		if (service.isEmpty()) {
+			refuse(request, LocalResponse.notRun("no-service", NO_SERVICE_RETRY_AFTER_S));
+			return;
+		}
+		CallerRequest callerRequest = new CallerRequest(request, route.get(), organisation, service.get(), body,
+				receivedAtMs, callerTimeoutMs(request));
 		new RequestRelay(this.context, this.placer, this.permits, callerRequest).start();
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/Route.java
+++ b/library/src/main/java/org/wigeontally/fleet/Route.java
@@ -1,6 +1,7 @@
 package org.wigeontally.fleet;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A route of the configuration.
@@ -33,21 +34,26 @@
 	/**
 	 * Picks the service of a request at random, in proportion to the weights.
 	 * @param draw random number from 0 inclusive to 1 exclusive
-	 * @return name of the service
+	 * @return name of the service; empty if all weights are zero
 	 */
-	public String pickService(double draw) {
+	public Optional<String> pickService(double draw) {
 		double totalWeight = 0;
 		for (WeightedService weighted : this.services) {
 			totalWeight += weighted.weight();
 		}
 		double remaining = draw * totalWeight;
+		String picked = null;
 		for (WeightedService weighted : this.services) {
+			if (weighted.weight() <= 0) {
+				continue;
+			}
+			picked = weighted.service();
 			remaining -= weighted.weight();
 			if (remaining < 0) {
-				return weighted.service();
+				break;
 			}
 		}
-		return this.services.get(this.services.size() - 1).service();
+		return Optional.ofNullable(picked);
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
@@ -46,8 +46,8 @@
 		Route longestPrefixRoute = configuration.route("a.example", "/x/y/z").orElseThrow();
 		assertThat(longestPrefixRoute.name()).isEqualTo("r2");
 		assertThat(longestPrefixRoute.kind()).isEqualTo(RequestKind.AT_MOST_ONCE);
-		assertThat(longestPrefixRoute.pickService(0.89)).isEqualTo("s1");
-		assertThat(longestPrefixRoute.pickService(0.95)).isEqualTo("s2");
+		assertThat(longestPrefixRoute.pickService(0.89)).contains("s1");
+		assertThat(longestPrefixRoute.pickService(0.95)).contains("s2");
 		Route streamingRoute = configuration.route("a.example", "/x/z").orElseThrow();
 		assertThat(streamingRoute.isRetryable()).isTrue();
 		assertThat(streamingRoute.regions().contains("viti-west")).isTrue();
