Endless responses of one service no longer fill the memory of an entry

Cause: a limit on each message, none on their sum; growth by copying; bodies kept by handlers of ended requests; and a handler that throws ended nothing, so that even a request without a part of its body could be routed.

Why this works: MemoryBudget bounds all messages together to a quarter of the heap and gives up the largest, with 502 or 503 by what is known; ByteBlocks grows without copies; ended requests release their bodies; whatever a handler throws ends its request and closes the connection. Tried and not shown: unread responses (8 MB each, 60 callers) on the old code.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -10,6 +10,7 @@
 import org.wigeontally.harmful.Fingerprint;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.SuspectRequest;
+import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.Permit;
 import org.wigeontally.platform.wire.BackendNotice;
 
@@ -76,6 +77,8 @@
 
 	private final AttemptListener listener;
 
+	private final MemoryBudget.Holder memory;
+
 	private final long startMs;
 
 	private long sentAtMs;
@@ -115,6 +118,7 @@
 		this.enginePriority = placed.enginePriority();
 		this.requiredVersion = placed.requiredVersion();
 		this.listener = listener;
+		this.memory = context.memory().open(() -> abandon("no memory left for the response"));
 		this.startMs = context.nowMs();
 		this.lastReceivedMs = this.startMs;
 	}
@@ -289,6 +293,7 @@
 
 	private void markEnded() {
 		this.ended = true;
+		this.memory.close();
 		this.backend.load().recordEnd();
 		if (this.sent) {
 			this.backend.attemptEnded(this);
@@ -341,6 +346,7 @@
 		if (!this.ended && this.reader.isTooLarge()) {
 			abandon("response too large");
 		}
+		this.memory.hold(this.reader.heldBytes());
 	}
 
 	private void recordAnswerBegun() {
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -71,7 +71,7 @@
 
 	private BackendResponseHandler responseHandler;
 
-	private BackendRequest request;
+	private String attemptId;
 
 	private Runnable onIdle;
 
@@ -127,7 +127,7 @@
 	void send(BackendRequest backendRequest, BackendResponseHandler handler, Runnable whenIdle) {
 		this.mayHoldOtherResponses = this.used;
 		this.used = true;
-		this.request = backendRequest;
+		this.attemptId = backendRequest.attemptId();
 		this.responseHandler = handler;
 		this.onIdle = whenIdle;
 		this.isHeadRequest = "HEAD".equals(backendRequest.method());
@@ -162,6 +162,7 @@
 
 	void close() {
 		this.responseHandler = null;
+		this.onIdle = null;
 		this.reusable = false;
 		if (!this.closed) {
 			this.socket.close();
@@ -174,6 +175,10 @@
 				handlePart(part);
 			}
 		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			// Whatever fails here must not leave the request without an answer.
+			abort("failure while the response was read: " + ex);
+		}
 		finally {
 			ReferenceCountUtil.release(message);
 		}
@@ -207,7 +212,7 @@
 		}
 		this.headReceived = true;
 		List<String> attemptIds = response.headers().getAll(WireNames.ATTEMPT_ID);
-		this.skippingResponse = !attemptIds.isEmpty() && !attemptIds.contains(this.request.attemptId());
+		this.skippingResponse = !attemptIds.isEmpty() && !attemptIds.contains(this.attemptId);
 		if (this.skippingResponse) {
 			this.mayHoldOtherResponses = true;
 			this.unrelatedResponses++;
@@ -216,7 +221,7 @@
 			}
 			return;
 		}
-		if (!attemptIds.stream().allMatch(this.request.attemptId()::equals)) {
+		if (!attemptIds.stream().allMatch(this.attemptId::equals)) {
 			abort("response names several requests");
 			return;
 		}
@@ -285,8 +290,11 @@
 		if (this.decoder.hasUnreadBytes()) {
 			this.reusable = false;
 		}
+		Runnable whenIdle = this.onIdle;
+		// An idle connection must not keep the request that it has carried.
+		this.onIdle = null;
 		if (this.reusable && !this.closed) {
-			this.onIdle.run();
+			whenIdle.run();
 		}
 		else {
 			close();
--- a/daemons/src/main/java/org/wigeontally/gateway/BufferedResponse.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BufferedResponse.java
@@ -9,6 +9,6 @@
  * @param headers all headers
  * @param body the body
  */
-record BufferedResponse(int status, HttpHeaders headers, byte[] body) {
+record BufferedResponse(int status, HttpHeaders headers, ByteBlocks body) {
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -143,6 +143,10 @@
 		return this.unreadableParts;
 	}
 
+	int bodyBytes() {
+		return this.body.length;
+	}
+
 	Fingerprint fingerprint() {
 		return Fingerprint.of(organisationName(), this.http.uri(), this.body);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -15,6 +15,7 @@
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Organisation;
 import org.wigeontally.fleet.Route;
+import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.platform.wire.WireNames;
 
 /**
@@ -30,6 +31,9 @@
 	/** Retry delay for callers of a route whose services all have the weight zero. */
 	private static final double NO_SERVICE_RETRY_AFTER_S = 1;
 
+	/** Time within which other requests release memory. */
+	private static final double NO_MEMORY_RETRY_AFTER_S = 0.1;
+
 	/** Other entries can serve the caller at once. */
 	private static final double OUTDATED_RETRY_AFTER_S = 0.05;
 
@@ -102,33 +106,7 @@
 			refuseAndClose(request, LocalResponse.rejected(413, "body-too-large"));
 			return;
 		}
-		Buffer body = Buffer.buffer();
-		boolean[] discarded = new boolean[1];
-		request.handler((part) -> {
-			if (discarded[0]) {
-				return;
-			}
-			body.appendBuffer(part);
-			if (body.length() > limits.maxBodyBytes()) {
-				discarded[0] = true;
-				refuseAndClose(request, LocalResponse.rejected(413, "body-too-large"));
-			}
-		});
-		long bodyTimeMs = Math.max(1, Math.min(callerTimeoutMs(request), MAX_BODY_TIME_MS));
-		long bodyTimer = this.context.vertx().setTimer(bodyTimeMs, (id) -> {
-			discarded[0] = true;
-			refuseAndClose(request, LocalResponse.rejected(408, "body-too-slow"));
-		});
-		request.exceptionHandler((failure) -> {
-			discarded[0] = true;
-			this.context.vertx().cancelTimer(bodyTimer);
-		});
-		request.endHandler((v) -> {
-			this.context.vertx().cancelTimer(bodyTimer);
-			if (!discarded[0]) {
-				route(request, body.getBytes(), receivedAtMs);
-			}
-		});
+		new BodyReader(request, receivedAtMs).start(limits.maxBodyBytes());
 	}
 
 	private static long headerBytes(HttpServerRequest request) {
@@ -246,6 +224,96 @@
 		response.end(localResponse.reason() + "\n");
 	}
 
+	/**
+	 * Reads the body of one request. A request is routed only with its whole body: if any
+	 * part of it was not kept, the request is refused.
+	 */
+	private final class BodyReader {
+
+		private final HttpServerRequest request;
+
+		private final long receivedAtMs;
+
+		private ByteBlocks body = new ByteBlocks();
+
+		private final MemoryBudget.Holder memory;
+
+		private boolean ended;
+
+		private long timer;
+
+		private BodyReader(HttpServerRequest request, long receivedAtMs) {
+			this.request = request;
+			this.receivedAtMs = receivedAtMs;
+			this.memory = CallerRequestHandler.this.context.memory()
+				.open(() -> refuseBody(LocalResponse.notRun("no-memory", NO_MEMORY_RETRY_AFTER_S)));
+		}
+
+		private void start(long maxBytes) {
+			long timeMs = Math.max(1, Math.min(callerTimeoutMs(this.request), MAX_BODY_TIME_MS));
+			this.timer = CallerRequestHandler.this.context.vertx()
+				.setTimer(timeMs, (id) -> refuseBody(LocalResponse.rejected(408, "body-too-slow")));
+			this.request.handler((part) -> append(part, maxBytes));
+			this.request.exceptionHandler((failure) -> end());
+			this.request.endHandler((v) -> routeWhole());
+		}
+
+		private void append(Buffer part, long maxBytes) {
+			if (this.ended) {
+				return;
+			}
+			try {
+				this.body.append(part.getBytes());
+			}
+			catch (RuntimeException | VirtualMachineError ex) {
+				logFault(this.request, ex);
+				refuseBody(LocalResponse.notRun("body-not-read", NO_MEMORY_RETRY_AFTER_S));
+				return;
+			}
+			if (this.body.length() > maxBytes) {
+				refuseBody(LocalResponse.rejected(413, "body-too-large"));
+				return;
+			}
+			this.memory.hold(this.body.allocatedBytes());
+		}
+
+		private void routeWhole() {
+			if (this.ended) {
+				return;
+			}
+			ByteBlocks whole = this.body;
+			end();
+			try {
+				route(this.request, whole.toByteArray(), this.receivedAtMs);
+			}
+			catch (RuntimeException | VirtualMachineError ex) {
+				logFault(this.request, ex);
+				refuseAndClose(this.request, LocalResponse.unknownOutcome("failure"));
+			}
+		}
+
+		private void refuseBody(LocalResponse refusal) {
+			if (!this.ended) {
+				end();
+				refuseAndClose(this.request, refusal);
+			}
+		}
+
+		private void end() {
+			this.ended = true;
+			// The connection may keep the handlers of this request for long.
+			this.body = null;
+			this.memory.close();
+			CallerRequestHandler.this.context.vertx().cancelTimer(this.timer);
+		}
+
+	}
+
+	private void logFault(HttpServerRequest request, Throwable failure) {
+		this.context.log()
+			.write(LogEvent.FAULT, "id", request.getHeader(WireNames.ATTEMPT_ID), "reason", failure.toString());
+	}
+
 	private static String formatSeconds(double seconds) {
 		return String.format(Locale.ROOT, "%.3f", seconds);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
@@ -17,7 +17,7 @@
  */
 final class EventStreamWriter {
 
-	private final HttpServerResponse response;
+	private final CallerWriter writer;
 
 	private ResponseReader currentReader;
 
@@ -29,11 +29,11 @@
 
 	private boolean hasEventsWithoutId;
 
-	EventStreamWriter(HttpServerResponse response, ResponseReader firstReader, boolean closeConnection) {
-		this.response = response;
+	EventStreamWriter(CallerWriter writer, ResponseReader firstReader, boolean closeConnection) {
+		this.writer = writer;
 		this.currentReader = firstReader;
-		copyHead(firstReader.status(), firstReader.headers(), response, closeConnection);
-		response.setChunked(true);
+		copyHead(firstReader.status(), firstReader.headers(), writer.response(), closeConnection);
+		writer.response().setChunked(true);
 	}
 
 	static void copyHead(int status, HttpHeaders headers, HttpServerResponse response, boolean closeConnection) {
@@ -84,7 +84,7 @@
 		}
 		this.connected = true;
 		this.lastEventId = event.id();
-		this.response.write(Buffer.buffer(event.bytes()));
+		this.writer.write(Buffer.buffer(event.bytes()));
 		return true;
 	}
 
@@ -96,7 +96,7 @@
 			}
 			this.hasEventsWithoutId = true;
 		}
-		this.response.write(Buffer.buffer(event.bytes()));
+		this.writer.write(Buffer.buffer(event.bytes()));
 		return true;
 	}
 
@@ -127,7 +127,7 @@
 	}
 
 	void end() {
-		this.response.end();
+		this.writer.end();
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -19,6 +19,7 @@
 import org.wigeontally.fleet.RetryBudgetShare;
 import org.wigeontally.harmful.HarmfulPartTracker;
 import org.wigeontally.harmful.HarmfulRequestTracker;
+import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.RejectedRequests;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.EntryNews;
@@ -30,6 +31,9 @@
  */
 final class GatewayContext {
 
+	/** Fraction of the heap that requests and responses may take together. */
+	private static final double MESSAGE_MEMORY_FRACTION = 0.25;
+
 	private final Vertx vertx;
 
 	private final Clock clock;
@@ -44,6 +48,10 @@
 
 	private final GatewayMetrics metrics;
 
+	// The rest is for what the process itself needs, and for copies.
+	private final MemoryBudget memory = MemoryBudget
+		.of((long) (Runtime.getRuntime().maxMemory() * MESSAGE_MEMORY_FRACTION));
+
 	private final HarmfulRequestTracker harmfulRequests;
 
 	private final HarmfulPartGuard harmfulParts;
@@ -117,6 +125,14 @@
 		return this.metrics;
 	}
 
+	/**
+	 * Returns the budget for the bytes of all requests and responses.
+	 * @return the budget
+	 */
+	MemoryBudget memory() {
+		return this.memory;
+	}
+
 	HarmfulRequestTracker harmfulRequests() {
 		return this.harmfulRequests;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 
 import org.wigeontally.eventlog.LogEvent;
@@ -14,6 +13,7 @@
 import org.wigeontally.harmful.PartAdmission;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.Suspicion;
+import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.Permit;
 import org.wigeontally.limits.PermitQueue;
 
@@ -71,6 +71,10 @@
 
 	private final long elapsedBeforeMs;
 
+	private final CallerWriter writer;
+
+	private final MemoryBudget.Holder memory;
+
 	private final Set<String> triedBackendIds = new HashSet<>();
 
 	private BackendAttempt attempt;
@@ -108,6 +112,8 @@
 		this.request = request;
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
+		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
+		this.memory = context.memory().open(this::endForMemory);
 		this.elapsedBeforeMs = context.elapsedBeforeMs(request.route().name(), request.callerTimeoutMs());
 	}
 
@@ -115,6 +121,10 @@
 		this.context.requestStarted(this);
 		this.request.http().response().closeHandler((v) -> callerDisconnected());
 		this.request.http().response().exceptionHandler((failure) -> callerDisconnected());
+		updateMemory();
+		if (this.finished) {
+			return;
+		}
 		Suspicion suspicion = this.context.harmfulRequests().classify(this.fingerprint);
 		if (suspicion.level() == Suspicion.Level.HARMFUL) {
 			refuse(LocalResponse.notRun("brought-backends-down", suspicion.expiresInMs() / 1000.0));
@@ -266,7 +276,7 @@
 	}
 
 	private void startStream(ResponseReader reader) {
-		this.streamWriter = new EventStreamWriter(this.request.http().response(), reader, this.context.isDraining());
+		this.streamWriter = new EventStreamWriter(this.writer, reader, this.context.isDraining());
 	}
 
 	@Override
@@ -298,6 +308,7 @@
 		// kept and returned if no retry does.
 		if (response.status() >= SERVER_ERROR) {
 			this.serverErrorResponse = (this.serverErrorResponse != null) ? this.serverErrorResponse : response;
+			updateMemory();
 			attemptFailed(this.attempt, AttemptFailure.FAILED, "status " + response.status());
 			return;
 		}
@@ -377,6 +388,26 @@
 		endUnfinished(LocalResponse.unknownOutcome(LEAVING));
 	}
 
+	// The rest of a response that the caller does not read is dropped with its
+	// connection,
+	// which shows that the response is incomplete.
+	private void endForMemory() {
+		if (this.finished) {
+			this.request.http().connection().close();
+			return;
+		}
+		endUnfinished(LocalResponse.unknownOutcome("no-memory"));
+	}
+
+	private void updateMemory() {
+		if (this.finished && this.writer.pendingBytes() == 0) {
+			this.memory.close();
+			return;
+		}
+		long storedBytes = (this.serverErrorResponse != null) ? this.serverErrorResponse.body().allocatedBytes() : 0;
+		this.memory.hold((this.finished ? 0 : this.request.bodyBytes() + storedBytes) + this.writer.pendingBytes());
+	}
+
 	private void endUnfinished(LocalResponse answerIfSent) {
 		if (this.finished) {
 			return;
@@ -450,7 +481,7 @@
 		EventStreamWriter.copyHead(backendResponse.status(), backendResponse.headers(), callerResponse,
 				this.context.isDraining());
 		recordCompletion(backendResponse.status());
-		callerResponse.end(Buffer.buffer(backendResponse.body()));
+		this.writer.end(backendResponse.body().toBuffer());
 	}
 
 	private void recordCompletion(int status) {
@@ -474,6 +505,11 @@
 		if (this.timeoutTimer >= 0) {
 			this.context.vertx().cancelTimer(this.timeoutTimer);
 		}
+		// The caller's connection may keep its handlers for long.
+		this.request.http().response().closeHandler(null).exceptionHandler(null);
+		this.attempt = null;
+		this.serverErrorResponse = null;
+		updateMemory();
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -1,6 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -34,7 +33,7 @@
 
 	private final EventStreamSplitter splitter = EventStreamSplitter.create();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final ByteBlocks body = new ByteBlocks();
 
 	private EventStreamSplitter.Event nextEvent;
 
@@ -100,7 +99,7 @@
 			this.splitter.add(bytes);
 		}
 		else {
-			this.body.writeBytes(bytes);
+			this.body.append(bytes);
 		}
 	}
 
@@ -111,7 +110,15 @@
 	 */
 	boolean isTooLarge() {
 		return this.eventStream ? this.splitter.partialEventBytes() > MAX_EVENT_BYTES
-				: this.body.size() > MAX_BODY_BYTES;
+				: this.body.length() > MAX_BODY_BYTES;
+	}
+
+	/**
+	 * Returns the memory that the response takes at this entry.
+	 * @return bytes
+	 */
+	long heldBytes() {
+		return this.eventStream ? this.splitter.partialEventBytes() : this.body.allocatedBytes();
 	}
 
 	boolean hasEvent() {
@@ -158,7 +165,7 @@
 	}
 
 	BufferedResponse toBufferedResponse() {
-		return new BufferedResponse(this.status, this.headers, this.body.toByteArray());
+		return new BufferedResponse(this.status, this.headers, this.body);
 	}
 
 }
