Silent connections to a backend server cost one request, not one each

Cause: an attempt without any response closed its own connection only.

Evidence: SilentBackendConnectionTests on: the second request got 504. It passes now.

Why this works: an attempt that ends without a byte, by silence or timeout, closes the idle connections to that backend server that were last used before it began; those used since are kept.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -206,6 +206,20 @@
 		}
 	}
 
+	/**
+	 * Ends the attempt because its time is over.
+	 */
+	void timeOut() {
+		suspectIdleConnections();
+		cancel();
+	}
+
+	private void suspectIdleConnections() {
+		if (!this.ended && this.sent && this.reader == null) {
+			this.backend.pool().closeIdleBefore(this.sentAtMs);
+		}
+	}
+
 	private void connectFailed(Throwable cause) {
 		if (this.ended) {
 			return;
@@ -286,6 +300,7 @@
 	}
 
 	private void abandon(String reason) {
+		suspectIdleConnections();
 		cancel();
 		this.backend.health().recordFailure(this.context.nowMs());
 		this.listener.attemptFailed(this, AttemptFailure.MAY_HAVE_RUN, reason);
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -160,6 +160,10 @@
 				&& nowMs - this.idleSinceMs < this.keepAliveMs * idleFraction;
 	}
 
+	boolean isIdleSinceBefore(long timeMs) {
+		return this.responseHandler == null && this.idleSinceMs < timeMs;
+	}
+
 	void close() {
 		this.responseHandler = null;
 		this.onIdle = null;
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnectionPool.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnectionPool.java
@@ -113,6 +113,18 @@
 		});
 	}
 
+	/**
+	 * Closes the idle connections that were used last before a request was sent that got
+	 * no response. They may have gone silent together with its connection.
+	 * @param sentAtMs when the request was sent
+	 */
+	void closeIdleBefore(long sentAtMs) {
+		this.idleConnections.stream()
+			.filter((connection) -> connection.isIdleSinceBefore(sentAtMs))
+			.toList()
+			.forEach(BackendConnection::close);
+	}
+
 	/**
 	 * Closes idle connections. Connections in use are left open.
 	 */
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -378,6 +378,9 @@
 
 	private void timedOut() {
 		this.timeoutTimer = -1;
+		if (!this.finished && this.attempt != null) {
+			this.attempt.timeOut();
+		}
 		endUnfinished(LocalResponse.timeout("timeout"));
 	}
 
@@ -388,9 +391,7 @@
 		endUnfinished(LocalResponse.unknownOutcome(LEAVING));
 	}
 
-	// The rest of a response that the caller does not read is dropped with its
-	// connection,
-	// which shows that the response is incomplete.
+	// Closing the connection shows the caller that the response is incomplete.
 	private void endForMemory() {
 		if (this.finished) {
 			this.request.http().connection().close();
