--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -224,6 +224,15 @@
 		response.end(localResponse.reason() + "\n");
 	}
 
+	private void logFault(HttpServerRequest request, Throwable failure) {
+		this.context.log()
+			.write(LogEvent.FAULT, "id", request.getHeader(WireNames.ATTEMPT_ID), "reason", failure.toString());
+	}
+
+	private static String formatSeconds(double seconds) {
+		return String.format(Locale.ROOT, "%.3f", seconds);
+	}
+
 	/**
 	 * Reads the body of one request. A request is routed only with its whole body: if any
 	 * part of it was not kept, the request is refused.
@@ -309,13 +318,4 @@
 
 	}
 
-	private void logFault(HttpServerRequest request, Throwable failure) {
-		this.context.log()
-			.write(LogEvent.FAULT, "id", request.getHeader(WireNames.ATTEMPT_ID), "reason", failure.toString());
-	}
-
-	private static String formatSeconds(double seconds) {
-		return String.format(Locale.ROOT, "%.3f", seconds);
-	}
-
 }
--- a/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
+++ b/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
@@ -38,7 +38,7 @@
 	 * @param routes all routes
 	 * @param services all services
 	 * @param origin the origin of weights, if there is one
-	 * @param apiKeys API keys of the organisations
+	 * @param apiKeys the organisations and their API keys
 	 * @param limits limits on requests and connections of callers
 	 * @return the configuration
 	 */
