An entry that others supplied no longer takes its next read for the end of an outage

Cause: the count of failed calls outlived them while another entry supplied the records, so the next successful call started the grace period for lapsed registrations. Ruled out: late records, a grace period told by the other entry.

Evidence: StoreFollowerTests#onlyAnOutageForAllEntriesCountsAsOne failed before (1 outage counted, 0 expected) and passes now; without a supply it counts one before and after.

Why this works: the grace period starts only if no other entry has read the store since the last failed call.

--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -321,7 +321,9 @@
 		if (this.failures > 1) {
 			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms",
 					this.clock.monotonicMs() - this.lastResponseAtMs);
-			this.storeRegained.run();
+			if (!isSuppliedSinceFailure()) {
+				this.storeRegained.run();
+			}
 		}
 		this.failures = 0;
 		this.polling = true;
@@ -330,6 +332,11 @@
 		this.lastResponseAtMs = this.clock.monotonicMs();
 	}
 
+	// Another entry has read the store since, so it was away for this entry only.
+	private boolean isSuppliedSinceFailure() {
+		return this.knownAsOfMs > this.lastFailedCallAtMs;
+	}
+
 	private void recordFailure(Throwable failure) {
 		this.announcedBytes = 0;
 		if (failure instanceof PlatformException platform && platform.areRecordsGone()) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -11,6 +11,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.json.JsonObject;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.wigeontally.eventlog.EventLog;
@@ -119,6 +120,49 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] supplies() {
+		return new Object[][] { { true }, { false } };
+	}
+
+	/**
+	 * Guards against removals that are postponed, as after an outage of the store, by an
+	 * entry that only its own calls failed for, while another one supplied it.
+	 */
+	@Test(dataProvider = "supplies")
+	public void onlyAnOutageForAllEntriesCountsAsOne(boolean supplied) throws Exception {
+		GatewayFixture fixture = new GatewayFixture();
+		try {
+			fixture.store().write("op", "config", new JsonObject().put("version", 1));
+			Address address = Address.newBuilder().setIp("127.0.0.1").setPort(fixture.store().port()).build();
+			Context loop = fixture.vertx().getOrCreateContext();
+			AtomicInteger outages = new AtomicInteger();
+			Set<String> keysSeen = ConcurrentHashMap.newKeySet();
+			EventLog log = EventLog.create(Clock.system(), "entry");
+			StoreFollower follower = new StoreFollower(fixture.vertx(), Clock.system(), log,
+					StoreClient.create(fixture.vertx(), address), StoreTopic.OPERATOR, CompactedTopic.create(), 30,
+					new OnlyEntry(() -> 0),
+					new StoreFollower.RestoreBehaviour(1_000, new OperatorRestorePolicy(log), () -> {
+					}), (keys, source, since) -> keysSeen.addAll(keys), outages::incrementAndGet);
+			loop.runOnContext((v) -> follower.start());
+			GatewayFixture.awaitTrue(() -> keysSeen.contains("config"));
+			fixture.store().setMode(FakeStore.Mode.UNAVAILABLE);
+			if (supplied) {
+				loop.runOnContext((v) -> fixture.vertx()
+					.setPeriodic(10, (id) -> follower.recordKnownAsOf(Clock.system().monotonicMs())));
+			}
+			Thread.sleep(OUTAGE_MS);
+			fixture.store().setMode(FakeStore.Mode.SERVING);
+			fixture.store().write("op", "later", new JsonObject());
+			GatewayFixture.awaitTrue(() -> keysSeen.contains("later"));
+			assertThat(outages.get()).isEqualTo(supplied ? 0 : 1);
+			follower.stop();
+		}
+		finally {
+			fixture.close();
+		}
+	}
+
 	private static final class OnlyEntry implements RegionSupply {
 
 		private final IntSupplier rank;
