Test: calls to the store come from one event loop, as in an entry

The test called the client from its own thread, so each call had another event loop and a pooled connection belonged to the loop of an earlier call; a response can then end before the reader of its body is set. A process has one event loop. The checks are unchanged. That this is the cause follows from reading the stack and the client, not from a run that repeats it: three runs each way are too few.

--- a/testsuite/src/test/java/org/wigeontally/platform/wire/SilentConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/SilentConnectionTests.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
 import org.testng.annotations.AfterMethod;
@@ -30,9 +32,12 @@
 
 	private Vertx vertx;
 
+	private Context loop;
+
 	@BeforeMethod
 	public void start() {
 		this.vertx = Vertx.vertx();
+		this.loop = this.vertx.getOrCreateContext();
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -44,8 +49,11 @@
 		return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
 	}
 
-	private static Future<Void> write(StoreClient client) {
-		return client.write(StoreTopic.ENTRIES, "key", new byte[1]);
+	// All calls come from one event loop, as in an entry.
+	private Future<Void> write(StoreClient client) {
+		Promise<Void> written = Promise.promise();
+		this.loop.runOnContext((v) -> client.write(StoreTopic.ENTRIES, "key", new byte[1]).onComplete(written));
+		return written.future();
 	}
 
 	@Test
