--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -357,11 +357,15 @@
 		failRequest(reason, (remainingMs) -> RetryAfter.seconds(retryAfterMs, remainingMs, this.context.random()));
 	}
 
-	// Ends the request without a successful response: aborts a stream that has begun,
-	// returns a stored server error, or sends a response of the entry itself.
 	private void failRequest(String reason, DoubleUnaryOperator retryAfterSeconds) {
+		endWithoutSuccess(LocalResponse.unknownOutcome(reason), retryAfterSeconds);
+	}
+
+	// Aborts a stream that has begun, returns a stored server error, or sends a response
+	// of the entry itself.
+	private void endWithoutSuccess(LocalResponse answerIfRun, DoubleUnaryOperator retryAfterSeconds) {
 		if (this.streamWriter != null) {
-			abortStream(reason);
+			abortStream(answerIfRun.reason());
 			return;
 		}
 		if (this.serverErrorResponse != null) {
@@ -369,11 +373,11 @@
 			return;
 		}
 		if (this.mayHaveRun) {
-			refuse(LocalResponse.unknownOutcome(reason));
+			refuse(answerIfRun);
 			return;
 		}
 		double callerRemainingMs = this.request.receivedAtMs() + this.request.callerTimeoutMs() - this.context.nowMs();
-		refuse(LocalResponse.notRun(reason, retryAfterSeconds.applyAsDouble(callerRemainingMs)));
+		refuse(LocalResponse.notRun(answerIfRun.reason(), retryAfterSeconds.applyAsDouble(callerRemainingMs)));
 	}
 
 	private void timedOut() {
@@ -409,24 +413,13 @@
 		this.memory.hold((this.finished ? 0 : this.request.bodyBytes() + storedBytes) + this.writer.pendingBytes());
 	}
 
-	private void endUnfinished(LocalResponse answerIfSent) {
+	private void endUnfinished(LocalResponse answerIfRun) {
 		if (this.finished) {
 			return;
 		}
-		boolean attemptRunning = this.attempt != null && this.attempt.isSent();
+		this.mayHaveRun |= this.attempt != null && this.attempt.isSent();
 		cancelAttempt();
-		if (this.streamWriter != null) {
-			abortStream(answerIfSent.reason());
-		}
-		else if (this.serverErrorResponse != null) {
-			deliver(this.serverErrorResponse);
-		}
-		else if (attemptRunning || this.mayHaveRun) {
-			refuse(answerIfSent);
-		}
-		else {
-			refuse(LocalResponse.notRun(answerIfSent.reason(), 0));
-		}
+		endWithoutSuccess(answerIfRun, (remainingMs) -> 0);
 	}
 
 	private void callerDisconnected() {
--- a/library/src/main/java/org/wigeontally/limits/MemoryBudget.java
+++ b/library/src/main/java/org/wigeontally/limits/MemoryBudget.java
@@ -83,8 +83,8 @@
 		 * @return false if this holder has been given up or closed
 		 */
 		public boolean hold(long heldNow) {
-			if (!this.open) {
-				return false;
+			if (!this.open || heldNow == this.bytes) {
+				return this.open;
 			}
 			MemoryBudget budget = MemoryBudget.this;
 			budget.heldBytes += heldNow - this.bytes;
