Tests: one raw backend server, one endless writer, one settings text of an entry

RawBackend was a class of UnframedResponseTests and, with other names, of TruncatedResponseTests; FakeBackend.writeWithoutEnd stood in three classes; EntryAddresses holds the settings that SoakEntry and EntryProcess both wrote. UnprovenRefusalTests takes the header's name from WireNames. Assertions, bytes and delays are unchanged.

--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
@@ -6,10 +6,9 @@
 import java.util.List;
 import java.util.Map;
 
+import org.wigeontally.emulator.experiment.EntryAddresses;
 import org.wigeontally.emulator.experiment.ManagedProcess;
-import org.wigeontally.emulator.experiment.Ports;
 import org.wigeontally.schema.generated.Address;
-import org.wigeontally.settings.Addresses;
 import org.wigeontally.tool.HostProcess;
 
 /**
@@ -24,17 +23,7 @@
 
 	private final Path directory;
 
-	private final Address front;
-
-	private final Address control;
-
-	private final Address ready;
-
-	private final Address directoryAddress;
-
-	private final int internalPort;
-
-	private final int metricsPort;
+	private final EntryAddresses addresses;
 
 	private final LoopbackProxy store;
 
@@ -50,12 +39,7 @@
 		this.name = name;
 		this.directory = directory;
 		this.store = store;
-		this.front = Ports.free();
-		this.control = Ports.free();
-		this.ready = Ports.free();
-		this.directoryAddress = Ports.free();
-		this.internalPort = Ports.free().getPort();
-		this.metricsPort = Ports.free().getPort();
+		this.addresses = EntryAddresses.free();
 	}
 
 	String name() {
@@ -63,15 +47,15 @@
 	}
 
 	Address front() {
-		return this.front;
+		return this.addresses.front();
 	}
 
 	Address control() {
-		return this.control;
+		return this.addresses.control();
 	}
 
 	Address ready() {
-		return this.ready;
+		return this.addresses.ready();
 	}
 
 	LoopbackProxy store() {
@@ -80,47 +64,13 @@
 
 	void start(List<SoakEntry> seeds) throws IOException {
 		Path file = this.directory.resolve(this.name + ".yaml");
-		Files.writeString(file, settings(seeds));
+		List<Address> seedAddresses = seeds.stream().map(SoakEntry::control).toList();
+		Files.writeString(file, this.addresses.settings(this.name, seedAddresses, this.store.port()));
 		this.process = ManagedProcess.java(this.name, this.directory, HEAP_MB,
 				Map.of("WIGEONTALLY_CONFIG", file.toString()), HostProcess.class.getName(), "entry");
 		this.stopping = false;
 	}
 
-	private String settings(List<SoakEntry> seeds) {
-		List<String> addresses = seeds.stream()
-			.map((entry) -> "\"" + Addresses.format(entry.control()) + "\"")
-			.toList();
-		return """
-				host: "%s"
-				zone: "zone-a"
-				region: "region-a"
-				ip: "127.0.0.1"
-				zones:
-				- {zone: "zone-a", region: "region-a"}
-				front: "%s"
-				ready: "%s"
-				control: "%s"
-				directory: "%s"
-				internal_port: %d
-				metrics_port: %d
-				seeds: [%s]
-				store: "127.0.0.1:%d"
-				bounds:
-				  grace_s: 8
-				  retry_ratio: 0.2
-				  retry_window_s: 10
-				  retry_slack: 104
-				  cold_factor: 1.5
-				  cold_slack: 5
-				  version_ms: 8000
-				  directory_ttl_s: 5
-				  relay_ms: 120
-				  configuration_ms: 2000
-				""".formatted(this.name, Addresses.format(this.front), Addresses.format(this.ready),
-				Addresses.format(this.control), Addresses.format(this.directoryAddress), this.internalPort,
-				this.metricsPort, String.join(", ", addresses), this.store.port());
-	}
-
 	boolean isRunning() {
 		return this.process.isAlive();
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/EndlessResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EndlessResponseTests.java
@@ -65,7 +65,7 @@
 		backend.setBehaviour((arrival, socket) -> {
 			socket.closeHandler((v) -> closed.set(true));
 			socket.write(start);
-			writeRepeatedly(socket, Buffer.buffer(repeated.repeat(1 + 64_000 / repeated.length())), closed);
+			FakeBackend.writeWithoutEnd(socket, Buffer.buffer(repeated.repeat(1 + 64_000 / repeated.length())), closed);
 		});
 		long startMs = System.currentTimeMillis();
 		assertThat(this.fixture.call("once").status()).as(part).isEqualTo(502);
@@ -73,12 +73,6 @@
 		GatewayFixture.awaitTrue(closed::get);
 	}
 
-	private static void writeRepeatedly(NetSocket socket, Buffer bytes, AtomicBoolean closed) {
-		if (!closed.get()) {
-			socket.write(bytes).onSuccess((v) -> writeRepeatedly(socket, bytes, closed));
-		}
-	}
-
 	/**
 	 * An event without end is given up, and another backend server serves the request.
 	 */
@@ -89,8 +83,8 @@
 			socket.closeHandler((v) -> closed.set(true));
 			socket.write(FakeBackend.partialEventStream(arrival, "s1", 0, 2));
 			String chunk = "a".repeat(64_000);
-			writeRepeatedly(socket, Buffer.buffer(Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n"),
-					closed);
+			FakeBackend.writeWithoutEnd(socket,
+					Buffer.buffer(Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n"), closed);
 		});
 		this.fixture.startEntry();
 		GatewayFixture.awaitTrue(() -> this.fixture.entry(0) != null);
--- a/testsuite/src/test/java/org/wigeontally/gateway/EntryProcess.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.wigeontally.emulator.experiment.EntryAddresses;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.tool.HostProcess;
 
@@ -22,15 +23,12 @@
 
 	private final Path settings;
 
-	private final Address front;
+	private final EntryAddresses addresses;
 
-	private final Address ready;
-
-	private EntryProcess(Process process, Path settings, Address front, Address ready) {
+	private EntryProcess(Process process, Path settings, EntryAddresses addresses) {
 		this.process = process;
 		this.settings = settings;
-		this.front = front;
-		this.ready = ready;
+		this.addresses = addresses;
 	}
 
 	/**
@@ -56,10 +54,9 @@
 
 	private static EntryProcess start(int storePort, List<String> jvmOptions, ProcessBuilder.Redirect output)
 			throws Exception {
-		Address front = GatewayFixture.freeAddress();
-		Address ready = GatewayFixture.freeAddress();
+		EntryAddresses addresses = EntryAddresses.free();
 		Path settings = Files.createTempFile("entry", ".yaml");
-		Files.writeString(settings, settings(front, ready, storePort));
+		Files.writeString(settings, addresses.settings("entry", List.of(), storePort));
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.addAll(jvmOptions);
@@ -67,7 +64,7 @@
 				HostProcess.class.getName(), "entry"));
 		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output);
 		builder.environment().put("WIGEONTALLY_CONFIG", settings.toString());
-		return new EntryProcess(builder.start(), settings, front, ready);
+		return new EntryProcess(builder.start(), settings, addresses);
 	}
 
 	/**
@@ -81,46 +78,16 @@
 			.toList();
 	}
 
-	private static String settings(Address front, Address ready, int storePort) throws IOException {
-		StringBuilder text = new StringBuilder("""
-				host: "entry"
-				zone: "zone-a"
-				region: "region-a"
-				ip: "127.0.0.1"
-				zones:
-				  - {zone: "zone-a", region: "region-a"}
-				bounds:
-				  grace_s: 8
-				  retry_ratio: 0.2
-				  retry_window_s: 10
-				  retry_slack: 104
-				  cold_factor: 1.5
-				  cold_slack: 5
-				  version_ms: 8000
-				  directory_ttl_s: 5
-				  relay_ms: 120
-				  configuration_ms: 2000
-				""");
-		text.append("front: \"127.0.0.1:").append(front.getPort()).append("\"\n");
-		text.append("ready: \"127.0.0.1:").append(ready.getPort()).append("\"\n");
-		for (String name : List.of("control", "directory")) {
-			text.append(name).append(": \"127.0.0.1:").append(GatewayFixture.freeAddress().getPort()).append("\"\n");
-		}
-		text.append("internal_port: ").append(GatewayFixture.freeAddress().getPort()).append('\n');
-		text.append("metrics_port: ").append(GatewayFixture.freeAddress().getPort()).append('\n');
-		return text.append("store: \"127.0.0.1:").append(storePort).append("\"\n").toString();
-	}
-
 	public Process process() {
 		return this.process;
 	}
 
 	public Address front() {
-		return this.front;
+		return this.addresses.front();
 	}
 
 	public Address ready() {
-		return this.ready;
+		return this.addresses.ready();
 	}
 
 	@Override
--- a/testsuite/src/test/java/org/wigeontally/gateway/FaultyServiceMemoryTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FaultyServiceMemoryTests.java
@@ -12,7 +12,6 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.net.NetSocket;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -72,10 +71,16 @@
 		return new Object[][] { { "without length" }, { "in chunks" } };
 	}
 
-	private void writeWithoutEnd(NetSocket socket, Buffer bytes) {
-		if (!this.stopped.get()) {
-			socket.write(bytes).onSuccess((v) -> writeWithoutEnd(socket, bytes));
-		}
+	private void startEntryAndAwait(String route) throws Exception {
+		this.entry = EntryProcess.start(this.fixture.store().port(), EntryProcess.deployedMemoryOptions(), this.log);
+		GatewayFixture.awaitTrue(() -> {
+			try {
+				return status(send("/" + route + "/x", "probe-" + System.nanoTime())) == 200;
+			}
+			catch (Exception ex) {
+				return false;
+			}
+		});
 	}
 
 	private Future<TestCaller.Response> send(String path, String id) {
@@ -100,20 +105,12 @@
 		for (int i = 0; i < FAULTY_BACKENDS; i++) {
 			this.fixture.startBackend("desk-" + i, "desk", "zone-a", (arrival, socket) -> {
 				socket.write(FakeBackend.signedResponseHead(arrival) + headEnd);
-				writeWithoutEnd(socket, bytes);
+				FakeBackend.writeWithoutEnd(socket, bytes, this.stopped);
 			});
 		}
 		this.fixture.startBackend("engine-1", "engines", "zone-a", (arrival, socket) -> socket
 			.write(FakeBackend.partialEventStream(arrival, "s", 0, 3) + FakeBackend.LAST_CHUNK));
-		this.entry = EntryProcess.start(this.fixture.store().port(), EntryProcess.deployedMemoryOptions(), this.log);
-		GatewayFixture.awaitTrue(() -> {
-			try {
-				return status(send("/events/x", "probe-" + System.nanoTime())) == 200;
-			}
-			catch (Exception ex) {
-				return false;
-			}
-		});
+		startEntryAndAwait("events");
 		List<Future<TestCaller.Response>> faulty = new ArrayList<>();
 		for (int i = 0; i < FAULTY_CALLS; i++) {
 			faulty.add(send("/once/x", "faulty-" + i));
@@ -140,15 +137,7 @@
 	public void largeBodiesAreRejectedOrForwardedWhole() throws Exception {
 		FakeBackend backend = this.fixture.startBackend("desk-1", "desk", "zone-a",
 				GatewayFixture.respondWithSuccess("ok"));
-		this.entry = EntryProcess.start(this.fixture.store().port(), EntryProcess.deployedMemoryOptions(), this.log);
-		GatewayFixture.awaitTrue(() -> {
-			try {
-				return status(send("/plain/x", "probe-" + System.nanoTime())) == 200;
-			}
-			catch (Exception ex) {
-				return false;
-			}
-		});
+		startEntryAndAwait("plain");
 		String body = "b".repeat(LARGE_BODY_BYTES);
 		List<Future<TestCaller.Response>> calls = new ArrayList<>();
 		for (int i = 0; i < LARGE_BODIES; i++) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/TruncatedResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/TruncatedResponseTests.java
@@ -1,12 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -45,17 +38,17 @@
 
 	private Vertx vertx;
 
-	private CuttingServer server;
+	private RawBackend backend;
 
 	@BeforeMethod
 	public void start() throws Exception {
 		this.vertx = Vertx.vertx();
-		this.server = new CuttingServer();
+		this.backend = new RawBackend(RESET_DELAY_MS);
 	}
 
 	@AfterMethod(alwaysRun = true)
 	public void stop() throws Exception {
-		this.server.close();
+		this.backend.close();
 		GatewayFixture.await(this.vertx.close());
 	}
 
@@ -119,10 +112,10 @@
 	}
 
 	private String receive(String method, String bytes, boolean reset) throws Exception {
-		this.server.respondWith(bytes, reset);
+		this.backend.respondWith((arrival) -> bytes, reset);
 		CompletableFuture<String> ended = new CompletableFuture<>();
 		this.vertx.createNetClient()
-			.connect(this.server.port(), "127.0.0.1")
+			.connect(this.backend.port(), "127.0.0.1")
 			.onFailure(ended::completeExceptionally)
 			.onSuccess((socket) -> {
 				BackendConnection connection = new BackendConnection(socket, Clock.system(), () -> {
@@ -170,70 +163,4 @@
 
 	}
 
-	/** Writes a part of a response to each request and ends the connection. */
-	private static final class CuttingServer implements AutoCloseable {
-
-		private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-
-		private volatile String bytes = "";
-
-		private volatile boolean reset;
-
-		private CuttingServer() throws IOException {
-			Thread acceptor = new Thread(this::acceptConnections, "cutting-server");
-			acceptor.setDaemon(true);
-			acceptor.start();
-		}
-
-		private int port() {
-			return this.server.getLocalPort();
-		}
-
-		private void respondWith(String part, boolean endsByReset) {
-			this.bytes = part;
-			this.reset = endsByReset;
-		}
-
-		private void acceptConnections() {
-			while (!this.server.isClosed()) {
-				try (Socket socket = this.server.accept()) {
-					answer(socket);
-				}
-				catch (IOException | InterruptedException ex) {
-					// The client may close its connection at any time; the next one
-					// counts.
-				}
-			}
-		}
-
-		private void answer(Socket socket) throws IOException, InterruptedException {
-			socket.setTcpNoDelay(true);
-			readRequest(socket.getInputStream());
-			OutputStream out = socket.getOutputStream();
-			out.write(this.bytes.getBytes(StandardCharsets.ISO_8859_1));
-			out.flush();
-			if (this.reset) {
-				Thread.sleep(RESET_DELAY_MS);
-				socket.setSoLinger(true, 0);
-			}
-		}
-
-		private static void readRequest(InputStream in) throws IOException {
-			StringBuilder text = new StringBuilder();
-			while (!text.toString().endsWith("\r\n\r\n")) {
-				int next = in.read();
-				if (next < 0) {
-					return;
-				}
-				text.append((char) next);
-			}
-		}
-
-		@Override
-		public void close() throws IOException {
-			this.server.close();
-		}
-
-	}
-
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/UnprovenRefusalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnprovenRefusalTests.java
@@ -8,6 +8,7 @@
 
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.platform.wire.WireNames;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -57,9 +58,9 @@
 	@Test(dataProvider = "refusals")
 	public void chunkedRefusalIsReplacedToo(String status) throws Exception {
 		this.backend.setBehaviour((arrival,
-				socket) -> socket.write(Buffer.buffer("HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + arrival.attemptId()
-						+ "\r\n" + "Transfer-Encoding: chunked\r\n\r\n" + FakeBackend.chunk("busy")
-						+ FakeBackend.LAST_CHUNK)));
+				socket) -> socket.write(Buffer.buffer("HTTP/1.1 " + status + "\r\n" + WireNames.ATTEMPT_ID + ": "
+						+ arrival.attemptId() + "\r\n" + "Transfer-Encoding: chunked\r\n\r\n"
+						+ FakeBackend.chunk("busy") + FakeBackend.LAST_CHUNK)));
 		assertThat(this.fixture.call("once").status()).isEqualTo(502);
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/platform/wire/EndlessPlatformResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/EndlessPlatformResponseTests.java
@@ -6,9 +6,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import org.testng.annotations.Test;
 
+import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.schema.generated.Address;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,12 +19,6 @@
  */
 public class EndlessPlatformResponseTests {
 
-	private static void writeWithoutEnd(NetSocket socket, Buffer bytes, AtomicBoolean closed) {
-		if (!closed.get()) {
-			socket.write(bytes).onSuccess((v) -> writeWithoutEnd(socket, bytes, closed));
-		}
-	}
-
 	@Test
 	public void endlessResponseOfTheStoreIsGivenUp() throws Exception {
 		Vertx vertx = Vertx.vertx();
@@ -35,7 +29,7 @@
 				socket.closeHandler((v) -> closed.set(true));
 				socket.handler((request) -> {
 					socket.write("HTTP/1.1 200 OK\r\n\r\n");
-					writeWithoutEnd(socket, bytes, closed);
+					FakeBackend.writeWithoutEnd(socket, bytes, closed);
 				});
 			}).listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS).actualPort();
 			StoreClient client = StoreClient.create(vertx,
