Tests: silent backend servers cost answers, requests begin after the bound of a version (red)

Callers lose streams whose engine is silent for 1.7 s and goes on: the entry closes the connection to the engine at 1.2 to 1.4 s and looks for another one afterwards. A plain route answers 502 or 503 in place of an answer that is 0.9 s late. Requests that wait for their first event begin on the older version after the bound.

--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -81,20 +81,25 @@
 	}
 
 	public void startEntry() throws Exception {
-		startEntry(this.settings.stream().map(HostSettings::getControl).toList(), DEFAULT_GRACE_S);
+		startEntry(this.settings.stream().map(HostSettings::getControl).toList(), HostBounds.getDefaultInstance());
 	}
 
 	/** Starts an entry that learns of the others from the store only. */
 	void startEntryWithoutSeeds() throws Exception {
-		startEntry(List.of(), DEFAULT_GRACE_S);
+		startEntry(List.of(), HostBounds.getDefaultInstance());
 	}
 
 	/** Starts an entry that has the given time to end after SIGTERM. */
 	void startEntryWithGrace(double graceS) throws Exception {
-		startEntry(List.of(), graceS);
+		startEntry(List.of(), HostBounds.newBuilder().setGraceS(graceS).build());
 	}
 
-	private void startEntry(List<Address> seeds, double graceS) throws Exception {
+	/** Starts an entry that requires a version the given time after its announcement. */
+	void startEntryWithVersionBound(int versionMs) throws Exception {
+		startEntry(List.of(), HostBounds.newBuilder().setVersionMs(versionMs).build());
+	}
+
+	private void startEntry(List<Address> seeds, HostBounds otherBounds) throws Exception {
 		HostSettings.Builder builder = HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
 			.setZone("zone-a")
@@ -110,7 +115,7 @@
 			.setInternalPort(freeAddress().getPort())
 			.setStore(Address.newBuilder().setIp("127.0.0.1").setPort(this.store.port()))
 			.setBounds(HostBounds.newBuilder()
-				.setGraceS(graceS)
+				.setGraceS(DEFAULT_GRACE_S)
 				.setRetryRatio(0.2)
 				.setRetryWindowS(10)
 				.setRetrySlack(104)
@@ -119,7 +124,8 @@
 				.setVersionMs(8_000)
 				.setDirectoryTtlS(5)
 				.setRelayMs(120)
-				.setConfigurationMs(2_000));
+				.setConfigurationMs(2_000)
+				.mergeFrom(otherBounds));
 		HostSettings entrySettings = builder.addAllSeeds(seeds).build();
 		this.settings.add(entrySettings);
 		this.entries.add(await(GatewayDaemon.start(this.vertx, entrySettings, Clock.system(),
@@ -270,6 +276,20 @@
 					.map((bytes) -> new TestCaller.Response(response.statusCode(), bytes.toString(), null, null)))));
 	}
 
+	/**
+	 * Waits until the entry takes callers, without sending a request to a backend server.
+	 */
+	void awaitReady(int entry) throws InterruptedException {
+		awaitTrue(() -> {
+			try {
+				return get(this.settings.get(entry).getReady(), TestCaller.READINESS_PATH).status() == 200;
+			}
+			catch (Exception ex) {
+				return false;
+			}
+		});
+	}
+
 	/** Waits until the entry answers requests on a route with the given status. */
 	void awaitStatus(int entry, String route, int status) throws Exception {
 		awaitTrue(() -> {
