No request begins on an older version after the bound

Cause: the bound was checked where a request is placed, 1.3 s early, and nothing looked at it again. Waiting at the engine (up to 2.2 s, or to the deadline), connecting, waiting for a permit and a silence came after the check.

Now each attempt asks VersionRequirement, which knows the announced versions and what the engine has loaded: before it is sent, for the version that it names; while it has not begun, for the latest time at which it may. 0.8 s before that time a successor is tried at an engine with the newer version; 0.3 s before it the attempt is withdrawn and the request placed anew, or answered as an unknown outcome. An engine that has loaded the newer version meanwhile is left alone.

Ruled out: a margin that covers the longest wait, since a request may wait to its deadline (6 s of the bound's 8); a check by the engine, which compares versions on arrival only.

Queues of a restarted engine end with its connections; resumed streams are placed and checked like others.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -24,6 +24,18 @@
 
 	private static final long PROGRESS_CHECK_INTERVAL_MS = 200;
 
+	/**
+	 * Time before the latest begin of a request at which it is withdrawn if it has not
+	 * begun. It covers the interval between two checks and the way to the engine.
+	 */
+	private static final long WITHDRAWAL_LEAD_MS = PROGRESS_CHECK_INTERVAL_MS + 100;
+
+	/**
+	 * Time before a withdrawal from which a successor is tried, so that the request has
+	 * begun elsewhere when it is withdrawn.
+	 */
+	private static final long WITHDRAWAL_NOTICE_MS = 500;
+
 	/**
 	 * Fraction of the keep-alive time after which an idle connection is no longer used
 	 * for a request that must not be retried. If the backend server closes the connection
@@ -59,7 +71,7 @@
 
 	private final int enginePriority;
 
-	private final long requiredVersion;
+	private final VersionRequirement version;
 
 	private final AttemptListener listener;
 
@@ -104,7 +116,7 @@
 		this.backend = placed.backend();
 		this.permit = permit;
 		this.enginePriority = placed.enginePriority();
-		this.requiredVersion = placed.requiredVersion();
+		this.version = placed.version();
 		this.listener = listener;
 		this.memory = context.memory().open(() -> abandon("no memory left for the response"));
 		this.startMs = context.nowMs();
@@ -266,7 +278,7 @@
 		long remainingMs = this.listener.remainingMs();
 		logSend(nowMs, remainingMs, lastEventId);
 		BackendRequest backendRequest = this.request.toBackendRequest(backendId(), remainingMs, this.enginePriority,
-				this.requiredVersion, lastEventId);
+				this.version.requiredVersion(nowMs), lastEventId);
 		backendConnection.send(backendRequest, this, () -> this.backend.pool().release(backendConnection));
 		this.progressTimer = this.context.vertx().setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> checkProgress());
 	}
@@ -279,7 +291,7 @@
 		if (lacksPermit()) {
 			return "no valid permit";
 		}
-		return null;
+		return this.version.isMet(nowMs) ? null : "version has become too old";
 	}
 
 	/**
@@ -310,6 +322,11 @@
 		if (this.ended) {
 			return;
 		}
+		long beginLeftMs = hasBegun() ? Long.MAX_VALUE : beginLeftMs();
+		if (beginLeftMs <= WITHDRAWAL_LEAD_MS) {
+			withdraw();
+			return;
+		}
 		boolean silent = isSilent();
 		if (silent && !this.silenceLogged) {
 			this.silenceLogged = true;
@@ -317,7 +334,7 @@
 				.write(LogEvent.ATTEMPT_SILENT, "id", this.request.attemptId(), "backend", backendId(), "silent-ms",
 						silentMs(), "begun", this.listener.hasForwardedEvents());
 		}
-		if (silent) {
+		if (silent || beginLeftMs <= WITHDRAWAL_LEAD_MS + WITHDRAWAL_NOTICE_MS) {
 			this.listener.successorWanted(this);
 		}
 	}
@@ -329,6 +346,24 @@
 				suspected);
 	}
 
+	// The head can arrive before the request begins, so only an event shows that a stream
+	// has begun.
+	private boolean hasBegun() {
+		return this.reader != null && (!this.reader.isEventStream() || this.reader.takenEvents() > 0);
+	}
+
+	private long beginLeftMs() {
+		long nowMs = this.context.nowMs();
+		long latestBeginMs = this.version.latestBeginMs(nowMs);
+		return (latestBeginMs == VersionRequirement.NO_LIMIT_MS) ? Long.MAX_VALUE : latestBeginMs - nowMs;
+	}
+
+	// The engine did nothing wrong, so this is no failure of its own.
+	private void withdraw() {
+		cancel();
+		this.listener.attemptFailed(this, AttemptFailure.MAY_HAVE_RUN, "not begun before its version is too old");
+	}
+
 	private void abandon(String reason) {
 		suspectIdleConnections();
 		cancel();
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -146,6 +146,17 @@
 		return required;
 	}
 
+	/**
+	 * Returns until when a request may begin on a version of a model's weights.
+	 * @param model name of the model
+	 * @param version the version
+	 * @return the time
+	 */
+	long latestBeginMs(String model, long version) {
+		return this.fleet.announcedVersions(model)
+			.latestStartMs(version, (long) this.settings.getBounds().getVersionMs());
+	}
+
 	BackendCandidate toPlacementCandidate(CallerRequest request, Backend backend, long nowMs) {
 		int distance = distance(backend.record().zone());
 		boolean avoided = SilencePolicy.isAvoided(backend.silentMs(nowMs), request.route().kind(),
--- a/daemons/src/main/java/org/wigeontally/gateway/Placement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Placement.java
@@ -12,9 +12,9 @@
 	 *
 	 * @param backend the backend server
 	 * @param enginePriority scheduling priority at the engine; negative for none
-	 * @param requiredVersion oldest version of the weights that may run it; 0 for any
+	 * @param version version of the weights that may run it
 	 */
-	record Placed(Backend backend, int enginePriority, long requiredVersion) implements Placement {
+	record Placed(Backend backend, int enginePriority, VersionRequirement version) implements Placement {
 
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -87,7 +87,7 @@
 			.toList();
 		if (service.engine().isEmpty()) {
 			String id = this.context.plainPlacement().chooseBackend(placementCandidates);
-			return new Placement.Placed(findById(candidates, id), -1, 0);
+			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE);
 		}
 		EngineProfile profile = service.engine().get();
 		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()), targetLeftMs,
@@ -98,8 +98,9 @@
 			return notPlaced("engines-full", rejection.retryAfterMs());
 		}
 		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
-		return new Placement.Placed(findById(candidates, placement.id()), placement.enginePriority(),
-				this.selector.requiredVersion(profile, nowMs));
+		Backend chosen = findById(candidates, placement.id());
+		return new Placement.Placed(chosen, placement.enginePriority(),
+				VersionRequirement.of(this.selector, profile, chosen));
 	}
 
 	private void logRejection(CallerRequest request, EngineRequest engineRequest, PlacementDecision.Reject rejection,
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
@@ -0,0 +1,117 @@
+package org.wigeontally.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.wigeontally.fleet.EngineProfile;
+
+/**
+ * The version of the weights on which a request may run at the backend server that was
+ * chosen for it. The answers change while the request waits there. Runs on the event
+ * loop.
+ */
+interface VersionRequirement {
+
+	/** Marks a request that may begin at any time. */
+	long NO_LIMIT_MS = Long.MAX_VALUE;
+
+	/** A request to a backend server without weights. */
+	VersionRequirement NONE = new VersionRequirement() {
+
+		@Override
+		public long requiredVersion(long nowMs) {
+			return 0;
+		}
+
+		@Override
+		public boolean isMet(long nowMs) {
+			return true;
+		}
+
+		@Override
+		public long latestBeginMs(long nowMs) {
+			return NO_LIMIT_MS;
+		}
+
+	};
+
+	/**
+	 * Returns the requirement of a request to an engine.
+	 * @param selector knows the announced versions
+	 * @param profile profile of the engine
+	 * @param backend the engine
+	 * @return the requirement
+	 */
+	static VersionRequirement of(CandidateSelector selector, EngineProfile profile, Backend backend) {
+		return new EngineVersion(selector, profile, backend);
+	}
+
+	/**
+	 * Returns the oldest version on which the request may run if it is sent now.
+	 * @param nowMs the current time
+	 * @return the version; 0 for any
+	 */
+	long requiredVersion(long nowMs);
+
+	/**
+	 * Returns whether the request may be sent now.
+	 * @param nowMs the current time
+	 * @return false if the loaded version has become too old
+	 */
+	boolean isMet(long nowMs);
+
+	/**
+	 * Returns until when the request may begin on the loaded version.
+	 * @param nowMs the current time
+	 * @return the time; {@link #NO_LIMIT_MS} if no newer version is announced
+	 */
+	long latestBeginMs(long nowMs);
+
+	/**
+	 * The requirement at an engine. It remembers the newest version that the engine has
+	 * had, because an engine that restarts reports none.
+	 */
+	final class EngineVersion implements VersionRequirement {
+
+		private final CandidateSelector selector;
+
+		private final EngineProfile profile;
+
+		private final Backend backend;
+
+		private final Map<String, Long> loadedVersions = new HashMap<>();
+
+		private EngineVersion(CandidateSelector selector, EngineProfile profile, Backend backend) {
+			this.selector = selector;
+			this.profile = profile;
+			this.backend = backend;
+		}
+
+		private long loadedVersion(String model, long nowMs) {
+			return this.loadedVersions.merge(model, this.backend.loadedVersion(model, nowMs), Math::max);
+		}
+
+		@Override
+		public long requiredVersion(long nowMs) {
+			return this.selector.requiredVersion(this.profile, nowMs);
+		}
+
+		@Override
+		public boolean isMet(long nowMs) {
+			return this.profile.modelNames()
+				.stream()
+				.allMatch((model) -> loadedVersion(model, nowMs) >= this.selector.requiredVersion(model, nowMs));
+		}
+
+		@Override
+		public long latestBeginMs(long nowMs) {
+			return this.profile.modelNames()
+				.stream()
+				.mapToLong((model) -> this.selector.latestBeginMs(model, loadedVersion(model, nowMs)))
+				.min()
+				.orElse(NO_LIMIT_MS);
+		}
+
+	}
+
+}
--- a/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
@@ -95,6 +95,22 @@
 		return 0;
 	}
 
+	/**
+	 * Returns until when a request may start on a version.
+	 * @param version the version
+	 * @param boundMs time from the announcement of a version until it is required
+	 * @return the time in milliseconds; {@link Long#MAX_VALUE} if no newer version was
+	 * announced
+	 */
+	public long latestStartMs(long version, long boundMs) {
+		return this.announcedMsByVersion.tailMap(version, false)
+			.values()
+			.stream()
+			.mapToLong((announcedMs) -> announcedMs + boundMs)
+			.min()
+			.orElse(Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns the known announcement times.
 	 * @return announcement time by version, without versions whose time is not known
--- a/testsuite/src/test/java/org/wigeontally/fleet/AnnouncedVersionsTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/AnnouncedVersionsTests.java
@@ -24,6 +24,20 @@
 		assertThat(versions.requiredVersion(27_000, BOUND_MS)).isEqualTo(3);
 	}
 
+	/**
+	 * Guards against a request that begins too late because a still newer one is not due.
+	 */
+	@Test
+	public void eachNewerVersionLimitsTheStart() {
+		AnnouncedVersions versions = AnnouncedVersions.create();
+		assertThat(versions.latestStartMs(1, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
+		versions.add(2, 18_000);
+		versions.add(3, 21_000);
+		assertThat(versions.latestStartMs(1, BOUND_MS)).isEqualTo(24_000);
+		assertThat(versions.latestStartMs(2, BOUND_MS)).isEqualTo(27_000);
+		assertThat(versions.latestStartMs(3, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
+	}
+
 	@Test
 	public void versionOfUnknownAgeIsRequiredUntilItsAgeIsReceived() {
 		AnnouncedVersions versions = AnnouncedVersions.create();
