Entry: a connection with a second request no longer counts as idle

What callers saw: of two requests sent at once on one connection, the second ended without an answer when it took longer than the idle limit.

Cause: Vert.x starts the next request that it has read while the response before it ends, and calls the end handler of that response afterwards. The handler put the connection back among the idle ones after the second request had taken it out, so closeIdle closed it with a request in progress.

Evidence: pipelinedRequestIsAnsweredAfterTheIdleLimit, red before (expected 200 but was -1, closed without an answer), idle limit 200 ms, second response after 700 ms.

Ruled out: entries left behind by connections that have closed; the end handler is not called after a close.

Fix: the state of a connection counts the requests whose headers were decoded and the responses that ended. It does not depend on the order in which handlers run, and belongs to the connection, so nothing is put back. StrictFraming becomes CallerRequestDecoder, which also reports heads. bodyThatIsStillComingWhenTheLimitsShrinkIsTaken and idleConnectionIsClosed were green before and pin what must stay.

--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -0,0 +1,56 @@
+package org.wigeontally.gateway;
+
+import java.util.function.Supplier;
+
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.impl.ConnectionBase;
+
+import org.wigeontally.fleet.CallerConnectionState;
+import org.wigeontally.fleet.CallerLimits;
+
+/**
+ * A connection of a caller. Runs on the event loop.
+ */
+final class CallerConnection implements CallerRequestDecoder.Listener {
+
+	private final GatewayContext context;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final HttpConnection connection;
+
+	private final CallerConnectionState state;
+
+	CallerConnection(GatewayContext context, Supplier<CallerLimits> limits, HttpConnection connection,
+			HttpServerOptions options) {
+		this.context = context;
+		this.limits = limits;
+		this.connection = connection;
+		CallerRequestDecoder.install(((ConnectionBase) connection).channel().pipeline(), options, this);
+		this.state = CallerConnectionState.opened(context.nowMs(), limits.get());
+	}
+
+	@Override
+	public void headReceived() {
+		this.state.headReceived();
+	}
+
+	void answered() {
+		this.state.answered(this.context.nowMs());
+	}
+
+	boolean isExpired() {
+		long nowMs = this.context.nowMs();
+		this.state.applyLimits(this.limits.get());
+		return this.state.isExpired(nowMs);
+	}
+
+	/**
+	 * Closes the connection because its caller sent nothing for too long.
+	 */
+	void closeExpired() {
+		this.connection.close();
+	}
+
+}
--- /dev/null
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -0,0 +1,55 @@
+package org.wigeontally.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
+
+import org.wigeontally.fleet.CallerLimits;
+import org.wigeontally.fleet.FleetConfiguration;
+
+/**
+ * The open connections of callers. Runs on the event loop.
+ */
+final class CallerConnections {
+
+	private final GatewayContext context;
+
+	private final Map<HttpConnection, CallerConnection> open = new HashMap<>();
+
+	CallerConnections(GatewayContext context) {
+		this.context = context;
+	}
+
+	void add(HttpConnection connection, HttpServerOptions options) {
+		this.open.put(connection, new CallerConnection(this.context, this::limits, connection, options));
+		connection.closeHandler((v) -> this.open.remove(connection));
+	}
+
+	CallerConnection of(HttpConnection connection) {
+		return this.open.get(connection);
+	}
+
+	/**
+	 * Returns the limits in force.
+	 * @return the limits
+	 */
+	CallerLimits limits() {
+		FleetConfiguration configuration = this.context.fleet().configuration();
+		return (configuration != null) ? configuration.limits() : CallerLimits.DEFAULT;
+	}
+
+	/**
+	 * Closes connections whose callers have sent no request, or no whole head, for too
+	 * long.
+	 */
+	void closeExpired() {
+		this.open.values()
+			.stream()
+			.filter(CallerConnection::isExpired)
+			.toList()
+			.forEach(CallerConnection::closeExpired);
+	}
+
+}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -1,12 +1,10 @@
 package org.wigeontally.gateway;
 
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -58,44 +56,27 @@
 
 	private final PermitClient permits;
 
-	private final Map<HttpConnection, Long> idleSinceMsByConnection = new HashMap<>();
+	private final CallerConnections connections;
 
-	CallerRequestHandler(GatewayContext context, RequestPlacer placer, PermitClient permits) {
+	CallerRequestHandler(GatewayContext context, CallerConnections connections, RequestPlacer placer,
+			PermitClient permits) {
 		this.context = context;
+		this.connections = connections;
 		this.placer = placer;
 		this.permits = permits;
 	}
 
-	void connectionOpened(HttpConnection connection) {
-		this.idleSinceMsByConnection.put(connection, this.context.nowMs());
-		connection.closeHandler((v) -> this.idleSinceMsByConnection.remove(connection));
-	}
-
-	/**
-	 * Closes connections that were idle for longer than the configured limit.
-	 */
-	void closeIdle() {
-		long nowMs = this.context.nowMs();
-		long limitMs = limits().idleTimeoutMs();
-		this.idleSinceMsByConnection.entrySet()
-			.stream()
-			.filter((entry) -> nowMs - entry.getValue() > limitMs)
-			.map(Map.Entry::getKey)
-			.toList()
-			.forEach(HttpConnection::close);
-	}
-
-	private CallerLimits limits() {
-		FleetConfiguration configuration = this.context.fleet().configuration();
-		return (configuration != null) ? configuration.limits() : CallerLimits.DEFAULT;
-	}
-
 	void handle(HttpServerRequest request) {
 		long receivedAtMs = this.context.nowMs();
-		HttpConnection connection = request.connection();
-		this.idleSinceMsByConnection.remove(connection);
-		request.response().endHandler((v) -> this.idleSinceMsByConnection.put(connection, this.context.nowMs()));
-		CallerLimits limits = limits();
+		CallerConnection connection = this.connections.of(request.connection());
+		if (connection == null) {
+			this.context.log()
+				.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "reason",
+						"connection-closing");
+			return;
+		}
+		request.response().endHandler((v) -> connection.answered());
+		CallerLimits limits = this.connections.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes()) {
 			refuseAndClose(request, LocalResponse.rejected(431, "headers-too-large"));
 			return;
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -118,6 +118,8 @@
 
 	private final PermitServer permitServer;
 
+	private final CallerConnections callerConnections;
+
 	private final CallerRequestHandler callerHandler;
 
 	private final StoreClient store;
@@ -144,7 +146,8 @@
 		this.context = new GatewayContext(vertx, clock, settings, log, fleet, new GatewayMetrics());
 		RequestPlacer placer = new RequestPlacer(this.context, new CandidateSelector(fleet, settings));
 		this.permitServer = new PermitServer(this.context, this.entries);
-		this.callerHandler = new CallerRequestHandler(this.context, placer,
+		this.callerConnections = new CallerConnections(this.context);
+		this.callerHandler = new CallerRequestHandler(this.context, this.callerConnections, placer,
 				new PermitClient(this.context, this.permitServer));
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
 		this.briefings = new AgentBriefings(this.context, this.entries);
@@ -206,10 +209,8 @@
 			.setPort(this.settings.getMetricsPort())
 			.build();
 		List<Future<HttpServer>> servers = new ArrayList<>();
-		servers.add(this.vertx.createHttpServer(callerOptions).connectionHandler((connection) -> {
-			StrictFraming.apply(connection, callerOptions);
-			this.callerHandler.connectionOpened(connection);
-		})
+		servers.add(this.vertx.createHttpServer(callerOptions)
+			.connectionHandler((connection) -> this.callerConnections.add(connection, callerOptions))
 			.requestHandler(this.callerHandler::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
@@ -306,7 +307,7 @@
 		FleetState fleet = this.context.fleet();
 		fleet.removeLapsedBackends();
 		fleet.backends().forEach((backend) -> backend.pool().closeExpired());
-		this.callerHandler.closeIdle();
+		this.callerConnections.closeExpired();
 		List<EntryNews> others = this.entries.liveEntries(this.context.nowMs());
 		this.context.updateConfigurationLag(others);
 		int knownEntries = others.size() + 1;
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -0,0 +1,80 @@
+package org.wigeontally.fleet;
+
+/**
+ * When the connection of a caller has waited for a request for too long. Not thread-safe.
+ */
+public final class CallerConnectionState {
+
+	private long idleLimitMs;
+
+	private long waitingSinceMs;
+
+	private int unanswered;
+
+	private CallerConnectionState(long nowMs) {
+		this.waitingSinceMs = nowMs;
+	}
+
+	/**
+	 * Creates the state of a new connection.
+	 * @param nowMs monotonic time
+	 * @param limits the limits in force
+	 * @return the state
+	 */
+	public static CallerConnectionState opened(long nowMs, CallerLimits limits) {
+		CallerConnectionState state = new CallerConnectionState(nowMs);
+		state.applyLimits(limits);
+		return state;
+	}
+
+	/**
+	 * Records the limits in force.
+	 * @param limits the limits
+	 */
+	public void applyLimits(CallerLimits limits) {
+		this.idleLimitMs = limits.idleTimeoutMs();
+	}
+
+	/**
+	 * Records the end of the headers of a request.
+	 */
+	public void headReceived() {
+		this.unanswered++;
+	}
+
+	/**
+	 * Records the end of a response.
+	 * @param nowMs monotonic time
+	 */
+	public void answered(long nowMs) {
+		this.unanswered--;
+		this.waitingSinceMs = nowMs;
+	}
+
+	/**
+	 * Returns how long the caller has sent nothing that was due.
+	 * @param nowMs monotonic time
+	 * @return milliseconds
+	 */
+	public long waitedMs(long nowMs) {
+		return (this.unanswered > 0) ? 0 : nowMs - this.waitingSinceMs;
+	}
+
+	/**
+	 * Returns the limit on {@link #waitedMs}.
+	 * @return milliseconds
+	 */
+	public long limitMs() {
+		return this.idleLimitMs;
+	}
+
+	/**
+	 * Returns whether the caller has sent nothing that was due for too long.
+	 * @param nowMs monotonic time
+	 * @return true if the connection is to be closed
+	 */
+	public boolean isExpired(long nowMs) {
+		return waitedMs(nowMs) > limitMs();
+	}
+
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -0,0 +1,117 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
+import org.wigeontally.schema.generated.Address;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * When an entry closes the connections of callers.
+ */
+public class CallerConnectionTests {
+
+	private static final long MEBIBYTE = 1 << 20;
+
+	private GatewayFixture fixture;
+
+	private FakeBackend backend;
+
+	private int nextConfigurationVersion = 1;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.fixture = new GatewayFixture(Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)));
+		this.backend = this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private void writeLimits(long headerTimeoutMs, long idleTimeoutMs) {
+		this.fixture.store()
+			.write("op", "config",
+					FakeConfiguration.create(this.nextConfigurationVersion++, List.of())
+						.put("limits",
+								new JsonObject().put("max-body-bytes", 2 * MEBIBYTE)
+									.put("header-timeout-ms", headerTimeoutMs)
+									.put("idle-timeout-ms", idleTimeoutMs)));
+	}
+
+	private void startEntry(long headerTimeoutMs, long idleTimeoutMs) throws Exception {
+		writeLimits(headerTimeoutMs, idleTimeoutMs);
+		this.fixture.startEntry();
+		this.fixture.awaitStatus(0, "plain", 200);
+	}
+
+	private KeptConnection connect() throws Exception {
+		return KeptConnection.open(front());
+	}
+
+	private Address front() {
+		return this.fixture.settings(0).getFront();
+	}
+
+	/** Guards against an idle limit that no connection is ever closed by. */
+	@Test
+	public void idleConnectionIsClosed() throws Exception {
+		startEntry(1_000, 500);
+		try (KeptConnection connection = connect()) {
+			assertThat(connection.call("plain", "first")).isEqualTo(200);
+			long idleSinceNs = System.nanoTime();
+			assertThat(connection.readStatus()).isEqualTo(KeptConnection.NO_ANSWER);
+			assertThat((System.nanoTime() - idleSinceNs) / 1_000_000).isBetween(400L, 2_000L);
+		}
+	}
+
+	/** Guards against a connection that counts as idle while it has a second request. */
+	@Test
+	public void pipelinedRequestIsAnsweredAfterTheIdleLimit() throws Exception {
+		startEntry(1_000, 200);
+		this.backend.setBehaviour((arrival, socket) -> this.fixture.vertx()
+			.setTimer(arrival.attemptId().equals("second") ? 700 : 1,
+					(id) -> socket.write(Buffer.buffer(FakeBackend.signedResponse(arrival, "ok")))));
+		try (KeptConnection connection = connect()) {
+			connection.send(KeptConnection.request("plain", "first") + KeptConnection.request("plain", "second"));
+			assertThat(connection.readStatus()).isEqualTo(200);
+			assertThat(connection.readStatus()).isEqualTo(200);
+		}
+	}
+
+	/**
+	 * Guards against a change of the limits that cuts a body which was allowed before.
+	 */
+	@Test
+	public void bodyThatIsStillComingWhenTheLimitsShrinkIsTaken() throws Exception {
+		startEntry(1_000, 1_000);
+		String body = "y".repeat(100_000);
+		try (KeptConnection connection = connect()) {
+			connection.send(KeptConnection.headOf("long", body.length(), "Expect: 100-continue\r\n"));
+			// The head has been read.
+			assertThat(connection.readStatus()).isEqualTo(100);
+			this.fixture.store()
+				.write("op", "config",
+						FakeConfiguration.create(this.nextConfigurationVersion++, List.of())
+							.put("limits",
+									new JsonObject().put("max-body-bytes", 10)
+										.put("header-timeout-ms", 100)
+										.put("idle-timeout-ms", 100)));
+			Thread.sleep(500);
+			connection.send(body);
+			assertThat(connection.readStatus()).isEqualTo(200);
+		}
+	}
+
+}
