Entry: idle time counts from the end of what its caller reads

What callers saw: a caller that read a large response slowly found its connection closed when it sent the next request at once.

Cause: the idle time began when the response was handed to Vert.x, not when the connection had taken it. Vert.x closes after it has sent what is queued, so the response itself was whole, but the connection ended with it.

Evidence: callerMayReuseAConnectionThatItHasJustReadTo, red before (expected 200 but was -1): 7 MiB, read after 1.2 s, idle limit 300 ms.

Ruled out: that the response itself is cut; it arrived whole before, too.

Fix: a connection with unsent bytes is not idle.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import java.util.function.Supplier;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -20,6 +22,8 @@
 
 	private final HttpConnection connection;
 
+	private final Channel channel;
+
 	private final CallerConnectionState state;
 
 	CallerConnection(GatewayContext context, Supplier<CallerLimits> limits, HttpConnection connection,
@@ -27,7 +31,8 @@
 		this.context = context;
 		this.limits = limits;
 		this.connection = connection;
-		CallerRequestDecoder.install(((ConnectionBase) connection).channel().pipeline(), options, this);
+		this.channel = ((ConnectionBase) connection).channel();
+		CallerRequestDecoder.install(this.channel.pipeline(), options, this);
 		this.state = CallerConnectionState.opened(context.nowMs(), limits.get());
 	}
 
@@ -43,9 +48,18 @@
 	boolean isExpired() {
 		long nowMs = this.context.nowMs();
 		this.state.applyLimits(this.limits.get());
+		if (hasUnsentBytes()) {
+			this.state.responsePending(nowMs);
+		}
 		return this.state.isExpired(nowMs);
 	}
 
+	// The channel is not empty as long as Vert.x queues more for it.
+	private boolean hasUnsentBytes() {
+		ChannelOutboundBuffer unsent = this.channel.unsafe().outboundBuffer();
+		return unsent != null && !unsent.isEmpty();
+	}
+
 	/**
 	 * Closes the connection because its caller sent nothing for too long.
 	 */
--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -51,6 +51,14 @@
 		this.waitingSinceMs = nowMs;
 	}
 
+	/**
+	 * Records that parts of responses have not been sent yet.
+	 * @param nowMs monotonic time
+	 */
+	public void responsePending(long nowMs) {
+		this.waitingSinceMs = nowMs;
+	}
+
 	/**
 	 * Returns how long the caller has sent nothing that was due.
 	 * @param nowMs monotonic time
--- a/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -90,6 +90,21 @@
 		}
 	}
 
+	/** Guards against counting the time as idle in which a slow caller reads. */
+	@Test
+	public void callerMayReuseAConnectionThatItHasJustReadTo() throws Exception {
+		startEntry(1_000, 300);
+		String large = "x".repeat((int) (7 * MEBIBYTE));
+		this.backend.setBehaviour((arrival, socket) -> socket.write(
+				Buffer.buffer(FakeBackend.signedResponse(arrival, arrival.attemptId().equals("large") ? large : ""))));
+		try (KeptConnection connection = connect()) {
+			connection.send(KeptConnection.request("plain", "large"));
+			Thread.sleep(1_200);
+			assertThat(connection.readStatus()).isEqualTo(200);
+			assertThat(connection.call("plain", "next")).isEqualTo(200);
+		}
+	}
+
 	/**
 	 * Guards against a change of the limits that cuts a body which was allowed before.
 	 */
