Entry: a request that arrived while the event loop was held up is read

What callers saw: neither an answer nor a refusal to a request on a kept connection, beside work that held up the event loop of the entry.

Cause: housekeeping closed connections by the clock alone. If the loop is held up while it handles what one poll has found (a large record is decoded), requests that arrive meanwhile are in the sockets, but not in that poll. The timers, housekeeping among them, run before the next poll. A connection that passed its limit during the hold-up was closed with an unread request.

Evidence: requestThatArrivesWhileTheLoopIsHeldUpIsAnswered, red before (expected 200 but was -1): limit 1 s, request after 0.7 s of idleness, the loop held up for 0.8 s.

Ruled out: a process that is frozen while it waits in the poll; it reads before its timers run.

Fix: connections are closed in two steps.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -1,12 +1,14 @@
 package org.wigeontally.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 
 import org.wigeontally.fleet.CallerLimits;
+import org.wigeontally.fleet.ConnectionSweep;
 import org.wigeontally.fleet.FleetConfiguration;
 
 /**
@@ -18,6 +20,8 @@
 
 	private final Map<HttpConnection, CallerConnection> open = new HashMap<>();
 
+	private final ConnectionSweep<CallerConnection> sweep = ConnectionSweep.create();
+
 	CallerConnections(GatewayContext context) {
 		this.context = context;
 	}
@@ -45,11 +49,14 @@
 	 * long.
 	 */
 	void closeExpired() {
-		this.open.values()
-			.stream()
-			.filter(CallerConnection::isExpired)
-			.toList()
-			.forEach(CallerConnection::closeExpired);
+		List<CallerConnection> expired = this.open.values().stream().filter(CallerConnection::isExpired).toList();
+		if (this.sweep.suspect(expired, this.context.nowMs())) {
+			this.context.vertx().setTimer(ConnectionSweep.CONFIRMATION_DELAY_MS, (id) -> closeConfirmed());
+		}
+	}
+
+	private void closeConfirmed() {
+		this.sweep.confirm(CallerConnection::isExpired, this.context.nowMs()).forEach(CallerConnection::closeExpired);
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -1,11 +1,15 @@
 package org.wigeontally.gateway;
 
+import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -17,10 +21,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * When an entry closes the connections of callers.
+ * When an entry closes the connections of callers. All of it runs on one event loop, so
+ * that a test can hold up the entry.
  */
 public class CallerConnectionTests {
 
+	private static final long HOLD_UP_MS = 800;
+
 	private static final long MEBIBYTE = 1 << 20;
 
 	private GatewayFixture fixture;
@@ -64,6 +71,29 @@
 		return this.fixture.settings(0).getFront();
 	}
 
+	/**
+	 * Guards against closing a connection as idle although its request has arrived. The
+	 * loop is held up while it reads another socket, as by a large record of the store.
+	 */
+	@Test
+	public void requestThatArrivesWhileTheLoopIsHeldUpIsAnswered() throws Exception {
+		startEntry(1_000, 1_000);
+		CountDownLatch heldUp = new CountDownLatch(1);
+		NetServer slowReader = GatewayFixture
+			.await(this.fixture.vertx().createNetServer().connectHandler((socket) -> socket.handler((bytes) -> {
+				heldUp.countDown();
+				sleep(HOLD_UP_MS);
+			})).listen(0, "127.0.0.1"));
+		try (KeptConnection connection = connect(); Socket trigger = new Socket("127.0.0.1", slowReader.actualPort())) {
+			assertThat(connection.call("plain", "first")).isEqualTo(200);
+			Thread.sleep(400);
+			trigger.getOutputStream().write(1);
+			heldUp.await(1, TimeUnit.SECONDS);
+			Thread.sleep(300);
+			assertThat(connection.call("plain", "second")).isEqualTo(200);
+		}
+	}
+
 	/** Guards against an idle limit that no connection is ever closed by. */
 	@Test
 	public void idleConnectionIsClosed() throws Exception {
@@ -129,4 +159,13 @@
 		}
 	}
 
+	private static void sleep(long timeMs) {
+		try {
+			Thread.sleep(timeMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
