Entry: a lower idle limit does not close connections that callers may use

What callers saw: after a configuration with a lower idle limit, requests on kept connections got no answer, since the entry closed connections that had become idle under the old limit.

Cause: closeIdle applied the limit in force to all connections. A caller that was told 3 s may reuse a connection after 2.4 s, but the entry closed it after 1 s as soon as it had applied the change.

Evidence: lowerIdleLimitDoesNotApplyToConnectionsOpenedBefore, red before (expected 200 but was -1).

Ways weighed: announcing the limit in Keep-Alive does not help callers whose last response named the old one; the limit at the time when the connection became idle misses a caller that has not seen the change yet.

Fix: the longest limit in force since the connection was opened applies to it. The cost is that connections opened before the change stay as long as before; new ones have the new limit.

--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -1,7 +1,12 @@
 package org.wigeontally.fleet;
 
 /**
- * When the connection of a caller has waited for a request for too long. Not thread-safe.
+ * When the connection of a caller has waited for a request for too long.
+ *
+ * <p>
+ * A caller does not learn when an entry applies a configuration, so it may rely on any
+ * idle limit that was in force since it connected. The longest of them applies. Not
+ * thread-safe.
  */
 public final class CallerConnectionState {
 
@@ -32,7 +37,7 @@
 	 * @param limits the limits
 	 */
 	public void applyLimits(CallerLimits limits) {
-		this.idleLimitMs = limits.idleTimeoutMs();
+		this.idleLimitMs = Math.max(this.idleLimitMs, limits.idleTimeoutMs());
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -94,6 +94,18 @@
 		}
 	}
 
+	/** Guards against a lower idle limit that closes connections which callers use. */
+	@Test
+	public void lowerIdleLimitDoesNotApplyToConnectionsOpenedBefore() throws Exception {
+		startEntry(1_000, 3_000);
+		try (KeptConnection connection = connect()) {
+			assertThat(connection.call("plain", "first")).isEqualTo(200);
+			writeLimits(1_000, 1_000);
+			Thread.sleep(2_000);
+			assertThat(connection.call("plain", "second")).isEqualTo(200);
+		}
+	}
+
 	/** Guards against an idle limit that no connection is ever closed by. */
 	@Test
 	public void idleConnectionIsClosed() throws Exception {
