Entry: a refusal that closes the connection is read, and is the last answer

What callers saw: a caller whose body was refused (413, 503) while it was sending found the connection reset without the refusal; and a request behind a refused one ran at a backend server, but its connection was closed without an answer.

Cause: the entry closed the connection 500 ms after such a refusal in any case. Bytes that arrive after that reset the connection. Requests that came within the 500 ms were handled as usual.

Evidence, red before: callerThatIsStillSendingItsBodyReadsTheRefusal (Broken pipe; 3 MiB sent in 1.2 s), and requestBehindARefusalThatClosesIsNotPassedOn (the backend server received "behind").

Ruled out: Connection: close on refusals after the whole body (entry draining or outdated); the entry does not close these connections itself.

Fix: after the refusal, the decoder drops what arrives, so that no request is read any more, and the connection is closed when its caller has been silent for 500 ms, after 10 s at the latest.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -16,6 +16,16 @@
  */
 final class CallerConnection implements CallerRequestDecoder.Listener {
 
+	/**
+	 * Silence of the caller after which a connection is closed whose end a response has
+	 * announced. Closing a connection with unread bytes may discard the response, so
+	 * bytes are read and dropped until then.
+	 */
+	private static final long LINGER_MS = 500;
+
+	/** Time after which such a connection is closed in any case. */
+	private static final long MAX_LINGER_MS = 10_000;
+
 	private final GatewayContext context;
 
 	private final Supplier<CallerLimits> limits;
@@ -24,16 +34,28 @@
 
 	private final Channel channel;
 
+	private final CallerRequestDecoder decoder;
+
 	private final CallerConnectionState state;
 
+	private long lastReadAtMs;
+
+	private boolean closing;
+
 	CallerConnection(GatewayContext context, Supplier<CallerLimits> limits, HttpConnection connection,
 			HttpServerOptions options) {
 		this.context = context;
 		this.limits = limits;
 		this.connection = connection;
 		this.channel = ((ConnectionBase) connection).channel();
-		CallerRequestDecoder.install(this.channel.pipeline(), options, this);
-		this.state = CallerConnectionState.opened(context.nowMs(), limits.get());
+		this.decoder = CallerRequestDecoder.install(this.channel.pipeline(), options, this);
+		this.lastReadAtMs = context.nowMs();
+		this.state = CallerConnectionState.opened(this.lastReadAtMs, limits.get());
+	}
+
+	@Override
+	public void bytesRead() {
+		this.lastReadAtMs = this.context.nowMs();
 	}
 
 	@Override
@@ -45,13 +67,21 @@
 		this.state.answered(this.context.nowMs());
 	}
 
+	/**
+	 * Returns whether the connection will be closed, so that it takes no more requests.
+	 * @return true if it will
+	 */
+	boolean isClosing() {
+		return this.closing;
+	}
+
 	boolean isExpired() {
 		long nowMs = this.context.nowMs();
 		this.state.applyLimits(this.limits.get());
 		if (hasUnsentBytes()) {
 			this.state.responsePending(nowMs);
 		}
-		return this.state.isExpired(nowMs);
+		return !this.closing && this.state.isExpired(nowMs);
 	}
 
 	// The channel is not empty as long as Vert.x queues more for it.
@@ -64,7 +94,36 @@
 	 * Closes the connection because its caller sent nothing for too long.
 	 */
 	void closeExpired() {
+		startClosing();
 		this.connection.close();
 	}
 
+	/**
+	 * Closes the connection a moment after a response that announces it. Nothing that
+	 * arrives meanwhile is read as a request.
+	 */
+	void closeAfterResponse() {
+		if (this.closing) {
+			return;
+		}
+		startClosing();
+		closeWhenSilent(this.context.nowMs() + MAX_LINGER_MS);
+	}
+
+	private void closeWhenSilent(long latestMs) {
+		this.context.vertx().setTimer(LINGER_MS, (id) -> {
+			long nowMs = this.context.nowMs();
+			if (nowMs - this.lastReadAtMs >= LINGER_MS || nowMs >= latestMs) {
+				this.connection.close();
+				return;
+			}
+			closeWhenSilent(latestMs);
+		});
+	}
+
+	private void startClosing() {
+		this.closing = true;
+		this.decoder.discard();
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
@@ -24,6 +24,8 @@
 
 	private final Listener listener;
 
+	private boolean discarding;
+
 	private CallerRequestDecoder(HttpServerOptions options, Listener listener) {
 		super(options);
 		this.listener = listener;
@@ -46,6 +48,11 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+		this.listener.bytesRead();
+		if (this.discarding) {
+			bytes.skipBytes(bytes.readableBytes());
+			return;
+		}
 		int known = messages.size();
 		super.decode(context, bytes, messages);
 		messages.subList(known, messages.size()).forEach(this::messageDecoded);
@@ -62,11 +69,21 @@
 		throw new IllegalArgumentException("request has both a Content-Length header and chunked transfer encoding");
 	}
 
+	/**
+	 * Reads and drops everything from now on.
+	 */
+	void discard() {
+		this.discarding = true;
+	}
+
 	/**
 	 * Is told what was read from a connection.
 	 */
 	interface Listener {
 
+		/** Some bytes were read. */
+		void bytesRead();
+
 		/** The headers of a request were read. */
 		void headReceived();
 
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -41,12 +41,6 @@
 	/** Assumed timeout of a caller that sends none. */
 	private static final long DEFAULT_CALLER_TIMEOUT_MS = 30_000;
 
-	/**
-	 * Time between a response to a request that is not read to its end and the end of the
-	 * connection.
-	 */
-	private static final long LINGER_MS = 500;
-
 	/** Maximum time from the head of a request to the end of its body. */
 	private static final long MAX_BODY_TIME_MS = 30_000;
 
@@ -69,7 +63,7 @@
 	void handle(HttpServerRequest request) {
 		long receivedAtMs = this.context.nowMs();
 		CallerConnection connection = this.connections.of(request.connection());
-		if (connection == null) {
+		if (connection == null || connection.isClosing()) {
 			this.context.log()
 				.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "reason",
 						"connection-closing");
@@ -78,16 +72,16 @@
 		request.response().endHandler((v) -> connection.answered());
 		CallerLimits limits = this.connections.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes()) {
-			refuseAndClose(request, LocalResponse.rejected(431, "headers-too-large"));
+			refuseAndClose(connection, request, LocalResponse.rejected(431, "headers-too-large"));
 			return;
 		}
 		String contentLength = request.getHeader("Content-Length");
 		if (contentLength != null && contentLength.length() <= 18
 				&& Long.parseLong(contentLength) > limits.maxBodyBytes()) {
-			refuseAndClose(request, LocalResponse.rejected(413, "body-too-large"));
+			refuseAndClose(connection, request, LocalResponse.rejected(413, "body-too-large"));
 			return;
 		}
-		new BodyReader(request, receivedAtMs).start(limits.maxBodyBytes());
+		new BodyReader(connection, request, receivedAtMs).start(limits.maxBodyBytes());
 	}
 
 	private static long headerBytes(HttpServerRequest request) {
@@ -159,7 +153,8 @@
 		return name.toLowerCase(Locale.ROOT);
 	}
 
-	private void refuseAndClose(HttpServerRequest request, LocalResponse refusal) {
+	// The rest of the body is not used, so the connection cannot be reused.
+	private void refuseAndClose(CallerConnection connection, HttpServerRequest request, LocalResponse refusal) {
 		HttpServerResponse response = request.response();
 		if (response.ended()) {
 			return;
@@ -167,11 +162,9 @@
 		this.context.log()
 			.write(LogEvent.REQUEST_REFUSED, "id", request.getHeader(WireNames.ATTEMPT_ID), "status", refusal.status(),
 					"reason", refusal.reason());
-		// The rest of the body is not used, so the connection cannot be reused. It is
-		// read and dropped for a moment, because closing a connection with unread bytes
-		// may discard the response.
+		// The end of a response starts the next request that has been read.
+		connection.closeAfterResponse();
 		writeResponse(response, refusal, true);
-		this.context.vertx().setTimer(LINGER_MS, (id) -> request.connection().close());
 	}
 
 	// A newer configuration may have the route or the key.
@@ -220,6 +213,8 @@
 	 */
 	private final class BodyReader {
 
+		private final CallerConnection connection;
+
 		private final HttpServerRequest request;
 
 		private final long receivedAtMs;
@@ -232,7 +227,8 @@
 
 		private long timer;
 
-		private BodyReader(HttpServerRequest request, long receivedAtMs) {
+		private BodyReader(CallerConnection connection, HttpServerRequest request, long receivedAtMs) {
+			this.connection = connection;
 			this.request = request;
 			this.receivedAtMs = receivedAtMs;
 			this.memory = CallerRequestHandler.this.context.memory()
@@ -278,14 +274,14 @@
 			}
 			catch (RuntimeException | VirtualMachineError ex) {
 				logFault(this.request, ex);
-				refuseAndClose(this.request, LocalResponse.unknownOutcome("failure"));
+				refuseAndClose(this.connection, this.request, LocalResponse.unknownOutcome("failure"));
 			}
 		}
 
 		private void refuseBody(LocalResponse refusal) {
 			if (!this.ended) {
 				end();
-				refuseAndClose(this.request, refusal);
+				refuseAndClose(this.connection, this.request, refusal);
 			}
 		}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -171,6 +171,38 @@
 		}
 	}
 
+	/** Guards against serving a request on a connection that is about to be closed. */
+	@Test
+	public void requestBehindARefusalThatClosesIsNotPassedOn() throws Exception {
+		startEntry(1_000, 1_000);
+		this.backend.setBehaviour((arrival, socket) -> this.fixture.vertx()
+			.setTimer(700, (id) -> socket.write(Buffer.buffer(FakeBackend.signedResponse(arrival, "ok")))));
+		try (KeptConnection connection = connect()) {
+			String body = "z".repeat((int) (3 * MEBIBYTE));
+			connection.send(KeptConnection.headOf("large", body.length(), "") + body
+					+ KeptConnection.request("plain", "behind"));
+			assertThat(connection.readStatus()).isEqualTo(413);
+			assertThat(connection.isClosing()).isTrue();
+			assertThat(connection.readStatus()).isEqualTo(KeptConnection.NO_ANSWER);
+		}
+		assertThat(this.backend.receivedRequests().stream().map(FakeBackend.ReceivedRequest::attemptId))
+			.doesNotContain("behind");
+	}
+
+	/** Guards against a refusal that is lost because its caller is still sending. */
+	@Test
+	public void callerThatIsStillSendingItsBodyReadsTheRefusal() throws Exception {
+		startEntry(1_000, 1_000);
+		try (KeptConnection connection = connect()) {
+			connection.send(KeptConnection.headOf("large", (int) (3 * MEBIBYTE), ""));
+			for (int sent = 0; sent < 12; sent++) {
+				Thread.sleep(100);
+				connection.send("z".repeat((int) (MEBIBYTE / 4)));
+			}
+			assertThat(connection.readStatus()).isEqualTo(413);
+		}
+	}
+
 	private static void sleep(long timeMs) {
 		try {
 			Thread.sleep(timeMs);
