Agents: engines load in turns that count those loading, in all and by region

What callers saw: around a new version of the weights, requests were refused because all engines of a region, at times all of the fleet, took no requests at the same moment, before any bound forced it.

Cause: the turn of an engine was its rank among the agents that hold the version and have a lower address. Engines that are loading under a higher address did not count, nor those loading another version, so engines that come to hold a version in the reverse order each found themselves first. Neighbouring addresses are those of one region. What an agent knew of the others was up to 400 ms old. And an engine whose version was out of use already, with two newer ones announced, waited for its turn with the newest until that one's own deadline.

Now: at most half of the engines load at a time, of all and of each region, fewer where the deadline leaves time for more turns; loading ones count whatever their address and version; an agent reports at once that it holds a version and loads on an entry's word younger than 100 ms; the deadline is that of the first version newer than the one loaded. Entry and agent take the end of placement and the load deadline from VersionSchedule (library), which derives both from the bound; before, 1,300 ms and 1,500 ms were related by a comment.

What remains, and no order of loads ends: chunks that arrive until after the deadline.

VersionLoadPolicyTests: the decision takes engines and their regions in place of a list of addresses; the cases before are kept, two are added.

--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -8,6 +8,7 @@
 import org.wigeontally.fleet.BackendCandidate;
 import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.Service;
+import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.schema.generated.HostSettings;
 
 /**
@@ -18,12 +19,6 @@
  */
 final class CandidateSelector {
 
-	/**
-	 * Margin by which a new version is required earlier than the configured bound,
-	 * because a request may wait in the engine's queue before it runs.
-	 */
-	private static final long VERSION_MARGIN_MS = 1_300;
-
 	private final FleetState fleet;
 
 	private final HostSettings settings;
@@ -133,8 +128,8 @@
 	 * @return the version; 0 if every version is allowed
 	 */
 	long requiredVersion(String model, long nowMs) {
-		long boundMs = (long) this.settings.getBounds().getVersionMs() - VERSION_MARGIN_MS;
-		return this.fleet.announcedVersions(model).requiredVersion(nowMs, boundMs);
+		VersionSchedule schedule = VersionSchedule.of((long) this.settings.getBounds().getVersionMs());
+		return this.fleet.announcedVersions(model).requiredVersion(nowMs, schedule.placementEndMs());
 	}
 
 	long requiredVersion(EngineProfile model, long nowMs) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EntryReporter.java
@@ -72,7 +72,7 @@
 
 	private final Map<String, EntryConnection> connections = new LinkedHashMap<>();
 
-	private Runnable onVersionAnnounced = () -> {
+	private Runnable onBriefing = () -> {
 	};
 
 	private long lastNoticeVersion;
@@ -89,8 +89,8 @@
 		this.client = PeerClient.create(vertx, "", CALL_TIMEOUT_MS, MAX_MESSAGE_BYTES);
 	}
 
-	void onVersionAnnounced(Runnable action) {
-		this.onVersionAnnounced = action;
+	void onBriefing(Runnable action) {
+		this.onBriefing = action;
 	}
 
 	/**
@@ -221,9 +221,14 @@
 		}
 		connection.failures = 0;
 		connection.hasAnswered = true;
-		if (briefing.getUnchanged()) {
-			return;
+		this.view.confirm(this.clock.monotonicMs());
+		if (!briefing.getUnchanged()) {
+			updateView(connection, briefing);
 		}
+		this.onBriefing.run();
+	}
+
+	private void updateView(EntryConnection connection, AgentBriefing briefing) {
 		connection.briefingDigest = briefing.getDigest();
 		for (EntryPlace place : briefing.getEntryPlacesList()) {
 			addEntry(place.getControl());
@@ -232,7 +237,6 @@
 		if (this.view.updateBriefing(briefing, this.clock.monotonicMs())) {
 			this.log.write(LogEvent.VERSION, "model", briefing.getModel(), "version", briefing.getVersion(), "source",
 					Addresses.format(connection.address));
-			this.onVersionAnnounced.run();
 		}
 	}
 
--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -1,7 +1,7 @@
 package org.wigeontally.sidecar;
 
-import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.schema.generated.AgentBriefing;
@@ -15,12 +15,14 @@
 
 	private AgentBriefing briefing = AgentBriefing.getDefaultInstance();
 
-	private final Map<Long, Long> announcedAtMs = new HashMap<>();
+	private final TreeMap<Long, Long> announcedAtMs = new TreeMap<>();
 
 	private long firstBriefingAtMs;
 
 	private boolean peersKnown;
 
+	private long confirmedAtMs = Long.MIN_VALUE / 2;
+
 	AgentBriefing briefing() {
 		return this.briefing;
 	}
@@ -47,6 +49,23 @@
 		return isNewVersion;
 	}
 
+	/**
+	 * Records that an entry has given the briefing or said that it is unchanged.
+	 * @param nowMs current monotonic time
+	 */
+	void confirm(long nowMs) {
+		this.confirmedAtMs = nowMs;
+	}
+
+	/**
+	 * Returns the time since an entry last told of the fleet.
+	 * @param nowMs current monotonic time
+	 * @return milliseconds
+	 */
+	long ageMs(long nowMs) {
+		return nowMs - this.confirmedAtMs;
+	}
+
 	boolean isKnown() {
 		return !this.briefing.getModel().isEmpty();
 	}
@@ -85,14 +104,16 @@
 	}
 
 	/**
-	 * Returns the time since this process learned of a version.
+	 * Returns the time since this process learned of the first version that is newer than
+	 * a given one. That version's bound ends the use of the given one, whichever newer
+	 * ones follow.
 	 * @param version the version
 	 * @param nowMs current monotonic time
-	 * @return milliseconds; 0 if the version was never announced
+	 * @return milliseconds; 0 if no newer version was announced
 	 */
-	long sinceAnnouncedMs(long version, long nowMs) {
-		Long atMs = this.announcedAtMs.get(version);
-		return (atMs != null) ? nowMs - atMs : 0;
+	long sinceNewerAnnouncedMs(long version, long nowMs) {
+		Map.Entry<Long, Long> newer = this.announcedAtMs.higherEntry(version);
+		return (newer != null) ? nowMs - newer.getValue() : 0;
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -13,6 +13,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.ReportSchedule;
+import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.wire.EngineClient;
@@ -26,6 +27,7 @@
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.settings.Addresses;
+import org.wigeontally.weights.EngineLoadState;
 import org.wigeontally.weights.VerifiedWeights;
 import org.wigeontally.weights.VersionLoadPolicy;
 
@@ -64,13 +66,6 @@
 	/** Bound used while the briefing contains none. */
 	private static final long DEFAULT_VERSION_BOUND_MS = 8_000;
 
-	/**
-	 * Time before the bound from which all engines may load at once. From 1.3 s before
-	 * the bound on, entries send no requests to an engine with the older version, so by
-	 * the time it loads the engine has no requests to lose.
-	 */
-	private static final long LOAD_LEAD_TIME_MS = 1_500;
-
 	/**
 	 * Time without an answer after which the engine is considered gone for good, as when
 	 * its replica was removed. A crashed engine is back sooner.
@@ -133,6 +128,12 @@
 
 	private int lastReportedLoad = -1;
 
+	private long lastReportedLoaded;
+
+	private long lastReportedWhole;
+
+	private long wholeReportedAtMs;
+
 	private SidecarDaemon(Vertx vertx, Context context, HostSettings settings, Clock clock, EventLog log) {
 		this.vertx = vertx;
 		this.context = context;
@@ -168,7 +169,7 @@
 
 	private Future<Void> listen() {
 		this.settings.getSeedsList().forEach(this.entryReporter::addEntry);
-		this.entryReporter.onVersionAnnounced(this::reconcile);
+		this.entryReporter.onBriefing(() -> runStep("reconcile", this::reconcile));
 		return this.vertx.createHttpServer(PeerServerOptions.create())
 			.requestHandler(this.collector::handle)
 			.listen(this.settings.getInternalPort(), this.settings.getIp())
@@ -276,8 +277,12 @@
 		return (this.engineState == null) ? 0 : this.engineState.loadedVersions().getOrDefault(this.view.model(), 0L);
 	}
 
-	private void reportStatus(boolean force) {
+	// The others' turns depend on the versions, so a change is reported at once.
+	private void reportStatus(boolean forced) {
 		long nowMs = this.clock.monotonicMs();
+		long wholeVersion = this.collector.newestVerifiedVersion();
+		boolean wholeChanged = wholeVersion != this.lastReportedWhole;
+		boolean force = forced || wholeChanged || loadedVersion() != this.lastReportedLoaded;
 		int load = (this.engineState == null) ? 0
 				: this.engineState.activeRequests() + this.engineState.queuedRequests();
 		long intervalMs = (load == this.lastReportedLoad) ? REPORT_INTERVAL_MS : minReportIntervalMs();
@@ -289,6 +294,9 @@
 		}
 		this.lastReportMs = nowMs;
 		this.lastReportedLoad = load;
+		this.lastReportedLoaded = loadedVersion();
+		this.lastReportedWhole = wholeVersion;
+		this.wholeReportedAtMs = wholeChanged ? nowMs : this.wholeReportedAtMs;
 		this.sequence++;
 		EngineStatus.Builder status = createStatus();
 		this.entryReporter.sendStatus(status.build(), remoteToo);
@@ -351,7 +359,11 @@
 			return;
 		}
 		Optional<VerifiedWeights> weights = this.collector.verifiedWeights(version);
-		if (weights.isEmpty() || !mayLoad(version, target)) {
+		long remainingMs = remainingServiceMs();
+		if (weights.isEmpty() || !mayLoad(version, target, remainingMs)) {
+			return;
+		}
+		if (remainingMs > 0 && !hasCurrentView()) {
 			return;
 		}
 		this.loadAnnounced = true;
@@ -362,28 +374,48 @@
 		});
 	}
 
-	// Returns whether the engine may load the version now. A version older than the
-	// target is skipped if the target is expected to arrive before the older one's load
-	// deadline.
-	private boolean mayLoad(long version, long target) {
-		List<String> readyAgents = new ArrayList<>();
-		int engineCount = 1;
-		for (AgentPlace agent : this.view.briefing().getAgentsList()) {
-			engineCount++;
-			if (agent.getLoadedVersion() < version && agent.getWholeVersion() >= version) {
-				readyAgents.add(Addresses.format(agent.getAddress()));
-			}
+	// Returns the time until all engines with the loaded version may load at once; not
+	// positive if the engine serves no requests anyway.
+	private long remainingServiceMs() {
+		if (loadedVersion() <= 0) {
+			return 0;
 		}
 		long boundMs = this.view.briefing().getVersionBoundMs();
-		long loadDeadlineMs = ((boundMs > 0) ? boundMs : DEFAULT_VERSION_BOUND_MS) - LOAD_LEAD_TIME_MS;
-		long remainingMs = loadDeadlineMs - this.view.sinceAnnouncedMs(version, this.clock.monotonicMs());
-		boolean deadlineReached = remainingMs <= 0;
-		if (version < target && loadedVersion() > 0 && !deadlineReached
-				&& this.collector.arrivesInTime(target, remainingMs)) {
+		VersionSchedule schedule = VersionSchedule.of((boundMs > 0) ? boundMs : DEFAULT_VERSION_BOUND_MS);
+		return schedule.loadDeadlineMs() - this.view.sinceNewerAnnouncedMs(loadedVersion(), this.clock.monotonicMs());
+	}
+
+	// Returns whether the other agents' states are known as they are now, and asks for
+	// them if not.
+	private boolean hasCurrentView() {
+		long nowMs = this.clock.monotonicMs();
+		long sinceReportMs = nowMs - this.wholeReportedAtMs;
+		if (VersionLoadPolicy.isViewCurrent(sinceReportMs, this.view.ageMs(nowMs))) {
+			return true;
+		}
+		boolean mayAsk = VersionLoadPolicy.isViewCurrent(sinceReportMs, 0);
+		boolean asked = VersionLoadPolicy.isViewCurrent(sinceReportMs, nowMs - this.lastBriefingRequestMs);
+		if (mayAsk && !asked) {
+			reportStatus(true);
+		}
+		return false;
+	}
+
+	// Returns whether the engine may load the version now. A version older than the
+	// target is skipped if the target is expected to arrive before the load deadline.
+	private boolean mayLoad(long version, long target, long remainingMs) {
+		if (version < target && remainingMs > 0 && this.collector.arrivesInTime(target, remainingMs)) {
 			return false;
 		}
-		return VersionLoadPolicy.mayLoad(Addresses.format(this.ownAddress), loadedVersion(), readyAgents, engineCount,
-				deadlineReached);
+		EngineLoadState own = new EngineLoadState(Addresses.format(this.ownAddress), this.settings.getRegion(), false,
+				true);
+		List<EngineLoadState> others = new ArrayList<>();
+		for (AgentPlace agent : this.view.briefing().getAgentsList()) {
+			boolean waiting = agent.getLoadedVersion() < version && agent.getWholeVersion() >= version;
+			others.add(new EngineLoadState(Addresses.format(agent.getAddress()), agent.getRegion(), agent.getLoading(),
+					waiting));
+		}
+		return VersionLoadPolicy.mayLoad(own, loadedVersion(), others, remainingMs);
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/weights/VersionLoadPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionLoadPolicy.java
@@ -1,43 +1,123 @@
 package org.wigeontally.weights;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
- * Decides when an engine loads a version that is staged.
+ * Decides when an engine loads a version whose chunks are all held.
  *
  * <p>
- * A version arrives at all hosts at about the same time. From the order to load it, an
- * engine takes no new requests until the running ones have ended and the weights are
- * loaded. If all engines loaded at once, none would serve requests. So only a fraction of
- * them loads at a time, in the order of their agents' addresses, until the deadline of
- * the version is near. An engine that holds no weights serves no requests and loads at
- * once.
+ * From the order to load, an engine takes no new requests until the running ones have
+ * ended and the weights are loaded. If all engines loaded at once, none would serve
+ * requests. So they load in turns, until the load deadline of the version: from then on
+ * an engine with an older version is of no use, and all load at once.
+ *
+ * <p>
+ * Engines hold the chunks at different times, and each loads as soon as it does, if there
+ * is room. What counts against the room are the engines that take no requests now, and
+ * the waiting ones that come before it in the order of their agents' addresses. Counting
+ * only the latter is not enough: each engine whose address is lower than all before it
+ * would find itself first, and all would load together. Room is limited in each region
+ * too, because some requests may be served in one region only, and addresses of one
+ * region tend to be neighbours. An engine that holds no weights serves no requests and
+ * loads at once.
  */
 public final class VersionLoadPolicy {
 
-	/** Fraction of the engines that may load at the same time. */
-	private static final double MAX_LOADING_FRACTION = 0.5;
+	/**
+	 * Usual time from the notice of a load until the engine takes requests again. Running
+	 * requests end first.
+	 */
+	private static final long LOAD_DURATION_MS = 2_500;
+
+	/** Fewest turns, also if the last of them ends after the deadline. */
+	private static final int MIN_TURNS = 2;
+
+	/** More turns hardly leave more engines in service. */
+	private static final int MAX_TURNS = 4;
+
+	/** Usual time until a report has reached all entries, also in other regions. */
+	private static final long REPORT_SPREAD_MS = 100;
 
 	private VersionLoadPolicy() {
 	}
 
 	/**
-	 * Returns whether an engine may load the version now.
-	 * @param address address of the engine's agent
+	 * Returns whether an engine that waits to load a version may load it now.
+	 * @param own the engine
 	 * @param loadedVersion version that the engine has loaded; 0 for none
-	 * @param waitingAgents agents whose engines have the version staged or are loading
-	 * it, without those that have loaded it
-	 * @param engineCount number of engines
-	 * @param deadlineNear true if the deadline of the version is near
+	 * @param others the other engines
+	 * @param remainingMs time until the load deadline; not positive if it has passed
 	 * @return true if the engine may load now
 	 */
-	public static boolean mayLoad(String address, long loadedVersion, Collection<String> waitingAgents, int engineCount,
-			boolean deadlineNear) {
-		if (loadedVersion == 0 || deadlineNear) {
+	public static boolean mayLoad(EngineLoadState own, long loadedVersion, Collection<EngineLoadState> others,
+			long remainingMs) {
+		if (loadedVersion == 0 || remainingMs <= 0) {
 			return true;
 		}
-		long rank = waitingAgents.stream().filter((agent) -> agent.compareTo(address) < 0).count();
-		return rank < Math.max(1, Math.round(engineCount * MAX_LOADING_FRACTION));
+		Map<String, Integer> freeByRegion = new HashMap<>();
+		countByRegion(own, others)
+			.forEach((region, engines) -> freeByRegion.put(region, maxLoading(engines, remainingMs)));
+		int free = maxLoading(others.size() + 1, remainingMs);
+		List<EngineLoadState> waiting = new ArrayList<>(List.of(own));
+		for (EngineLoadState other : others) {
+			if (other.loading()) {
+				freeByRegion.merge(other.region(), -1, Integer::sum);
+				free--;
+			}
+			else if (other.waiting()) {
+				waiting.add(other);
+			}
+		}
+		waiting.sort(Comparator.comparing(EngineLoadState::agent));
+		for (EngineLoadState next : waiting) {
+			if (free <= 0) {
+				return false;
+			}
+			boolean fits = freeByRegion.get(next.region()) > 0;
+			if (next.equals(own)) {
+				return fits;
+			}
+			if (fits) {
+				freeByRegion.merge(next.region(), -1, Integer::sum);
+				free--;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns whether what an agent knows of the others is recent enough for its turn.
+	 * Engines that come to hold a version at about the same time know of each other only
+	 * after their reports have reached the entry that tells them.
+	 * @param sinceReportMs time since the agent first reported that it holds the version
+	 * @param viewAgeMs time since an entry told the agent of the others
+	 * @return false if it has to ask again before its engine loads
+	 */
+	public static boolean isViewCurrent(long sinceReportMs, long viewAgeMs) {
+		return sinceReportMs >= REPORT_SPREAD_MS && viewAgeMs <= REPORT_SPREAD_MS;
+	}
+
+	private static Map<String, Integer> countByRegion(EngineLoadState own, Collection<EngineLoadState> others) {
+		Map<String, Integer> counts = new HashMap<>(Map.of(own.region(), 1));
+		others.forEach((other) -> counts.merge(other.region(), 1, Integer::sum));
+		return counts;
+	}
+
+	/**
+	 * Returns how many of some engines may load at the same time before the load
+	 * deadline.
+	 * @param engines number of engines
+	 * @param remainingMs time until the load deadline
+	 * @return the number, at least 1
+	 */
+	public static int maxLoading(int engines, long remainingMs) {
+		long turns = Math.max(MIN_TURNS, Math.min(MAX_TURNS, 1 + remainingMs / LOAD_DURATION_MS));
+		return (int) Math.max(1, (engines + turns - 1) / turns);
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/weights/VersionLoadPolicyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/VersionLoadPolicyTests.java
@@ -1,5 +1,6 @@
 package org.wigeontally.weights;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.testng.annotations.Test;
@@ -12,34 +13,77 @@
  */
 public class VersionLoadPolicyTests {
 
-	private static final List<String> READY_AGENTS = List.of("a", "b", "c", "d", "e", "f");
+	private static final long SHORT_MS = 1_000;
+
+	private static final long LONG_MS = 20_000;
 
 	/**
-	 * Six of six engines have the new version staged: half of them load it while the
-	 * others serve requests.
+	 * Six of six engines hold the new version: half of them load it while the others
+	 * serve requests, or fewer if there is time for more turns.
 	 */
 	@Test
 	public void halfOfTheEnginesLoadFirst() {
-		long first = READY_AGENTS.stream()
-			.filter((agent) -> VersionLoadPolicy.mayLoad(agent, 1, others(agent), 6, false))
-			.count();
-		assertThat(first).isEqualTo(3);
+		List<EngineLoadState> fleet = fleet("a", "a", "a", "a", "a", "a");
+		assertThat(firstTurn(fleet, SHORT_MS)).hasSize(3);
+		assertThat(firstTurn(fleet, LONG_MS)).hasSize(2);
 	}
 
+	/**
+	 * Engines hold the version in the reverse order of their addresses, so that each
+	 * finds itself before all that are loading.
+	 */
 	@Test
-	public void loadsAtOnceWithoutWeightsOrNearTheDeadline() {
-		assertThat(VersionLoadPolicy.mayLoad("f", 0, others("f"), 6, false)).isTrue();
-		assertThat(VersionLoadPolicy.mayLoad("f", 1, others("f"), 6, true)).isTrue();
-		assertThat(VersionLoadPolicy.mayLoad("f", 1, others("f"), 6, false)).isFalse();
+	public void loadingEnginesCountWhateverTheirOrder() {
+		List<EngineLoadState> fleet = new ArrayList<>(fleet("a", "a", "a", "a", "a", "a"));
+		fleet.replaceAll((engine) -> new EngineLoadState(engine.agent(), engine.region(), false, false));
+		int loading = 0;
+		for (int i = fleet.size() - 1; i >= 0; i--) {
+			EngineLoadState own = fleet.get(i);
+			boolean loads = VersionLoadPolicy.mayLoad(own, 1, others(fleet, own), SHORT_MS);
+			loading += loads ? 1 : 0;
+			fleet.set(i, new EngineLoadState(own.agent(), own.region(), loads, !loads));
+		}
+		assertThat(loading).isEqualTo(3);
+	}
+
+	/** Some requests may be served in one region only. */
+	@Test
+	public void everyRegionKeepsAnEngineInService() {
+		List<EngineLoadState> fleet = fleet("a", "a", "b", "b", "c", "c");
+		assertThat(firstTurn(fleet, SHORT_MS)).extracting(EngineLoadState::region).containsExactly("a", "b", "c");
+	}
+
+	@Test
+	public void loadsAtOnceWithoutWeightsOrAfterTheDeadline() {
+		List<EngineLoadState> fleet = fleet("a", "a", "a", "a", "a", "a");
+		EngineLoadState last = fleet.get(5);
+		assertThat(VersionLoadPolicy.mayLoad(last, 0, others(fleet, last), SHORT_MS)).isTrue();
+		assertThat(VersionLoadPolicy.mayLoad(last, 1, others(fleet, last), 0)).isTrue();
+		assertThat(VersionLoadPolicy.mayLoad(last, 1, others(fleet, last), SHORT_MS)).isFalse();
 	}
 
 	@Test
 	public void singleEngineMayLoad() {
-		assertThat(VersionLoadPolicy.mayLoad("a", 1, List.of(), 1, false)).isTrue();
+		List<EngineLoadState> fleet = fleet("a");
+		assertThat(VersionLoadPolicy.mayLoad(fleet.get(0), 1, List.of(), SHORT_MS)).isTrue();
+	}
+
+	private static List<EngineLoadState> fleet(String... regions) {
+		List<EngineLoadState> fleet = new ArrayList<>();
+		for (String region : regions) {
+			fleet.add(new EngineLoadState("agent-" + fleet.size(), region, false, true));
+		}
+		return fleet;
+	}
+
+	private static List<EngineLoadState> firstTurn(List<EngineLoadState> fleet, long remainingMs) {
+		return fleet.stream()
+			.filter((own) -> VersionLoadPolicy.mayLoad(own, 1, others(fleet, own), remainingMs))
+			.toList();
 	}
 
-	private static List<String> others(String self) {
-		return READY_AGENTS.stream().filter((agent) -> !agent.equals(self)).toList();
+	private static List<EngineLoadState> others(List<EngineLoadState> fleet, EngineLoadState own) {
+		return fleet.stream().filter((engine) -> engine != own).toList();
 	}
 
 	/**
