Connects that fail together count as one failure

Callers got 503 (no-backend) for up to two seconds after a backend server that had been unreachable for a moment was back, and entries avoided it for several seconds more: every failed connect doubled the backoff and counted as a failure, so that a few that were begun together and timed out together took the backoff from 250 ms to its limit of 2 s, and the failure rate to 0.9. If all backend servers of a service fall silent for a second, so that connects time out, the whole service is left out that long.

A connect that fails during a backoff was begun before it, and says nothing about whether the backoff is long enough. It no longer prolongs the backoff, nor adds to the failure rate. A connect that fails after a backoff doubles the next one as before.

Evidence: BackendHealthTests was red before. After 20 connects that fail within 20 ms the backoff of 250 ms had not ended after 250 ms, and the failure rate was 0.909 (0.333 after one). Ruled out: the time limit of connects (700 ms) itself; a failed connect proves that nothing was sent, so the request goes elsewhere.

--- a/library/src/main/java/org/wigeontally/fleet/BackendHealth.java
+++ b/library/src/main/java/org/wigeontally/fleet/BackendHealth.java
@@ -80,10 +80,15 @@
 	}
 
 	/**
-	 * Records that no connection could be established, and starts a backoff.
+	 * Records that no connection could be established, and starts a backoff. Connects
+	 * that were begun together fail together and count once: those that fail during a
+	 * backoff tell nothing new.
 	 * @param nowMs current time in milliseconds
 	 */
 	public void recordConnectFailure(long nowMs) {
+		if (isBackingOff(nowMs)) {
+			return;
+		}
 		recordFailure(nowMs);
 		long backoffMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << Math.min(this.consecutiveConnectFailures, 8));
 		this.consecutiveConnectFailures++;
