Entry: header-timeout-ms counts

What callers saw: a head that did not end held its connection until the idle limit, and was then closed without an answer.

Cause: the limit was decoded and used nowhere.

Evidence: headThatDoesNotEndIsRefused, red before (no answer within 6 s; limit 400 ms, idle limit 10 s).

Fix: the time counts for each head from its first byte, with the limit in force then, and not while the caller waits for a response. The end is 408 with Connection: close, which promises truly that nothing ran. Heads are swept like idle connections, so a hold-up of the loop refuses none that has arrived. Empty lines between requests begin no head.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -58,6 +58,11 @@
 		this.lastReadAtMs = this.context.nowMs();
 	}
 
+	@Override
+	public void headBegun() {
+		this.state.headBegun(this.lastReadAtMs, this.limits.get());
+	}
+
 	@Override
 	public void headReceived() {
 		this.state.headReceived();
@@ -94,10 +99,24 @@
 	 * Closes the connection because its caller sent nothing for too long.
 	 */
 	void closeExpired() {
+		if (this.state.isHeadBegun()) {
+			refuseHead();
+			return;
+		}
 		startClosing();
 		this.connection.close();
 	}
 
+	private void refuseHead() {
+		if (hasUnsentBytes()) {
+			return;
+		}
+		String body = "head-too-slow\n";
+		this.decoder.writeResponse("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: text/plain\r\n"
+				+ "Content-Length: " + body.length() + "\r\n\r\n" + body);
+		closeAfterResponse();
+	}
+
 	/**
 	 * Closes the connection a moment after a response that announces it. Nothing that
 	 * arrives meanwhile is read as a request.
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
@@ -1,19 +1,23 @@
 package org.wigeontally.gateway;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 
 /**
  * Decodes the requests on the connection of a caller, and reports where their headers
- * end.
+ * begin and end.
  *
  * <p>
  * Rejects requests with both a Content-Length header and chunked transfer encoding. The
@@ -24,6 +28,12 @@
 
 	private final Listener listener;
 
+	private ChannelHandlerContext handlerContext;
+
+	private boolean inHead;
+
+	private boolean inBody;
+
 	private boolean discarding;
 
 	private CallerRequestDecoder(HttpServerOptions options, Listener listener) {
@@ -46,6 +56,11 @@
 		return decoder;
 	}
 
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.handlerContext = context;
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
 		this.listener.bytesRead();
@@ -53,6 +68,11 @@
 			bytes.skipBytes(bytes.readableBytes());
 			return;
 		}
+		// Empty lines between two requests are ignored.
+		if (!this.inHead && !this.inBody && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
+			this.inHead = true;
+			this.listener.headBegun();
+		}
 		int known = messages.size();
 		super.decode(context, bytes, messages);
 		messages.subList(known, messages.size()).forEach(this::messageDecoded);
@@ -60,8 +80,13 @@
 
 	private void messageDecoded(Object message) {
 		if (message instanceof HttpRequest) {
+			this.inHead = false;
+			this.inBody = true;
 			this.listener.headReceived();
 		}
+		if (message instanceof LastHttpContent) {
+			this.inBody = false;
+		}
 	}
 
 	@Override
@@ -76,6 +101,17 @@
 		this.discarding = true;
 	}
 
+	/**
+	 * Writes a response to a request whose headers have not ended. No other response may
+	 * be in progress.
+	 * @param response the response
+	 */
+	void writeResponse(String response) {
+		// The encoder, which is further from the socket, only accepts responses to
+		// requests that were decoded.
+		this.handlerContext.writeAndFlush(Unpooled.wrappedBuffer(response.getBytes(StandardCharsets.ISO_8859_1)));
+	}
+
 	/**
 	 * Is told what was read from a connection.
 	 */
@@ -84,6 +120,9 @@
 		/** Some bytes were read. */
 		void bytesRead();
 
+		/** The first byte of a request was read. */
+		void headBegun();
+
 		/** The headers of a request were read. */
 		void headReceived();
 
--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -1,19 +1,25 @@
 package org.wigeontally.fleet;
 
 /**
- * When the connection of a caller has waited for a request for too long.
+ * Which part of a request the connection of a caller waits for, and when it has waited
+ * too long.
  *
  * <p>
  * A caller does not learn when an entry applies a configuration, so it may rely on any
- * idle limit that was in force since it connected. The longest of them applies. Not
- * thread-safe.
+ * idle limit that was in force since it connected. The longest of them applies. The time
+ * for a head counts from its first byte, with the limit that was in force then, and not
+ * while the caller waits for a response. Not thread-safe.
  */
 public final class CallerConnectionState {
 
 	private long idleLimitMs;
 
+	private long headLimitMs;
+
 	private long waitingSinceMs;
 
+	private boolean headBegun;
+
 	private int unanswered;
 
 	private CallerConnectionState(long nowMs) {
@@ -40,10 +46,22 @@
 		this.idleLimitMs = Math.max(this.idleLimitMs, limits.idleTimeoutMs());
 	}
 
+	/**
+	 * Records the first byte of a request.
+	 * @param nowMs monotonic time
+	 * @param limits the limits in force
+	 */
+	public void headBegun(long nowMs, CallerLimits limits) {
+		this.headBegun = true;
+		this.headLimitMs = limits.headerTimeoutMs();
+		this.waitingSinceMs = nowMs;
+	}
+
 	/**
 	 * Records the end of the headers of a request.
 	 */
 	public void headReceived() {
+		this.headBegun = false;
 		this.unanswered++;
 	}
 
@@ -61,7 +79,9 @@
 	 * @param nowMs monotonic time
 	 */
 	public void responsePending(long nowMs) {
-		this.waitingSinceMs = nowMs;
+		if (!this.headBegun) {
+			this.waitingSinceMs = nowMs;
+		}
 	}
 
 	/**
@@ -78,7 +98,15 @@
 	 * @return milliseconds
 	 */
 	public long limitMs() {
-		return this.idleLimitMs;
+		return this.headBegun ? this.headLimitMs : this.idleLimitMs;
+	}
+
+	/**
+	 * Returns whether the caller has begun a request and not ended its headers.
+	 * @return true if it has
+	 */
+	public boolean isHeadBegun() {
+		return this.headBegun;
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/CallerConnectionTests.java
@@ -147,6 +147,22 @@
 		}
 	}
 
+	/** Guards against a head that holds its connection without end. */
+	@Test
+	public void headThatDoesNotEndIsRefused() throws Exception {
+		startEntry(400, 10_000);
+		try (KeptConnection connection = connect()) {
+			assertThat(connection.call("plain", "first")).isEqualTo(200);
+			Thread.sleep(600);
+			long startNs = System.nanoTime();
+			connection.send(KeptConnection.request("plain", "second").substring(0, 30));
+			assertThat(connection.readStatus()).isEqualTo(408);
+			assertThat((System.nanoTime() - startNs) / 1_000_000).isBetween(300L, 1_500L);
+			assertThat(connection.isClosing()).isTrue();
+			assertThat(connection.readStatus()).isEqualTo(KeptConnection.NO_ANSWER);
+		}
+	}
+
 	/**
 	 * Guards against a change of the limits that cuts a body which was allowed before.
 	 */
--- a/testsuite/src/test/java/org/wigeontally/gateway/ConnectionSweepTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ConnectionSweepTests.java
@@ -137,6 +137,7 @@
 		private void readSockets() {
 			for (Connection connection : this.connections) {
 				if (connection.requestAtMs <= this.nowMs) {
+					connection.state.headBegun(this.nowMs, LIMITS);
 					connection.state.headReceived();
 					connection.state.answered(this.nowMs);
 					connection.requestAtMs = nextRequestMs();
