Agent: reports go on while the engine is silent

What callers saw: streams on an engine that was silent for a second were given up sooner than those on an engine that is slow.

Cause: an agent reported only when its poll of the engine had ended. A poll of a silent engine ends after its time-out of 1 s, the next tick comes up to 50 ms later, and entries use a report for 1 s. So a silence of one second made the report overdue, which entries take as a sign that the whole host is gone: BackendAttempt shortens its patience, the load and the mark "loading" of the engine are forgotten, and the version is the one that was registered.

Fix: while a poll is late, reports are sent and weights are collected on time, from the state read last. Orders to the engine still wait for a fresh state.

--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -179,7 +179,7 @@
 				this.closer.add(this.entryReporter::close);
 				this.log.write(LogEvent.START, "role", "agent", "zone", this.settings.getZone(), "engine",
 						Addresses.format(this.settings.getBackend()));
-				this.vertx.setPeriodic(0, ENGINE_POLL_INTERVAL_MS, (id) -> pollEngine());
+				this.vertx.setPeriodic(0, ENGINE_POLL_INTERVAL_MS, (id) -> runPeriodicSteps());
 				this.vertx.setPeriodic(ENTRY_DISCOVERY_INTERVAL_MS, (id) -> discoverEntries());
 			})
 			.mapEmpty();
@@ -196,6 +196,17 @@
 					failure.getMessage()));
 	}
 
+	// An engine that is silent for a moment holds up neither the reports, without which
+	// entries take the host for lost, nor the fetch of weights.
+	private void runPeriodicSteps() {
+		pollEngine();
+		boolean late = this.pollInProgress && this.clock.monotonicMs() - this.lastPollMs >= REPORT_INTERVAL_MS;
+		if (late && this.engineState != null) {
+			runStep("report", () -> reportStatus(false));
+			runStep("collect", this::collectWeights);
+		}
+	}
+
 	private void pollEngine() {
 		long nowMs = this.clock.monotonicMs();
 		long intervalMs = Math.min(REPORT_INTERVAL_MS, minReportIntervalMs());
@@ -337,19 +348,26 @@
 		return status;
 	}
 
+	private boolean mayCollectWeights() {
+		boolean starting = this.engineState == null && this.failedPolls < UNREACHABLE_AFTER_FAILED_POLLS;
+		return this.view.isKnown() && !starting && !this.draining && !isEngineGone();
+	}
+
+	// Chunks are fetched even while the engine is unreachable for a short time.
+	private void collectWeights() {
+		if (mayCollectWeights()) {
+			this.collector.collect(this.view.targetVersion());
+			this.collector.setEngineServing(isEngineReachable() && loadedVersion() > 0);
+		}
+	}
+
 	// Takes the next step towards loading the target version.
 	private void reconcile() {
-		boolean starting = this.engineState == null && this.failedPolls < UNREACHABLE_AFTER_FAILED_POLLS;
-		if (!this.view.isKnown() || starting || this.draining || isEngineGone()) {
+		collectWeights();
+		if (!mayCollectWeights() || !isEngineReachable()) {
 			return;
 		}
 		long target = this.view.targetVersion();
-		// Chunks are fetched even while the engine is unreachable for a short time.
-		this.collector.collect(target);
-		this.collector.setEngineServing(isEngineReachable() && loadedVersion() > 0);
-		if (!isEngineReachable()) {
-			return;
-		}
 		if (loadedVersion() >= target || this.engineState.busy()) {
 			this.loadAnnounced = this.loadAnnounced && this.loader.isRunning();
 		}
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -0,0 +1,125 @@
+package org.wigeontally.sidecar;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.fleet.BackendLoad;
+import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.standin.FakeEngine;
+import org.wigeontally.platform.standin.FakeWeightOrigin;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
+import org.wigeontally.schema.generated.HostSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the agent of a sound engine that falls silent for a second or two and goes on.
+ */
+public class SilentEngineTests {
+
+	/** Another address of the host, so that the test receives the agent's datagrams. */
+	private static final String AGENT_IP = "127.0.0.2";
+
+	private static final long LONG_SILENCE_MS = 2_500;
+
+	private GatewayFixture fixture;
+
+	private FakeWeightOrigin origin;
+
+	private FakeEngine engine;
+
+	private SidecarDaemon agent;
+
+	private final List<Report> reports = new CopyOnWriteArrayList<>();
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.reports.clear();
+		this.fixture = new GatewayFixture();
+		this.origin = GatewayFixture.await(FakeWeightOrigin.start(this.fixture.vertx()));
+		JsonObject profile = GatewayFixture.engineWithChunks(FakeWeightOrigin.CHUNKS, FakeWeightOrigin.CHUNK_BYTES);
+		JsonArray services = new JsonArray()
+			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", profile))
+			.add(new JsonObject().put("name", "weights")
+				.put("origin", "127.0.0.1:" + this.origin.port())
+				.put("zone", "zone-a")
+				.put("max-connections", 48));
+		this.fixture.store()
+			.write("op", "config",
+					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+		this.fixture.startEntry();
+		this.engine = GatewayFixture.await(FakeEngine.start(this.fixture.vertx(), 1));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.agent.close();
+		this.fixture.close();
+		assertThat(this.engine.violations()).isEmpty();
+	}
+
+	/** An entry takes an engine without recent reports for one whose host is gone. */
+	@Test
+	public void reportsGoOnWhileTheEngineIsSilent() throws Exception {
+		startAgent();
+		GatewayFixture.awaitTrue(() -> !this.reports.isEmpty());
+		int before = this.reports.size();
+		this.engine.fallSilent(LONG_SILENCE_MS);
+		Thread.sleep(LONG_SILENCE_MS);
+		List<Report> all = List.copyOf(this.reports);
+		List<Report> during = all.subList(before - 1, all.size());
+		long longestGapMs = 0;
+		for (int i = 1; i < during.size(); i++) {
+			longestGapMs = Math.max(longestGapMs, during.get(i).atMs() - during.get(i - 1).atMs());
+		}
+		assertThat(longestGapMs).isLessThan(BackendLoad.MAX_REPORT_AGE_MS);
+		assertThat(during).allMatch((report) -> report.status().getReachable());
+	}
+
+	// The agent sends its datagrams to the entry's host and to its own port number.
+	private void startAgent() throws Exception {
+		int port = GatewayFixture.freeAddress().getPort();
+		DatagramSocket receiver = this.fixture.vertx().createDatagramSocket();
+		receiver.handler((packet) -> {
+			try {
+				this.reports
+					.add(new Report(Clock.system().monotonicMs(), EngineStatus.parseFrom(packet.data().getBytes())));
+			}
+			catch (InvalidProtocolBufferException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		GatewayFixture.await(receiver.listen(port, "127.0.0.1"));
+		HostSettings settings = HostSettings.newBuilder()
+			.setHost("agent-" + port)
+			.setZone("zone-a")
+			.setRegion("region-a")
+			.setIp(AGENT_IP)
+			.setInternalPort(port)
+			.setMetricsPort(GatewayFixture.freeAddress().getPort())
+			.addSeeds(this.fixture.settings(0).getControl())
+			.setStore(this.fixture.settings(0).getStore())
+			.setBackend(Address.newBuilder().setIp("127.0.0.1").setPort(this.engine.port()))
+			.setBounds(this.fixture.settings(0).getBounds())
+			.build();
+		this.agent = GatewayFixture.await(SidecarDaemon.start(this.fixture.vertx(), settings, Clock.system(),
+				EventLog.create(Clock.system(), settings.getHost())));
+		GatewayFixture.awaitTrue(() -> !this.reports.isEmpty());
+	}
+
+	private record Report(long atMs, EngineStatus status) {
+
+	}
+
+}
