Agent: what a load came to is read from a state asked for after it

What callers saw: an engine that was silent for a second while it was ordered to load got the order twice, so it could load the version again instead of serving; meanwhile entries were told that it was not loading and sent it requests that it does not take.

Cause: a call without an answer ended the load as failed. The notice to the entries was withdrawn, and the next decision was made on the state read before the order: not busy, the old version. A second order went out with the number of orders that the engine had counted by then, so the engine had no reason to refuse it. The same happened without any silence when a poll that began before the order was answered after it. The notice of a load that ended between two polls stayed until the newest version was loaded, if a newer one than that loaded had been announced.

Evidence: SilentEngineTests, an engine silent for 1.5 s (2.5 s) from the arrival of the order: loadOrderAcceptedLateIsSentOnce 2 orders in place of 1 before; noticeOfALoadLastsWhileItsOrderMayBeAcceptedLate a report with neither "loading" nor the new version before. engineIsBackInServiceAfterALoadDuringItsSilence passed before as well: the lasting notice was found by reading, the test does not show it.

Fix: after an attempt, however it ended, the notice lasts and no other load begins until a poll that began later is answered; the engine is not ordered if it executes an order or has loaded the version. No load begins while polls fail.

--- a/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
@@ -13,6 +13,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.platform.wire.EngineClient;
+import org.wigeontally.platform.wire.EngineState;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.weights.VerifiedWeights;
 
@@ -64,10 +65,10 @@
 	 * @param version the version
 	 * @param weights the verified chunks of the version
 	 * @param announceLoad notifies the entries that the engine is about to load
-	 * @return true if the engine accepted the order or already loaded the version, false
-	 * if it refused the order; fails if the outcome is unknown
+	 * @return completes when the attempt has ended; only the engine's state shows what it
+	 * came to
 	 */
-	Future<Boolean> load(String model, long version, VerifiedWeights weights, Runnable announceLoad) {
+	Future<Void> load(String model, long version, VerifiedWeights weights, Runnable announceLoad) {
 		this.running = true;
 		List<byte[]> chunks = weights.chunks();
 		// Within compose whatever is thrown fails the future, so that the load ends.
@@ -77,18 +78,26 @@
 		})
 			.compose((v) -> stageUntilValid(model, chunks, 0))
 			.compose((v) -> this.client.fetchState(this.engine))
-			.compose((state) -> this.client.sendLoadOrder(this.engine, model, version, state.startedOrders()))
-			.map((status) -> {
-				boolean accepted = status == 202 || status == 200;
-				this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "status", status, "outcome",
-						accepted ? "taken" : "refused");
-				return accepted;
-			})
+			.compose((state) -> orderUnlessBegun(model, version, state))
 			.onFailure((failure) -> this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "outcome",
 					"unknown", "reason", failure.getMessage()))
 			.onComplete((done) -> this.running = false);
 	}
 
+	// An earlier order without a response may have been accepted meanwhile.
+	private Future<Void> orderUnlessBegun(String model, long version, EngineState state) {
+		if (state.busy() || state.loadedVersions().getOrDefault(model, 0L) >= version) {
+			this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "outcome", "begun before");
+			return Future.succeededFuture();
+		}
+		return this.client.sendLoadOrder(this.engine, model, version, state.startedOrders()).map((status) -> {
+			boolean accepted = status == 202 || status == 200;
+			this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "status", status, "outcome",
+					accepted ? "taken" : "refused");
+			return null;
+		});
+	}
+
 	// Staging takes time in which chunks read before can become corrupt. Therefore all
 	// chunks are read again after any of them was staged.
 	private Future<Void> stageUntilValid(String model, List<byte[]> chunks, int stagings) {
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -114,6 +114,14 @@
 
 	private boolean loadAnnounced;
 
+	private long pollCount;
+
+	// Number of the last poll that was answered.
+	private long answeredPoll;
+
+	// Number of the first poll that shows what the last load came to.
+	private long firstPollAfterLoad;
+
 	private boolean draining;
 
 	private long sequence;
@@ -214,6 +222,7 @@
 			return;
 		}
 		this.pollInProgress = true;
+		this.pollCount++;
 		this.lastPollMs = nowMs;
 		// Within compose whatever is thrown fails the future, so that the poll ends.
 		Future.succeededFuture()
@@ -259,6 +268,14 @@
 		this.failedPolls = 0;
 		this.lastEngineAnswerMs = this.clock.monotonicMs();
 		this.engineState = newState;
+		this.answeredPoll = this.pollCount;
+		this.loadAnnounced = this.loadAnnounced && isLoadOutcomeUnknown();
+	}
+
+	// An order that got no response may have been accepted, or may still be. Only a state
+	// that was asked for after the load ended shows which.
+	private boolean isLoadOutcomeUnknown() {
+		return this.loader.isRunning() || this.answeredPoll < this.firstPollAfterLoad;
 	}
 
 	private void handlePollFailure(Throwable cause) {
@@ -368,12 +385,10 @@
 			return;
 		}
 		long target = this.view.targetVersion();
-		if (loadedVersion() >= target || this.engineState.busy()) {
-			this.loadAnnounced = this.loadAnnounced && this.loader.isRunning();
-		}
 		this.collector.dropVersionsBefore(loadedVersion());
 		long version = this.collector.newestVerifiedVersion();
-		if (version <= loadedVersion() || this.engineState.busy() || this.loader.isRunning()) {
+		boolean silent = this.failedPolls > 0;
+		if (version <= loadedVersion() || this.engineState.busy() || isLoadOutcomeUnknown() || silent) {
 			return;
 		}
 		Optional<VerifiedWeights> weights = this.collector.verifiedWeights(version);
@@ -385,11 +400,8 @@
 			return;
 		}
 		this.loadAnnounced = true;
-		this.loader.load(this.view.model(), version, weights.get(), () -> reportStatus(true)).onComplete((result) -> {
-			if (result.failed() || !result.result()) {
-				this.loadAnnounced = false;
-			}
-		});
+		this.loader.load(this.view.model(), version, weights.get(), () -> reportStatus(true))
+			.onComplete((result) -> this.firstPollAfterLoad = this.pollCount + 1);
 	}
 
 	// Returns the time until all engines with the loaded version may load at once; not
--- a/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
@@ -144,7 +144,7 @@
 		EngineLoader loader = new EngineLoader(this.fixture.vertx(), EventLog.create(Clock.system(), "agent"),
 				EngineClient.create(this.fixture.vertx()), engineAddress());
 		VerifiedWeights weights = VerifiedWeights.of(Manifest.getDefaultInstance(), ChunkStore.create(1)).orElseThrow();
-		Future<Boolean> load = Future.succeededFuture().compose((v) -> loader.load("m0", 2, weights, () -> {
+		Future<Void> load = Future.succeededFuture().compose((v) -> loader.load("m0", 2, weights, () -> {
 			throw new StackOverflowError();
 		}));
 		GatewayFixture.awaitTrue(load::isComplete);
--- a/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -31,6 +31,8 @@
 	/** Another address of the host, so that the test receives the agent's datagrams. */
 	private static final String AGENT_IP = "127.0.0.2";
 
+	private static final long SILENCE_MS = 1_500;
+
 	private static final long LONG_SILENCE_MS = 2_500;
 
 	private GatewayFixture fixture;
@@ -87,6 +89,62 @@
 		assertThat(during).allMatch((report) -> report.status().getReachable());
 	}
 
+	/** The engine accepts the order after the agent's call has timed out. */
+	@Test
+	public void loadOrderAcceptedLateIsSentOnce() throws Exception {
+		startAgent();
+		this.engine.fallSilentOnOrder(SILENCE_MS);
+		announceVersion(2);
+		awaitLoaded(2);
+		// Longer than the agent takes for another order.
+		Thread.sleep(SILENCE_MS);
+		assertThat(this.engine.receivedOrders()).isEqualTo(1);
+	}
+
+	/** Entries would send requests to an engine that may accept the order any moment. */
+	@Test
+	public void noticeOfALoadLastsWhileItsOrderMayBeAcceptedLate() throws Exception {
+		startAgent();
+		this.engine.fallSilentOnOrder(LONG_SILENCE_MS);
+		announceVersion(2);
+		awaitLoaded(2);
+		List<Report> all = List.copyOf(this.reports);
+		int firstLoading = 0;
+		while (!all.get(firstLoading).status().getLoading()) {
+			firstLoading++;
+		}
+		for (Report report : all.subList(firstLoading, all.size())) {
+			assertThat(report.status().getLoading() || report.status().getLoadedVersion() == 2).isTrue();
+		}
+	}
+
+	/**
+	 * The load begins and ends while the engine is silent, and a newer version that is
+	 * announced cannot be fetched.
+	 */
+	@Test
+	public void engineIsBackInServiceAfterALoadDuringItsSilence() throws Exception {
+		startAgent();
+		this.engine.fallSilentAfterOrder(SILENCE_MS);
+		announceVersion(2);
+		GatewayFixture.awaitTrue(() -> !this.engine.orderedVersions().isEmpty());
+		this.origin.setUnavailable(true);
+		announceVersion(3);
+		awaitLoaded(2);
+		GatewayFixture.awaitTrue(() -> {
+			EngineStatus last = this.reports.get(this.reports.size() - 1).status();
+			return last.getLoadedVersion() == 2 && !last.getLoading();
+		});
+	}
+
+	private void announceVersion(long version) {
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
+	}
+
+	private void awaitLoaded(long version) throws InterruptedException {
+		GatewayFixture.awaitTrue(() -> this.engine.loadedVersion() == version);
+	}
+
 	// The agent sends its datagrams to the entry's host and to its own port number.
 	private void startAgent() throws Exception {
 		int port = GatewayFixture.freeAddress().getPort();
