Agent: a silent engine's staged chunks are neither staged nor fetched again

What callers saw: an agent that started beside an engine that was silent for a second fetched all weights again over the links that carry their streams; an engine that was silent while its agent compared the staged chunks stayed out of service longer, as they were staged and compared once more.

Cause: a call for a staged chunk that timed out counted as "missing or corrupt", and a list of staged chunks that timed out as "none".

A version that is announced later does not wait for this: what its agent has staged it holds in memory, so the staged chunks are read only while no version is held.

--- a/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 
@@ -119,7 +120,7 @@
 		return forEachIndex(IntStream.range(0, chunks.size()).boxed().toList(),
 				(index) -> this.client.fetchStagedChunk(this.engine, model, index)
 					.map((bytes) -> Arrays.equals(chunks.get(index), bytes.getBytes()))
-					.recover((failure) -> Future.succeededFuture(false))
+					.recover(EngineLoader::invalidIfAnswered)
 					.onSuccess((isValid) -> {
 						if (!isValid) {
 							invalid.add(index);
@@ -129,6 +130,11 @@
 			.map(invalid);
 	}
 
+	// An engine that is silent has not said that a chunk is missing.
+	private static Future<Boolean> invalidIfAnswered(Throwable failure) {
+		return (failure instanceof TimeoutException) ? Future.failedFuture(failure) : Future.succeededFuture(false);
+	}
+
 	private Future<Void> stageChunks(String model, List<byte[]> chunks, List<Integer> indexes) {
 		return forEachIndex(indexes,
 				(index) -> this.client.stageChunk(this.engine, model, index, Buffer.buffer(chunks.get(index))));
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -278,7 +278,10 @@
 				"beside", this.downloads.headMap(version).keySet(), "other-agents",
 				this.view.briefing().getAgentsCount(), "origin-connections",
 				this.engine.openConnections(this.view.briefing().getOrigin()));
-		readStagedChunks(version, chunkDigests).onComplete((result) -> {
+		// Of what an agent has staged itself it holds the verified chunks in memory.
+		boolean holdsOther = newestVerifiedVersion() > 0;
+		Future<Void> read = holdsOther ? Future.succeededFuture() : readStagedChunks(version, chunkDigests);
+		read.onComplete((result) -> {
 			download.markStagedChunksRead(this.clock.monotonicMs());
 			if (this.downloads.containsKey(version)) {
 				startFetchIfAllowed(download);
--- a/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -1,5 +1,6 @@
 package org.wigeontally.sidecar;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -137,6 +138,32 @@
 		});
 	}
 
+	@Test
+	public void stagedChunksAreNotStagedAgainAfterASilence() throws Exception {
+		startAgent();
+		GatewayFixture.awaitTrue(() -> this.agent.newestVerifiedVersion() == 1);
+		this.engine.fallSilentOnStagedRead(changedChunks(), SILENCE_MS);
+		announceVersion(2);
+		awaitLoaded(2);
+		assertThat(this.engine.stagedChunkCount()).isEqualTo(changedChunks());
+	}
+
+	private static int changedChunks() {
+		int changed = 0;
+		for (int index = 0; index < FakeWeightOrigin.CHUNKS; index++) {
+			changed += Arrays.equals(FakeWeightOrigin.chunk(1, index), FakeWeightOrigin.chunk(2, index)) ? 0 : 1;
+		}
+		return changed;
+	}
+
+	@Test
+	public void weightsStagedAtASilentEngineAreNotFetchedAgain() throws Exception {
+		this.engine.fallSilentOnStagedRead(0, SILENCE_MS);
+		startAgent();
+		GatewayFixture.awaitTrue(() -> this.agent.newestVerifiedVersion() == 1);
+		assertThat(this.origin.sentChunks()).isZero();
+	}
+
 	private void announceVersion(long version) {
 		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
 	}
