--- a/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 
@@ -13,6 +14,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.platform.wire.EngineClient;
+import org.wigeontally.platform.wire.EngineState;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.weights.VerifiedWeights;
 
@@ -64,10 +66,10 @@
 	 * @param version the version
 	 * @param weights the verified chunks of the version
 	 * @param announceLoad notifies the entries that the engine is about to load
-	 * @return true if the engine accepted the order or already loaded the version, false
-	 * if it refused the order; fails if the outcome is unknown
+	 * @return completes when the attempt has ended; only the engine's state shows what it
+	 * came to
 	 */
-	Future<Boolean> load(String model, long version, VerifiedWeights weights, Runnable announceLoad) {
+	Future<Void> load(String model, long version, VerifiedWeights weights, Runnable announceLoad) {
 		this.running = true;
 		List<byte[]> chunks = weights.chunks();
 		// Within compose whatever is thrown fails the future, so that the load ends.
@@ -77,18 +79,26 @@
 		})
 			.compose((v) -> stageUntilValid(model, chunks, 0))
 			.compose((v) -> this.client.fetchState(this.engine))
-			.compose((state) -> this.client.sendLoadOrder(this.engine, model, version, state.startedOrders()))
-			.map((status) -> {
-				boolean accepted = status == 202 || status == 200;
-				this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "status", status, "outcome",
-						accepted ? "taken" : "refused");
-				return accepted;
-			})
+			.compose((state) -> orderUnlessBegun(model, version, state))
 			.onFailure((failure) -> this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "outcome",
 					"unknown", "reason", failure.getMessage()))
 			.onComplete((done) -> this.running = false);
 	}
 
+	// An earlier order without a response may have been accepted meanwhile.
+	private Future<Void> orderUnlessBegun(String model, long version, EngineState state) {
+		if (state.busy() || state.loadedVersions().getOrDefault(model, 0L) >= version) {
+			this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "outcome", "begun before");
+			return Future.succeededFuture();
+		}
+		return this.client.sendLoadOrder(this.engine, model, version, state.startedOrders()).map((status) -> {
+			boolean accepted = status == 202 || status == 200;
+			this.log.write(LogEvent.ORDER, "phase", "load", "version", version, "status", status, "outcome",
+					accepted ? "taken" : "refused");
+			return null;
+		});
+	}
+
 	// Staging takes time in which chunks read before can become corrupt. Therefore all
 	// chunks are read again after any of them was staged.
 	private Future<Void> stageUntilValid(String model, List<byte[]> chunks, int stagings) {
@@ -110,7 +120,7 @@
 		return forEachIndex(IntStream.range(0, chunks.size()).boxed().toList(),
 				(index) -> this.client.fetchStagedChunk(this.engine, model, index)
 					.map((bytes) -> Arrays.equals(chunks.get(index), bytes.getBytes()))
-					.recover((failure) -> Future.succeededFuture(false))
+					.recover(EngineLoader::invalidIfAnswered)
 					.onSuccess((isValid) -> {
 						if (!isValid) {
 							invalid.add(index);
@@ -120,6 +130,11 @@
 			.map(invalid);
 	}
 
+	// An engine that is silent has not said that a chunk is missing.
+	private static Future<Boolean> invalidIfAnswered(Throwable failure) {
+		return (failure instanceof TimeoutException) ? Future.failedFuture(failure) : Future.succeededFuture(false);
+	}
+
 	private Future<Void> stageChunks(String model, List<byte[]> chunks, List<Integer> indexes) {
 		return forEachIndex(indexes,
 				(index) -> this.client.stageChunk(this.engine, model, index, Buffer.buffer(chunks.get(index))));
--- a/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -80,7 +80,8 @@
 		int before = this.reports.size();
 		this.engine.fallSilent(LONG_SILENCE_MS);
 		Thread.sleep(LONG_SILENCE_MS);
-		List<Report> during = this.reports.subList(before - 1, this.reports.size());
+		List<Report> all = List.copyOf(this.reports);
+		List<Report> during = all.subList(before - 1, all.size());
 		long longestGapMs = 0;
 		for (int i = 1; i < during.size(); i++) {
 			longestGapMs = Math.max(longestGapMs, during.get(i).atMs() - during.get(i - 1).atMs());
@@ -108,11 +109,12 @@
 		this.engine.fallSilentOnOrder(LONG_SILENCE_MS);
 		announceVersion(2);
 		awaitLoaded(2);
+		List<Report> all = List.copyOf(this.reports);
 		int firstLoading = 0;
-		while (!this.reports.get(firstLoading).status().getLoading()) {
+		while (!all.get(firstLoading).status().getLoading()) {
 			firstLoading++;
 		}
-		for (Report report : this.reports.subList(firstLoading, this.reports.size())) {
+		for (Report report : all.subList(firstLoading, all.size())) {
 			assertThat(report.status().getLoading() || report.status().getLoadedVersion() == 2).isTrue();
 		}
 	}
