A stream is not cut since a second attempt has sent something

Callers lost the connection of a sound stream that went on after a silence, if its second attempt had sent a comment or a repeated event meanwhile.

Cause: the writer of a stream knew one current reader. Whatever the second one sent made it current, and the end of the first, or an id that is larger by more than usual, was then taken for a gap.

Now the writer remembers for each reader whether it has had the last event.

--- a/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EventStreamWriter.java
@@ -1,6 +1,8 @@
 package org.wigeontally.gateway;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.buffer.Buffer;
@@ -19,7 +21,8 @@
 
 	private final CallerWriter writer;
 
-	private ResponseReader currentReader;
+	// Readers of streams that have had the last event and go on after it.
+	private final Set<ResponseReader> connectedReaders = new HashSet<>();
 
 	private long lastEventId = EventStreamSplitter.Event.NO_ID;
 
@@ -27,13 +30,10 @@
 
 	private long writtenEvents;
 
-	private boolean connected = true;
-
 	private boolean hasEventsWithoutId;
 
 	EventStreamWriter(CallerWriter writer, ResponseReader firstReader, boolean closeConnection) {
 		this.writer = writer;
-		this.currentReader = firstReader;
 		copyHead(firstReader.status(), firstReader.headers(), writer.response(), closeConnection);
 		writer.response().setChunked(true);
 	}
@@ -56,14 +56,10 @@
 	 * @return false if an event does not follow those that were written before
 	 */
 	boolean writeEvents(ResponseReader reader) {
-		if (reader != this.currentReader) {
-			this.currentReader = reader;
-			this.connected = !hasLastEvent();
-		}
 		EventStreamSplitter.Event event = reader.takeEvent();
 		while (event != null) {
-			boolean follows = (event.id() != EventStreamSplitter.Event.NO_ID) ? writeNumbered(event)
-					: writeWithoutId(event);
+			boolean follows = (event.id() != EventStreamSplitter.Event.NO_ID) ? writeNumbered(reader, event)
+					: writeWithoutId(reader, event);
 			if (!follows) {
 				return false;
 			}
@@ -72,38 +68,49 @@
 		return true;
 	}
 
-	private boolean writeNumbered(EventStreamSplitter.Event event) {
+	private boolean writeNumbered(ResponseReader reader, EventStreamSplitter.Event event) {
 		if (event.id() <= this.lastEventId) {
-			this.connected |= event.id() == this.lastEventId;
+			if (event.id() == this.lastEventId) {
+				this.connectedReaders.add(reader);
+			}
 			return true;
 		}
 		if (hasLastEvent()) {
 			long step = event.id() - this.lastEventId;
-			if (!this.connected && this.longestStep > 0 && step > this.longestStep) {
+			if (!isConnected(reader) && this.longestStep > 0 && step > this.longestStep) {
 				return false;
 			}
 			this.longestStep = Math.max(this.longestStep, step);
 		}
-		this.connected = true;
 		this.lastEventId = event.id();
-		this.writtenEvents++;
+		recordWritten(reader);
 		this.writer.write(Buffer.buffer(event.bytes()));
 		return true;
 	}
 
 	// The place of an event without an id is known only among the events of one stream.
-	private boolean writeWithoutId(EventStreamSplitter.Event event) {
+	private boolean writeWithoutId(ResponseReader reader, EventStreamSplitter.Event event) {
 		if (!EventSyntax.isComment(event.bytes())) {
-			if (!this.connected) {
+			if (!isConnected(reader)) {
 				return false;
 			}
 			this.hasEventsWithoutId = true;
-			this.writtenEvents++;
+			recordWritten(reader);
 		}
 		this.writer.write(Buffer.buffer(event.bytes()));
 		return true;
 	}
 
+	private void recordWritten(ResponseReader reader) {
+		this.writtenEvents++;
+		this.connectedReaders.clear();
+		this.connectedReaders.add(reader);
+	}
+
+	private boolean isConnected(ResponseReader reader) {
+		return this.writtenEvents == 0 || this.connectedReaders.contains(reader);
+	}
+
 	private boolean hasLastEvent() {
 		return this.lastEventId != EventStreamSplitter.Event.NO_ID;
 	}
@@ -115,7 +122,7 @@
 	 * @return true if this stream is complete
 	 */
 	boolean isEndedBy(ResponseReader reader) {
-		return (reader == this.currentReader) ? this.connected : !hasLastEvent();
+		return isConnected(reader);
 	}
 
 	/**
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
@@ -0,0 +1,115 @@
+package org.wigeontally.gateway;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Future;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetSocket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
+import org.wigeontally.platform.standin.TestCaller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Requests with several attempts at once, since the earlier ones are silent or must not
+ * begin any more.
+ */
+public class SecondAttemptTests {
+
+	private static final long ROUTE_TIMEOUT_MS = 2_900;
+
+	private static final long SILENCE_MS = 1_700;
+
+	private GatewayFixture fixture;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.fixture = new GatewayFixture();
+		JsonObject configuration = FakeConfiguration.create(1, List.of());
+		configuration.getJsonArray("routes")
+			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS));
+		this.fixture.store().write("op", "config", configuration);
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private void later(long delayMs, Runnable action) {
+		this.fixture.vertx().setTimer(delayMs, (id) -> action.run());
+	}
+
+	private void startPair(String service, FakeBackend.Behaviour first, FakeBackend.Behaviour successor)
+			throws Exception {
+		AtomicInteger arrivals = new AtomicInteger();
+		for (int number = 0; number < 2; number++) {
+			this.fixture.startBackend("backend-" + number, service, "zone-a", (arrival,
+					socket) -> ((arrivals.getAndIncrement() == 0) ? first : successor).respond(arrival, socket));
+		}
+		this.fixture.startEntry();
+		this.fixture.awaitReady(0);
+	}
+
+	private static String events(int end) {
+		StringBuilder events = new StringBuilder();
+		for (int number = 0; number < end; number++) {
+			events.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
+		}
+		return events.toString();
+	}
+
+	private static String begin(FakeBackend.ReceivedRequest arrival, int end) {
+		return FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s1") + FakeBackend.loadHeader(1, 16))
+				+ FakeBackend.eventChunks(0, end);
+	}
+
+	/** A successor begins with something that is no new event, then waits. */
+	@DataProvider
+	public Object[][] beginnings() {
+		return new Object[][] { { "comment", FakeBackend.chunk(": wait\n\n") },
+				{ "repeated event", FakeBackend.eventChunks(0, 1) } };
+	}
+
+	private static void beginOnly(FakeBackend.ReceivedRequest arrival, NetSocket socket, String beginning) {
+		socket.write(FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s2")) + beginning);
+	}
+
+	/**
+	 * The end of the first stream must count although the successor has sent something.
+	 */
+	@Test(dataProvider = "beginnings")
+	public void streamEndsAfterASilenceBeforeItsEnd(String name, String beginning) throws Exception {
+		startPair("engines", (arrival, socket) -> {
+			socket.write(begin(arrival, 6));
+			later(SILENCE_MS, () -> socket.write(FakeBackend.LAST_CHUNK));
+		}, (arrival, socket) -> beginOnly(arrival, socket, beginning));
+		TestCaller.Response response = this.fixture.call("events");
+		assertThat(response.status()).isEqualTo(200);
+		assertThat(response.body()).startsWith(events(6));
+	}
+
+	/** Guards against a cut of a stream whose ids are offsets. */
+	@Test(dataProvider = "beginnings")
+	public void streamGoesOnWithALargerStep(String name, String beginning) throws Exception {
+		startPair("engines", (arrival, socket) -> {
+			socket.write(begin(arrival, 3));
+			later(SILENCE_MS, () -> socket.write(FakeBackend.chunk("id: 9\ndata: e9\n\n") + FakeBackend.LAST_CHUNK));
+		}, (arrival, socket) -> beginOnly(arrival, socket, beginning));
+		TestCaller.Response response = this.fixture.call("events");
+		assertThat(response.status()).isEqualTo(200);
+		assertThat(response.body()).endsWith("id: 9\ndata: e9\n\n");
+	}
+
+	private Future<TestCaller.Response> send(String route, String id) {
+		return this.fixture.send(0, route, id + "-" + System.nanoTime(), GatewayFixture.API_KEY, "body");
+	}
+
+}
