Requests are withdrawn in time by a busy entry, and a comment is no begin

Requests began on an older version up to 115 ms after the bound of 3 s when the event loop of the entry was held up for 400 ms before it, and up to 502 ms after it when the engine had sent a comment.

Cause: the withdrawal came with a check each 200 ms, so 100 to 300 ms before the bound; and comments counted among the events that show that a request has begun.

Now a timer withdraws the request 400 ms before the bound, and comments do not count.

Holds of the event loop that last longer than 400 ms are not covered, nor backend servers that begin a request after its connection was closed.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -26,9 +26,10 @@
 
 	/**
 	 * Time before the latest begin of a request at which it is withdrawn if it has not
-	 * begun. It covers the interval between two checks and the way to the engine.
+	 * begun. It covers the way to the engine, and an event loop that is held up, as by
+	 * the decoding of a large record.
 	 */
-	private static final long WITHDRAWAL_LEAD_MS = PROGRESS_CHECK_INTERVAL_MS + 100;
+	private static final long WITHDRAWAL_LEAD_MS = 400;
 
 	/**
 	 * Time before a withdrawal from which a successor is tried, so that the request has
@@ -227,10 +228,7 @@
 			.write(LogEvent.ATTEMPT_OVERTAKEN, "id", this.request.attemptId(), "backend", backendId(), "by",
 					other.backendId(), "sent", this.sent, "silent-ms", silentMs());
 		this.context.metrics().recordAttempt(this.request.service(), "overtaken");
-		if (isSilent()) {
-			suspectIdleConnections();
-			this.backend.health().recordFailure(this.context.nowMs());
-		}
+		recordSilence();
 		cancel();
 	}
 
@@ -239,9 +237,18 @@
 	 */
 	void timeOut() {
 		suspectIdleConnections();
+		recordSilence();
 		cancel();
 	}
 
+	// A silence that has cost the request counts as a failure.
+	private void recordSilence() {
+		if (!this.ended && this.sent && isSilent()) {
+			suspectIdleConnections();
+			this.backend.health().recordFailure(this.context.nowMs());
+		}
+	}
+
 	private void suspectIdleConnections() {
 		if (!this.ended && this.sent && this.reader == null) {
 			this.backend.pool().closeIdleBefore(this.sentAtMs);
@@ -280,7 +287,9 @@
 		BackendRequest backendRequest = this.request.toBackendRequest(backendId(), remainingMs, this.enginePriority,
 				this.version.requiredVersion(nowMs), lastEventId);
 		backendConnection.send(backendRequest, this, () -> this.backend.pool().release(backendConnection));
-		this.progressTimer = this.context.vertx().setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> checkProgress());
+		if (this.request.route().isRetryable() || this.version != VersionRequirement.NONE) {
+			this.progressTimer = this.context.vertx().setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> checkProgress());
+		}
 	}
 
 	// Returns why the request may not be sent any more, now that there is a connection.
@@ -322,11 +331,14 @@
 		if (this.ended) {
 			return;
 		}
-		long beginLeftMs = hasBegun() ? Long.MAX_VALUE : beginLeftMs();
-		if (beginLeftMs <= WITHDRAWAL_LEAD_MS) {
+		long untilWithdrawalMs = untilWithdrawalMs();
+		if (untilWithdrawalMs <= 0) {
 			withdraw();
 			return;
 		}
+		if (untilWithdrawalMs < PROGRESS_CHECK_INTERVAL_MS) {
+			this.context.vertx().setTimer(untilWithdrawalMs, (id) -> checkProgress());
+		}
 		boolean silent = isSilent();
 		if (silent && !this.silenceLogged) {
 			this.silenceLogged = true;
@@ -334,7 +346,7 @@
 				.write(LogEvent.ATTEMPT_SILENT, "id", this.request.attemptId(), "backend", backendId(), "silent-ms",
 						silentMs(), "begun", this.listener.hasForwardedEvents());
 		}
-		if (silent || beginLeftMs <= WITHDRAWAL_LEAD_MS + WITHDRAWAL_NOTICE_MS) {
+		if (silent || untilWithdrawalMs <= WITHDRAWAL_NOTICE_MS) {
 			this.listener.successorWanted(this);
 		}
 	}
@@ -352,10 +364,11 @@
 		return this.reader != null && (!this.reader.isEventStream() || this.reader.takenEvents() > 0);
 	}
 
-	private long beginLeftMs() {
+	private long untilWithdrawalMs() {
 		long nowMs = this.context.nowMs();
-		long latestBeginMs = this.version.latestBeginMs(nowMs);
-		return (latestBeginMs == VersionRequirement.NO_LIMIT_MS) ? Long.MAX_VALUE : latestBeginMs - nowMs;
+		long latestBeginMs = hasBegun() ? VersionRequirement.NO_LIMIT_MS : this.version.latestBeginMs(nowMs);
+		return (latestBeginMs == VersionRequirement.NO_LIMIT_MS) ? Long.MAX_VALUE
+				: latestBeginMs - WITHDRAWAL_LEAD_MS - nowMs;
 	}
 
 	// The engine did nothing wrong, so this is no failure of its own.
--- a/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ResponseReader.java
@@ -140,13 +140,13 @@
 
 	EventStreamSplitter.Event takeEvent() {
 		EventStreamSplitter.Event taken = hasEvent() ? this.nextEvent : null;
-		this.takenEvents += (taken != null) ? 1 : 0;
+		this.takenEvents += (taken != null && !EventSyntax.isComment(taken.bytes())) ? 1 : 0;
 		this.nextEvent = null;
 		return taken;
 	}
 
 	/**
-	 * Returns how many events were taken so far.
+	 * Returns how many events were taken so far, without comments.
 	 * @return the number
 	 */
 	int takenEvents() {
--- a/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
@@ -1,6 +1,8 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Future;
@@ -108,6 +110,62 @@
 		assertThat(response.body()).endsWith("id: 9\ndata: e9\n\n");
 	}
 
+	/** Guards against a comment that is taken for the begin of a request. */
+	@Test
+	public void commentBeforeTheFirstEventIsNoBegin() throws Exception {
+		Queue<Long> begins = new ConcurrentLinkedQueue<>();
+		for (int number = 0; number < 8; number++) {
+			this.fixture.startBackend("old-" + number, "engines", "zone-a", (arrival, socket) -> {
+				beginOnly(arrival, socket, FakeBackend.chunk(": wait\n\n"));
+				later(1_900, () -> socket.write(FakeBackend.eventChunks(0, 3) + FakeBackend.LAST_CHUNK)
+					.onSuccess((written) -> begins.add(System.nanoTime() / 1_000_000)));
+			});
+		}
+		this.fixture.startEntryWithVersionBound(3_000);
+		this.fixture.awaitReady(0);
+		long announcedMs = System.nanoTime() / 1_000_000;
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		Thread.sleep(1_450);
+		for (int number = 0; number < 3; number++) {
+			send("events", "late-" + number);
+		}
+		Thread.sleep(2_500);
+		assertThat(begins).allSatisfy((ms) -> assertThat(ms - announcedMs).isLessThanOrEqualTo(3_000));
+	}
+
+	/** Guards against a late withdrawal by an event loop that is held up for 400 ms. */
+	@Test
+	public void requestIsWithdrawnInTimeByABusyEntry() throws Exception {
+		Queue<Long> begins = new ConcurrentLinkedQueue<>();
+		for (int number = 0; number < 8; number++) {
+			this.fixture.startBackend("old-" + number, "engines", "zone-a",
+					(arrival, socket) -> later(1_900,
+							() -> socket
+								.write(FakeBackend.partialEventStream(arrival, "s1", 0, 3) + FakeBackend.LAST_CHUNK)
+								.onSuccess((written) -> begins.add(System.nanoTime() / 1_000_000))));
+		}
+		this.fixture.startEntryWithVersionBound(3_000);
+		this.fixture.awaitReady(0);
+		long announcedMs = System.nanoTime() / 1_000_000;
+		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		Thread.sleep(1_080);
+		for (int number = 0; number < 12; number++) {
+			send("events", "late-" + number);
+			Thread.sleep(5);
+		}
+		Thread.sleep(Math.max(0, announcedMs + 2_690 - System.nanoTime() / 1_000_000));
+		java.lang.reflect.Field loop = GatewayDaemon.class.getDeclaredField("eventLoop");
+		loop.setAccessible(true);
+		((io.vertx.core.Context) loop.get(this.fixture.entry(0))).runOnContext((result) -> {
+			long untilNs = System.nanoTime() + 400_000_000L;
+			while (System.nanoTime() < untilNs) {
+				Thread.onSpinWait();
+			}
+		});
+		Thread.sleep(1_500);
+		assertThat(begins).allSatisfy((ms) -> assertThat(ms - announcedMs).isLessThanOrEqualTo(3_000));
+	}
+
 	private Future<TestCaller.Response> send(String route, String id) {
 		return this.fixture.send(0, route, id + "-" + System.nanoTime(), GatewayFixture.API_KEY, "body");
 	}
