Every silent attempt may have a successor, and answers do not wait for one

Callers got 504 where two backend servers were dead and a third one could answer; waited to the time-out for a 404 that had arrived; and waited 2.3 s for a second attempt since the only other server had been at work on a long request.

Cause: the second attempt of a request had none after it; all failures waited for the other attempt; and a server that sent nothing for 0.6 s while it worked was taken for silent.

Now the newest silent attempt may have a successor up to the limit of the route. Only refusals and server errors wait for another attempt. The 0.6 s apply to streams, whose engines send something several times in that time.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -71,7 +71,7 @@
 		long nowMs = this.context.nowMs();
 		Service service = this.context.fleet().service(request.service());
 		List<Backend> candidates = candidates(request, service, triedBackendIds, nowMs).stream()
-			.filter((backend) -> !backend.limit().isNamed() && SilencePolicy.isFitAsSuccessor(backend.silentMs(nowMs)))
+			.filter((backend) -> isFitAsSuccessor(request, backend, nowMs))
 			.toList();
 		if (candidates.isEmpty()) {
 			return Optional.empty();
@@ -80,6 +80,11 @@
 		return (placement instanceof Placement.Placed placed) ? Optional.of(placed) : Optional.empty();
 	}
 
+	private static boolean isFitAsSuccessor(CallerRequest request, Backend backend, long nowMs) {
+		return !backend.limit().isNamed()
+				&& SilencePolicy.isFitAsSuccessor(request.route().kind(), backend.silentMs(nowMs));
+	}
+
 	private Placement choose(CallerRequest request, Service service, List<Backend> candidates, long targetLeftMs,
 			long deadlineLeftMs, long nowMs) {
 		List<BackendCandidate> placementCandidates = candidates.stream()
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -25,24 +25,21 @@
  * The request is sent to one backend server at a time, and at most as often as its route
  * allows. Failed connects do not count for that limit but have one of their own. It is
  * retried only if it is certain that it did not run (the connection failed, or the
- * backend server says so), or if its route allows it to run more than once. While an
- * attempt is silent, such a request is sent to a second backend server too, and the
- * attempt that makes progress first is kept: a sound backend server can be silent for a
- * moment, and no other one is certain to answer. A response is forwarded only after it
- * was received completely. Event streams are the exception: each complete event is
- * forwarded when it arrives. If a stream breaks, another backend server resumes it where
- * the route allows that; otherwise the connection to the caller is closed, so that the
- * response cannot be mistaken for a complete one. When the caller disconnects, the
- * connection to the backend server is closed, which cancels the request there. Runs on
- * the event loop.
+ * backend server says so), or if its route allows it to run more than once. While its
+ * attempts are silent, such a request is sent to one more backend server, and the attempt
+ * that makes progress first is kept: a sound backend server can be silent for a moment,
+ * and no other one is certain to answer. A response is forwarded only after it was
+ * received completely. Event streams are the exception: each complete event is forwarded
+ * when it arrives. If a stream breaks, another backend server resumes it where the route
+ * allows that; otherwise the connection to the caller is closed, so that the response
+ * cannot be mistaken for a complete one. When the caller disconnects, the connection to
+ * the backend server is closed, which cancels the request there. Runs on the event loop.
  */
 final class RequestRelay implements AttemptListener {
 
 	/** Minimum remaining time for which another attempt is started. */
 	private static final long MIN_REMAINING_MS = 30;
 
-	private static final int CALLER_ERROR = 400;
-
 	private static final int SERVER_ERROR = 500;
 
 	/** Refusal reason after a failed attempt, whose cause is logged separately. */
@@ -245,7 +242,7 @@
 
 	@Override
 	public void successorWanted(BackendAttempt attempt) {
-		if (this.finished || !this.attempts.isOnly(attempt) || !mayHaveSuccessor()) {
+		if (this.finished || !this.attempts.isNewest(attempt) || !mayHaveSuccessor()) {
 			return;
 		}
 		Optional<Placement.Placed> placed = this.placer.placeSuccessor(this.request, this.triedBackendIds,
@@ -257,7 +254,8 @@
 
 	private boolean mayHaveSuccessor() {
 		if (!this.request.route().isRetryable() || !isResumable() || remainingMs() < MIN_REMAINING_MS
-				|| this.sentAttempts >= this.request.route().maxAttempts()) {
+				|| this.sentAttempts >= this.request.route().maxAttempts()
+				|| this.connectFailures >= MAX_CONNECT_FAILURES) {
 			return false;
 		}
 		// A prompt on trial runs at one engine at a time.
@@ -306,7 +304,7 @@
 	}
 
 	private void keepOnly(BackendAttempt winner) {
-		this.attempts.keepOnly(winner).ifPresent((other) -> other.overtakenBy(winner));
+		this.attempts.keepOnly(winner).forEach((other) -> other.overtakenBy(winner));
 	}
 
 	private void startStream(ResponseReader reader) {
@@ -339,9 +337,10 @@
 			attemptFailed(attempt, AttemptFailure.FAILED, "no stream, status " + response.status());
 			return;
 		}
-		// A server error is a valid response, but a retry or the other attempt may
-		// succeed. The first one is kept and returned if none does.
-		boolean awaitsOther = response.status() >= CALLER_ERROR && !this.attempts.isOnly(attempt);
+		// A server error is a valid response, but a retry or another attempt may succeed.
+		// The first one is kept and returned if none does. So is a refusal while another
+		// attempt runs.
+		boolean awaitsOther = NotRunPromise.isPromise(response.status()) && !this.attempts.isOnly(attempt);
 		if (response.status() >= SERVER_ERROR || awaitsOther) {
 			this.failureResponse = (this.failureResponse != null) ? this.failureResponse : response;
 			updateMemory();
--- a/daemons/src/main/java/org/wigeontally/gateway/RunningAttempts.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RunningAttempts.java
@@ -2,23 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 
 /**
- * The attempts of one request that run now: one, or two while the first is silent. The
- * first one that makes progress is kept. Runs on the event loop.
+ * The attempts of one request that run now: one, or several while all earlier ones are
+ * silent. The first one that makes progress is kept. Runs on the event loop.
  */
 final class RunningAttempts {
 
-	private static final int MAX_RUNNING = 2;
-
 	// In the order of their starts.
-	private final List<BackendAttempt> running = new ArrayList<>(MAX_RUNNING);
+	private final List<BackendAttempt> running = new ArrayList<>();
 
 	void add(BackendAttempt attempt) {
-		if (this.running.size() == MAX_RUNNING) {
-			throw new IllegalStateException("a request has " + MAX_RUNNING + " attempts already");
-		}
 		this.running.add(attempt);
 	}
 
@@ -40,7 +34,16 @@
 	 * @return true if no other one runs
 	 */
 	boolean isOnly(BackendAttempt attempt) {
-		return this.running.size() == 1 && this.running.contains(attempt);
+		return this.running.size() == 1 && isNewest(attempt);
+	}
+
+	/**
+	 * Returns whether an attempt was started last.
+	 * @param attempt the attempt
+	 * @return true if it runs, and no later one does
+	 */
+	boolean isNewest(BackendAttempt attempt) {
+		return !isEmpty() && this.running.get(this.running.size() - 1) == attempt;
 	}
 
 	boolean isAnySent() {
@@ -48,14 +51,14 @@
 	}
 
 	/**
-	 * Keeps the attempt that made progress and removes the other one.
+	 * Keeps the attempt that made progress and removes all others.
 	 * @param winner the attempt to keep
-	 * @return the other attempt, which the caller has to cancel; empty if there was none
+	 * @return the others, which the caller has to cancel
 	 */
-	Optional<BackendAttempt> keepOnly(BackendAttempt winner) {
-		Optional<BackendAttempt> other = this.running.stream().filter((attempt) -> attempt != winner).findFirst();
-		other.ifPresent(this.running::remove);
-		return other;
+	List<BackendAttempt> keepOnly(BackendAttempt winner) {
+		List<BackendAttempt> others = this.running.stream().filter((attempt) -> attempt != winner).toList();
+		this.running.removeAll(others);
+		return others;
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/NotRunPromise.java
+++ b/library/src/main/java/org/wigeontally/fleet/NotRunPromise.java
@@ -16,6 +16,15 @@
 	private NotRunPromise() {
 	}
 
+	/**
+	 * Returns whether a status promises that the request has not run.
+	 * @param status the status
+	 * @return true if it does
+	 */
+	public static boolean isPromise(int status) {
+		return PROMISING_STATUSES.contains(status);
+	}
+
 	/**
 	 * Returns whether a caller may get a status.
 	 * @param status the status
@@ -25,7 +34,7 @@
 	 * run and must not run twice
 	 */
 	public static boolean isKept(int status, boolean mayHaveRun, boolean repeatable) {
-		return repeatable || !mayHaveRun || !PROMISING_STATUSES.contains(status);
+		return repeatable || !mayHaveRun || !isPromise(status);
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/SilencePolicy.java
+++ b/library/src/main/java/org/wigeontally/fleet/SilencePolicy.java
@@ -7,9 +7,10 @@
  * A sound backend server can be silent for a second or two and then go on, and nothing
  * tells it from one that will never answer. So silence alone ends no request. It is a
  * reason to try a second backend server beside the first one, and to prefer others for
- * new requests until the silent one sends something again. A successor goes only to a
- * backend server that is not silent itself: if a whole service is silent, second attempts
- * would double its load when it goes on, and bring no answer sooner.
+ * new requests until the silent one sends something again. The successor of a stream goes
+ * only to an engine that is not silent itself: if all are silent, second attempts would
+ * double their load when they go on, and bring no answer sooner. Other backend servers
+ * send nothing while they work on a request, so their silence says less.
  */
 public final class SilencePolicy {
 
@@ -29,8 +30,8 @@
 	private static final long FIRST_EVENT_MS = 2_200;
 
 	/**
-	 * Silence from which a backend server gets no successors. A sound one that runs
-	 * requests sends something several times in this time.
+	 * Silence from which an engine gets no successors. A sound one that runs streams
+	 * sends something several times in this time.
 	 */
 	private static final long SUCCESSOR_MS = 600;
 
@@ -64,11 +65,12 @@
 
 	/**
 	 * Returns whether a backend server can be the second one of a request.
+	 * @param kind kind of the request
 	 * @param silentMs time since the backend server has sent anything while requests ran
 	 * @return true if it can
 	 */
-	public static boolean isFitAsSuccessor(long silentMs) {
-		return silentMs <= SUCCESSOR_MS;
+	public static boolean isFitAsSuccessor(RequestKind kind, long silentMs) {
+		return kind != RequestKind.STREAM || silentMs <= SUCCESSOR_MS;
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
@@ -1,5 +1,6 @@
 package org.wigeontally.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -110,6 +111,82 @@
 		assertThat(response.body()).endsWith("id: 9\ndata: e9\n\n");
 	}
 
+	/** Guards against waiting for the silent attempt with an answer at hand. */
+	@Test
+	public void callerErrorIsDeliveredAtOnce() throws Exception {
+		startPair("desk", (arrival, socket) -> {
+		}, (arrival, socket) -> socket
+			.write(FakeBackend.response(arrival, "404 Not Found", FakeBackend.signatureHeader("s2"), "none")));
+		long startMs = System.nanoTime() / 1_000_000;
+		TestCaller.Response response = this.fixture.call("plain");
+		assertThat(response.status()).isEqualTo(404);
+		assertThat(System.nanoTime() / 1_000_000 - startMs).isLessThan(1_200);
+	}
+
+	/**
+	 * Guards against new requests for a backend server whose requests have all timed out.
+	 */
+	@Test
+	public void darkServerIsAvoidedAfterItsRequestsTimedOut() throws Exception {
+		FakeBackend dark = this.fixture.startBackend("dark", "desk", "zone-a", (arrival, socket) -> {
+		});
+		this.fixture.startEntry();
+		this.fixture.awaitReady(0);
+		List<Future<TestCaller.Response>> responses = new ArrayList<>();
+		for (int number = 0; number < 10; number++) {
+			responses.add(send("plain", "first-" + number));
+		}
+		for (Future<TestCaller.Response> response : responses) {
+			assertThat(GatewayFixture.await(response).status()).isEqualTo(504);
+		}
+		assertThat(dark.receivedRequests()).hasSize(10);
+		FakeBackend sound = this.fixture.startBackend("sound", "desk", "zone-a",
+				GatewayFixture.respondWithSuccess("ok"));
+		Thread.sleep(300);
+		for (int number = 0; number < 20; number++) {
+			send("plain", "second-" + number);
+		}
+		Thread.sleep(300);
+		assertThat(dark.receivedRequests().size() - 10).isLessThan(5);
+	}
+
+	/** Guards against attempts that outlive their request. */
+	@Test
+	public void twoConnectionsAreClosedWhenTheRequestTimesOut() throws Exception {
+		List<FakeBackend> engines = new ArrayList<>();
+		for (int number = 0; number < 2; number++) {
+			engines.add(this.fixture.startBackend("backend-" + number, "engines", "zone-a", (arrival, socket) -> {
+			}));
+		}
+		this.fixture.startEntry();
+		this.fixture.awaitReady(0);
+		assertThat(this.fixture.call("events").status()).isEqualTo(504);
+		assertThat(engines).allMatch((engine) -> engine.receivedRequests().size() == 1);
+		GatewayFixture.awaitTrue(() -> engines.stream().allMatch((engine) -> engine.openConnectionCount() == 0));
+	}
+
+	/**
+	 * Two dark servers must not use up the time of a request that a third one can serve.
+	 */
+	@Test
+	public void thirdServerIsTriedWhenTwoAreDark() throws Exception {
+		JsonObject configuration = FakeConfiguration.create(2, List.of());
+		configuration.getJsonArray("routes")
+			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS).put("max-attempts", 3));
+		this.fixture.store().write("op", "config", configuration);
+		AtomicInteger arrivals = new AtomicInteger();
+		for (int number = 0; number < 3; number++) {
+			this.fixture.startBackend("backend-" + number, "desk", "zone-a", (arrival, socket) -> {
+				if (arrivals.getAndIncrement() == 2) {
+					socket.write(FakeBackend.signedResponse(arrival, "third"));
+				}
+			});
+		}
+		this.fixture.startEntry();
+		this.fixture.awaitReady(0);
+		assertThat(this.fixture.call("plain").status()).isEqualTo(200);
+	}
+
 	/** Guards against a comment that is taken for the begin of a request. */
 	@Test
 	public void commentBeforeTheFirstEventIsNoBegin() throws Exception {
@@ -133,6 +210,33 @@
 		assertThat(begins).allSatisfy((ms) -> assertThat(ms - announcedMs).isLessThanOrEqualTo(3_000));
 	}
 
+	/** Guards against leaving out a backend server that works on a long request. */
+	@Test
+	public void serverWithALongRequestCanBeTheSecond() throws Exception {
+		JsonObject configuration = FakeConfiguration.create(2, List.of());
+		configuration.getJsonArray("routes").forEach((route) -> ((JsonObject) route).put("timeout-ms", 4_000));
+		this.fixture.store().write("op", "config", configuration);
+		FakeBackend sound = this.fixture.startBackend("sound", "desk", "zone-a", (arrival, socket) -> {
+			if (arrival.uri().startsWith("/once")) {
+				later(3_500, () -> socket.write(FakeBackend.signedResponse(arrival, "long")));
+			}
+			else {
+				socket.write(FakeBackend.signedResponse(arrival, "short"));
+			}
+		});
+		this.fixture.startEntry();
+		this.fixture.awaitReady(0);
+		send("once", "long");
+		GatewayFixture.awaitTrue(() -> !sound.receivedRequests().isEmpty());
+		FakeBackend dark = this.fixture.startBackend("dark", "desk", "zone-a", (arrival, socket) -> {
+		});
+		Thread.sleep(800);
+		long startMs = System.nanoTime() / 1_000_000;
+		TestCaller.Response response = this.fixture.call("plain");
+		assertThat(response.status()).isEqualTo(200);
+		assertThat(System.nanoTime() / 1_000_000 - startMs).isLessThan(1_200);
+	}
+
 	/** Guards against a late withdrawal by an event loop that is held up for 400 ms. */
 	@Test
 	public void requestIsWithdrawnInTimeByABusyEntry() throws Exception {
