Soak: sound backend servers fall silent and go on

Answers 502 and 504 before the timeout of the route are now broken promises too, if every backend server that ran the request was sound. FakeBackend has a Silence that holds back what it does, like a frozen process whose connections the system still accepts. A soak also tells how many connections the entries opened and for how long its own event loop was held up, which silences all stand-ins and callers at once.

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/EntryAddresses.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/EntryAddresses.java
@@ -45,6 +45,7 @@
 				ip: "127.0.0.1"
 				zones:
 				- {zone: "zone-a", region: "region-a"}
+				- {zone: "zone-b", region: "region-a"}
 				front: "%s"
 				ready: "%s"
 				control: "%s"
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/SoakMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/SoakMeasurement.java
@@ -5,6 +5,7 @@
 
 import com.beust.jcommander.Parameter;
 
+import org.wigeontally.emulator.soak.SoakDisruptions;
 import org.wigeontally.emulator.soak.SoakResult;
 import org.wigeontally.emulator.soak.SoakRun;
 import org.wigeontally.emulator.soak.SoakSetting;
@@ -22,7 +23,10 @@
 	private int entries = 4;
 
 	@Parameter(names = "--callers", description = "Number of callers")
-	private int callers = 24;
+	private Integer callers;
+
+	@Parameter(names = "--disruptions", description = "What disrupts the entries: FAULTS, SILENCES or ALL")
+	private SoakDisruptions disruptions = SoakDisruptions.FAULTS;
 
 	@Override
 	public String name() {
@@ -32,15 +36,18 @@
 	@Override
 	public Figures run(long seed) throws Exception {
 		Path directory = Files.createTempDirectory("wigeontally-soak");
-		SoakSetting usual = SoakSetting.usual(seed, this.seconds * 1_000L);
+		SoakSetting usual = SoakSetting.usual(seed, this.seconds * 1_000L, this.disruptions);
 		SoakResult result = SoakRun.run(new SoakSetting(this.entries, usual.plainBackends(), usual.engines(),
-				this.callers, usual.lengthMs(), seed), directory);
+				(this.callers != null) ? this.callers : usual.callers(), usual.lengthMs(), this.disruptions, seed),
+				directory);
 		System.out.println("logs: " + directory);
 		System.out.println(result.describe());
 		return Figures.create()
 			.put("seed", seed)
 			.put("requests", result.requests())
 			.put("servedShare", result.servedShare())
+			.put("connections", result.connections())
+			.put("longestStallMs", result.longestStallMs())
 			.put("disruptions", result.disruptions().size())
 			.put("violations", result.violations().size());
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/LoopbackProxy.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/LoopbackProxy.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -32,6 +33,8 @@
 
 	private volatile Mode mode = Mode.PASS;
 
+	private final AtomicInteger connections = new AtomicInteger();
+
 	private NetServer server;
 
 	private LoopbackProxy(Vertx vertx, int targetPort) {
@@ -52,6 +55,14 @@
 		return this.server.actualPort();
 	}
 
+	/**
+	 * Returns how many connections were opened.
+	 * @return the number
+	 */
+	int connections() {
+		return this.connections.get();
+	}
+
 	void setTargetPort(int port) {
 		this.targetPort = port;
 	}
@@ -72,6 +83,7 @@
 	}
 
 	private void accept(NetSocket caller) {
+		this.connections.incrementAndGet();
 		if (this.mode == Mode.RESET) {
 			caller.close();
 			return;
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +16,7 @@
 
 import org.wigeontally.emulator.limits.LimitWindows;
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.Silence;
 
 /**
  * A backend server that answers in many ways, some of them wrong, names a limit from time
@@ -31,12 +33,20 @@
 
 	private static final int LATE_COPY_MS = 40;
 
+	/** One of this many events is sent in two halves. */
+	private static final int SPLIT_INTERVAL = 4;
+
+	/** Time between two silences. */
+	private static final long SILENCE_INTERVAL_MS = 1_500;
+
 	private final Vertx vertx;
 
 	private final String id;
 
 	private final boolean engine;
 
+	private final String zone;
+
 	private final SoakHistory history;
 
 	private final Random random;
@@ -47,6 +57,8 @@
 
 	private int starts;
 
+	private long soundsUntilMs;
+
 	private volatile boolean faulty;
 
 	private volatile double limit;
@@ -60,18 +72,21 @@
 
 	private final List<Long> limitedArrivalsMs = new CopyOnWriteArrayList<>();
 
-	private SoakBackend(Vertx vertx, String id, boolean engine, SoakHistory history, long seed, LoopbackProxy proxy) {
+	private SoakBackend(Vertx vertx, String id, boolean engine, String zone, SoakHistory history, long seed,
+			LoopbackProxy proxy) {
 		this.vertx = vertx;
 		this.id = id;
 		this.engine = engine;
+		this.zone = zone;
 		this.history = history;
 		this.random = new Random(seed);
 		this.proxy = proxy;
 	}
 
-	static Future<SoakBackend> start(Vertx vertx, String id, boolean engine, SoakHistory history, long seed) {
+	static Future<SoakBackend> start(Vertx vertx, String id, boolean engine, String zone, SoakHistory history,
+			long seed) {
 		return LoopbackProxy.start(vertx, 0)
-			.map((proxy) -> new SoakBackend(vertx, id, engine, history, seed, proxy))
+			.map((proxy) -> new SoakBackend(vertx, id, engine, zone, history, seed, proxy))
 			.compose((backend) -> backend.startServer().map(backend));
 	}
 
@@ -87,9 +102,21 @@
 		return this.id;
 	}
 
+	int connections() {
+		return this.proxy.connections();
+	}
+
+	String zone() {
+		return this.zone;
+	}
+
+	boolean isEngine() {
+		return this.engine;
+	}
+
 	JsonObject registration() {
 		return FakeBackend
-			.registration(this.proxy.port(), this.engine ? "engines" : "desk", "zone-a", "ready", this.engine ? 1 : 0)
+			.registration(this.proxy.port(), this.engine ? "engines" : "desk", this.zone, "ready", this.engine ? 1 : 0)
 			.put("born", this.starts);
 	}
 
@@ -99,6 +126,7 @@
 	 */
 	Future<Void> crash() {
 		this.running.forEach(this.history::spoiled);
+		this.running.clear();
 		this.proxy.resetAll();
 		setLimit(0);
 		return this.server.crash();
@@ -115,6 +143,22 @@
 		this.proxy.setMode(mode);
 	}
 
+	/**
+	 * Falls silent, unless it did so a short time ago.
+	 * @param lengthMs length of the silence
+	 * @return ends the silence; empty if there is none
+	 */
+	Optional<Runnable> fallSilent(long lengthMs) {
+		long nowMs = SoakHistory.nowMs();
+		if (nowMs < this.soundsUntilMs) {
+			return Optional.empty();
+		}
+		this.soundsUntilMs = nowMs + lengthMs + SILENCE_INTERVAL_MS;
+		Silence silence = this.server.silence();
+		silence.begin();
+		return Optional.of(silence::end);
+	}
+
 	void setFaulty(boolean isFaulty) {
 		this.faulty = isFaulty;
 	}
@@ -176,7 +220,7 @@
 			return;
 		}
 		if (draw < 12) {
-			this.history.spoiled(request.attemptId());
+			breakOff(request);
 			socket.close();
 			return;
 		}
@@ -185,27 +229,42 @@
 			return;
 		}
 		String answer = FakeBackend.response(request, "200 OK", headers, SoakHistory.plainBody(request.attemptId()));
-		this.vertx.setTimer(1 + this.random.nextInt(MAX_DELAY_MS), (timer) -> {
+		later(1 + this.random.nextInt(MAX_DELAY_MS), () -> {
 			if (draw < 16) {
-				this.history.spoiled(request.attemptId());
+				breakOff(request);
 				socket.write(answer.substring(0, answer.length() - 3)).onComplete((written) -> socket.close());
 				return;
 			}
 			this.running.remove(request.attemptId());
 			socket.write(answer);
 			if (draw < 22) {
-				this.vertx.setTimer(LATE_COPY_MS, (copy) -> socket.write(answer));
+				later(LATE_COPY_MS, () -> socket.write(answer));
 			}
 		});
 	}
 
+	private void breakOff(FakeBackend.ReceivedRequest request) {
+		this.history.spoiled(request.attemptId());
+		this.running.remove(request.attemptId());
+	}
+
+	private void later(long delayMs, Runnable action) {
+		Silence silence = this.server.silence();
+		this.vertx.setTimer(delayMs, (timer) -> silence.whenOver(action));
+	}
+
 	private void respondWithStream(FakeBackend.ReceivedRequest request, NetSocket socket, String headers, int draw) {
 		String last = request.headers().get("last-event-id");
 		int first = (last != null) ? Integer.parseInt(last) + 1 : 0;
 		List<Buffer> pieces = new ArrayList<>();
 		pieces.add(Buffer.buffer(FakeBackend.eventStreamHead(request, headers)));
-		for (int number = first; number < SoakHistory.EVENTS; number++) {
-			pieces.add(Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number))));
+		for (int number = first; number < this.history.eventCount(request.attemptId()); number++) {
+			Buffer chunk = Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number)));
+			int split = (this.random.nextInt(SPLIT_INTERVAL) == 0) ? chunk.length() / 2 : 0;
+			if (split > 0) {
+				pieces.add(chunk.slice(0, split));
+			}
+			pieces.add(chunk.slice(split, chunk.length()));
 		}
 		pieces.add(Buffer.buffer(FakeBackend.LAST_CHUNK));
 		int cutAfter = (draw < 20) ? this.random.nextInt(pieces.size()) : pieces.size();
@@ -220,14 +279,14 @@
 		}
 		if (next == cutAfter) {
 			// Breaks off within an event.
-			this.history.spoiled(request.attemptId());
+			breakOff(request);
 			socket.write(pieces.get(next).slice(0, pieces.get(next).length() / 2))
 				.onComplete((written) -> socket.close());
 			return;
 		}
 		socket.write(pieces.get(next));
-		this.vertx.setTimer(1 + this.random.nextInt(MAX_EVENT_PAUSE_MS),
-				(timer) -> writePieces(request, socket, pieces, next + 1, cutAfter));
+		later(1 + this.random.nextInt(MAX_EVENT_PAUSE_MS),
+				() -> writePieces(request, socket, pieces, next + 1, cutAfter));
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
@@ -34,17 +34,20 @@
 
 	private final HttpClient client;
 
+	private final long timeoutMs;
+
 	private volatile boolean stopped;
 
 	private int requests;
 
-	SoakCallers(Vertx vertx, List<SoakEntry> entries, SoakHistory history, long seed, int callers) {
+	SoakCallers(Vertx vertx, List<SoakEntry> entries, SoakHistory history, SoakSetting setting) {
 		this.vertx = vertx;
 		this.entries = entries;
 		this.history = history;
-		this.random = new Random(seed);
+		this.random = new Random(setting.seed());
+		this.timeoutMs = setting.disruptions().callerTimeoutMs();
 		this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAliveTimeout(20),
-				new PoolOptions().setHttp1MaxSize(callers));
+				new PoolOptions().setHttp1MaxSize(setting.callers()));
 	}
 
 	void start(int callers) {
@@ -66,10 +69,10 @@
 		SoakEntry entry = this.entries.get(entryIndex);
 		SoakHistory.Route route = SoakHistory.Route.values()[this.random.nextInt(SoakHistory.Route.values().length)];
 		String attemptId = "soak-" + this.requests++;
-		SoakHistory.Call call = new SoakHistory.Call(attemptId, route, entry, SoakHistory.nowMs(), 0, null);
+		SoakHistory.Call call = new SoakHistory.Call(attemptId, route, entry, SoakHistory.nowMs(), 0, 0, null);
 		TestCaller
 			.sendRequest(this.client, entry.front(), "/" + route.pathName() + "/x", attemptId,
-					FakeConfiguration.API_KEY, "body of " + attemptId)
+					FakeConfiguration.API_KEY, null, "body of " + attemptId, this.timeoutMs)
 			.onComplete((result) -> {
 				if (result.succeeded()) {
 					this.history.answered(call, result.result());
@@ -79,8 +82,8 @@
 				}
 				String reason = result.cause().getMessage();
 				this.history.broken(call, reason);
-				boolean overdue = SoakHistory.nowMs() - call.sentAtMs() >= TestCaller.REMAINING_MS;
-				if (overdue && !entry.wasDisturbedSince(call.sentAtMs() - TestCaller.REMAINING_MS)) {
+				boolean overdue = SoakHistory.nowMs() - call.sentAtMs() >= this.timeoutMs;
+				if (overdue && !entry.wasDisturbedSince(call.sentAtMs() - this.timeoutMs)) {
 					this.history.violation("no answer until the deadline: " + call);
 				}
 				sendLater(otherThan(entryIndex), PAUSE_AFTER_FAILURE_MS);
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakDisruptions.java
@@ -0,0 +1,70 @@
+package org.wigeontally.emulator.soak;
+
+/**
+ * What disrupts the entries of a soak, and how long its requests may take.
+ */
+public enum SoakDisruptions {
+
+	/** Faults of processes, connections, the store and backend servers. */
+	FAULTS(true, false, 1_500, 12_000),
+
+	/**
+	 * Sound backend servers fall silent and go on, beside planned work: configurations
+	 * and stops of entries.
+	 */
+	SILENCES(false, true, 6_000, 5_000),
+
+	/** Both. */
+	ALL(true, true, 6_000, 12_000);
+
+	/** Time that a caller waits beyond the timeout of the route. */
+	private static final long CALLER_PATIENCE_MS = 1_500;
+
+	private final boolean faults;
+
+	private final boolean silences;
+
+	private final long timeoutMs;
+
+	private final long recoveryMs;
+
+	SoakDisruptions(boolean faults, boolean silences, long timeoutMs, long recoveryMs) {
+		this.faults = faults;
+		this.silences = silences;
+		this.timeoutMs = timeoutMs;
+		this.recoveryMs = recoveryMs;
+	}
+
+	boolean hasFaults() {
+		return this.faults;
+	}
+
+	boolean hasSilences() {
+		return this.silences;
+	}
+
+	/**
+	 * Returns the timeout of the routes.
+	 * @return milliseconds
+	 */
+	long timeoutMs() {
+		return this.timeoutMs;
+	}
+
+	/**
+	 * Returns how long callers wait.
+	 * @return milliseconds
+	 */
+	long callerTimeoutMs() {
+		return this.timeoutMs + CALLER_PATIENCE_MS;
+	}
+
+	/**
+	 * Returns the time after the last disruption until everything is to be served again.
+	 * @return milliseconds
+	 */
+	long recoveryMs() {
+		return this.recoveryMs;
+	}
+
+}
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -37,8 +37,19 @@
 
 	}
 
-	/** Events of each stream. */
-	static final int EVENTS = 6;
+	private static final int SHORT_STREAM_EVENTS = 6;
+
+	private static final int LONG_STREAM_EVENTS = 40;
+
+	/** One of this many streams is a long one. */
+	private static final int LONG_STREAM_INTERVAL = 2;
+
+	/**
+	 * Time before the timeout of a route from which on an entry may end a request for it.
+	 */
+	private static final long TIMEOUT_TOLERANCE_MS = 100;
+
+	private final SoakDisruptions disruptions;
 
 	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
@@ -49,6 +60,14 @@
 
 	private final List<String> violations = new CopyOnWriteArrayList<>();
 
+	/**
+	 * Creates an empty history.
+	 * @param disruptions what disrupts the entries
+	 */
+	SoakHistory(SoakDisruptions disruptions) {
+		this.disruptions = disruptions;
+	}
+
 	static long nowMs() {
 		return Clock.system().monotonicMs();
 	}
@@ -74,16 +93,26 @@
 		return "answer of " + attemptId;
 	}
 
+	/**
+	 * Returns the number of events of a stream. Long ones are likely to meet a silence.
+	 * @param attemptId id of the request
+	 * @return the number
+	 */
+	int eventCount(String attemptId) {
+		boolean isLong = this.disruptions.hasSilences() && attemptId.hashCode() % LONG_STREAM_INTERVAL == 0;
+		return isLong ? LONG_STREAM_EVENTS : SHORT_STREAM_EVENTS;
+	}
+
 	static String event(String attemptId, int number) {
 		return "id: " + number + "\ndata: " + attemptId + "/" + number + "\n\n";
 	}
 
-	private static String expectedBody(Route route, String attemptId) {
+	private String expectedBody(Route route, String attemptId) {
 		if (route != Route.EVENTS) {
 			return plainBody(attemptId);
 		}
 		StringBuilder body = new StringBuilder();
-		for (int number = 0; number < EVENTS; number++) {
+		for (int number = 0; number < eventCount(attemptId); number++) {
 			body.append(event(attemptId, number));
 		}
 		return body.toString();
@@ -116,7 +145,8 @@
 
 	/**
 	 * Checks what can be told only at the end: requests that ran twice, refusals of
-	 * requests that ran, and requests that an entry left without an answer.
+	 * requests that ran, and requests that an entry left without an answer, or gave up
+	 * before their time, although their backend servers were sound.
 	 */
 	void checkAtEnd() {
 		for (Call call : this.calls) {
@@ -129,10 +159,17 @@
 			if (call.route() == Route.ONCE && promisesNotRun && ran > 0) {
 				violation("refused as not run, but ran: " + call);
 			}
-			boolean lost = call.status() == 0 && ran > 0 && !this.spoiled.containsKey(call.attemptId());
-			if (lost && !call.entry().wasDisturbedSince(call.sentAtMs())) {
+			boolean sound = ran > 0 && !this.spoiled.containsKey(call.attemptId());
+			if (!sound || call.entry().wasDisturbedSince(call.sentAtMs())
+					|| call.lengthMs() >= this.disruptions.timeoutMs() - TIMEOUT_TOLERANCE_MS) {
+				continue;
+			}
+			if (call.status() == 0) {
 				violation("cut without an answer: " + call);
 			}
+			if (call.status() == 502 || call.status() == 504) {
+				violation("given up although its backend servers were sound: " + call);
+			}
 		}
 	}
 
@@ -163,19 +200,23 @@
 	 * @param route its route
 	 * @param entry the entry that it was sent to
 	 * @param sentAtMs when it was sent
+	 * @param lengthMs time until its end, milliseconds
 	 * @param status status of the response; 0 for none
 	 * @param failure why there was no response, or null
 	 */
-	record Call(String attemptId, Route route, SoakEntry entry, long sentAtMs, int status, String failure) {
+	record Call(String attemptId, Route route, SoakEntry entry, long sentAtMs, long lengthMs, int status,
+			String failure) {
 
 		Call ended(int newStatus, String newFailure) {
-			return new Call(this.attemptId, this.route, this.entry, this.sentAtMs, newStatus, newFailure);
+			return new Call(this.attemptId, this.route, this.entry, this.sentAtMs, nowMs() - this.sentAtMs, newStatus,
+					newFailure);
 		}
 
 		@Override
 		public String toString() {
 			return this.route.pathName() + " " + this.attemptId + " at " + this.entry.name() + " sent " + this.sentAtMs
-					+ " status " + this.status + ((this.failure != null) ? " (" + this.failure + ")" : "");
+					+ " after " + this.lengthMs + " status " + this.status
+					+ ((this.failure != null) ? " (" + this.failure + ")" : "");
 		}
 
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakResult.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakResult.java
@@ -7,10 +7,13 @@
  *
  * @param requests requests of all callers
  * @param servedShare part of them that were served
+ * @param connections connections that the entries opened to backend servers
+ * @param longestStallMs longest time for which the stand-ins and callers were held up
  * @param disruptions the disruptions in their order, each with its time
  * @param violations what broke a promise
  */
-public record SoakResult(int requests, double servedShare, List<String> disruptions, List<String> violations) {
+public record SoakResult(int requests, double servedShare, int connections, long longestStallMs,
+		List<String> disruptions, List<String> violations) {
 
 	/**
 	 * Describes the result for a failed test.
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -20,10 +21,10 @@
 
 /**
  * Runs entries as real processes under load and disrupts them: signals, restarts, store
- * outages, broken connections, faulty and limited backend servers, new configurations.
- * Disruptions overlap. Checks while it runs, and at the end, what callers and backend
- * servers saw against the promises of the platform's pages. The sequence of disruptions
- * follows from the seed; their effects depend on the timing of the machine.
+ * outages, broken connections, faulty, limited and silent backend servers, new
+ * configurations. Disruptions overlap. Checks while it runs, and at the end, what callers
+ * and backend servers saw against the promises of the platform's pages. The sequence of
+ * disruptions follows from the seed; their effects depend on the timing of the machine.
  */
 public final class SoakRun implements AutoCloseable {
 
@@ -34,9 +35,6 @@
 
 	private static final long MAX_GAP_MS = 900;
 
-	/** Time after the last disruption until everything is to be served again. */
-	private static final long RECOVERY_MS = 12_000;
-
 	private static final long CALM_MS = 3_000;
 
 	private static final double MIN_SERVED_AFTER_RECOVERY = 0.95;
@@ -45,6 +43,10 @@
 
 	private static final long LIMIT_MS = 9_000;
 
+	private static final int MIN_SILENCE_MS = 800;
+
+	private static final int MAX_SILENCE_MS = 2_500;
+
 	private static final long POLL_MS = 50;
 
 	private static final long NEVER_MS = Long.MAX_VALUE;
@@ -53,7 +55,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final SoakHistory history = new SoakHistory();
+	private final SoakHistory history;
 
 	private final Random random;
 
@@ -72,6 +74,7 @@
 
 	private SoakRun(SoakSetting setting) {
 		this.setting = setting;
+		this.history = new SoakHistory(setting.disruptions());
 		this.random = new Random(setting.seed());
 	}
 
@@ -91,11 +94,12 @@
 
 	private void start(Path directory) throws Exception {
 		this.store = await(FakeStore.start(this.vertx));
-		this.store.write("op", "config", FakeConfiguration.create(this.configurationVersion, List.of()));
+		writeConfiguration();
 		for (int i = 0; i < this.setting.plainBackends() + this.setting.engines(); i++) {
 			boolean engine = i >= this.setting.plainBackends();
+			String zone = (this.setting.disruptions().hasSilences() && i % 2 == 1) ? "zone-b" : "zone-a";
 			SoakBackend backend = await(
-					SoakBackend.start(this.vertx, "backend-" + i, engine, this.history, this.random.nextLong()));
+					SoakBackend.start(this.vertx, "backend-" + i, engine, zone, this.history, this.random.nextLong()));
 			this.backends.add(backend);
 			this.store.write("servers", backend.id(), backend.registration());
 		}
@@ -138,16 +142,16 @@
 	}
 
 	private SoakResult soak() throws Exception {
-		SoakCallers callers = new SoakCallers(this.vertx, this.entries, this.history, this.setting.seed(),
-				this.setting.callers());
+		SoakCallers callers = new SoakCallers(this.vertx, this.entries, this.history, this.setting);
 		callers.start(this.setting.callers());
+		StallDetector stalls = StallDetector.start(this.vertx);
 		long startMs = SoakHistory.nowMs();
 		while (SoakHistory.nowMs() < startMs + this.setting.lengthMs()) {
 			disrupt();
 			sleepAndEnd(50 + this.random.nextInt((int) MAX_GAP_MS));
 		}
 		endAll();
-		sleepAndEnd(RECOVERY_MS);
+		sleepAndEnd(this.setting.disruptions().recoveryMs());
 		long calmFromMs = SoakHistory.nowMs();
 		sleepAndEnd(CALM_MS);
 		double served = this.history.servedShare(calmFromMs, SoakHistory.nowMs() - 500);
@@ -164,10 +168,31 @@
 			}
 		}
 		return new SoakResult(this.history.countCalls(), this.history.servedShare(startMs, Long.MAX_VALUE),
+				this.backends.stream().mapToInt(SoakBackend::connections).sum(), stalls.longestMs(),
 				List.copyOf(this.disruptions), this.history.violations());
 	}
 
 	private void disrupt() throws Exception {
+		SoakDisruptions kinds = this.setting.disruptions();
+		if (!kinds.hasFaults() || (kinds.hasSilences() && this.random.nextInt(4) == 0)) {
+			silenceOrPlannedWork();
+			return;
+		}
+		fault();
+	}
+
+	private void silenceOrPlannedWork() {
+		SoakBackend backend = this.backends.get(this.random.nextInt(this.backends.size()));
+		switch (this.random.nextInt(8)) {
+			case 0, 1, 2 -> silence(backend.id(), (other) -> other == backend);
+			case 3, 4 -> silence("service of " + backend.id(), (other) -> other.isEngine() == backend.isEngine());
+			case 5 -> silence(backend.zone(), (other) -> other.zone().equals(backend.zone()));
+			case 6 -> configure();
+			default -> terminate(this.entries.get(this.random.nextInt(this.entries.size())));
+		}
+	}
+
+	private void fault() throws Exception {
 		SoakEntry entry = this.entries.get(this.random.nextInt(this.entries.size()));
 		SoakBackend backend = this.backends.get(this.random.nextInt(this.backends.size()));
 		long lengthMs = 300 + this.random.nextInt(3_700);
@@ -267,6 +292,19 @@
 		at(lengthMs, () -> backend.setFaulty(false));
 	}
 
+	// All begin together, and each goes on at a time of its own.
+	private void silence(String name, Predicate<SoakBackend> affected) {
+		for (SoakBackend backend : this.backends) {
+			long lengthMs = MIN_SILENCE_MS + this.random.nextInt(MAX_SILENCE_MS - MIN_SILENCE_MS);
+			if (affected.test(backend)) {
+				backend.fallSilent(lengthMs).ifPresent((end) -> {
+					disruption("silence of " + backend.id() + " for " + lengthMs + " (" + name + ")");
+					at(lengthMs, end::run);
+				});
+			}
+		}
+	}
+
 	private void crash(SoakBackend backend, long lengthMs) throws Exception {
 		disruption("crash " + backend.id() + " for " + lengthMs);
 		await(backend.crash());
@@ -298,7 +336,14 @@
 	private void configure() {
 		this.configurationVersion++;
 		disruption("configuration " + this.configurationVersion);
-		this.store.write("op", "config", FakeConfiguration.create(this.configurationVersion, List.of()));
+		writeConfiguration();
+	}
+
+	// Every other configuration lacks a route that no caller uses.
+	private void writeConfiguration() {
+		List<String> omitted = (this.configurationVersion % 2 == 0) ? List.of("homed") : List.of();
+		this.store.write("op", "config",
+				FakeConfiguration.create(this.configurationVersion, omitted, this.setting.disruptions().timeoutMs()));
 	}
 
 	private void at(long delayMs, Action action) {
--- a/testsuite/src/test/java/org/wigeontally/soak/SoakTests.java
+++ b/testsuite/src/test/java/org/wigeontally/soak/SoakTests.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.wigeontally.emulator.soak.SoakDisruptions;
 import org.wigeontally.emulator.soak.SoakResult;
 import org.wigeontally.emulator.soak.SoakRun;
 import org.wigeontally.emulator.soak.SoakSetting;
@@ -23,6 +24,8 @@
 
 	private static final long LENGTH_MS = 20_000;
 
+	private static final long SILENCES_LENGTH_MS = 10_000;
+
 	/** Seeds that failed once stay here, each with its cause. */
 	@DataProvider
 	public Object[][] seeds() {
@@ -32,9 +35,19 @@
 	@Test(dataProvider = "seeds")
 	public void promisesHoldWhileProcessesAndConnectionsFail(long seed) throws Exception {
 		Path directory = Files.createTempDirectory("wigeontally-soak");
-		SoakResult result = SoakRun.run(SoakSetting.usual(seed, LENGTH_MS), directory);
+		SoakResult result = SoakRun.run(SoakSetting.usual(seed, LENGTH_MS, SoakDisruptions.FAULTS), directory);
 		assertThat(result.violations()).as("logs in %s%n%s", directory, result.describe()).isEmpty();
 		assertThat(result.requests()).isGreaterThan(1_000);
 	}
 
+	// Streams were cut, and sound answers given up, for a silence of the backend server.
+	@Test(dataProvider = "seeds")
+	public void promisesHoldWhileSoundBackendServersFallSilent(long seed) throws Exception {
+		Path directory = Files.createTempDirectory("wigeontally-soak");
+		SoakResult result = SoakRun.run(SoakSetting.usual(seed, SILENCES_LENGTH_MS, SoakDisruptions.SILENCES),
+				directory);
+		assertThat(result.violations()).as("logs in %s%n%s", directory, result.describe()).isEmpty();
+		assertThat(result.disruptions()).anyMatch((disruption) -> disruption.contains("silence of"));
+	}
+
 }
