--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -258,7 +258,7 @@
 		int first = (last != null) ? Integer.parseInt(last) + 1 : 0;
 		List<Buffer> pieces = new ArrayList<>();
 		pieces.add(Buffer.buffer(FakeBackend.eventStreamHead(request, headers)));
-		for (int number = first; number < SoakHistory.eventCount(request.attemptId()); number++) {
+		for (int number = first; number < this.history.eventCount(request.attemptId()); number++) {
 			Buffer chunk = Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number)));
 			int split = (this.random.nextInt(SPLIT_INTERVAL) == 0) ? chunk.length() / 2 : 0;
 			if (split > 0) {
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -49,7 +49,7 @@
 	 */
 	private static final long TIMEOUT_TOLERANCE_MS = 100;
 
-	private final long timeoutMs;
+	private final SoakDisruptions disruptions;
 
 	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
@@ -62,10 +62,10 @@
 
 	/**
 	 * Creates an empty history.
-	 * @param timeoutMs timeout of the routes
+	 * @param disruptions what disrupts the entries
 	 */
-	SoakHistory(long timeoutMs) {
-		this.timeoutMs = timeoutMs;
+	SoakHistory(SoakDisruptions disruptions) {
+		this.disruptions = disruptions;
 	}
 
 	static long nowMs() {
@@ -94,19 +94,20 @@
 	}
 
 	/**
-	 * Returns the number of events of a stream.
+	 * Returns the number of events of a stream. Long ones are likely to meet a silence.
 	 * @param attemptId id of the request
 	 * @return the number
 	 */
-	static int eventCount(String attemptId) {
-		return (attemptId.hashCode() % LONG_STREAM_INTERVAL == 0) ? LONG_STREAM_EVENTS : SHORT_STREAM_EVENTS;
+	int eventCount(String attemptId) {
+		boolean isLong = this.disruptions.hasSilences() && attemptId.hashCode() % LONG_STREAM_INTERVAL == 0;
+		return isLong ? LONG_STREAM_EVENTS : SHORT_STREAM_EVENTS;
 	}
 
 	static String event(String attemptId, int number) {
 		return "id: " + number + "\ndata: " + attemptId + "/" + number + "\n\n";
 	}
 
-	private static String expectedBody(Route route, String attemptId) {
+	private String expectedBody(Route route, String attemptId) {
 		if (route != Route.EVENTS) {
 			return plainBody(attemptId);
 		}
@@ -160,7 +161,7 @@
 			}
 			boolean sound = ran > 0 && !this.spoiled.containsKey(call.attemptId());
 			if (!sound || call.entry().wasDisturbedSince(call.sentAtMs())
-					|| call.lengthMs() >= this.timeoutMs - TIMEOUT_TOLERANCE_MS) {
+					|| call.lengthMs() >= this.disruptions.timeoutMs() - TIMEOUT_TOLERANCE_MS) {
 				continue;
 			}
 			if (call.status() == 0) {
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -74,7 +74,7 @@
 
 	private SoakRun(SoakSetting setting) {
 		this.setting = setting;
-		this.history = new SoakHistory(setting.disruptions().timeoutMs());
+		this.history = new SoakHistory(setting.disruptions());
 		this.random = new Random(setting.seed());
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/SilentTrialTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SilentTrialTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpClient;
@@ -28,6 +29,8 @@
 
 	private static final String PART = "bad0";
 
+	private static final Pattern CRASHES = Pattern.compile("wigeontally_backend_crashes_total\\{[^}]*\\} 2");
+
 	private final List<FakeBackend> engines = new ArrayList<>();
 
 	private GatewayFixture fixture;
@@ -67,6 +70,7 @@
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, "events", 200);
 		assertThat(GatewayFixture.await(send("crashes")).status()).isEqualTo(502);
+		GatewayFixture.awaitTrue(this::knowsBothCrashes);
 		Future<TestCaller.Response> trial = send("trial");
 		GatewayFixture.awaitTrue(() -> arrivals.get() == 3);
 		assertThat(GatewayFixture.await(send("other")).status()).isEqualTo(503);
@@ -76,6 +80,15 @@
 		assertThat(GatewayFixture.await(send("later")).status()).isEqualTo(200);
 	}
 
+	private boolean knowsBothCrashes() {
+		try {
+			return CRASHES.matcher(this.fixture.get(this.fixture.metricsAddress(0), "/metrics").body()).find();
+		}
+		catch (Exception ex) {
+			return false;
+		}
+	}
+
 	private void fallSilent(FakeBackend engine) {
 		engine.silence().begin();
 		this.fixture.vertx().setTimer(SILENCE_MS, (id) -> engine.silence().end());
