Test: a stand-in that closes its connections after each response says so

The log shows the request placed in the millisecond in which the probe before it was answered, and 'connection closed' after 1 ms: the entry used the connection of the probe, which the stand-in closes after its response without a word. The only backend server was tried then.

The response to the probe has Connection: close now, so no connection is left. The checks are unchanged.

--- a/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/UnframedResponseTests.java
@@ -89,7 +89,7 @@
 	}
 
 	private void startEntry(String service) throws Exception {
-		respondWith("Content-Length: 0\r\n\r\n", false);
+		respondWith("Connection: close\r\nContent-Length: 0\r\n\r\n", false);
 		this.fixture.store().write("servers", "raw-1", this.backend.registration(service));
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, service.equals("desk") ? "once" : "events", 200);
