One place for the times of a version, in entries and agents

The withdrawal time was a constant of BackendAttempt that counted back from the bound, while the end of placement and the load deadline come from VersionSchedule; and FleetView kept announcement times of its own beside AnnouncedVersions, with the same search for newer versions. VersionSchedule holds all three times now, AnnouncedVersions answers both questions, and CandidateSelector makes its schedule once instead of for each candidate.

Behaviour is as it was: an agent asks only about versions older than one that was announced, where both ways give the same time.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -24,13 +24,6 @@
 
 	private static final long PROGRESS_CHECK_INTERVAL_MS = 200;
 
-	/**
-	 * Time before the latest begin of a request at which it is withdrawn if it has not
-	 * begun. It covers the way to the engine, and an event loop that is held up, as by
-	 * the decoding of a large record.
-	 */
-	private static final long WITHDRAWAL_LEAD_MS = 400;
-
 	/**
 	 * Time before a withdrawal from which a successor is tried, so that the request has
 	 * begun elsewhere when it is withdrawn.
@@ -366,9 +359,8 @@
 
 	private long untilWithdrawalMs() {
 		long nowMs = this.context.nowMs();
-		long latestBeginMs = hasBegun() ? VersionRequirement.NO_LIMIT_MS : this.version.latestBeginMs(nowMs);
-		return (latestBeginMs == VersionRequirement.NO_LIMIT_MS) ? Long.MAX_VALUE
-				: latestBeginMs - WITHDRAWAL_LEAD_MS - nowMs;
+		long withdrawalMs = hasBegun() ? VersionRequirement.NEVER_MS : this.version.withdrawalMs(nowMs);
+		return (withdrawalMs == VersionRequirement.NEVER_MS) ? Long.MAX_VALUE : withdrawalMs - nowMs;
 	}
 
 	// The engine did nothing wrong, so this is no failure of its own.
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -24,9 +24,12 @@
 
 	private final HostSettings settings;
 
+	private final VersionSchedule versionSchedule;
+
 	CandidateSelector(FleetState fleet, HostSettings settings) {
 		this.fleet = fleet;
 		this.settings = settings;
+		this.versionSchedule = VersionSchedule.of((long) settings.getBounds().getVersionMs());
 	}
 
 	/**
@@ -129,8 +132,7 @@
 	 * @return the version; 0 if every version is allowed
 	 */
 	long requiredVersion(String model, long nowMs) {
-		VersionSchedule schedule = VersionSchedule.of((long) this.settings.getBounds().getVersionMs());
-		return this.fleet.announcedVersions(model).requiredVersion(nowMs, schedule.placementEndMs());
+		return this.fleet.announcedVersions(model).requiredVersion(nowMs, this.versionSchedule.placementEndMs());
 	}
 
 	long requiredVersion(EngineProfile model, long nowMs) {
@@ -142,14 +144,13 @@
 	}
 
 	/**
-	 * Returns until when a request may begin on a version of a model's weights.
+	 * Returns when requests that wait for a version of a model's weights are withdrawn.
 	 * @param model name of the model
 	 * @param version the version
 	 * @return the time
 	 */
-	long latestBeginMs(String model, long version) {
-		return this.fleet.announcedVersions(model)
-			.latestStartMs(version, (long) this.settings.getBounds().getVersionMs());
+	long withdrawalMs(String model, long version) {
+		return this.fleet.announcedVersions(model).endOfUseMs(version, this.versionSchedule.withdrawalMs());
 	}
 
 	BackendCandidate toPlacementCandidate(CallerRequest request, Backend backend, long nowMs) {
--- a/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
@@ -12,8 +12,8 @@
  */
 interface VersionRequirement {
 
-	/** Marks a request that may begin at any time. */
-	long NO_LIMIT_MS = Long.MAX_VALUE;
+	/** Marks a request that is never withdrawn. */
+	long NEVER_MS = Long.MAX_VALUE;
 
 	/** A request to a backend server without weights. */
 	VersionRequirement NONE = new VersionRequirement() {
@@ -29,8 +29,8 @@
 		}
 
 		@Override
-		public long latestBeginMs(long nowMs) {
-			return NO_LIMIT_MS;
+		public long withdrawalMs(long nowMs) {
+			return NEVER_MS;
 		}
 
 	};
@@ -61,11 +61,11 @@
 	boolean isMet(long nowMs);
 
 	/**
-	 * Returns until when the request may begin on the loaded version.
+	 * Returns when the request is withdrawn if it has not begun on the loaded version.
 	 * @param nowMs the current time
-	 * @return the time; {@link #NO_LIMIT_MS} if no newer version is announced
+	 * @return the time; {@link #NEVER_MS} if no newer version is announced
 	 */
-	long latestBeginMs(long nowMs);
+	long withdrawalMs(long nowMs);
 
 	/**
 	 * The requirement at an engine. It remembers the newest version that the engine has
@@ -104,12 +104,12 @@
 		}
 
 		@Override
-		public long latestBeginMs(long nowMs) {
+		public long withdrawalMs(long nowMs) {
 			return this.profile.modelNames()
 				.stream()
-				.mapToLong((model) -> this.selector.latestBeginMs(model, loadedVersion(model, nowMs)))
+				.mapToLong((model) -> this.selector.withdrawalMs(model, loadedVersion(model, nowMs)))
 				.min()
-				.orElse(NO_LIMIT_MS);
+				.orElse(NEVER_MS);
 		}
 
 	}
--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -1,8 +1,5 @@
 package org.wigeontally.sidecar;
 
-import java.util.Map;
-import java.util.TreeMap;
-
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.weights.PeerDiscovery;
@@ -15,7 +12,7 @@
 
 	private AgentBriefing briefing = AgentBriefing.getDefaultInstance();
 
-	private final TreeMap<Long, Long> announcedAtMs = new TreeMap<>();
+	private final AnnouncedVersions announcedVersions = AnnouncedVersions.create();
 
 	private long firstBriefingAtMs;
 
@@ -43,7 +40,7 @@
 		}
 		boolean isNewVersion = received.getVersion() > this.briefing.getVersion();
 		if (isNewVersion) {
-			this.announcedAtMs.put(received.getVersion(), nowMs);
+			this.announcedVersions.add(received.getVersion(), nowMs);
 		}
 		this.briefing = received;
 		return isNewVersion;
@@ -104,16 +101,12 @@
 	}
 
 	/**
-	 * Returns the time since this process learned of the first version that is newer than
-	 * a given one. That version's bound ends the use of the given one, whichever newer
-	 * ones follow.
-	 * @param version the version
-	 * @param nowMs current monotonic time
-	 * @return milliseconds; 0 if no newer version was announced
+	 * Returns the versions that this process has learned of, each with the time when it
+	 * did.
+	 * @return the versions
 	 */
-	long sinceNewerAnnouncedMs(long version, long nowMs) {
-		Map.Entry<Long, Long> newer = this.announcedAtMs.higherEntry(version);
-		return (newer != null) ? nowMs - newer.getValue() : 0;
+	AnnouncedVersions announcedVersions() {
+		return this.announcedVersions;
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -412,7 +412,8 @@
 		}
 		long boundMs = this.view.briefing().getVersionBoundMs();
 		VersionSchedule schedule = VersionSchedule.of((boundMs > 0) ? boundMs : DEFAULT_VERSION_BOUND_MS);
-		return schedule.loadDeadlineMs() - this.view.sinceNewerAnnouncedMs(loadedVersion(), this.clock.monotonicMs());
+		long deadlineMs = this.view.announcedVersions().endOfUseMs(loadedVersion(), schedule.loadDeadlineMs());
+		return deadlineMs - this.clock.monotonicMs();
 	}
 
 	// Returns whether the other agents' states are known as they are now, and asks for
--- a/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AnnouncedVersions.java
@@ -96,17 +96,17 @@
 	}
 
 	/**
-	 * Returns until when a request may start on a version.
+	 * Returns when the first time limit of a newer version ends the use of a version.
 	 * @param version the version
-	 * @param boundMs time from the announcement of a version until it is required
+	 * @param limitMs time limit, counted from the announcement of the newer version
 	 * @return the time in milliseconds; {@link Long#MAX_VALUE} if no newer version was
 	 * announced
 	 */
-	public long latestStartMs(long version, long boundMs) {
+	public long endOfUseMs(long version, long limitMs) {
 		return this.announcedMsByVersion.tailMap(version, false)
 			.values()
 			.stream()
-			.mapToLong((announcedMs) -> announcedMs + boundMs)
+			.mapToLong((announcedMs) -> announcedMs + limitMs)
 			.min()
 			.orElse(Long.MAX_VALUE);
 	}
--- a/library/src/main/java/org/wigeontally/fleet/VersionSchedule.java
+++ b/library/src/main/java/org/wigeontally/fleet/VersionSchedule.java
@@ -21,6 +21,13 @@
 	 */
 	private static final long LOAD_NOTICE_LEAD_MS = 200;
 
+	/**
+	 * Time before the bound at which a request that has not begun on an older version is
+	 * withdrawn. It covers the way to the engine, and an event loop that is held up, as
+	 * by the decoding of a large record.
+	 */
+	private static final long WITHDRAWAL_LEAD_MS = 400;
+
 	private final long boundMs;
 
 	private VersionSchedule(long boundMs) {
@@ -53,10 +60,19 @@
 		return Math.max(0, placementEndMs() - LOAD_NOTICE_LEAD_MS);
 	}
 
+	/**
+	 * Returns the time at which requests that wait at an engine with an older version are
+	 * withdrawn.
+	 * @return milliseconds since the announcement
+	 */
+	public long withdrawalMs() {
+		return Math.max(0, this.boundMs - WITHDRAWAL_LEAD_MS);
+	}
+
 	@Override
 	public String toString() {
-		return "placement until " + placementEndMs() + " ms, load until " + loadDeadlineMs() + " ms, bound "
-				+ this.boundMs + " ms";
+		return "placement until " + placementEndMs() + " ms, load until " + loadDeadlineMs() + " ms, withdrawal at "
+				+ withdrawalMs() + " ms, bound " + this.boundMs + " ms";
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/fleet/AnnouncedVersionsTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/AnnouncedVersionsTests.java
@@ -28,14 +28,14 @@
 	 * Guards against a request that begins too late because a still newer one is not due.
 	 */
 	@Test
-	public void eachNewerVersionLimitsTheStart() {
+	public void eachNewerVersionEndsTheUseOfOlderOnes() {
 		AnnouncedVersions versions = AnnouncedVersions.create();
-		assertThat(versions.latestStartMs(1, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
+		assertThat(versions.endOfUseMs(1, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
 		versions.add(2, 18_000);
 		versions.add(3, 21_000);
-		assertThat(versions.latestStartMs(1, BOUND_MS)).isEqualTo(24_000);
-		assertThat(versions.latestStartMs(2, BOUND_MS)).isEqualTo(27_000);
-		assertThat(versions.latestStartMs(3, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
+		assertThat(versions.endOfUseMs(1, BOUND_MS)).isEqualTo(24_000);
+		assertThat(versions.endOfUseMs(2, BOUND_MS)).isEqualTo(27_000);
+		assertThat(versions.endOfUseMs(3, BOUND_MS)).isEqualTo(Long.MAX_VALUE);
 	}
 
 	@Test
