A request that times out ends like any other that is not finished

timedOut() repeated what endUnfinished() does: whether an attempt was sent, and forgetting the attempts. RunningAttempts offers forEach and clear in place of removeAll, which was used for both. Behaviour is as it was.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -422,8 +422,7 @@
 
 	private void timedOut() {
 		this.timeoutTimer = -1;
-		this.mayHaveRun |= this.attempts.isAnySent();
-		this.attempts.removeAll().forEach(BackendAttempt::timeOut);
+		this.attempts.forEach(BackendAttempt::timeOut);
 		endUnfinished(LocalResponse.timeout("timeout"));
 	}
 
@@ -473,7 +472,8 @@
 	}
 
 	private void cancelAttempts() {
-		this.attempts.removeAll().forEach(BackendAttempt::cancel);
+		this.attempts.forEach(BackendAttempt::cancel);
+		this.attempts.clear();
 	}
 
 	private void refuse(LocalResponse response) {
--- a/daemons/src/main/java/org/wigeontally/gateway/RunningAttempts.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RunningAttempts.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * The attempts of one request that run now: one, or several while all earlier ones are
@@ -62,13 +63,15 @@
 	}
 
 	/**
-	 * Returns the attempts and forgets them.
-	 * @return the attempts that ran
+	 * Does something with each attempt.
+	 * @param action must not start or end other attempts of the request
 	 */
-	List<BackendAttempt> removeAll() {
-		List<BackendAttempt> removed = List.copyOf(this.running);
+	void forEach(Consumer<BackendAttempt> action) {
+		this.running.forEach(action);
+	}
+
+	void clear() {
 		this.running.clear();
-		return removed;
 	}
 
 }
