Tests: one pair of backend servers, one engine configuration, one text of events

The new tests repeated each other's fixtures, and the ones of older tests: a configuration with another timeout (FakeConfiguration had it), two backend servers of which the first request meets one behaviour, numbered events, the configuration of engines with an origin, the announcement of a version. They are in GatewayFixture and FakeBackend now, and used by the older twins too. Assertions are unchanged.

--- a/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/BrokenStreamTests.java
@@ -56,7 +56,7 @@
 								"failed\n\n")) },
 				{ "error with events",
 						response((arrival) -> FakeBackend.response(arrival, "503 Service Unavailable", EVENT_TYPE,
-								events(3, 6))) },
+								FakeBackend.events(3, 6))) },
 				{ "error with events in chunks",
 						response((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 3, 6)
 							.replaceFirst("200 OK", "500 Error") + FakeBackend.LAST_CHUNK) },
@@ -66,7 +66,8 @@
 				{ "success of another type",
 						response((arrival) -> FakeBackend.response(arrival, "200 OK",
 								signature + "Content-Type: application/json\r\n", "{}")) },
-				{ "success without a type", response((arrival) -> FakeBackend.signedResponse(arrival, events(3, 6))) },
+				{ "success without a type",
+						response((arrival) -> FakeBackend.signedResponse(arrival, FakeBackend.events(3, 6))) },
 				{ "unsigned stream",
 						response((arrival) -> FakeBackend.eventStreamHead(arrival, "") + FakeBackend.eventChunks(3, 6)
 								+ FakeBackend.LAST_CHUNK) },
@@ -184,12 +185,13 @@
 
 	@DataProvider
 	public Object[][] errorsWithinAStream() {
-		return new Object[][] { { "head, delimited by close", "\r\n" + events(0, 3) + ERROR },
-				{ "head within an event", "\r\n" + events(0, 3) + "id: 3\ndata: e" + ERROR },
-				{ "head and body", "\r\n" + events(0, 3) + ERROR + "engine failed\n\n" },
-				{ "text", "\r\n" + events(0, 3) + "engine failed\n\n" },
+		return new Object[][] { { "head, delimited by close", "\r\n" + FakeBackend.events(0, 3) + ERROR },
+				{ "head within an event", "\r\n" + FakeBackend.events(0, 3) + "id: 3\ndata: e" + ERROR },
+				{ "head and body", "\r\n" + FakeBackend.events(0, 3) + ERROR + "engine failed\n\n" },
+				{ "text", "\r\n" + FakeBackend.events(0, 3) + "engine failed\n\n" },
 				{ "head, counted",
-						"Content-Length: " + (events(0, 3) + ERROR).length() + "\r\n\r\n" + events(0, 3) + ERROR },
+						"Content-Length: " + (FakeBackend.events(0, 3) + ERROR).length() + "\r\n\r\n"
+								+ FakeBackend.events(0, 3) + ERROR },
 				{ "head in a chunk",
 						"Transfer-Encoding: chunked\r\n\r\n" + chunks(0, 3) + FakeBackend.chunk(ERROR)
 								+ FakeBackend.LAST_CHUNK },
@@ -236,9 +238,9 @@
 		return new Object[][] { { "chunks", continueStream() },
 				{ "length",
 						response((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "Content-Length: "
-								+ events(3, 6).length() + "\r\n\r\n" + events(3, 6)) },
-				{ "close", closing(
-						(arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n" + events(3, 6)) } };
+								+ FakeBackend.events(3, 6).length() + "\r\n\r\n" + FakeBackend.events(3, 6)) },
+				{ "close", closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n"
+						+ FakeBackend.events(3, 6)) } };
 	}
 
 	/** The test fails if the end of a connection is never the end of a stream. */
@@ -253,9 +255,9 @@
 		return new Object[][] { { "chunks", closing((arrival) -> FakeBackend.partialEventStream(arrival, "s2", 3, 5)) },
 				{ "length",
 						closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE
-								+ "Content-Length: 9999\r\n\r\n" + events(3, 5)) },
+								+ "Content-Length: 9999\r\n\r\n" + FakeBackend.events(3, 5)) },
 				{ "close", closing((arrival) -> FakeBackend.signedResponseHead(arrival) + EVENT_TYPE + "\r\n"
-						+ events(3, 5) + "id: 5\nda") } };
+						+ FakeBackend.events(3, 5) + "id: 5\nda") } };
 	}
 
 	/** The test fails if a lost connection or part of an event ends a stream. */
@@ -349,14 +351,6 @@
 		return FakeBackend.eventChunks(event, event + 1);
 	}
 
-	private static String events(int firstEvent, int endEvent) {
-		StringBuilder out = new StringBuilder();
-		for (int number = firstEvent; number < endEvent; number++) {
-			out.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
-		}
-		return out.toString();
-	}
-
 	/**
 	 * Writes the response to a request.
 	 */
--- a/testsuite/src/test/java/org/wigeontally/gateway/FleetStateTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FleetStateTests.java
@@ -235,7 +235,7 @@
 	public void versionAnnouncedBeforeStartIsRequiredAtOnce() throws Exception {
 		FakeBackend backend = this.fixture.startBackend("engine-1", "engines", "zone-a",
 				(arrival, socket) -> socket.write(FakeBackend.partialEventStream(arrival, "s", 0, 1) + "0\r\n\r\n"));
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.announceVersion(2);
 		this.fixture.startEntry();
 		GatewayFixture.awaitTrue(() -> directoryAnswer(0).contains("127.0.0.1"));
 		assertThat(this.fixture.call("events").status()).isEqualTo(503);
@@ -252,7 +252,7 @@
 				(arrival, socket) -> socket.write(FakeBackend.partialEventStream(arrival, "s", 0, 1) + "0\r\n\r\n"));
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, "events", 200);
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.announceVersion(2);
 		Thread.sleep(500);
 		assertThat(this.fixture.call("events").status()).isEqualTo(200);
 		this.fixture.awaitStatus(0, "events", 503);
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
@@ -21,6 +22,7 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
+import org.wigeontally.platform.standin.FakeWeightOrigin;
 import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.HostBounds;
@@ -202,6 +204,41 @@
 				FakeConfiguration.create(this.nextConfigurationVersion++, List.of(omittedNames)));
 	}
 
+	/**
+	 * Writes the next version of the configuration with another timeout of all routes.
+	 * @param timeoutMs the timeout
+	 */
+	void writeConfigurationWithTimeout(long timeoutMs) {
+		this.store.write("op", "config",
+				FakeConfiguration.create(this.nextConfigurationVersion++, List.of(), timeoutMs));
+	}
+
+	/**
+	 * Writes a configuration without routes, of engines whose weights come from an
+	 * origin.
+	 * @param originPort port of the origin
+	 * @param maxConnections connections that the origin accepts
+	 */
+	public void writeEngineConfiguration(int originPort, int maxConnections) {
+		JsonObject engine = engineWithChunks(FakeWeightOrigin.CHUNKS, FakeWeightOrigin.CHUNK_BYTES);
+		JsonArray services = new JsonArray()
+			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", engine))
+			.add(new JsonObject().put("name", "weights")
+				.put("origin", "127.0.0.1:" + originPort)
+				.put("zone", "zone-a")
+				.put("max-connections", maxConnections));
+		this.store.write("op", "config",
+				new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+	}
+
+	/**
+	 * Announces a version of the weights of model m0.
+	 * @param version the version
+	 */
+	public void announceVersion(long version) {
+		this.store.write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
+	}
+
 	/**
 	 * Writes the next version of the configuration with other organisations.
 	 * @param organisations the organisations; null to leave the field out
@@ -276,6 +313,26 @@
 					.map((bytes) -> new TestCaller.Response(response.statusCode(), bytes.toString(), null, null)))));
 	}
 
+	/**
+	 * Starts two backend servers and an entry that knows both.
+	 * @param service service that they run
+	 * @param first responds to the first request, whichever of them gets it
+	 * @param later responds to all later ones
+	 */
+	void startPair(String service, FakeBackend.Behaviour first, FakeBackend.Behaviour later) throws Exception {
+		AtomicInteger arrivals = new AtomicInteger();
+		for (int number = 0; number < 2; number++) {
+			startBackend("backend-" + number, service, "zone-a",
+					(arrival, socket) -> ((arrivals.getAndIncrement() == 0) ? first : later).respond(arrival, socket));
+		}
+		startEntry();
+		awaitReady(0);
+	}
+
+	void later(long delayMs, Runnable action) {
+		this.vertx.setTimer(delayMs, (id) -> action.run());
+	}
+
 	/**
 	 * Waits until the entry takes callers, without sending a request to a backend server.
 	 */
--- a/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SecondAttemptTests.java
@@ -35,10 +35,7 @@
 	@BeforeMethod
 	public void start() throws Exception {
 		this.fixture = new GatewayFixture();
-		JsonObject configuration = FakeConfiguration.create(1, List.of());
-		configuration.getJsonArray("routes")
-			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS));
-		this.fixture.store().write("op", "config", configuration);
+		this.fixture.writeConfigurationWithTimeout(ROUTE_TIMEOUT_MS);
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -46,29 +43,6 @@
 		this.fixture.close();
 	}
 
-	private void later(long delayMs, Runnable action) {
-		this.fixture.vertx().setTimer(delayMs, (id) -> action.run());
-	}
-
-	private void startPair(String service, FakeBackend.Behaviour first, FakeBackend.Behaviour successor)
-			throws Exception {
-		AtomicInteger arrivals = new AtomicInteger();
-		for (int number = 0; number < 2; number++) {
-			this.fixture.startBackend("backend-" + number, service, "zone-a", (arrival,
-					socket) -> ((arrivals.getAndIncrement() == 0) ? first : successor).respond(arrival, socket));
-		}
-		this.fixture.startEntry();
-		this.fixture.awaitReady(0);
-	}
-
-	private static String events(int end) {
-		StringBuilder events = new StringBuilder();
-		for (int number = 0; number < end; number++) {
-			events.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
-		}
-		return events.toString();
-	}
-
 	private static String begin(FakeBackend.ReceivedRequest arrival, int end) {
 		return FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s1") + FakeBackend.loadHeader(1, 16))
 				+ FakeBackend.eventChunks(0, end);
@@ -90,21 +64,22 @@
 	 */
 	@Test(dataProvider = "beginnings")
 	public void streamEndsAfterASilenceBeforeItsEnd(String name, String beginning) throws Exception {
-		startPair("engines", (arrival, socket) -> {
+		this.fixture.startPair("engines", (arrival, socket) -> {
 			socket.write(begin(arrival, 6));
-			later(SILENCE_MS, () -> socket.write(FakeBackend.LAST_CHUNK));
+			this.fixture.later(SILENCE_MS, () -> socket.write(FakeBackend.LAST_CHUNK));
 		}, (arrival, socket) -> beginOnly(arrival, socket, beginning));
 		TestCaller.Response response = this.fixture.call("events");
 		assertThat(response.status()).isEqualTo(200);
-		assertThat(response.body()).startsWith(events(6));
+		assertThat(response.body()).startsWith(FakeBackend.events(0, 6));
 	}
 
 	/** Guards against a cut of a stream whose ids are offsets. */
 	@Test(dataProvider = "beginnings")
 	public void streamGoesOnWithALargerStep(String name, String beginning) throws Exception {
-		startPair("engines", (arrival, socket) -> {
+		this.fixture.startPair("engines", (arrival, socket) -> {
 			socket.write(begin(arrival, 3));
-			later(SILENCE_MS, () -> socket.write(FakeBackend.chunk("id: 9\ndata: e9\n\n") + FakeBackend.LAST_CHUNK));
+			this.fixture.later(SILENCE_MS,
+					() -> socket.write(FakeBackend.chunk("id: 9\ndata: e9\n\n") + FakeBackend.LAST_CHUNK));
 		}, (arrival, socket) -> beginOnly(arrival, socket, beginning));
 		TestCaller.Response response = this.fixture.call("events");
 		assertThat(response.status()).isEqualTo(200);
@@ -114,7 +89,7 @@
 	/** Guards against waiting for the silent attempt with an answer at hand. */
 	@Test
 	public void callerErrorIsDeliveredAtOnce() throws Exception {
-		startPair("desk", (arrival, socket) -> {
+		this.fixture.startPair("desk", (arrival, socket) -> {
 		}, (arrival, socket) -> socket
 			.write(FakeBackend.response(arrival, "404 Not Found", FakeBackend.signatureHeader("s2"), "none")));
 		long startMs = System.nanoTime() / 1_000_000;
@@ -170,9 +145,8 @@
 	 */
 	@Test
 	public void thirdServerIsTriedWhenTwoAreDark() throws Exception {
-		JsonObject configuration = FakeConfiguration.create(2, List.of());
-		configuration.getJsonArray("routes")
-			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS).put("max-attempts", 3));
+		JsonObject configuration = FakeConfiguration.create(2, List.of(), ROUTE_TIMEOUT_MS);
+		configuration.getJsonArray("routes").forEach((route) -> ((JsonObject) route).put("max-attempts", 3));
 		this.fixture.store().write("op", "config", configuration);
 		AtomicInteger arrivals = new AtomicInteger();
 		for (int number = 0; number < 3; number++) {
@@ -194,14 +168,14 @@
 		for (int number = 0; number < 8; number++) {
 			this.fixture.startBackend("old-" + number, "engines", "zone-a", (arrival, socket) -> {
 				beginOnly(arrival, socket, FakeBackend.chunk(": wait\n\n"));
-				later(1_900, () -> socket.write(FakeBackend.eventChunks(0, 3) + FakeBackend.LAST_CHUNK)
+				this.fixture.later(1_900, () -> socket.write(FakeBackend.eventChunks(0, 3) + FakeBackend.LAST_CHUNK)
 					.onSuccess((written) -> begins.add(System.nanoTime() / 1_000_000)));
 			});
 		}
 		this.fixture.startEntryWithVersionBound(3_000);
 		this.fixture.awaitReady(0);
 		long announcedMs = System.nanoTime() / 1_000_000;
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.announceVersion(2);
 		Thread.sleep(1_450);
 		for (int number = 0; number < 3; number++) {
 			send("events", "late-" + number);
@@ -213,12 +187,10 @@
 	/** Guards against leaving out a backend server that works on a long request. */
 	@Test
 	public void serverWithALongRequestCanBeTheSecond() throws Exception {
-		JsonObject configuration = FakeConfiguration.create(2, List.of());
-		configuration.getJsonArray("routes").forEach((route) -> ((JsonObject) route).put("timeout-ms", 4_000));
-		this.fixture.store().write("op", "config", configuration);
+		this.fixture.writeConfigurationWithTimeout(4_000);
 		FakeBackend sound = this.fixture.startBackend("sound", "desk", "zone-a", (arrival, socket) -> {
 			if (arrival.uri().startsWith("/once")) {
-				later(3_500, () -> socket.write(FakeBackend.signedResponse(arrival, "long")));
+				this.fixture.later(3_500, () -> socket.write(FakeBackend.signedResponse(arrival, "long")));
 			}
 			else {
 				socket.write(FakeBackend.signedResponse(arrival, "short"));
@@ -243,7 +215,7 @@
 		Queue<Long> begins = new ConcurrentLinkedQueue<>();
 		for (int number = 0; number < 8; number++) {
 			this.fixture.startBackend("old-" + number, "engines", "zone-a",
-					(arrival, socket) -> later(1_900,
+					(arrival, socket) -> this.fixture.later(1_900,
 							() -> socket
 								.write(FakeBackend.partialEventStream(arrival, "s1", 0, 3) + FakeBackend.LAST_CHUNK)
 								.onSuccess((written) -> begins.add(System.nanoTime() / 1_000_000))));
@@ -251,7 +223,7 @@
 		this.fixture.startEntryWithVersionBound(3_000);
 		this.fixture.awaitReady(0);
 		long announcedMs = System.nanoTime() / 1_000_000;
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.announceVersion(2);
 		Thread.sleep(1_080);
 		for (int number = 0; number < 12; number++) {
 			send("events", "late-" + number);
--- a/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StoreFollowerTests.java
@@ -60,7 +60,7 @@
 			long endBefore = records.endPosition();
 			fixture.store().setMode(mode);
 			Thread.sleep(OUTAGE_MS);
-			fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+			fixture.announceVersion(2);
 			long recoveredAtMs = Clock.system().monotonicMs();
 			fixture.store().setMode(FakeStore.Mode.SERVING);
 			GatewayFixture.awaitTrue(() -> records.endPosition() > endBefore);
--- a/testsuite/src/test/java/org/wigeontally/gateway/VersionBoundTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/VersionBoundTests.java
@@ -65,16 +65,14 @@
 	}
 
 	private void writeConfiguration(boolean resumable) {
-		JsonObject configuration = FakeConfiguration.create(1, List.of());
-		configuration.getJsonArray("routes")
-			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS)
-				.put("resume-streams", resumable));
+		JsonObject configuration = FakeConfiguration.create(1, List.of(), ROUTE_TIMEOUT_MS);
+		configuration.getJsonArray("routes").forEach((route) -> ((JsonObject) route).put("resume-streams", resumable));
 		this.fixture.store().write("op", "config", configuration);
 	}
 
 	private long announceVersion() {
 		long announcedMs = nowMs();
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+		this.fixture.announceVersion(2);
 		return announcedMs;
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/OddAgentContentTests.java
@@ -8,8 +8,6 @@
 import ch.qos.logback.core.read.ListAppender;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -59,16 +57,7 @@
 		this.fixture = new GatewayFixture(SmallStackVertx.create());
 		this.origin = GatewayFixture.await(FakeWeightOrigin.start(this.fixture.vertx()));
 		this.engine = GatewayFixture.await(FakeEngine.start(this.fixture.vertx(), 1));
-		JsonObject profile = GatewayFixture.engineWithChunks(FakeWeightOrigin.CHUNKS, FakeWeightOrigin.CHUNK_BYTES);
-		JsonArray services = new JsonArray()
-			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", profile))
-			.add(new JsonObject().put("name", "weights")
-				.put("origin", "127.0.0.1:" + this.origin.port())
-				.put("zone", "zone-a")
-				.put("max-connections", 48));
-		this.fixture.store()
-			.write("op", "config",
-					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+		this.fixture.writeEngineConfiguration(this.origin.port(), 48);
 		this.appender.list.clear();
 		this.appender.start();
 		((Logger) LoggerFactory.getLogger("wigeontally")).addAppender(this.appender);
@@ -94,7 +83,7 @@
 		this.fixture.startEntry();
 		GatewayFixture.awaitTrue(() -> this.fixture.store().value("status", "entry-0") != null);
 		startAgent(List.of());
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		GatewayFixture.awaitTrue(() -> this.engine.loadedVersion() == 2);
 		assertThat(messages("event=peer host=agent")).noneMatch((line) -> line.contains("127.0.0.1:0 "));
 	}
@@ -114,7 +103,7 @@
 		startAgent(List.of(this.fixture.settings(0).getControl()));
 		GatewayFixture.awaitTrue(() -> this.agent.newestVerifiedVersion() == 1);
 		this.engine.setOddReport(report);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		Thread.sleep(ODD_MS);
 		assertThat(messages("event=engine")).as(kind).anyMatch((line) -> line.contains("answers=false"));
 		assertThat(this.engine.orderedVersions()).isEmpty();
@@ -130,7 +119,7 @@
 		GatewayFixture.awaitTrue(() -> this.agent.newestVerifiedVersion() == 1);
 		this.origin.setOddDigest("no digest");
 		int before = this.origin.digestRequests();
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		Thread.sleep(ODD_MS);
 		// 100 ms, 200 ms and so on after each failure.
 		assertThat(this.origin.digestRequests() - before).isBetween(2, 5);
@@ -215,10 +204,6 @@
 		return Address.newBuilder().setIp("127.0.0.1").setPort(this.engine.port()).build();
 	}
 
-	private void announceVersion(long version) {
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
-	}
-
 	private List<String> messages(String start) {
 		return List.copyOf(this.appender.list)
 			.stream()
--- a/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -6,8 +6,6 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.datagram.DatagramSocket;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -51,16 +49,7 @@
 		this.reports.clear();
 		this.fixture = new GatewayFixture();
 		this.origin = GatewayFixture.await(FakeWeightOrigin.start(this.fixture.vertx()));
-		JsonObject profile = GatewayFixture.engineWithChunks(FakeWeightOrigin.CHUNKS, FakeWeightOrigin.CHUNK_BYTES);
-		JsonArray services = new JsonArray()
-			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", profile))
-			.add(new JsonObject().put("name", "weights")
-				.put("origin", "127.0.0.1:" + this.origin.port())
-				.put("zone", "zone-a")
-				.put("max-connections", 48));
-		this.fixture.store()
-			.write("op", "config",
-					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+		this.fixture.writeEngineConfiguration(this.origin.port(), 48);
 		this.fixture.startEntry();
 		this.engine = GatewayFixture.await(FakeEngine.start(this.fixture.vertx(), 1));
 	}
@@ -95,7 +84,7 @@
 	public void loadOrderAcceptedLateIsSentOnce() throws Exception {
 		startAgent();
 		this.engine.fallSilentOnOrder(SILENCE_MS);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		// Longer than the agent takes for another order.
 		Thread.sleep(SILENCE_MS);
@@ -107,7 +96,7 @@
 	public void noticeOfALoadLastsWhileItsOrderMayBeAcceptedLate() throws Exception {
 		startAgent();
 		this.engine.fallSilentOnOrder(LONG_SILENCE_MS);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		List<Report> all = List.copyOf(this.reports);
 		int firstLoading = 0;
@@ -127,10 +116,10 @@
 	public void engineIsBackInServiceAfterALoadDuringItsSilence() throws Exception {
 		startAgent();
 		this.engine.fallSilentAfterOrder(SILENCE_MS);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		GatewayFixture.awaitTrue(() -> !this.engine.orderedVersions().isEmpty());
 		this.origin.setUnavailable(true);
-		announceVersion(3);
+		this.fixture.announceVersion(3);
 		awaitLoaded(2);
 		GatewayFixture.awaitTrue(() -> {
 			EngineStatus last = this.reports.get(this.reports.size() - 1).status();
@@ -143,7 +132,7 @@
 		startAgent();
 		GatewayFixture.awaitTrue(() -> this.agent.newestVerifiedVersion() == 1);
 		this.engine.fallSilentOnStagedRead(changedChunks(), SILENCE_MS);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		assertThat(this.engine.stagedChunkCount()).isEqualTo(changedChunks());
 	}
@@ -164,10 +153,6 @@
 		assertThat(this.origin.sentChunks()).isZero();
 	}
 
-	private void announceVersion(long version) {
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
-	}
-
 	private void awaitLoaded(long version) throws InterruptedException {
 		GatewayFixture.awaitTrue(() -> this.engine.loadedVersion() == version);
 	}
--- a/testsuite/src/test/java/org/wigeontally/sidecar/VersionNoticeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/VersionNoticeTests.java
@@ -40,7 +40,7 @@
 				reports.requestBriefings(status);
 				return view.isKnown();
 			});
-			fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", 2));
+			fixture.announceVersion(2);
 			// The test makes no call from here on.
 			GatewayFixture.awaitTrue(() -> view.targetVersion() == 2);
 			assertThat(view.briefing().getModel()).isEqualTo("m0");
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
@@ -5,8 +5,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -47,16 +45,7 @@
 		this.agents.clear();
 		this.fixture = new GatewayFixture();
 		this.origin = GatewayFixture.await(FakeWeightOrigin.start(this.fixture.vertx()));
-		JsonObject engine = GatewayFixture.engineWithChunks(FakeWeightOrigin.CHUNKS, FakeWeightOrigin.CHUNK_BYTES);
-		JsonArray services = new JsonArray()
-			.add(new JsonObject().put("name", "engines").put("max-connections", 400).put("engine", engine))
-			.add(new JsonObject().put("name", "weights")
-				.put("origin", "127.0.0.1:" + this.origin.port())
-				.put("zone", "zone-a")
-				.put("max-connections", MAX_ORIGIN_CONNECTIONS));
-		this.fixture.store()
-			.write("op", "config",
-					new JsonObject().put("version", 1).put("routes", new JsonArray()).put("services", services));
+		this.fixture.writeEngineConfiguration(this.origin.port(), MAX_ORIGIN_CONNECTIONS);
 		this.fixture.startEntry();
 	}
 
@@ -74,7 +63,7 @@
 	@Test
 	public void announcedVersionReachesEveryEngineWithAboutOneCopyFromTheOrigin() throws Exception {
 		startEngines(4, 1);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		// Chunks that both versions share are not fetched again.
 		assertThat(this.origin.sentChunks()).isLessThanOrEqualTo((int) (1.5 * FakeWeightOrigin.CHUNKS));
@@ -159,7 +148,7 @@
 	public void versionIsLoadedAfterOriginOutage() throws Exception {
 		this.origin.setUnavailable(true);
 		startEngines(3, 1);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		Thread.sleep(1_500);
 		assertThat(this.engines).allMatch((engine) -> engine.loadedVersion() == 1);
 		this.origin.setUnavailable(false);
@@ -175,16 +164,16 @@
 		startEngines(2, 1);
 		this.engines.get(0).corruptOthersWhileStaging(1);
 		this.engines.get(1).corruptOthersWhileStaging(2 * FakeWeightOrigin.CHUNKS);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 	}
 
 	@Test
 	public void newerVersionReplacesOneBeingFetched() throws Exception {
 		startEngines(3, 1);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		Thread.sleep(80);
-		announceVersion(3);
+		this.fixture.announceVersion(3);
 		awaitLoaded(3);
 		assertThat(this.engines.get(0).orderedVersions()).contains(3L);
 	}
@@ -192,7 +181,7 @@
 	@Test
 	public void crashedEngineIsReloadedFromAgentMemory() throws Exception {
 		startEngines(2, 1);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		int before = this.origin.sentChunks();
 		this.engines.get(0).crash();
@@ -208,7 +197,7 @@
 	public void loadOrderWithoutAnswerIsNotSentAgain() throws Exception {
 		startEngines(1, 1);
 		this.engines.get(0).setDropsResponses(true);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		assertThat(this.engines.get(0).orderedVersions()).containsExactly(2L);
 	}
@@ -216,7 +205,7 @@
 	@Test
 	public void restartedAgentReusesStagedChunks() throws Exception {
 		startEngines(1, 1);
-		announceVersion(2);
+		this.fixture.announceVersion(2);
 		awaitLoaded(2);
 		int before = this.origin.sentChunks();
 		this.agents.get(0).close();
@@ -226,10 +215,6 @@
 		assertThat(this.origin.sentChunks()).isLessThanOrEqualTo(before + FakeWeightOrigin.CHUNKS / 4);
 	}
 
-	private void announceVersion(long version) {
-		this.fixture.store().write("op", "version/m0", new JsonObject().put("model", "m0").put("version", version));
-	}
-
 	private void startEngines(int count, long version) throws Exception {
 		for (int i = 0; i < count; i++) {
 			startEngine(version);
