Test: the engines that are silent together have places left

The log shows why: the caller has five connections, all five streams had gone to two of the three engines, and the test waited for the third one before it let them go on, so that the streams met the timeout of their route.

Each stream has a connection now. With that the test passed also on a planted fault (any engine is fit as a successor), since engines without recent reports counted as full. Both assertions are unchanged.

--- a/testsuite/src/test/java/org/wigeontally/gateway/SilentBackendTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SilentBackendTests.java
@@ -6,7 +6,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.json.JsonObject;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.NetSocket;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -14,7 +15,6 @@
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.FakeBackend;
-import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.TestCaller;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -40,15 +40,14 @@
 
 	private static final int FULL_LOAD = 24;
 
+	private static final int MAX_STREAMS = 64;
+
 	private GatewayFixture fixture;
 
 	@BeforeMethod
 	public void start() throws Exception {
 		this.fixture = new GatewayFixture();
-		JsonObject configuration = FakeConfiguration.create(1, List.of());
-		configuration.getJsonArray("routes")
-			.forEach((route) -> ((JsonObject) route).put("timeout-ms", ROUTE_TIMEOUT_MS));
-		this.fixture.store().write("op", "config", configuration);
+		this.fixture.writeConfigurationWithTimeout(ROUTE_TIMEOUT_MS);
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -77,10 +76,6 @@
 		return behaviour;
 	}
 
-	private void later(long delayMs, Runnable action) {
-		this.fixture.vertx().setTimer(delayMs, (id) -> action.run());
-	}
-
 	private static String begin(FakeBackend.ReceivedRequest arrival) {
 		String headers = FakeBackend.signatureHeader("s1") + FakeBackend.loadHeader(1, 16);
 		return FakeBackend.eventStreamHead(arrival, headers) + FakeBackend.eventChunks(0, 3);
@@ -93,14 +88,14 @@
 	/** Falls silent between the events of a stream and goes on. */
 	private void pausedStream(FakeBackend.ReceivedRequest arrival, NetSocket socket) {
 		socket.write(begin(arrival));
-		later(STREAM_SILENCE_MS, () -> writeRest(arrival, socket, 3));
+		this.fixture.later(STREAM_SILENCE_MS, () -> writeRest(arrival, socket, 3));
 	}
 
 	/** Falls silent within an event and goes on. */
 	private void streamPausedWithinAnEvent(FakeBackend.ReceivedRequest arrival, NetSocket socket) {
 		String next = FakeBackend.eventChunks(3, 4);
 		socket.write(begin(arrival) + next.substring(0, 6));
-		later(STREAM_SILENCE_MS, () -> {
+		this.fixture.later(STREAM_SILENCE_MS, () -> {
 			socket.write(next.substring(6));
 			writeRest(arrival, socket, 4);
 		});
@@ -108,59 +103,39 @@
 
 	/** Falls silent before its head and goes on. */
 	private void lateStream(FakeBackend.ReceivedRequest arrival, NetSocket socket) {
-		later(FIRST_EVENT_SILENCE_MS, () -> socket
+		this.fixture.later(FIRST_EVENT_SILENCE_MS, () -> socket
 			.write(FakeBackend.partialEventStream(arrival, "s1", 0, STREAM_EVENTS) + FakeBackend.LAST_CHUNK));
 	}
 
-	/** Uses the first behaviour for the first arrival, the other one for all later. */
-	private static FakeBackend.Behaviour firstThen(AtomicInteger arrivals, FakeBackend.Behaviour first,
-			FakeBackend.Behaviour later) {
-		return (arrival, socket) -> ((arrivals.getAndIncrement() == 0) ? first : later).respond(arrival, socket);
-	}
-
-	private void startPair(String service, FakeBackend.Behaviour first, FakeBackend.Behaviour successor)
-			throws Exception {
-		AtomicInteger arrivals = new AtomicInteger();
-		for (int number = 0; number < 2; number++) {
-			this.fixture.startBackend("backend-" + number, service, "zone-a", firstThen(arrivals, first, successor));
-		}
-		this.fixture.startEntry();
-		this.fixture.awaitReady(0);
-	}
-
 	private static void assertWhole(String name, TestCaller.Response response) {
 		assertThat(response.status()).as(name).isEqualTo(200);
-		StringBuilder events = new StringBuilder();
-		for (int number = 0; number < STREAM_EVENTS; number++) {
-			events.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
-		}
-		assertThat(response.body()).as(name).isEqualTo(events.toString());
+		assertThat(response.body()).as(name).isEqualTo(FakeBackend.events(0, STREAM_EVENTS));
 	}
 
 	/** Guards against streams that are cut although their engine goes on. */
 	@Test(dataProvider = "unusableSuccessors")
 	public void streamOfASilentEngineGoesOn(String name, FakeBackend.Behaviour successor) throws Exception {
-		startPair("engines", this::pausedStream, successor);
+		this.fixture.startPair("engines", this::pausedStream, successor);
 		assertWhole(name, this.fixture.call("events"));
 	}
 
 	@Test
 	public void streamThatIsSilentWithinAnEventGoesOn() throws Exception {
-		startPair("engines", this::streamPausedWithinAnEvent, SilentBackendTests::refuse);
+		this.fixture.startPair("engines", this::streamPausedWithinAnEvent, SilentBackendTests::refuse);
 		assertWhole("within an event", this.fixture.call("events"));
 	}
 
 	/** Guards against a refusal of a stream whose engine begins late. */
 	@Test
 	public void streamThatBeginsLateIsServed() throws Exception {
-		startPair("engines", this::lateStream, SilentBackendTests::refuse);
+		this.fixture.startPair("engines", this::lateStream, SilentBackendTests::refuse);
 		assertWhole("before the head", this.fixture.call("events"));
 	}
 
 	/** Guards against an error in place of the good answer of a silent server. */
 	@Test(dataProvider = "unusableSuccessors")
 	public void lateAnswerOfAPlainRouteIsDelivered(String name, FakeBackend.Behaviour successor) throws Exception {
-		startPair("desk", (arrival, socket) -> later(PLAIN_SILENCE_MS,
+		this.fixture.startPair("desk", (arrival, socket) -> this.fixture.later(PLAIN_SILENCE_MS,
 				() -> socket.write(FakeBackend.signedResponse(arrival, "late"))), successor);
 		TestCaller.Response response = this.fixture.call("plain");
 		assertThat(response.status()).as(name).isEqualTo(200);
@@ -185,12 +160,17 @@
 		assertWhole("full", response);
 	}
 
-	/** Guards against second attempts that flood a service which is silent as a whole. */
+	/**
+	 * Guards against second attempts that flood a service which is silent as a whole. The
+	 * engines have places left, so that only their silence keeps second attempts away.
+	 */
 	@Test
 	public void silenceOfAllEnginesCutsNothingAndDoublesNothing() throws Exception {
+		// A connection for each stream, so that all of them run together.
+		HttpClient client = this.fixture.vertx().createHttpClient(new PoolOptions().setHttp1MaxSize(MAX_STREAMS));
 		Promise<Void> goingOn = Promise.promise();
 		List<FakeBackend> engines = new ArrayList<>();
-		for (int number = 0; number < 3; number++) {
+		for (int number = 0; number < 6; number++) {
 			engines.add(this.fixture.startBackend("engine-" + number, "engines", "zone-a", (arrival, socket) -> {
 				socket.write(begin(arrival));
 				goingOn.future().onComplete((v) -> writeRest(arrival, socket, 3));
@@ -199,22 +179,22 @@
 		this.fixture.startEntry();
 		this.fixture.awaitReady(0);
 		List<Future<TestCaller.Response>> responses = new ArrayList<>();
-		while (responses.size() < 18 || engines.stream().anyMatch((engine) -> engine.receivedRequests().isEmpty())) {
-			responses.add(send("stream-" + responses.size()));
-			Thread.sleep(5);
+		while (engines.stream().anyMatch((engine) -> engine.receivedRequests().isEmpty())) {
+			responses.add(send(client, "stream-" + responses.size()));
+			GatewayFixture.awaitTrue(() -> arrivals(engines) == responses.size());
 		}
-		later(STREAM_SILENCE_MS, goingOn::complete);
+		this.fixture.later(STREAM_SILENCE_MS, goingOn::complete);
 		for (Future<TestCaller.Response> response : responses) {
 			assertWhole("all silent", GatewayFixture.await(response));
 		}
-		int arrivals = engines.stream().mapToInt((engine) -> engine.receivedRequests().size()).sum();
-		assertThat(arrivals).isEqualTo(responses.size());
+		assertThat(arrivals(engines)).isEqualTo(responses.size());
 	}
 
 	/** Guards against waiting for an engine that never goes on. */
 	@Test
 	public void streamOfADeadEngineIsResumedElsewhere() throws Exception {
-		startPair("engines", (arrival, socket) -> socket.write(FakeBackend.partialEventStream(arrival, "s1", 0, 3)),
+		this.fixture.startPair("engines",
+				(arrival, socket) -> socket.write(FakeBackend.partialEventStream(arrival, "s1", 0, 3)),
 				(arrival, socket) -> {
 					socket.write(FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s2")));
 					writeRest(arrival, socket, Integer.parseInt(arrival.headers().get("last-event-id")) + 1);
@@ -226,15 +206,22 @@
 	@Test
 	public void streamIsWholeWhenBothEnginesGoOnTogether() throws Exception {
 		AtomicInteger delayMs = new AtomicInteger();
-		startPair("engines", this::pausedStream, (arrival, socket) -> later(delayMs.addAndGet(5), () -> {
-			socket.write(FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s2")));
-			writeRest(arrival, socket, Integer.parseInt(arrival.headers().getOrDefault("last-event-id", "-1")) + 1);
-		}));
+		this.fixture.startPair("engines", this::pausedStream,
+				(arrival, socket) -> this.fixture.later(delayMs.addAndGet(5), () -> {
+					socket.write(FakeBackend.eventStreamHead(arrival, FakeBackend.signatureHeader("s2")));
+					writeRest(arrival, socket,
+							Integer.parseInt(arrival.headers().getOrDefault("last-event-id", "-1")) + 1);
+				}));
 		assertWhole("both", this.fixture.call("events"));
 	}
 
-	private Future<TestCaller.Response> send(String id) {
-		return this.fixture.send(0, "events", id + "-" + System.nanoTime(), GatewayFixture.API_KEY, "body");
+	private Future<TestCaller.Response> send(HttpClient client, String id) {
+		return TestCaller.sendRequest(client, this.fixture.settings(0).getFront(), "/events/x", id,
+				GatewayFixture.API_KEY, "body");
+	}
+
+	private static int arrivals(List<FakeBackend> backends) {
+		return backends.stream().mapToInt((backend) -> backend.receivedRequests().size()).sum();
 	}
 
 }
