Log signals, and what callers are owed when an entry drains and ends

A signal left no line, and `stop phase=ended` named the requests in flight only, which hides a response that is partly unsent and a body that is being read.

Change: event `signal`; `connections` and `busy` on the lines of `stop`. No decision changes.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -10,6 +10,8 @@
 	START(RateLimit.RARE),
 	/** The process was told to stop, or has stopped. */
 	STOP(RateLimit.RARE),
+	/** The process received a signal. */
+	SIGNAL(RateLimit.RARE),
 	/** The settings were reloaded. */
 	RELOAD(RateLimit.RARE),
 	/** The store no longer responds. */
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -87,6 +87,15 @@
 		return this.closing;
 	}
 
+	/**
+	 * Returns whether the caller is owed something: the response to a request that it has
+	 * begun, or a part of one that has not been sent yet.
+	 * @return true if so
+	 */
+	boolean isBusy() {
+		return this.state.isInRequest() || hasUnsentBytes();
+	}
+
 	boolean isExpired() {
 		long nowMs = this.context.nowMs();
 		this.state.applyLimits(this.limits.get());
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -35,6 +35,18 @@
 		return this.open.get(connection);
 	}
 
+	int count() {
+		return this.open.size();
+	}
+
+	/**
+	 * Returns the number of connections whose callers are owed something.
+	 * @return the number
+	 */
+	long countBusy() {
+		return this.open.values().stream().filter(CallerConnection::isBusy).count();
+	}
+
 	/**
 	 * Returns the limits in force.
 	 * @return the limits
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -354,7 +354,7 @@
 		DrainSchedule schedule = DrainSchedule.of(this.context.nowMs(),
 				(long) (this.settings.getBounds().getGraceS() * 1000));
 		this.context.startDraining(schedule);
-		this.log.write(LogEvent.STOP, "phase", "draining", "in-flight", this.context.inFlight());
+		logPhase("draining");
 		this.exchange.exchangeWithAllEntries();
 		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
 			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
@@ -366,12 +366,17 @@
 			}
 			if (schedule.isOver(nowMs, this.context.inFlight())) {
 				this.vertx.cancelTimer(id);
-				this.log.write(LogEvent.STOP, "phase", "ended", "in-flight", this.context.inFlight());
+				logPhase("ended");
 				drained.tryComplete(this.context.inFlight());
 			}
 		});
 	}
 
+	private void logPhase(String phase) {
+		this.log.write(LogEvent.STOP, "phase", phase, "in-flight", this.context.inFlight(), "connections",
+				this.callerConnections.count(), "busy", this.callerConnections.countBusy());
+	}
+
 	/**
 	 * Applies changed settings. Only new seeds take effect; the addresses of this process
 	 * stay as they were at the start.
--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -109,6 +109,14 @@
 		return this.headBegun;
 	}
 
+	/**
+	 * Returns whether a request has been begun and its response has not ended.
+	 * @return true if so
+	 */
+	public boolean isInRequest() {
+		return this.headBegun || this.unanswered > 0;
+	}
+
 	/**
 	 * Returns whether the caller has sent nothing that was due for too long.
 	 * @param nowMs monotonic time
--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -19,6 +19,7 @@
 
 import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.HostSettings;
@@ -102,15 +103,15 @@
 	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, Path file)
 			throws ExecutionException, InterruptedException {
 		GatewayDaemon daemon = await(GatewayDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, true, daemon::reload);
-		return drainOnTermination(daemon::drain);
+		watchSettings(file, true, log, daemon::reload);
+		return drainOnTermination(log, daemon::drain);
 	}
 
 	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, Path file)
 			throws ExecutionException, InterruptedException {
 		SidecarDaemon daemon = await(SidecarDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, false, daemon::reload);
-		return drainOnTermination(daemon::drain);
+		watchSettings(file, false, log, daemon::reload);
+		return drainOnTermination(log, daemon::drain);
 	}
 
 	private static <T> T await(Future<T> future) throws ExecutionException, InterruptedException {
@@ -118,7 +119,7 @@
 	}
 
 	// Reloads the settings on SIGHUP and when the modification time of the file changes.
-	private static void watchSettings(Path file, boolean isEntry, Consumer<HostSettings> reload) {
+	private static void watchSettings(Path file, boolean isEntry, EventLog log, Consumer<HostSettings> reload) {
 		Runnable reloadFile = () -> {
 			try {
 				reload.accept(readSettings(file, isEntry));
@@ -127,7 +128,10 @@
 				logger.warn("event=reload outcome=refused reason=\"{}\"", ex.getMessage().replace('\n', ' '));
 			}
 		};
-		Signal.handle(new Signal("HUP"), (signal) -> reloadFile.run());
+		Signal.handle(new Signal("HUP"), (signal) -> {
+			log.write(LogEvent.SIGNAL, "name", signal.getName());
+			reloadFile.run();
+		});
 		Thread watcher = new Thread(() -> {
 			FileTime lastModified = modificationTime(file);
 			while (true) {
@@ -159,10 +163,11 @@
 	}
 
 	// Drains on the first SIGTERM and ignores further ones.
-	private static int drainOnTermination(Supplier<Future<Integer>> drain) throws InterruptedException {
+	private static int drainOnTermination(EventLog log, Supplier<Future<Integer>> drain) throws InterruptedException {
 		CountDownLatch drained = new CountDownLatch(1);
 		CountDownLatch terminationRequested = new CountDownLatch(1);
 		Signal.handle(new Signal("TERM"), (signal) -> {
+			log.write(LogEvent.SIGNAL, "name", signal.getName(), "first", terminationRequested.getCount() > 0);
 			if (terminationRequested.getCount() > 0) {
 				terminationRequested.countDown();
 				drain.get().onComplete((done) -> drained.countDown());
