--- a/testsuite/src/test/java/org/wigeontally/gateway/EntryProcess.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EntryProcess.java
@@ -78,6 +78,14 @@
 			.toList();
 	}
 
+	/**
+	 * Sends a signal to the process.
+	 * @param name name of the signal
+	 */
+	public void signal(String name) throws Exception {
+		new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
+	}
+
 	public Process process() {
 		return this.process;
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -101,8 +101,26 @@
 		startEntry(List.of(), HostBounds.newBuilder().setVersionMs(versionMs).build());
 	}
 
+	/** Starts an entry with a given address for callers and port for datagrams. */
+	void startEntryAt(Address front, int internalPort) throws Exception {
+		startEntry(createSettings(List.of(), HostBounds.getDefaultInstance()).setFront(front)
+			.setInternalPort(internalPort)
+			.build());
+	}
+
 	private void startEntry(List<Address> seeds, HostBounds otherBounds) throws Exception {
-		HostSettings.Builder builder = HostSettings.newBuilder()
+		startEntry(createSettings(seeds, otherBounds).build());
+	}
+
+	private void startEntry(HostSettings entrySettings) throws Exception {
+		GatewayDaemon entry = await(GatewayDaemon.start(this.vertx, entrySettings, Clock.system(),
+				EventLog.create(Clock.system(), entrySettings.getHost())));
+		this.settings.add(entrySettings);
+		this.entries.add(entry);
+	}
+
+	private HostSettings.Builder createSettings(List<Address> seeds, HostBounds otherBounds) throws IOException {
+		return HostSettings.newBuilder()
 			.setHost("entry-" + this.entries.size())
 			.setZone("zone-a")
 			.setRegion("region-a")
@@ -127,11 +145,8 @@
 				.setDirectoryTtlS(5)
 				.setRelayMs(120)
 				.setConfigurationMs(2_000)
-				.mergeFrom(otherBounds));
-		HostSettings entrySettings = builder.addAllSeeds(seeds).build();
-		this.settings.add(entrySettings);
-		this.entries.add(await(GatewayDaemon.start(this.vertx, entrySettings, Clock.system(),
-				EventLog.create(Clock.system(), entrySettings.getHost()))));
+				.mergeFrom(otherBounds))
+			.addAllSeeds(seeds);
 	}
 
 	/** Tells an entry of another one, by a reload of its settings. */
--- a/testsuite/src/test/java/org/wigeontally/gateway/KeptConnection.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/KeptConnection.java
@@ -56,8 +56,13 @@
 
 	/** Sends a request and returns the status of its answer. */
 	int call(String route, String id) {
+		return exchange(request(route, id));
+	}
+
+	/** Sends a request and returns the status of its answer. */
+	int exchange(String request) {
 		try {
-			send(request(route, id));
+			send(request);
 		}
 		catch (IOException ex) {
 			return NO_ANSWER;
