An entry closes its port and connections before its process ends

What callers saw: a request that was accepted at the end of a planned stop ended without an answer (LOST), in single cases; a response that was read slowly was cut.

Cause: the drain was over when at one check every 20 ms no request was in flight. Nothing stopped the entry then: until the JVM had exited it accepted connections, read requests and sent them on. What it owed was counted in requests, which end when their response is handed to Vert.x and begin when their body has been read. The class: a process decides to end by a count that new work changes, and does not count all that it owes.

Change: DrainSchedule says when the entry is closed, not when it is over. The server of callers is shut down then, which refuses connections, closes idle ones and lets the others finish; the process ends when the last one is closed, at the end of the grace period at the latest. Vert.x discards what a socket has not taken of a response that has ended, so the shutdown waits for such bytes.

Ruled out: a check that the entry is idle for longer; any request may arrive at its end.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -105,8 +105,12 @@
 		return !this.closing && this.state.isExpired(nowMs);
 	}
 
-	// The channel is not empty as long as Vert.x queues more for it.
-	private boolean hasUnsentBytes() {
+	/**
+	 * Returns whether a part of a response has not been sent yet.
+	 * @return true if so
+	 */
+	boolean hasUnsentBytes() {
+		// The channel is not empty as long as Vert.x queues more for it.
 		ChannelOutboundBuffer unsent = this.channel.unsafe().outboundBuffer();
 		return unsent != null && !unsent.isEmpty();
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -47,6 +47,14 @@
 		return this.open.values().stream().filter(CallerConnection::isBusy).count();
 	}
 
+	/**
+	 * Returns whether parts of responses have not been sent yet.
+	 * @return true if there are any
+	 */
+	boolean hasUnsentBytes() {
+		return this.open.values().stream().anyMatch(CallerConnection::hasUnsentBytes);
+	}
+
 	/**
 	 * Returns the limits in force.
 	 * @return the limits
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -96,6 +97,9 @@
 
 	private static final long DRAIN_CHECK_INTERVAL_MS = 20;
 
+	/** A timer that is set by a task fires after the sockets have been read again. */
+	private static final long READ_AGAIN_DELAY_MS = 5;
+
 	private final Vertx vertx;
 
 	private final Context eventLoop;
@@ -128,6 +132,10 @@
 
 	private final CompactedTopic entryRecords = CompactedTopic.create();
 
+	private HttpServer front;
+
+	private boolean closing;
+
 	private int entryReadIntervals;
 
 	private final StoreFollower operatorFollower;
@@ -209,8 +217,8 @@
 			.setPort(this.settings.getMetricsPort())
 			.build();
 		List<Future<HttpServer>> servers = new ArrayList<>();
-		servers.add(this.vertx.createHttpServer(callerOptions)
-			.connectionHandler((connection) -> this.callerConnections.add(connection, callerOptions))
+		this.front = this.vertx.createHttpServer(callerOptions);
+		servers.add(this.front.connectionHandler((connection) -> this.callerConnections.add(connection, callerOptions))
 			.requestHandler(this.callerHandler::handle)
 			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
@@ -330,8 +338,9 @@
 
 	/**
 	 * Drains the process: deregisters it from the store, notifies the other entries,
-	 * serves requests that end in time, and ends once no request is in flight or the
-	 * grace period is over.
+	 * serves requests that end in time, closes the port and the connections of callers,
+	 * and ends when all are closed or the grace period is over. No request is taken after
+	 * that.
 	 * @return the number of requests in flight at the end
 	 */
 	public Future<Integer> drain() {
@@ -364,14 +373,38 @@
 			if (schedule.isAnswerDue(nowMs)) {
 				this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
 			}
-			if (schedule.isOver(nowMs, this.context.inFlight())) {
+			if (schedule.isClosingDue(nowMs) && !this.closing) {
+				this.vertx.setTimer(READ_AGAIN_DELAY_MS, (timer) -> closeFront(schedule, drained));
+			}
+			if (schedule.remainingMs(nowMs) <= 0) {
 				this.vertx.cancelTimer(id);
-				logPhase("ended");
-				drained.tryComplete(this.context.inFlight());
+				endDraining(drained);
 			}
 		});
 	}
 
+	// Closes the port and the idle connections, and each of the others with its response.
+	// Requests that had arrived have been read by now. Vert.x would discard what is left
+	// of a response that has ended, so such responses are waited for.
+	private void closeFront(DrainSchedule schedule, Promise<Integer> drained) {
+		long remainingMs = schedule.remainingMs(this.context.nowMs());
+		if (this.closing || remainingMs <= 0 || this.callerConnections.hasUnsentBytes()) {
+			return;
+		}
+		this.closing = true;
+		logPhase("closing");
+		// The last connection may close while its request is still being ended.
+		this.front.shutdown(remainingMs, TimeUnit.MILLISECONDS)
+			.onComplete((closed) -> this.eventLoop.runOnContext((v) -> endDraining(drained)));
+	}
+
+	private void endDraining(Promise<Integer> drained) {
+		int inFlight = this.context.inFlight();
+		if (drained.tryComplete(inFlight)) {
+			logPhase("ended");
+		}
+	}
+
 	private void logPhase(String phase) {
 		this.log.write(LogEvent.STOP, "phase", phase, "in-flight", this.context.inFlight(), "connections",
 				this.callerConnections.count(), "busy", this.callerConnections.countBusy());
--- a/library/src/main/java/org/wigeontally/fleet/DrainSchedule.java
+++ b/library/src/main/java/org/wigeontally/fleet/DrainSchedule.java
@@ -12,6 +12,11 @@
  * caller or its route gives it up. A request is therefore started only if this bound lies
  * before the end of the entry. All others are rejected at once, and their callers can use
  * another entry.
+ *
+ * <p>
+ * An entry that runs until it happens to be idle ends between a request that it answered
+ * and one that it has taken meanwhile. It is therefore closed first: it accepts no more
+ * connections, and ends when the last one has been closed.
  */
 public final class DrainSchedule {
 
@@ -23,12 +28,12 @@
 	private static final long MAX_END_MARGIN_MS = 400;
 
 	/**
-	 * Minimum time between the signal and the end of an idle entry, for callers that
-	 * still connect. Covers three lifetimes of the directory's answer.
+	 * Time after the signal for which the entry accepts connections. Covers three
+	 * lifetimes of the directory's answer.
 	 */
-	private static final long MIN_IDLE_MS = 6_300;
+	private static final long MIN_OPEN_MS = 6_300;
 
-	private final long signalMs;
+	private final long closingMs;
 
 	private final long lastAnswerMs;
 
@@ -36,8 +41,8 @@
 
 	private DrainSchedule(long signalMs, long graceMs) {
 		long endMarginMs = (long) Math.min(MAX_END_MARGIN_MS, graceMs * END_MARGIN_FRACTION);
-		this.signalMs = signalMs;
 		this.lastAnswerMs = signalMs + graceMs - endMarginMs;
+		this.closingMs = Math.min(signalMs + MIN_OPEN_MS, this.lastAnswerMs);
 		this.exitMs = signalMs + graceMs - endMarginMs / 2;
 	}
 
@@ -71,13 +76,21 @@
 	}
 
 	/**
-	 * Returns whether the process ends now.
+	 * Returns whether the entry accepts no more connections.
+	 * @param nowMs the current time, on the monotonic clock
+	 * @return true from the time of its closing on
+	 */
+	public boolean isClosingDue(long nowMs) {
+		return nowMs >= this.closingMs;
+	}
+
+	/**
+	 * Returns the time until the process ends, whatever is still open.
 	 * @param nowMs the current time, on the monotonic clock
-	 * @param inFlight number of requests in flight
-	 * @return true if it ends
+	 * @return milliseconds; not positive if it ends now
 	 */
-	public boolean isOver(long nowMs, int inFlight) {
-		return nowMs >= this.exitMs || (inFlight == 0 && nowMs >= this.signalMs + MIN_IDLE_MS);
+	public long remainingMs(long nowMs) {
+		return this.exitMs - nowMs;
 	}
 
 }
