Signals that reach a process while it starts are kept

What callers saw: requests that a starting entry had accepted ended with a reset connection (LOST); operators saw processes that a reload ended.

Cause: the handlers of HUP and TERM were set after the daemon had listened on all ports. Until then those of the Java runtime end the process at either signal. Series of signals overlap with restarts, and the slower the host, the longer a start takes. The class: a process is used before it is defended.

Change: ProcessSignals is installed by the first statement of the process, entry or agent. A HUP waits for the daemon; a TERM ends the process in order before it listens and drains it after.

What remains: until the first statement, some 0.1 s in which nothing listens, the runtime's handlers hold.

--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -15,7 +15,6 @@
 import io.vertx.core.file.FileSystemOptions;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
@@ -47,6 +46,7 @@
 	 * @param args the role, entry or agent, or the command of {@link ClassArchiveTrainer}
 	 */
 	public static void main(String[] args) {
+		ProcessSignals signals = ProcessSignals.install();
 		if (args.length == 1 && args[0].equals(ClassArchiveTrainer.COMMAND)) {
 			System.exit(ClassArchiveTrainer.run());
 		}
@@ -59,10 +59,10 @@
 			System.err.println("wigeontally: " + SETTINGS_VARIABLE + " does not name a settings file");
 			System.exit(ExitCode.BAD_INPUT);
 		}
-		System.exit(run(args[0].equals("entry"), Path.of(file)));
+		System.exit(run(args[0].equals("entry"), Path.of(file), signals));
 	}
 
-	private static int run(boolean isEntry, Path file) {
+	private static int run(boolean isEntry, Path file, ProcessSignals signals) {
 		HostSettings settings;
 		try {
 			settings = readSettings(file, isEntry);
@@ -73,8 +73,13 @@
 		}
 		Vertx vertx = createVertx();
 		EventLog log = EventLog.create(Clock.system(), settings.getHost());
+		if (signals.isTerminationPending()) {
+			log.write(LogEvent.STOP, "phase", "ended", "started", false);
+			return ExitCode.SUCCESS;
+		}
 		try {
-			return isEntry ? runEntry(vertx, settings, log, file) : runAgent(vertx, settings, log, file);
+			return isEntry ? runEntry(vertx, settings, log, file, signals)
+					: runAgent(vertx, settings, log, file, signals);
 		}
 		catch (ExecutionException ex) {
 			System.err.println("wigeontally: cannot start: " + ex.getCause().getMessage());
@@ -100,18 +105,18 @@
 		return SettingsReader.readFile(file, HostSettings.newBuilder(), HostSettingsValidator.create(isEntry)).build();
 	}
 
-	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, Path file)
+	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, Path file, ProcessSignals signals)
 			throws ExecutionException, InterruptedException {
 		GatewayDaemon daemon = await(GatewayDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, true, log, daemon::reload);
-		return drainOnTermination(log, daemon::drain);
+		watchSettings(file, true, log, signals, daemon::reload);
+		return drainOnTermination(log, signals, daemon::drain);
 	}
 
-	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, Path file)
+	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, Path file, ProcessSignals signals)
 			throws ExecutionException, InterruptedException {
 		SidecarDaemon daemon = await(SidecarDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, false, log, daemon::reload);
-		return drainOnTermination(log, daemon::drain);
+		watchSettings(file, false, log, signals, daemon::reload);
+		return drainOnTermination(log, signals, daemon::drain);
 	}
 
 	private static <T> T await(Future<T> future) throws ExecutionException, InterruptedException {
@@ -119,7 +124,8 @@
 	}
 
 	// Reloads the settings on SIGHUP and when the modification time of the file changes.
-	private static void watchSettings(Path file, boolean isEntry, EventLog log, Consumer<HostSettings> reload) {
+	private static void watchSettings(Path file, boolean isEntry, EventLog log, ProcessSignals signals,
+			Consumer<HostSettings> reload) {
 		Runnable reloadFile = () -> {
 			try {
 				reload.accept(readSettings(file, isEntry));
@@ -128,8 +134,8 @@
 				logger.warn("event=reload outcome=refused reason=\"{}\"", ex.getMessage().replace('\n', ' '));
 			}
 		};
-		Signal.handle(new Signal("HUP"), (signal) -> {
-			log.write(LogEvent.SIGNAL, "name", signal.getName());
+		signals.onHangup(() -> {
+			log.write(LogEvent.SIGNAL, "name", "HUP");
 			reloadFile.run();
 		});
 		Thread watcher = new Thread(() -> {
@@ -163,11 +169,12 @@
 	}
 
 	// Drains on the first SIGTERM and ignores further ones.
-	private static int drainOnTermination(EventLog log, Supplier<Future<Integer>> drain) throws InterruptedException {
+	private static int drainOnTermination(EventLog log, ProcessSignals signals, Supplier<Future<Integer>> drain)
+			throws InterruptedException {
 		CountDownLatch drained = new CountDownLatch(1);
 		CountDownLatch terminationRequested = new CountDownLatch(1);
-		Signal.handle(new Signal("TERM"), (signal) -> {
-			log.write(LogEvent.SIGNAL, "name", signal.getName(), "first", terminationRequested.getCount() > 0);
+		signals.onTermination(() -> {
+			log.write(LogEvent.SIGNAL, "name", "TERM", "first", terminationRequested.getCount() > 0);
 			if (terminationRequested.getCount() > 0) {
 				terminationRequested.countDown();
 				drain.get().onComplete((done) -> drained.countDown());
