A reload that fails leaves the watcher of the settings running

What operators saw: a process that no longer took over changes of its settings.

Cause: the thread that watches the file, and the one that handles HUP, expected InputException only; any other exception of the reader or of the daemon ended the thread, without a structured line.

Change: SettingsReload logs what went wrong and stays; SettingsFile reads and watches the file, out of HostProcess.

--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -1,9 +1,6 @@
 package org.wigeontally.tool;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.FileTime;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
@@ -13,8 +10,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
@@ -22,8 +17,6 @@
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.settings.HostSettingsValidator;
-import org.wigeontally.settings.SettingsReader;
 import org.wigeontally.sidecar.SidecarDaemon;
 
 /**
@@ -32,12 +25,8 @@
  */
 public final class HostProcess {
 
-	private static final Logger logger = LoggerFactory.getLogger("wigeontally");
-
 	private static final String SETTINGS_VARIABLE = "WIGEONTALLY_CONFIG";
 
-	private static final long SETTINGS_POLL_INTERVAL_MS = 2_000;
-
 	private HostProcess() {
 	}
 
@@ -59,13 +48,14 @@
 			System.err.println("wigeontally: " + SETTINGS_VARIABLE + " does not name a settings file");
 			System.exit(ExitCode.BAD_INPUT);
 		}
-		System.exit(run(args[0].equals("entry"), Path.of(file), signals));
+		boolean isEntry = args[0].equals("entry");
+		System.exit(run(isEntry, SettingsFile.of(Path.of(file), isEntry), signals));
 	}
 
-	private static int run(boolean isEntry, Path file, ProcessSignals signals) {
+	private static int run(boolean isEntry, SettingsFile file, ProcessSignals signals) {
 		HostSettings settings;
 		try {
-			settings = readSettings(file, isEntry);
+			settings = file.read();
 		}
 		catch (InputException ex) {
 			System.err.println(ex.getMessage());
@@ -101,21 +91,17 @@
 					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
 	}
 
-	private static HostSettings readSettings(Path file, boolean isEntry) throws InputException {
-		return SettingsReader.readFile(file, HostSettings.newBuilder(), HostSettingsValidator.create(isEntry)).build();
-	}
-
-	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, Path file, ProcessSignals signals)
-			throws ExecutionException, InterruptedException {
+	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, SettingsFile file,
+			ProcessSignals signals) throws ExecutionException, InterruptedException {
 		GatewayDaemon daemon = await(GatewayDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, true, log, signals, daemon::reload);
+		watchSettings(file, log, signals, daemon::reload);
 		return drainOnTermination(log, signals, daemon::drain);
 	}
 
-	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, Path file, ProcessSignals signals)
-			throws ExecutionException, InterruptedException {
+	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, SettingsFile file,
+			ProcessSignals signals) throws ExecutionException, InterruptedException {
 		SidecarDaemon daemon = await(SidecarDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, false, log, signals, daemon::reload);
+		watchSettings(file, log, signals, daemon::reload);
 		return drainOnTermination(log, signals, daemon::drain);
 	}
 
@@ -123,49 +109,15 @@
 		return future.toCompletionStage().toCompletableFuture().get();
 	}
 
-	// Reloads the settings on SIGHUP and when the modification time of the file changes.
-	private static void watchSettings(Path file, boolean isEntry, EventLog log, ProcessSignals signals,
-			Consumer<HostSettings> reload) {
-		Runnable reloadFile = () -> {
-			try {
-				reload.accept(readSettings(file, isEntry));
-			}
-			catch (InputException ex) {
-				logger.warn("event=reload outcome=refused reason=\"{}\"", ex.getMessage().replace('\n', ' '));
-			}
-		};
+	// Reloads the settings on SIGHUP and when the file changes.
+	private static void watchSettings(SettingsFile file, EventLog log, ProcessSignals signals,
+			Consumer<HostSettings> target) {
+		SettingsReload reload = SettingsReload.of(file, target, log);
 		signals.onHangup(() -> {
 			log.write(LogEvent.SIGNAL, "name", "HUP");
-			reloadFile.run();
+			reload.run();
 		});
-		Thread watcher = new Thread(() -> {
-			FileTime lastModified = modificationTime(file);
-			while (true) {
-				try {
-					Thread.sleep(SETTINGS_POLL_INTERVAL_MS);
-				}
-				catch (InterruptedException ex) {
-					return;
-				}
-				FileTime modified = modificationTime(file);
-				if (modified != null && !modified.equals(lastModified)) {
-					lastModified = modified;
-					reloadFile.run();
-				}
-			}
-		}, "settings-watcher");
-		watcher.setDaemon(true);
-		watcher.start();
-	}
-
-	private static FileTime modificationTime(Path file) {
-		try {
-			return Files.getLastModifiedTime(file);
-		}
-		catch (IOException ex) {
-			// The file may be missing while it is being replaced; the next poll finds it.
-			return null;
-		}
+		reload.watch();
 	}
 
 	// Drains on the first SIGTERM and ignores further ones.
