A change of the settings during the start is applied

What operators saw: new settings that were written while a process started took effect only at the next change.

Cause: the watcher took the modification time of the file when it began, after the first reading and the start.

Evidence: SettingsReloadTests#changeBetweenTheFirstReadingAndTheWatchIsApplied, red before, green after.

Change: SettingsFile takes the time before each reading.

--- a/testsuite/src/test/java/org/wigeontally/tool/SettingsReloadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/SettingsReloadTests.java
@@ -16,6 +16,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.gateway.GatewayFixture;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.schema.generated.HostSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -72,13 +73,22 @@
 			}
 			applied.add(changed.getHost());
 		}, log()).watch();
-		Thread.sleep(100);
 		change(this.settings, 1_000);
 		GatewayFixture.awaitTrue(() -> reloads.get() == 1);
 		change(this.settings.replace(HOST, RENAMED_HOST), 2_000);
 		GatewayFixture.awaitTrue(() -> applied.equals(List.of(RENAMED_HOST)));
 	}
 
+	/** Guards against a change that is missed because the process was still starting. */
+	@Test
+	public void changeBetweenTheFirstReadingAndTheWatchIsApplied() throws Exception {
+		change(this.settings.replace(HOST, RENAMED_HOST), 1_000);
+		List<HostSettings> applied = new CopyOnWriteArrayList<>();
+		SettingsReload.of(this.file, applied::add, log()).watch();
+		GatewayFixture.awaitTrue(() -> !applied.isEmpty());
+		assertThat(applied.get(0).getHost()).isEqualTo(RENAMED_HOST);
+	}
+
 	private static EventLog log() {
 		return EventLog.create(Clock.system(), HOST);
 	}
--- a/tool/src/main/java/org/wigeontally/tool/SettingsFile.java
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsFile.java
@@ -11,7 +11,7 @@
 import org.wigeontally.settings.SettingsReader;
 
 /**
- * The settings file of a process, and whether it has changed since it was last asked.
+ * The settings file of a process, and whether it has changed since it was last read.
  * Thread-safe.
  */
 final class SettingsFile {
@@ -20,7 +20,7 @@
 
 	private final boolean isEntry;
 
-	private FileTime lastModified;
+	private FileTime modifiedWhenRead;
 
 	private SettingsFile(Path path, boolean isEntry) {
 		this.path = path;
@@ -43,19 +43,15 @@
 	 * @throws InputException with all findings, if there are any
 	 */
 	synchronized HostSettings read() throws InputException {
+		// Taken first, so that a change during the reading counts as one after it.
+		this.modifiedWhenRead = modificationTime();
 		return SettingsReader.readFile(this.path, HostSettings.newBuilder(), HostSettingsValidator.create(this.isEntry))
 			.build();
 	}
 
-	/**
-	 * Returns whether the file has changed since it was last asked.
-	 * @return true if it has
-	 */
 	synchronized boolean isChanged() {
 		FileTime modified = modificationTime();
-		boolean changed = modified != null && !modified.equals(this.lastModified);
-		this.lastModified = (modified != null) ? modified : this.lastModified;
-		return changed;
+		return modified != null && !modified.equals(this.modifiedWhenRead);
 	}
 
 	private FileTime modificationTime() {
--- a/tool/src/main/java/org/wigeontally/tool/SettingsReload.java
+++ b/tool/src/main/java/org/wigeontally/tool/SettingsReload.java
@@ -62,7 +62,6 @@
 	}
 
 	private void runAtChanges() {
-		this.file.isChanged();
 		while (true) {
 			try {
 				Thread.sleep(POLL_INTERVAL_MS);
