An entry that cannot listen on all its ports accepts no callers

What callers saw: requests to an entry that ended in its start were cut (LOST).

Cause: the port for callers was bound first. If another one was taken, the process ended with the requests that it had read meanwhile. The class is that of the signals: a process is used before it is complete.

Evidence: StartTests, red before (the port accepted after the start had failed), green after.

Change: the port for callers is bound when all others are. Servers are closed by the daemon also if the start failed.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -192,61 +192,60 @@
 	public static Future<GatewayDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
 		Promise<GatewayDaemon> started = Promise.promise();
 		Context loop = vertx.getOrCreateContext();
-		loop.runOnContext((v) -> {
-			GatewayDaemon daemon = new GatewayDaemon(vertx, loop, settings, clock, log);
-			daemon.listen().map(daemon).onComplete(started);
-		});
+		loop.runOnContext((v) -> new GatewayDaemon(vertx, loop, settings, clock, log).listen().onComplete(started));
 		return started.future();
 	}
 
-	private Future<Void> listen() {
+	// Callers come last, so that a process which cannot listen on all ports accepts none.
+	private Future<GatewayDaemon> listen() {
 		this.settings.getSeedsList().forEach(this.entries::addAddress);
 		GrpcServer grpc = GrpcServer.server(this.vertx,
 				new GrpcServerOptions().setMaxMessageSize(EntryExchange.MESSAGE_LIMIT_BYTES));
 		grpc.addService(FleetGrpcService.of(new FleetServiceHandler()));
-		HttpServerOptions callerOptions = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
-			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
-			.setHandle100ContinueAutomatically(true)
-			.setHttp2ClearTextEnabled(false)
-			.setPerFrameWebSocketCompressionSupported(false)
-			.setPerMessageWebSocketCompressionSupported(false)
-			.setAcceptBacklog(ACCEPT_BACKLOG)
-			.setTcpNoDelay(true);
 		Address metricsAddress = Address.newBuilder()
 			.setIp(this.settings.getIp())
 			.setPort(this.settings.getMetricsPort())
 			.build();
-		List<Future<HttpServer>> servers = new ArrayList<>();
-		this.front = this.vertx.createHttpServer(callerOptions);
-		servers.add(this.front.connectionHandler((connection) -> this.callerConnections.add(connection, callerOptions))
-			.requestHandler(this.callerHandler::handle)
-			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
+		List<Future<?>> listening = new ArrayList<>();
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
 		HttpServerOptions publicOptions = new HttpServerOptions().setTcpNoDelay(true);
-		servers.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
-		servers.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
-		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
+		listening.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
+		listening.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
+		listening.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
 		HarmfulPartHttpHandler partHandler = new HarmfulPartHttpHandler(this.context.harmfulParts(),
 				this.harmfulPartStore);
 		BackendLimitHttpHandler limitHandler = new BackendLimitHttpHandler(this.context, this.permitServer);
-		servers.add(serve(metricsAddress, publicOptions, (request) -> {
+		listening.add(serve(metricsAddress, publicOptions, (request) -> {
 			if (!partHandler.handle(request) && !limitHandler.handle(request)) {
 				MetricsApi.writeMetrics(this.context.metrics().registry(), request.response());
 			}
 		}));
 		this.datagrams.handler(this::handleReportDatagram);
-		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
-		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
-			this.closer.add(this.datagrams::close);
-			servers.forEach((server) -> this.closer.add(server.result()::close));
-			startTasks();
-		}).mapEmpty();
+		this.closer.add(this.datagrams::close);
+		listening.add(this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp()));
+		return Future.all(listening).compose((all) -> listenForCallers()).onSuccess((server) -> startTasks()).map(this);
+	}
+
+	private Future<HttpServer> listenForCallers() {
+		HttpServerOptions options = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
+			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
+			.setHandle100ContinueAutomatically(true)
+			.setHttp2ClearTextEnabled(false)
+			.setPerFrameWebSocketCompressionSupported(false)
+			.setPerMessageWebSocketCompressionSupported(false)
+			.setAcceptBacklog(ACCEPT_BACKLOG)
+			.setTcpNoDelay(true);
+		this.front = this.vertx.createHttpServer(options);
+		this.closer.add(this.front::close);
+		return this.front.connectionHandler((connection) -> this.callerConnections.add(connection, options))
+			.requestHandler(this.callerHandler::handle)
+			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp());
 	}
 
 	private Future<HttpServer> serve(Address address, HttpServerOptions options, Handler<HttpServerRequest> handler) {
-		return this.vertx.createHttpServer(options.setAcceptBacklog(ACCEPT_BACKLOG))
-			.requestHandler(handler)
-			.listen(address.getPort(), address.getIp());
+		HttpServer server = this.vertx.createHttpServer(options.setAcceptBacklog(ACCEPT_BACKLOG));
+		this.closer.add(server::close);
+		return server.requestHandler(handler).listen(address.getPort(), address.getIp());
 	}
 
 	private void startTasks() {
