A start that throws ends the process

What operators saw: a process that neither listened nor ended.

Cause: an exception between the start and the first bind left the handler of the event loop, and the future of the start open, so the main thread waited for ever.

Evidence: StartTests#startThatThrowsFails, red before (time-out after 10 s), green after.

Change: the daemons are created and listen within compose, entry and agent alike.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -192,7 +192,10 @@
 	public static Future<GatewayDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
 		Promise<GatewayDaemon> started = Promise.promise();
 		Context loop = vertx.getOrCreateContext();
-		loop.runOnContext((v) -> new GatewayDaemon(vertx, loop, settings, clock, log).listen().onComplete(started));
+		// Within compose whatever is thrown fails the start instead of leaving it open.
+		loop.runOnContext((v) -> Future.succeededFuture()
+			.compose((begin) -> new GatewayDaemon(vertx, loop, settings, clock, log).listen())
+			.onComplete(started));
 		return started.future();
 	}
 
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -168,14 +168,14 @@
 	public static Future<SidecarDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
 		Promise<SidecarDaemon> started = Promise.promise();
 		Context context = vertx.getOrCreateContext();
-		context.runOnContext((v) -> {
-			SidecarDaemon daemon = new SidecarDaemon(vertx, context, settings, clock, log);
-			daemon.listen().map(daemon).onComplete(started);
-		});
+		// Within compose whatever is thrown fails the start instead of leaving it open.
+		context.runOnContext((v) -> Future.succeededFuture()
+			.compose((begin) -> new SidecarDaemon(vertx, context, settings, clock, log).listen())
+			.onComplete(started));
 		return started.future();
 	}
 
-	private Future<Void> listen() {
+	private Future<SidecarDaemon> listen() {
 		this.settings.getSeedsList().forEach(this.entryReporter::addEntry);
 		this.entryReporter.onBriefing(() -> runStep("reconcile", this::reconcile));
 		return this.vertx.createHttpServer(PeerServerOptions.create())
@@ -190,7 +190,7 @@
 				this.vertx.setPeriodic(0, ENGINE_POLL_INTERVAL_MS, (id) -> runPeriodicSteps());
 				this.vertx.setPeriodic(ENTRY_DISCOVERY_INTERVAL_MS, (id) -> discoverEntries());
 			})
-			.mapEmpty();
+			.map(this);
 	}
 
 	private void discoverEntries() {
--- a/testsuite/src/test/java/org/wigeontally/gateway/StartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/StartTests.java
@@ -4,6 +4,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.util.concurrent.ExecutionException;
 
 import org.testng.annotations.Test;
 
@@ -16,6 +17,8 @@
  */
 public class StartTests {
 
+	private static final int NO_PORT = 70_000;
+
 	/** Guards against requests that are taken by a process which ends at once. */
 	@Test
 	public void entryThatCannotStartAcceptsNoCallers() throws Exception {
@@ -31,4 +34,17 @@
 		}
 	}
 
+	/** Guards against a process that neither listens nor ends. */
+	@Test
+	public void startThatThrowsFails() throws Exception {
+		GatewayFixture fixture = new GatewayFixture();
+		try {
+			assertThatThrownBy(() -> fixture.startEntryAt(GatewayFixture.freeAddress(), NO_PORT))
+				.isInstanceOf(ExecutionException.class);
+		}
+		finally {
+			fixture.close();
+		}
+	}
+
 }
