Soak: series of signals that overlap with starts, stops and changes

Neither the soak of faults nor that of silences sent a HUP or met a start, and their requests are too long for an entry to take them until its end. SIGNALS sends HUP and TERM in series, also while a process starts or stops, changes the settings file between them, and some callers use an entry until its process is gone. A process that ends by itself after its first answer breaks a promise.

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
@@ -120,6 +120,14 @@
 		signal("-CONT");
 	}
 
+	/**
+	 * Sends SIGHUP.
+	 * @throws IOException if the signal cannot be sent
+	 */
+	public void hangUp() throws IOException {
+		signal("-HUP");
+	}
+
 	/** Asks the process to end, without waiting for it. */
 	public void requestEnd() {
 		this.process.destroy();
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/SoakMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/SoakMeasurement.java
@@ -25,7 +25,7 @@
 	@Parameter(names = "--callers", description = "Number of callers")
 	private Integer callers;
 
-	@Parameter(names = "--disruptions", description = "What disrupts the entries: FAULTS, SILENCES or ALL")
+	@Parameter(names = "--disruptions", description = "What disrupts the entries: FAULTS, SILENCES, SIGNALS or ALL")
 	private SoakDisruptions disruptions = SoakDisruptions.FAULTS;
 
 	@Override
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
@@ -36,6 +36,8 @@
 
 	private final long timeoutMs;
 
+	private final boolean staysWithStopping;
+
 	private volatile boolean stopped;
 
 	private int requests;
@@ -46,6 +48,7 @@
 		this.history = history;
 		this.random = new Random(setting.seed());
 		this.timeoutMs = setting.disruptions().callerTimeoutMs();
+		this.staysWithStopping = setting.disruptions().hasSignals();
 		this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAliveTimeout(20),
 				new PoolOptions().setHttp1MaxSize(setting.callers()));
 	}
@@ -76,8 +79,9 @@
 			.onComplete((result) -> {
 				if (result.succeeded()) {
 					this.history.answered(call, result.result());
-					boolean refused = result.result().status() == REFUSED;
-					sendLater(refused ? otherThan(entryIndex) : entryIndex, 1 + this.random.nextInt(MAX_PAUSE_MS));
+					entry.answered();
+					boolean leaves = result.result().status() == REFUSED && !staysWith(entry);
+					sendLater(leaves ? otherThan(entryIndex) : entryIndex, 1 + this.random.nextInt(MAX_PAUSE_MS));
 					return;
 				}
 				String reason = result.cause().getMessage();
@@ -90,6 +94,11 @@
 			});
 	}
 
+	// Some callers use an entry that stops until its process is gone.
+	private boolean staysWith(SoakEntry entry) {
+		return this.staysWithStopping && entry.isStopping() && this.random.nextBoolean();
+	}
+
 	private int otherThan(int entryIndex) {
 		return (entryIndex + 1 + this.random.nextInt(this.entries.size() - 1)) % this.entries.size();
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
@@ -35,6 +35,8 @@
 
 	private volatile boolean paused;
 
+	private volatile boolean answering;
+
 	SoakEntry(String name, Path directory, LoopbackProxy store) throws IOException {
 		this.name = name;
 		this.directory = directory;
@@ -63,14 +65,53 @@
 	}
 
 	void start(List<SoakEntry> seeds) throws IOException {
-		Path file = this.directory.resolve(this.name + ".yaml");
-		List<Address> seedAddresses = seeds.stream().map(SoakEntry::control).toList();
-		Files.writeString(file, this.addresses.settings(this.name, seedAddresses, this.store.port()));
+		Path file = writeSettings(seeds);
+		this.answering = false;
 		this.process = ManagedProcess.java(this.name, this.directory, HEAP_MB,
 				Map.of("WIGEONTALLY_CONFIG", file.toString()), HostProcess.class.getName(), "entry");
 		this.stopping = false;
 	}
 
+	private Path writeSettings(List<SoakEntry> seeds) throws IOException {
+		Path file = this.directory.resolve(this.name + ".yaml");
+		List<Address> seedAddresses = seeds.stream().map(SoakEntry::control).toList();
+		return Files.writeString(file, this.addresses.settings(this.name, seedAddresses, this.store.port()));
+	}
+
+	/**
+	 * Sends SIGHUP.
+	 * @throws IOException if the signal cannot be sent
+	 */
+	void hangUp() throws IOException {
+		this.process.hangUp();
+	}
+
+	/**
+	 * Writes other settings, not at once.
+	 * @param seeds entries that the settings name
+	 * @throws IOException if the file cannot be written
+	 */
+	void changeSettings(List<SoakEntry> seeds) throws IOException {
+		writeSettings(seeds);
+	}
+
+	/** Records that the process, which was started last, has answered a request. */
+	void answered() {
+		this.answering = true;
+	}
+
+	/**
+	 * Returns whether the process ended although nobody ended it.
+	 * @return true if it did
+	 */
+	boolean hasEndedByItself() {
+		return !this.stopping && !this.process.isAlive();
+	}
+
+	boolean isAnswering() {
+		return this.answering;
+	}
+
 	boolean isRunning() {
 		return this.process.isAlive();
 	}
@@ -89,6 +130,13 @@
 		this.process.requestEnd();
 	}
 
+	/** Sends SIGTERM again to a process that is stopping. */
+	void terminateAgain() {
+		if (this.stopping && isRunning()) {
+			this.process.requestEnd();
+		}
+	}
+
 	void kill(long nowMs) {
 		this.stopping = true;
 		this.disturbedAtMs = nowMs;
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -43,6 +43,12 @@
 
 	private static final long LIMIT_MS = 9_000;
 
+	private static final int MAX_SEEDS = 3;
+
+	private static final int MAX_HANGUPS = 8;
+
+	private static final int MAX_HANGUP_INTERVAL_MS = 400;
+
 	private static final int MIN_SILENCE_MS = 800;
 
 	private static final int MAX_SILENCE_MS = 2_500;
@@ -108,7 +114,7 @@
 				.add(new SoakEntry("entry-" + i, directory, await(LoopbackProxy.start(this.vertx, this.store.port()))));
 		}
 		for (SoakEntry entry : this.entries) {
-			entry.start(this.entries.subList(0, Math.min(3, this.entries.size())));
+			start(entry);
 		}
 		long deadlineMs = SoakHistory.nowMs() + START_TIMEOUT_MS;
 		for (SoakEntry entry : this.entries) {
@@ -174,6 +180,10 @@
 
 	private void disrupt() throws Exception {
 		SoakDisruptions kinds = this.setting.disruptions();
+		if (kinds.hasSignals() && (!kinds.hasFaults() || this.random.nextInt(4) == 0)) {
+			signalOrPlannedWork();
+			return;
+		}
 		if (!kinds.hasFaults() || (kinds.hasSilences() && this.random.nextInt(4) == 0)) {
 			silenceOrPlannedWork();
 			return;
@@ -181,6 +191,55 @@
 		fault();
 	}
 
+	private void signalOrPlannedWork() {
+		SoakEntry entry = this.entries.get(this.random.nextInt(this.entries.size()));
+		switch (this.random.nextInt(8)) {
+			case 0, 1, 2 -> hangUp(entry, 1 + this.random.nextInt(MAX_HANGUPS));
+			case 3, 4, 5 -> terminate(entry);
+			case 6 -> {
+				terminate(entry);
+				at(this.random.nextInt((int) GRACE_MS), entry::terminateAgain);
+			}
+			default -> configure();
+		}
+	}
+
+	// A series that goes on while the process is stopped and started again.
+	private void hangUp(SoakEntry entry, int count) {
+		if (count == 0) {
+			return;
+		}
+		disruption("SIGHUP " + entry.name());
+		at(this.random.nextInt(MAX_HANGUP_INTERVAL_MS), () -> {
+			if (this.random.nextBoolean()) {
+				entry.changeSettings(this.entries.subList(0, 1 + this.random.nextInt(this.entries.size())));
+			}
+			if (entry.isRunning()) {
+				entry.hangUp();
+			}
+			hangUp(entry, count - 1);
+		});
+	}
+
+	// Until the Java runtime has called the main method, a signal ends the process.
+	// Nobody
+	// has had an answer of it then.
+	private void startAgainWhatEnded() throws IOException {
+		for (SoakEntry entry : this.entries) {
+			if (entry.hasEndedByItself()) {
+				if (entry.isAnswering()) {
+					this.history.violation(entry.name() + " ended by itself");
+				}
+				disruption("end of " + entry.name());
+				start(entry);
+			}
+		}
+	}
+
+	private void start(SoakEntry entry) throws IOException {
+		entry.start(this.entries.subList(0, Math.min(MAX_SEEDS, this.entries.size())));
+	}
+
 	private void silenceOrPlannedWork() {
 		SoakBackend backend = this.backends.get(this.random.nextInt(this.backends.size()));
 		switch (this.random.nextInt(8)) {
@@ -237,7 +296,7 @@
 		at(POLL_MS, () -> {
 			long nowMs = SoakHistory.nowMs();
 			if (!entry.isRunning()) {
-				entry.start(this.entries.subList(0, Math.min(3, this.entries.size())));
+				start(entry);
 			}
 			else if (entry.isPaused()) {
 				startAgainWhenEnded(entry, Math.max(deadlineMs, nowMs + GRACE_MS));
@@ -359,6 +418,7 @@
 					ending.action().run();
 				}
 			}
+			startAgainWhatEnded();
 			Thread.sleep(10);
 		}
 	}
--- a/testsuite/src/test/java/org/wigeontally/soak/SoakTests.java
+++ b/testsuite/src/test/java/org/wigeontally/soak/SoakTests.java
@@ -26,6 +26,8 @@
 
 	private static final long SILENCES_LENGTH_MS = 10_000;
 
+	private static final long SIGNALS_LENGTH_MS = 10_000;
+
 	/** Seeds that failed once stay here, each with its cause. */
 	@DataProvider
 	public Object[][] seeds() {
@@ -50,4 +52,14 @@
 		assertThat(result.disruptions()).anyMatch((disruption) -> disruption.contains("silence of"));
 	}
 
+	// Processes were ended by signals in their start, and requests were cut at their end.
+	@Test(dataProvider = "seeds")
+	public void promisesHoldWhileSignalsOverlapWithStartsAndStops(long seed) throws Exception {
+		Path directory = Files.createTempDirectory("wigeontally-soak");
+		SoakResult result = SoakRun.run(SoakSetting.usual(seed, SIGNALS_LENGTH_MS, SoakDisruptions.SIGNALS), directory);
+		assertThat(result.violations()).as("logs in %s%n%s", directory, result.describe()).isEmpty();
+		assertThat(result.disruptions()).anyMatch((disruption) -> disruption.contains("SIGHUP"))
+			.anyMatch((disruption) -> disruption.contains("SIGTERM"));
+	}
+
 }
