--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -35,6 +35,26 @@
 		return this.open.get(connection);
 	}
 
+	int count() {
+		return this.open.size();
+	}
+
+	/**
+	 * Returns the number of connections whose callers are owed something.
+	 * @return the number
+	 */
+	long countBusy() {
+		return this.open.values().stream().filter(CallerConnection::isBusy).count();
+	}
+
+	/**
+	 * Returns whether parts of responses have not been sent yet.
+	 * @return true if there are any
+	 */
+	boolean hasUnsentBytes() {
+		return this.open.values().stream().anyMatch(CallerConnection::hasUnsentBytes);
+	}
+
 	/**
 	 * Returns the limits in force.
 	 * @return the limits
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -96,6 +97,9 @@
 
 	private static final long DRAIN_CHECK_INTERVAL_MS = 20;
 
+	/** A timer that is set by a task fires after the sockets have been read again. */
+	private static final long READ_AGAIN_DELAY_MS = 5;
+
 	private final Vertx vertx;
 
 	private final Context eventLoop;
@@ -128,6 +132,10 @@
 
 	private final CompactedTopic entryRecords = CompactedTopic.create();
 
+	private HttpServer front;
+
+	private boolean closing;
+
 	private int entryReadIntervals;
 
 	private final StoreFollower operatorFollower;
@@ -184,61 +192,63 @@
 	public static Future<GatewayDaemon> start(Vertx vertx, HostSettings settings, Clock clock, EventLog log) {
 		Promise<GatewayDaemon> started = Promise.promise();
 		Context loop = vertx.getOrCreateContext();
-		loop.runOnContext((v) -> {
-			GatewayDaemon daemon = new GatewayDaemon(vertx, loop, settings, clock, log);
-			daemon.listen().map(daemon).onComplete(started);
-		});
+		// Within compose whatever is thrown fails the start instead of leaving it open.
+		loop.runOnContext((v) -> Future.succeededFuture()
+			.compose((begin) -> new GatewayDaemon(vertx, loop, settings, clock, log).listen())
+			.onComplete(started));
 		return started.future();
 	}
 
-	private Future<Void> listen() {
+	// Callers come last, so that a process which cannot listen on all ports accepts none.
+	private Future<GatewayDaemon> listen() {
 		this.settings.getSeedsList().forEach(this.entries::addAddress);
 		GrpcServer grpc = GrpcServer.server(this.vertx,
 				new GrpcServerOptions().setMaxMessageSize(EntryExchange.MESSAGE_LIMIT_BYTES));
 		grpc.addService(FleetGrpcService.of(new FleetServiceHandler()));
-		HttpServerOptions callerOptions = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
-			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
-			.setHandle100ContinueAutomatically(true)
-			.setHttp2ClearTextEnabled(false)
-			.setPerFrameWebSocketCompressionSupported(false)
-			.setPerMessageWebSocketCompressionSupported(false)
-			.setAcceptBacklog(ACCEPT_BACKLOG)
-			.setTcpNoDelay(true);
 		Address metricsAddress = Address.newBuilder()
 			.setIp(this.settings.getIp())
 			.setPort(this.settings.getMetricsPort())
 			.build();
-		List<Future<HttpServer>> servers = new ArrayList<>();
-		servers.add(this.vertx.createHttpServer(callerOptions)
-			.connectionHandler((connection) -> this.callerConnections.add(connection, callerOptions))
-			.requestHandler(this.callerHandler::handle)
-			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp()));
+		List<Future<?>> listening = new ArrayList<>();
 		EntryHttpHandler httpHandler = new EntryHttpHandler(this.context, this.entries, this.exchange);
 		HttpServerOptions publicOptions = new HttpServerOptions().setTcpNoDelay(true);
-		servers.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
-		servers.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
-		servers.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
+		listening.add(serve(this.settings.getReady(), publicOptions, httpHandler::handleReady));
+		listening.add(serve(this.settings.getDirectory(), publicOptions, httpHandler::handleDirectory));
+		listening.add(serve(this.settings.getControl(), PeerServerOptions.create(), grpc::handle));
 		HarmfulPartHttpHandler partHandler = new HarmfulPartHttpHandler(this.context.harmfulParts(),
 				this.harmfulPartStore);
 		BackendLimitHttpHandler limitHandler = new BackendLimitHttpHandler(this.context, this.permitServer);
-		servers.add(serve(metricsAddress, publicOptions, (request) -> {
+		listening.add(serve(metricsAddress, publicOptions, (request) -> {
 			if (!partHandler.handle(request) && !limitHandler.handle(request)) {
 				MetricsApi.writeMetrics(this.context.metrics().registry(), request.response());
 			}
 		}));
 		this.datagrams.handler(this::handleReportDatagram);
-		Future<DatagramSocket> bound = this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp());
-		return Future.all(servers).compose((all) -> bound).onSuccess((all) -> {
-			this.closer.add(this.datagrams::close);
-			servers.forEach((server) -> this.closer.add(server.result()::close));
-			startTasks();
-		}).mapEmpty();
+		this.closer.add(this.datagrams::close);
+		listening.add(this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp()));
+		return Future.all(listening).compose((all) -> listenForCallers()).onSuccess((server) -> startTasks()).map(this);
+	}
+
+	private Future<HttpServer> listenForCallers() {
+		HttpServerOptions options = new HttpServerOptions().setMaxHeaderSize(HEADER_LIMIT_BYTES)
+			.setMaxInitialLineLength(HEADER_LIMIT_BYTES)
+			.setHandle100ContinueAutomatically(true)
+			.setHttp2ClearTextEnabled(false)
+			.setPerFrameWebSocketCompressionSupported(false)
+			.setPerMessageWebSocketCompressionSupported(false)
+			.setAcceptBacklog(ACCEPT_BACKLOG)
+			.setTcpNoDelay(true);
+		this.front = this.vertx.createHttpServer(options);
+		this.closer.add(this.front::close);
+		return this.front.connectionHandler((connection) -> this.callerConnections.add(connection, options))
+			.requestHandler(this.callerHandler::handle)
+			.listen(this.settings.getFront().getPort(), this.settings.getFront().getIp());
 	}
 
 	private Future<HttpServer> serve(Address address, HttpServerOptions options, Handler<HttpServerRequest> handler) {
-		return this.vertx.createHttpServer(options.setAcceptBacklog(ACCEPT_BACKLOG))
-			.requestHandler(handler)
-			.listen(address.getPort(), address.getIp());
+		HttpServer server = this.vertx.createHttpServer(options.setAcceptBacklog(ACCEPT_BACKLOG));
+		this.closer.add(server::close);
+		return server.requestHandler(handler).listen(address.getPort(), address.getIp());
 	}
 
 	private void startTasks() {
@@ -330,8 +340,9 @@
 
 	/**
 	 * Drains the process: deregisters it from the store, notifies the other entries,
-	 * serves requests that end in time, and ends once no request is in flight or the
-	 * grace period is over.
+	 * serves requests that end in time, closes the port and the connections of callers,
+	 * and ends when all are closed or the grace period is over. No request is taken after
+	 * that.
 	 * @return the number of requests in flight at the end
 	 */
 	public Future<Integer> drain() {
@@ -354,7 +365,7 @@
 		DrainSchedule schedule = DrainSchedule.of(this.context.nowMs(),
 				(long) (this.settings.getBounds().getGraceS() * 1000));
 		this.context.startDraining(schedule);
-		this.log.write(LogEvent.STOP, "phase", "draining", "in-flight", this.context.inFlight());
+		logPhase("draining");
 		this.exchange.exchangeWithAllEntries();
 		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
 			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
@@ -364,14 +375,43 @@
 			if (schedule.isAnswerDue(nowMs)) {
 				this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
 			}
-			if (schedule.isOver(nowMs, this.context.inFlight())) {
+			if (schedule.isClosingDue(nowMs) && !this.closing) {
+				this.vertx.setTimer(READ_AGAIN_DELAY_MS, (timer) -> closeFront(schedule, drained));
+			}
+			if (schedule.remainingMs(nowMs) <= 0) {
 				this.vertx.cancelTimer(id);
-				this.log.write(LogEvent.STOP, "phase", "ended", "in-flight", this.context.inFlight());
-				drained.tryComplete(this.context.inFlight());
+				endDraining(drained);
 			}
 		});
 	}
 
+	// Closes the port and the idle connections, and each of the others with its response.
+	// Requests that had arrived have been read by now. Vert.x would discard what is left
+	// of a response that has ended, so such responses are waited for.
+	private void closeFront(DrainSchedule schedule, Promise<Integer> drained) {
+		long remainingMs = schedule.remainingMs(this.context.nowMs());
+		if (this.closing || remainingMs <= 0 || this.callerConnections.hasUnsentBytes()) {
+			return;
+		}
+		this.closing = true;
+		logPhase("closing");
+		// The last connection may close while its request is still being ended.
+		this.front.shutdown(remainingMs, TimeUnit.MILLISECONDS)
+			.onComplete((closed) -> this.eventLoop.runOnContext((v) -> endDraining(drained)));
+	}
+
+	private void endDraining(Promise<Integer> drained) {
+		int inFlight = this.context.inFlight();
+		if (drained.tryComplete(inFlight)) {
+			logPhase("ended");
+		}
+	}
+
+	private void logPhase(String phase) {
+		this.log.write(LogEvent.STOP, "phase", phase, "in-flight", this.context.inFlight(), "connections",
+				this.callerConnections.count(), "busy", this.callerConnections.countBusy());
+	}
+
 	/**
 	 * Applies changed settings. Only new seeds take effect; the addresses of this process
 	 * stay as they were at the start.
--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -1,9 +1,6 @@
 package org.wigeontally.tool;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.FileTime;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
@@ -13,17 +10,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
+import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.settings.HostSettingsValidator;
-import org.wigeontally.settings.SettingsReader;
 import org.wigeontally.sidecar.SidecarDaemon;
 
 /**
@@ -32,12 +25,8 @@
  */
 public final class HostProcess {
 
-	private static final Logger logger = LoggerFactory.getLogger("wigeontally");
-
 	private static final String SETTINGS_VARIABLE = "WIGEONTALLY_CONFIG";
 
-	private static final long SETTINGS_POLL_INTERVAL_MS = 2_000;
-
 	private HostProcess() {
 	}
 
@@ -46,6 +35,7 @@
 	 * @param args the role, entry or agent, or the command of {@link ClassArchiveTrainer}
 	 */
 	public static void main(String[] args) {
+		ProcessSignals signals = ProcessSignals.install();
 		if (args.length == 1 && args[0].equals(ClassArchiveTrainer.COMMAND)) {
 			System.exit(ClassArchiveTrainer.run());
 		}
@@ -58,13 +48,14 @@
 			System.err.println("wigeontally: " + SETTINGS_VARIABLE + " does not name a settings file");
 			System.exit(ExitCode.BAD_INPUT);
 		}
-		System.exit(run(args[0].equals("entry"), Path.of(file)));
+		boolean isEntry = args[0].equals("entry");
+		System.exit(run(isEntry, SettingsFile.of(Path.of(file), isEntry), signals));
 	}
 
-	private static int run(boolean isEntry, Path file) {
+	private static int run(boolean isEntry, SettingsFile file, ProcessSignals signals) {
 		HostSettings settings;
 		try {
-			settings = readSettings(file, isEntry);
+			settings = file.read();
 		}
 		catch (InputException ex) {
 			System.err.println(ex.getMessage());
@@ -72,8 +63,13 @@
 		}
 		Vertx vertx = createVertx();
 		EventLog log = EventLog.create(Clock.system(), settings.getHost());
+		if (signals.isTerminationPending()) {
+			log.write(LogEvent.STOP, "phase", "ended", "started", false);
+			return ExitCode.SUCCESS;
+		}
 		try {
-			return isEntry ? runEntry(vertx, settings, log, file) : runAgent(vertx, settings, log, file);
+			return isEntry ? runEntry(vertx, settings, log, file, signals)
+					: runAgent(vertx, settings, log, file, signals);
 		}
 		catch (ExecutionException ex) {
 			System.err.println("wigeontally: cannot start: " + ex.getCause().getMessage());
@@ -95,74 +91,42 @@
 					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
 	}
 
-	private static HostSettings readSettings(Path file, boolean isEntry) throws InputException {
-		return SettingsReader.readFile(file, HostSettings.newBuilder(), HostSettingsValidator.create(isEntry)).build();
-	}
-
-	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, Path file)
-			throws ExecutionException, InterruptedException {
+	private static int runEntry(Vertx vertx, HostSettings settings, EventLog log, SettingsFile file,
+			ProcessSignals signals) throws ExecutionException, InterruptedException {
 		GatewayDaemon daemon = await(GatewayDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, true, daemon::reload);
-		return drainOnTermination(daemon::drain);
+		watchSettings(file, log, signals, daemon::reload);
+		return drainOnTermination(log, signals, daemon::drain);
 	}
 
-	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, Path file)
-			throws ExecutionException, InterruptedException {
+	private static int runAgent(Vertx vertx, HostSettings settings, EventLog log, SettingsFile file,
+			ProcessSignals signals) throws ExecutionException, InterruptedException {
 		SidecarDaemon daemon = await(SidecarDaemon.start(vertx, settings, Clock.system(), log));
-		watchSettings(file, false, daemon::reload);
-		return drainOnTermination(daemon::drain);
+		watchSettings(file, log, signals, daemon::reload);
+		return drainOnTermination(log, signals, daemon::drain);
 	}
 
 	private static <T> T await(Future<T> future) throws ExecutionException, InterruptedException {
 		return future.toCompletionStage().toCompletableFuture().get();
 	}
 
-	// Reloads the settings on SIGHUP and when the modification time of the file changes.
-	private static void watchSettings(Path file, boolean isEntry, Consumer<HostSettings> reload) {
-		Runnable reloadFile = () -> {
-			try {
-				reload.accept(readSettings(file, isEntry));
-			}
-			catch (InputException ex) {
-				logger.warn("event=reload outcome=refused reason=\"{}\"", ex.getMessage().replace('\n', ' '));
-			}
-		};
-		Signal.handle(new Signal("HUP"), (signal) -> reloadFile.run());
-		Thread watcher = new Thread(() -> {
-			FileTime lastModified = modificationTime(file);
-			while (true) {
-				try {
-					Thread.sleep(SETTINGS_POLL_INTERVAL_MS);
-				}
-				catch (InterruptedException ex) {
-					return;
-				}
-				FileTime modified = modificationTime(file);
-				if (modified != null && !modified.equals(lastModified)) {
-					lastModified = modified;
-					reloadFile.run();
-				}
-			}
-		}, "settings-watcher");
-		watcher.setDaemon(true);
-		watcher.start();
-	}
-
-	private static FileTime modificationTime(Path file) {
-		try {
-			return Files.getLastModifiedTime(file);
-		}
-		catch (IOException ex) {
-			// The file may be missing while it is being replaced; the next poll finds it.
-			return null;
-		}
+	// Reloads the settings on SIGHUP and when the file changes.
+	private static void watchSettings(SettingsFile file, EventLog log, ProcessSignals signals,
+			Consumer<HostSettings> target) {
+		SettingsReload reload = SettingsReload.of(file, target, log);
+		signals.onHangup(() -> {
+			log.write(LogEvent.SIGNAL, "name", "HUP");
+			reload.run();
+		});
+		reload.watch();
 	}
 
 	// Drains on the first SIGTERM and ignores further ones.
-	private static int drainOnTermination(Supplier<Future<Integer>> drain) throws InterruptedException {
+	private static int drainOnTermination(EventLog log, ProcessSignals signals, Supplier<Future<Integer>> drain)
+			throws InterruptedException {
 		CountDownLatch drained = new CountDownLatch(1);
 		CountDownLatch terminationRequested = new CountDownLatch(1);
-		Signal.handle(new Signal("TERM"), (signal) -> {
+		signals.onTermination(() -> {
+			log.write(LogEvent.SIGNAL, "name", "TERM", "first", terminationRequested.getCount() > 0);
 			if (terminationRequested.getCount() > 0) {
 				terminationRequested.countDown();
 				drain.get().onComplete((done) -> drained.countDown());
