--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -40,6 +40,8 @@
 	BACKEND(RateLimit.MANY),
 	/** An entry or agent is reachable again, is leaving, or no longer sends messages. */
 	PEER(RateLimit.SOME),
+	/** The directory names no entry to a caller. */
+	DIRECTORY_EMPTY(RateLimit.SOME),
 	/** A header of a request or of a backend server's response has an unusable value. */
 	HEADER_UNREADABLE(RateLimit.SOME),
 	/** A backend server crashed while it ran requests. */
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryHttpHandler.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.http.HttpServerRequest;
 
+import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.AllowedRegions;
 import org.wigeontally.fleet.DirectoryQuery;
 import org.wigeontally.fleet.EntrySelection;
@@ -52,7 +53,13 @@
 		AllowedRegions regions = (configuration != null) ? allowedRegions(configuration, query.host())
 				: AllowedRegions.all();
 		List<String> addresses = EntrySelection.selectAddresses(query, liveEntries, regions);
+		this.context.metrics().recordDirectoryAnswer(!addresses.isEmpty());
 		if (addresses.isEmpty()) {
+			this.context.log()
+				.write(LogEvent.DIRECTORY_EMPTY, "name", query.host(), "zone", query.zone(), "known",
+						liveEntries.size(), "ready", liveEntries.stream().filter(EntryNews::getReady).count(),
+						"own-ready", this.context.isReady(), "draining", this.context.isDraining(), "configuration",
+						this.context.fleet().configurationVersion());
 			request.response().setStatusCode(503).end();
 			return;
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -89,6 +89,12 @@
 		.labelNames("service", "outcome")
 		.register(this.registry);
 
+	private final Counter directoryAnswers = Counter.builder()
+		.name("wigeontally_directory_answers_total")
+		.help("Answers of the directory by whether they named an entry")
+		.labelNames("named")
+		.register(this.registry);
+
 	PrometheusRegistry registry() {
 		return this.registry;
 	}
@@ -97,6 +103,10 @@
 		this.answers.labelValues(route, organisation, outcome).inc();
 	}
 
+	void recordDirectoryAnswer(boolean namesEntry) {
+		this.directoryAnswers.labelValues(Boolean.toString(namesEntry)).inc();
+	}
+
 	void recordAttempt(String service, String outcome) {
 		this.attempts.labelValues(service, outcome).inc();
 	}
