Entries of other regions learn at once that an entry has become ready

What callers saw: the directory named nobody, or fewer entries than there were, for up to 2.5 s after entries had started again; a caller that finds no entry has no answer.

Cause: an entry exchanges with the others when it starts, not ready yet, and with those of other regions every 2.5 s from then on. That it stops is told at once; that it is ready was not.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -136,6 +136,8 @@
 
 	private boolean closing;
 
+	private boolean ready;
+
 	private int entryReadIntervals;
 
 	private final StoreFollower operatorFollower;
@@ -313,7 +315,18 @@
 		this.exchange.exchangeWithRegion();
 	}
 
+	// Entries of other regions would learn it from the next regular exchange only, and
+	// their directories might name nobody until then.
+	private void tellReadiness() {
+		boolean wasReady = this.ready;
+		this.ready = this.context.isReady();
+		if (this.ready && !wasReady) {
+			this.exchange.exchangeWithAllEntries();
+		}
+	}
+
 	private void housekeeping() {
+		tellReadiness();
 		FleetState fleet = this.context.fleet();
 		fleet.removeLapsedBackends();
 		fleet.backends().forEach((backend) -> backend.pool().closeExpired());
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -101,6 +101,15 @@
 		startEntry(List.of(), HostBounds.newBuilder().setVersionMs(versionMs).build());
 	}
 
+	/** Starts an entry in zone-b of region-b. */
+	void startEntryInOtherRegion() throws Exception {
+		startEntry(createSettings(this.settings.stream().map(HostSettings::getControl).toList(),
+				HostBounds.getDefaultInstance())
+			.setZone("zone-b")
+			.setRegion("region-b")
+			.build());
+	}
+
 	/** Starts an entry with a given address for callers and port for datagrams. */
 	void startEntryAt(Address front, int internalPort) throws Exception {
 		startEntry(createSettings(List.of(), HostBounds.getDefaultInstance()).setFront(front)
