--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -24,6 +24,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.ConnectionSweep;
 import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.harmful.PromptPart;
@@ -97,9 +98,6 @@
 
 	private static final long DRAIN_CHECK_INTERVAL_MS = 20;
 
-	/** A timer that is set by a task fires after the sockets have been read again. */
-	private static final long READ_AGAIN_DELAY_MS = 5;
-
 	private final Vertx vertx;
 
 	private final Context eventLoop;
@@ -389,7 +387,7 @@
 				this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
 			}
 			if (schedule.isClosingDue(nowMs) && !this.closing) {
-				this.vertx.setTimer(READ_AGAIN_DELAY_MS, (timer) -> closeFront(schedule, drained));
+				this.vertx.setTimer(ConnectionSweep.CONFIRMATION_DELAY_MS, (timer) -> closeFront(schedule, drained));
 			}
 			if (schedule.remainingMs(nowMs) <= 0) {
 				this.vertx.cancelTimer(id);
@@ -398,9 +396,10 @@
 		});
 	}
 
-	// Closes the port and the idle connections, and each of the others with its response.
-	// Requests that had arrived have been read by now. Vert.x would discard what is left
-	// of a response that has ended, so such responses are waited for.
+	// Closes the port and the idle connections at once, and each of the others when its
+	// response has been sent. Must run on a timer of its own, so that requests which had
+	// arrived have been read. Vert.x would discard what is unsent of a response that has
+	// ended, so unsent bytes are waited for.
 	private void closeFront(DrainSchedule schedule, Promise<Integer> drained) {
 		long remainingMs = schedule.remainingMs(this.context.nowMs());
 		if (this.closing || remainingMs <= 0 || this.callerConnections.hasUnsentBytes()) {
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakEntry.java
@@ -87,7 +87,7 @@
 	}
 
 	/**
-	 * Writes other settings, not at once.
+	 * Writes other settings, while the process may be reading them.
 	 * @param seeds entries that the settings name
 	 * @throws IOException if the file cannot be written
 	 */
