A daemon that is terminated while it starts is drained

What callers saw: requests at the start of a daemon of the project's own interface were cut by SIGTERM.

Cause: the same as in the platform's processes: the shutdown hook was added after the daemon had listened.

Evidence: DaemonStopAtStartTests, red before (the process ended without draining), green after.

Change: the hook is added before the daemon listens, and waits 3 s at most for the start, which has no end while the platform's log does not answer.

--- a/tool/src/main/java/org/wigeontally/tool/DaemonCommand.java
+++ b/tool/src/main/java/org/wigeontally/tool/DaemonCommand.java
@@ -3,6 +3,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
 import io.vertx.core.Future;
@@ -26,6 +28,12 @@
  */
 final class DaemonCommand implements Command {
 
+	/**
+	 * Time for which a termination waits for the start. A daemon whose platform does not
+	 * answer never ends its start.
+	 */
+	private static final long START_WAIT_MS = 3_000;
+
 	private final Console console;
 
 	private final boolean isEntry;
@@ -51,10 +59,10 @@
 		Vertx vertx = Vertx.vertx();
 		Future<Supplier<Future<Integer>>> started = this.isEntry ? startEntry(vertx, settingsFile)
 				: startAgent(vertx, settingsFile);
-		CountDownLatch drained = new CountDownLatch(1);
+		// Added before the daemon listens, so that a signal meanwhile cuts no request.
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndWait(started)));
 		try {
-			Supplier<Future<Integer>> drain = started.toCompletionStage().toCompletableFuture().get();
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndWait(drain, drained)));
+			started.toCompletionStage().toCompletableFuture().get();
 			new CountDownLatch(1).await();
 		}
 		catch (ExecutionException ex) {
@@ -68,10 +76,18 @@
 		return ExitCode.SUCCESS;
 	}
 
-	private static void drainAndWait(Supplier<Future<Integer>> drain, CountDownLatch drained) {
-		drain.get().onComplete((ended) -> drained.countDown());
+	private void drainAndWait(Future<Supplier<Future<Integer>>> started) {
+		if (started.failed()) {
+			return;
+		}
 		try {
-			drained.await();
+			Supplier<Future<Integer>> drain = started.toCompletionStage()
+				.toCompletableFuture()
+				.get(START_WAIT_MS, TimeUnit.MILLISECONDS);
+			drain.get().toCompletionStage().toCompletableFuture().get();
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			this.console.err().println("wigeontally: ended without being drained: " + ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
