--- a/testsuite/src/test/java/org/wigeontally/tool/DaemonStopAtStartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/DaemonStopAtStartTests.java
@@ -27,7 +27,7 @@
 public class DaemonStopAtStartTests {
 
 	/** Loaded just before the entry listens for callers. */
-	private static final String LISTENS_SOON = "org.wigeontally.entry.CallerApi ";
+	private static final String LISTENS_SOON = "org.wigeontally.entry.CallerApi";
 
 	private static final long END_TIMEOUT_S = 20;
 
@@ -37,20 +37,21 @@
 	@Test
 	public void entryThatIsTerminatedAsItListensIsDrained() throws Exception {
 		Path directory = Files.createTempDirectory("wigeontally-start");
-		Path classes = directory.resolve("classes.log");
 		Path output = directory.resolve("entry.log");
 		Vertx vertx = Vertx.vertx();
 		Address log = Ports.free();
 		GatewayFixture.await(LogServer.start(vertx, log, MemoryLog.create(Clock.system(), SEED)));
+		LoadedClasses classes = LoadedClasses.createLog();
 		Process process = start(writeSettings(directory, log), classes, output);
 		try {
-			GatewayFixture.awaitTrue(() -> contains(classes, LISTENS_SOON));
+			classes.await(LISTENS_SOON);
 			process.destroy();
 			assertThat(process.waitFor(END_TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
 			assertThat(output).content().contains("is draining");
 		}
 		finally {
 			process.destroyForcibly();
+			classes.close();
 			GatewayFixture.await(vertx.close());
 		}
 	}
@@ -71,20 +72,11 @@
 		return Files.writeString(directory.resolve("entry.yaml"), text);
 	}
 
-	private static Process start(Path settings, Path classes, Path output) throws IOException {
+	private static Process start(Path settings, LoadedClasses classes, Path output) throws IOException {
 		List<String> command = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-				"-Xlog:class+load:file=" + classes, "-cp", System.getProperty("java.class.path"),
-				Wigeontally.class.getName(), "entry", "--settings", settings.toString());
+				classes.jvmOption(), "-cp", System.getProperty("java.class.path"), Wigeontally.class.getName(), "entry",
+				"--settings", settings.toString());
 		return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile()).start();
 	}
 
-	private static boolean contains(Path file, String text) {
-		try {
-			return Files.exists(file) && Files.readString(file).contains(text);
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
--- a/testsuite/src/test/java/org/wigeontally/tool/SignalAtStartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/SignalAtStartTests.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -24,7 +22,7 @@
 public class SignalAtStartTests {
 
 	/** Loaded when the process reads its settings, before it listens. */
-	private static final String SETTINGS_ARE_READ = "org.wigeontally.settings.SettingsReader ";
+	private static final String SETTINGS_ARE_READ = "org.wigeontally.settings.SettingsReader";
 
 	private static final int HANGUPS = 20;
 
@@ -34,33 +32,22 @@
 
 	private GatewayFixture fixture;
 
-	private Path classes;
+	private LoadedClasses classes;
 
 	private EntryProcess entry;
 
 	@BeforeMethod
 	public void start() throws Exception {
 		this.fixture = new GatewayFixture();
-		this.classes = Files.createTempFile("classes", ".log");
-		this.entry = EntryProcess.start(this.fixture.store().port(), List.of("-Xlog:class+load:file=" + this.classes));
+		this.classes = LoadedClasses.createLog();
+		this.entry = EntryProcess.start(this.fixture.store().port(), List.of(this.classes.jvmOption()));
 	}
 
 	@AfterMethod(alwaysRun = true)
 	public void stop() throws Exception {
 		this.entry.close();
 		this.fixture.close();
-		Files.delete(this.classes);
-	}
-
-	private void awaitClass(String name) throws InterruptedException {
-		GatewayFixture.awaitTrue(() -> {
-			try {
-				return Files.readString(this.classes).contains(name);
-			}
-			catch (IOException ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		this.classes.close();
 	}
 
 	/**
@@ -68,7 +55,7 @@
 	 */
 	@Test
 	public void hangupsWhileTheProcessStartsDoNotEndIt() throws Exception {
-		awaitClass(SETTINGS_ARE_READ);
+		this.classes.await(SETTINGS_ARE_READ);
 		for (int i = 0; i < HANGUPS; i++) {
 			this.entry.signal("HUP");
 			Thread.sleep(HANGUP_INTERVAL_MS);
@@ -80,7 +67,7 @@
 	/** Guards against a process that waits for callers that it never had. */
 	@Test
 	public void terminationBeforeTheProcessListensEndsItInOrder() throws Exception {
-		awaitClass(SETTINGS_ARE_READ);
+		this.classes.await(SETTINGS_ARE_READ);
 		this.entry.signal("TERM");
 		assertThat(this.entry.process().waitFor(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
 		assertThat(this.entry.process().exitValue()).isZero();
@@ -91,23 +78,26 @@
 	public void requestIsAnsweredThoughTheProcessIsTerminatedAsSoonAsItListens() throws Exception {
 		try (Socket caller = connect(this.entry.front())) {
 			this.entry.signal("TERM");
-			caller.setSoTimeout(READ_TIMEOUT_MS);
-			caller.getOutputStream().write("GET /plain/x HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
-			assertThat(caller.getInputStream().read()).isEqualTo('H');
+			assertThat(isAnswered(caller)).isTrue();
 		}
 	}
 
 	private static boolean answers(Address front) {
 		try (Socket caller = new Socket(front.getIp(), front.getPort())) {
-			caller.setSoTimeout(READ_TIMEOUT_MS);
-			caller.getOutputStream().write("GET /plain/x HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
-			return caller.getInputStream().read() == 'H';
+			return isAnswered(caller);
 		}
 		catch (IOException ex) {
+			// The process does not listen yet.
 			return false;
 		}
 	}
 
+	private static boolean isAnswered(Socket caller) throws IOException {
+		caller.setSoTimeout(READ_TIMEOUT_MS);
+		caller.getOutputStream().write("GET /plain/x HTTP/1.1\r\nHost: h.example\r\n\r\n".getBytes());
+		return caller.getInputStream().read() == 'H';
+	}
+
 	private static Socket connect(Address front) throws IOException {
 		long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
 		while (System.nanoTime() < deadlineNs) {
