Tests of signals: agents as well as entries, and drains

Processes of both roles get HUP and TERM in series and a half-written settings file while they drain; ProcessEndTests also checks that no request is cut by that. EntryProcess is ShippedProcess now, since it starts both roles; SignalAtStartTests is ProcessSignalTests, with the same assertions. Signals are sent by one piece of code, ManagedProcess#signal.

--- a/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/experiment/ManagedProcess.java
@@ -109,7 +109,7 @@
 	 * @throws IOException if the signal cannot be sent
 	 */
 	public void pause() throws IOException {
-		signal("-STOP");
+		signal(this.process, "STOP");
 	}
 
 	/**
@@ -117,7 +117,7 @@
 	 * @throws IOException if the signal cannot be sent
 	 */
 	public void resume() throws IOException {
-		signal("-CONT");
+		signal(this.process, "CONT");
 	}
 
 	/**
@@ -125,7 +125,7 @@
 	 * @throws IOException if the signal cannot be sent
 	 */
 	public void hangUp() throws IOException {
-		signal("-HUP");
+		signal(this.process, "HUP");
 	}
 
 	/** Asks the process to end, without waiting for it. */
@@ -148,8 +148,14 @@
 		}
 	}
 
-	private void signal(String signal) throws IOException {
-		Process kill = new ProcessBuilder("kill", signal, Long.toString(pid())).start();
+	/**
+	 * Sends a signal to a process and waits until it has been sent.
+	 * @param process the process
+	 * @param name name of the signal
+	 * @throws IOException if it cannot be sent
+	 */
+	public static void signal(Process process, String name) throws IOException {
+		Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
 		try {
 			kill.waitFor();
 		}
--- a/testsuite/src/test/java/org/wigeontally/gateway/FaultyServiceMemoryTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/FaultyServiceMemoryTests.java
@@ -40,7 +40,7 @@
 
 	private GatewayFixture fixture;
 
-	private EntryProcess entry;
+	private ShippedProcess entry;
 
 	private Path log;
 
@@ -72,7 +72,8 @@
 	}
 
 	private void startEntryAndAwait(String route) throws Exception {
-		this.entry = EntryProcess.start(this.fixture.store().port(), EntryProcess.deployedMemoryOptions(), this.log);
+		this.entry = ShippedProcess.start(this.fixture.store().port(), ShippedProcess.deployedMemoryOptions(),
+				this.log);
 		GatewayFixture.awaitTrue(() -> {
 			try {
 				return status(send("/" + route + "/x", "probe-" + System.nanoTime())) == 200;
--- a/testsuite/src/test/java/org/wigeontally/gateway/ProcessEndTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ProcessEndTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.buffer.Buffer;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.FakeBackend;
@@ -37,20 +38,33 @@
 
 	private final Queue<String> unanswered = new ConcurrentLinkedQueue<>();
 
-	/** Guards against requests that are sent on while the process exits, and cut. */
-	@Test
-	public void requestsThatABackendServerGotAreAnsweredUntilTheProcessIsGone() throws Exception {
+	@DataProvider
+	public Object[][] signalsWhileDraining() {
+		return new Object[][] { { false }, { true } };
+	}
+
+	/**
+	 * Guards against requests that are sent on while the process exits, and cut, also
+	 * beside further signals and a settings file that is being written.
+	 */
+	@Test(dataProvider = "signalsWhileDraining")
+	public void requestsThatABackendServerGotAreAnsweredUntilTheProcessIsGone(boolean signals) throws Exception {
+		this.requests.set(0);
+		this.unanswered.clear();
 		GatewayFixture fixture = new GatewayFixture();
 		fixture.writeConfiguration();
 		FakeBackend backend = fixture.startBackend("desk-1", "desk", "zone-a", (arrival, socket) -> fixture
 			.later(ANSWER_MS, () -> socket.write(Buffer.buffer(FakeBackend.signedResponse(arrival, "ok")))));
 		ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
-		try (EntryProcess entry = EntryProcess.start(fixture.store().port(), List.of())) {
+		try (ShippedProcess entry = ShippedProcess.start(fixture.store().port(), List.of())) {
 			GatewayFixture.awaitTrue(() -> call(entry, "first-" + System.nanoTime()) == 200);
 			for (int i = 0; i < CALLERS; i++) {
 				callers.submit(() -> callUntilGone(entry));
 			}
 			entry.signal("TERM");
+			if (signals) {
+				entry.disturbUntilGone(WHOLE_GRACE_S);
+			}
 			assertThat(entry.process().waitFor(WHOLE_GRACE_S, TimeUnit.SECONDS)).isTrue();
 			callers.shutdown();
 			assertThat(callers.awaitTermination(WHOLE_GRACE_S, TimeUnit.SECONDS)).isTrue();
@@ -63,7 +77,7 @@
 		assertThat(this.unanswered).as("of %d requests", this.requests.get()).doesNotContainAnyElementsOf(arrived);
 	}
 
-	private void callUntilGone(EntryProcess entry) {
+	private void callUntilGone(ShippedProcess entry) {
 		while (entry.process().isAlive() && !Thread.currentThread().isInterrupted()) {
 			String id = "id-" + this.requests.incrementAndGet();
 			if (call(entry, id) == KeptConnection.NO_ANSWER) {
@@ -82,7 +96,7 @@
 		}
 	}
 
-	private static int call(EntryProcess entry, String id) {
+	private static int call(ShippedProcess entry, String id) {
 		try (KeptConnection connection = KeptConnection.open(entry.front())) {
 			connection.send(TestCaller.requestText("GET /once/x", id, GatewayFixture.API_KEY, "", ""));
 			return connection.readStatus();
--- a/testsuite/src/test/java/org/wigeontally/tool/SignalAtStartTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/ProcessSignalTests.java
@@ -7,19 +7,20 @@
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import org.wigeontally.gateway.EntryProcess;
 import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.gateway.ShippedProcess;
 import org.wigeontally.schema.generated.Address;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Signals that reach an entry while it starts. The log of loaded classes tells how far it
- * is.
+ * Signals that reach an entry or agent, and changes of its settings file, while it starts
+ * and while it drains. The log of loaded classes tells how far a start is.
  */
-public class SignalAtStartTests {
+public class ProcessSignalTests {
 
 	/** Loaded when the process reads its settings, before it listens. */
 	private static final String SETTINGS_ARE_READ = "org.wigeontally.settings.SettingsReader";
@@ -30,22 +31,38 @@
 
 	private static final int READ_TIMEOUT_MS = 5_000;
 
+	private static final double WRITTEN_SHARE = 0.5;
+
+	/** Longer than the writing of a file of this size takes. */
+	private static final long WRITING_MS = 300;
+
+	private static final int GRACE_S = 8;
+
 	private GatewayFixture fixture;
 
 	private LoadedClasses classes;
 
-	private EntryProcess entry;
+	private ShippedProcess process;
 
 	@BeforeMethod
 	public void start() throws Exception {
 		this.fixture = new GatewayFixture();
 		this.classes = LoadedClasses.createLog();
-		this.entry = EntryProcess.start(this.fixture.store().port(), List.of(this.classes.jvmOption()));
+	}
+
+	private void start(String role, double writtenShare) throws Exception {
+		this.process = ShippedProcess.start(role, this.fixture.store().port(), List.of(this.classes.jvmOption()),
+				writtenShare);
+	}
+
+	@DataProvider
+	public Object[][] roles() {
+		return new Object[][] { { "entry" }, { "agent" } };
 	}
 
 	@AfterMethod(alwaysRun = true)
 	public void stop() throws Exception {
-		this.entry.close();
+		this.process.close();
 		this.fixture.close();
 		this.classes.close();
 	}
@@ -53,35 +70,49 @@
 	/**
 	 * Guards against a process that ends because its settings changed during its start.
 	 */
-	@Test
-	public void hangupsWhileTheProcessStartsDoNotEndIt() throws Exception {
+	@Test(dataProvider = "roles")
+	public void hangupsWhileTheProcessStartsDoNotEndIt(String role) throws Exception {
+		start(role, 1);
 		this.classes.await(SETTINGS_ARE_READ);
 		for (int i = 0; i < HANGUPS; i++) {
-			this.entry.signal("HUP");
+			this.process.signal("HUP");
 			Thread.sleep(HANGUP_INTERVAL_MS);
 		}
-		assertThat(this.entry.process().isAlive()).isTrue();
-		GatewayFixture.awaitTrue(() -> answers(this.entry.front()));
+		assertThat(this.process.process().isAlive()).isTrue();
+		GatewayFixture.awaitTrue(() -> answers(this.process.listening()));
 	}
 
 	/** Guards against a process that waits for callers that it never had. */
-	@Test
-	public void terminationBeforeTheProcessListensEndsItInOrder() throws Exception {
+	@Test(dataProvider = "roles")
+	public void terminationBeforeTheProcessListensEndsItInOrder(String role) throws Exception {
+		start(role, 1);
 		this.classes.await(SETTINGS_ARE_READ);
-		this.entry.signal("TERM");
-		assertThat(this.entry.process().waitFor(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
-		assertThat(this.entry.process().exitValue()).isZero();
+		this.process.signal("TERM");
+		assertThat(this.process.process().waitFor(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+		assertThat(this.process.process().exitValue()).isZero();
 	}
 
 	/** Guards against a termination that cuts the first requests of a process. */
-	@Test
-	public void requestIsAnsweredThoughTheProcessIsTerminatedAsSoonAsItListens() throws Exception {
-		try (Socket caller = connect(this.entry.front())) {
-			this.entry.signal("TERM");
+	@Test(dataProvider = "roles")
+	public void requestIsAnsweredThoughTheProcessIsTerminatedAsSoonAsItListens(String role) throws Exception {
+		start(role, 1);
+		try (Socket caller = connect(this.process.listening())) {
+			this.process.signal("TERM");
 			assertThat(isAnswered(caller)).isTrue();
 		}
 	}
 
+	/** Guards against a drain that signals or a half-written file cut short. */
+	@Test(dataProvider = "roles")
+	public void signalsAndChangesOfTheSettingsDoNotEndADrain(String role) throws Exception {
+		start(role, 1);
+		GatewayFixture.awaitTrue(() -> answers(this.process.listening()));
+		this.process.signal("TERM");
+		this.process.disturbUntilGone(GRACE_S);
+		assertThat(this.process.process().waitFor(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+		assertThat(this.process.process().exitValue()).isZero();
+	}
+
 	private static boolean answers(Address front) {
 		try (Socket caller = new Socket(front.getIp(), front.getPort())) {
 			return isAnswered(caller);
--- a/testsuite/src/test/java/org/wigeontally/tool/UnreadOutputTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/UnreadOutputTests.java
@@ -9,8 +9,8 @@
 import io.vertx.core.http.PoolOptions;
 import org.testng.annotations.Test;
 
-import org.wigeontally.gateway.EntryProcess;
 import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.gateway.ShippedProcess;
 import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.schema.generated.Address;
 
@@ -32,7 +32,7 @@
 	@Test
 	public void entryAnswersWhileItsLogIsNotRead() throws Exception {
 		GatewayFixture fixture = new GatewayFixture();
-		EntryProcess entry = EntryProcess.start(fixture.store().port(), List.of());
+		ShippedProcess entry = ShippedProcess.start(fixture.store().port(), List.of());
 		Address front = entry.front();
 		HttpClient client = fixture.vertx()
 			.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(CALLS_PER_ROUND));
