A start waits a second for settings that are still being written

What operators saw: a process that started while its settings were being written ended at once.

Cause: the first reading decided. A reload from such a file is refused and repeated at the next change; a start was not.

Evidence: ProcessSignalTests#settingsThatAreBeingWrittenDuringTheStartAreReadWhenTheyAreWhole, red before for entry and agent (the process ended, 10 s without an answer), green in two runs after.

What remains: a part of a file that happens to be valid is taken.

--- a/testsuite/src/test/java/org/wigeontally/tool/ProcessSignalTests.java
+++ b/testsuite/src/test/java/org/wigeontally/tool/ProcessSignalTests.java
@@ -102,6 +102,18 @@
 		}
 	}
 
+	/**
+	 * Guards against a process that ends because its settings are still being written.
+	 */
+	@Test(dataProvider = "roles")
+	public void settingsThatAreBeingWrittenDuringTheStartAreReadWhenTheyAreWhole(String role) throws Exception {
+		start(role, WRITTEN_SHARE);
+		this.classes.await(SETTINGS_ARE_READ);
+		Thread.sleep(WRITING_MS);
+		this.process.writeSettings(1);
+		GatewayFixture.awaitTrue(() -> answers(this.process.listening()));
+	}
+
 	/** Guards against a drain that signals or a half-written file cut short. */
 	@Test(dataProvider = "roles")
 	public void signalsAndChangesOfTheSettingsDoNotEndADrain(String role) throws Exception {
--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -27,6 +27,11 @@
 
 	private static final String SETTINGS_VARIABLE = "WIGEONTALLY_CONFIG";
 
+	/** Readings of the settings before a start fails; they take a second together. */
+	private static final int MAX_READINGS_AT_START = 6;
+
+	private static final long READING_INTERVAL_MS = 200;
+
 	private HostProcess() {
 	}
 
@@ -55,12 +60,16 @@
 	private static int run(boolean isEntry, SettingsFile file, ProcessSignals signals) {
 		HostSettings settings;
 		try {
-			settings = file.read();
+			settings = readAtStart(file);
 		}
 		catch (InputException ex) {
 			System.err.println(ex.getMessage());
 			return ExitCode.BAD_INPUT;
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return ExitCode.FAILURE;
+		}
 		Vertx vertx = createVertx();
 		EventLog log = EventLog.create(Clock.system(), settings.getHost());
 		if (signals.isTerminationPending()) {
@@ -81,6 +90,20 @@
 		}
 	}
 
+	// A file with faults may be one that is still being written.
+	private static HostSettings readAtStart(SettingsFile file) throws InputException, InterruptedException {
+		for (int reading = 1; reading < MAX_READINGS_AT_START; reading++) {
+			try {
+				return file.read();
+			}
+			catch (InputException ex) {
+				System.err.println("wigeontally: reading again: " + ex.getMessage());
+				Thread.sleep(READING_INTERVAL_MS);
+			}
+		}
+		return file.read();
+	}
+
 	// A single event loop, because all decisions of a process are made on one thread.
 	static Vertx createVertx() {
 		return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
