--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -72,6 +72,10 @@
 	CALLER_LEFT(RateLimit.REQUESTS),
 	/** This process closes the connection of a caller. */
 	CALLER_CONNECTION_CLOSED(RateLimit.SOME),
+	/** A request has no answer although its caller's timeout is over. */
+	REQUEST_OVERDUE(RateLimit.SOME),
+	/** An answer that its caller reads too slowly was given up for lack of memory. */
+	ANSWER_GIVEN_UP(RateLimit.SOME),
 	/** A stream was resumed on another backend server. */
 	STREAM_RESUMED(RateLimit.REQUESTS),
 	/** Progress of downloading weights to this host. */
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -46,6 +46,8 @@
 
 	private int requests;
 
+	private String attemptId;
+
 	private boolean closing;
 
 	CallerConnection(GatewayContext context, Supplier<CallerLimits> limits, HttpConnection connection,
@@ -75,6 +77,16 @@
 		this.state.headReceived();
 	}
 
+	/**
+	 * Records that the handling of a request begins.
+	 * @param id the caller's id of the request
+	 * @param dueAtMs monotonic time by which its response must have ended
+	 */
+	void handlingBegun(String id, long dueAtMs) {
+		this.attemptId = id;
+		this.state.handlingBegun(dueAtMs);
+	}
+
 	void answered() {
 		this.state.answered(this.context.nowMs());
 	}
@@ -115,6 +127,20 @@
 		return unsent != null && !unsent.isEmpty();
 	}
 
+	/**
+	 * Logs a request whose caller has lost its patience without an answer.
+	 */
+	void logIfOverdue() {
+		if (!this.state.becomesOverdue(this.context.nowMs())) {
+			return;
+		}
+		this.context.metrics().recordOverdueRequest();
+		this.context.log()
+			.write(LogEvent.REQUEST_OVERDUE, "id", this.attemptId, "caller", this.connection.remoteAddress(),
+					"last-read-ms", this.context.nowMs() - this.lastReadAtMs, "closing", this.closing, "unsent",
+					hasUnsentBytes(), "configuration", this.context.fleet().configurationVersion());
+	}
+
 	/**
 	 * Closes the connection because its caller sent nothing for too long.
 	 */
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -75,6 +75,13 @@
 		}
 	}
 
+	/**
+	 * Logs requests whose callers have lost their patience without an answer.
+	 */
+	void logOverdue() {
+		this.open.values().forEach(CallerConnection::logIfOverdue);
+	}
+
 	private void closeConfirmed() {
 		this.sweep.confirm(CallerConnection::isExpired, this.context.nowMs()).forEach(CallerConnection::closeExpired);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -69,6 +69,8 @@
 						"connection-closing");
 			return;
 		}
+		connection.handlingBegun(request.getHeader(WireNames.ATTEMPT_ID),
+				receivedAtMs + Math.min(callerTimeoutMs(request), DEFAULT_CALLER_TIMEOUT_MS));
 		request.response().endHandler((v) -> connection.answered());
 		CallerLimits limits = this.connections.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes()) {
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -329,6 +329,7 @@
 		fleet.removeLapsedBackends();
 		fleet.backends().forEach((backend) -> backend.pool().closeExpired());
 		this.callerConnections.closeExpired();
+		this.callerConnections.logOverdue();
 		List<EntryNews> others = this.entries.liveEntries(this.context.nowMs());
 		this.context.updateConfigurationLag(others);
 		int knownEntries = others.size() + 1;
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -95,6 +95,11 @@
 		.labelNames("named")
 		.register(this.registry);
 
+	private final Counter overdueRequests = Counter.builder()
+		.name("wigeontally_requests_overdue_total")
+		.help("Requests without an answer a second after their callers' timeouts")
+		.register(this.registry);
+
 	PrometheusRegistry registry() {
 		return this.registry;
 	}
@@ -107,6 +112,10 @@
 		this.directoryAnswers.labelValues(Boolean.toString(namesEntry)).inc();
 	}
 
+	void recordOverdueRequest() {
+		this.overdueRequests.inc();
+	}
+
 	void recordAttempt(String service, String outcome) {
 		this.attempts.labelValues(service, outcome).inc();
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -436,6 +436,10 @@
 	// Closing the connection shows the caller that the response is incomplete.
 	private void endForMemory() {
 		if (this.finished) {
+			this.context.log()
+				.write(LogEvent.ANSWER_GIVEN_UP, "id", this.request.attemptId(), "route", this.request.route().name(),
+						"unsent-bytes", this.writer.pendingBytes(), "after-ms", elapsedMs(), "configuration",
+						this.context.fleet().configurationVersion());
 			this.request.http().connection().close();
 			return;
 		}
--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -12,6 +12,14 @@
  */
 public final class CallerConnectionState {
 
+	/**
+	 * Time from the end of a caller's patience until its request counts as unanswered. An
+	 * event loop that is held up answers late.
+	 */
+	static final long OVERDUE_MARGIN_MS = 1_000;
+
+	private static final long NOT_DUE = Long.MAX_VALUE;
+
 	private long idleLimitMs;
 
 	private long headLimitMs;
@@ -22,6 +30,8 @@
 
 	private int unanswered;
 
+	private long answerDueAtMs = NOT_DUE;
+
 	private CallerConnectionState(long nowMs) {
 		this.waitingSinceMs = nowMs;
 	}
@@ -65,11 +75,35 @@
 		this.unanswered++;
 	}
 
+	/**
+	 * Records that the handling of a request begins. The requests of a connection are
+	 * handled one after the other.
+	 * @param dueAtMs monotonic time by which its response must have ended
+	 */
+	public void handlingBegun(long dueAtMs) {
+		this.answerDueAtMs = dueAtMs;
+	}
+
+	/**
+	 * Returns whether the response of the current request should have ended. Tells it
+	 * once for each request.
+	 * @param nowMs monotonic time
+	 * @return true if nothing seems to answer the request any more
+	 */
+	public boolean becomesOverdue(long nowMs) {
+		if (this.answerDueAtMs == NOT_DUE || nowMs - this.answerDueAtMs <= OVERDUE_MARGIN_MS) {
+			return false;
+		}
+		this.answerDueAtMs = NOT_DUE;
+		return true;
+	}
+
 	/**
 	 * Records the end of a response.
 	 * @param nowMs monotonic time
 	 */
 	public void answered(long nowMs) {
+		this.answerDueAtMs = NOT_DUE;
 		this.unanswered--;
 		this.waitingSinceMs = nowMs;
 	}
