One caller's timeout no longer makes all others of its route look late

Callers saw: after one request with a very large timeout, every later request of the route was treated like a retry that has used up its target, so that it was placed and rejected behind others; the same for good once callers had begun with shorter timeouts.

Cause: the longest timeout that was ever named counted as the initial one of all callers. It comes from outside and never went down.

InitialTimeout ignores the longest timeouts of up to an eighth of the latest requests and forgets old ones.

--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -15,6 +15,7 @@
 import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EnginePlacement;
 import org.wigeontally.fleet.EngineProfile;
+import org.wigeontally.fleet.InitialTimeout;
 import org.wigeontally.fleet.LeastLoadedPlacement;
 import org.wigeontally.fleet.RetryBudgetShare;
 import org.wigeontally.harmful.HarmfulPartTracker;
@@ -68,7 +69,7 @@
 
 	private final Map<String, RejectedRequests> rejectedByLimits = new HashMap<>();
 
-	private final Map<String, Long> longestTimeoutsMs = new HashMap<>();
+	private final Map<String, InitialTimeout> initialTimeouts = new HashMap<>();
 
 	private Runnable urgentNews = () -> {
 	};
@@ -178,8 +179,8 @@
 	 * @return milliseconds since its first attempt
 	 */
 	long elapsedBeforeMs(String route, long callerTimeoutMs) {
-		long longestTimeoutMs = this.longestTimeoutsMs.merge(route, callerTimeoutMs, Math::max);
-		return longestTimeoutMs - callerTimeoutMs;
+		return this.initialTimeouts.computeIfAbsent(route, (key) -> InitialTimeout.create())
+			.recordAndEstimateElapsedMs(callerTimeoutMs);
 	}
 
 	/**
