A dispatch does not go on a connection that an ended agent is closing

Seen by callers: a request that must not be repeated got the outcome "unknown", since its dispatch went on a connection that the agent of the project's own interface was closing. Cause: entries kept an idle connection to an agent for 60 s (the default), far longer than the 3 s for which an agent announces its end. A connection could so be unused since before the announcement and still be chosen when the agent closed it. Change: idle connections are closed after 1 s, checked every 0.5 s, which is below the 3 s; agents close idle ones after 120 s only. Ruled out: a second try on a new connection, since a request that was sent may have run. Price: an entry that sends to an agent less than about once a second opens a connection for it each time; not measured.

--- a/daemons/src/main/java/org/wigeontally/entry/AgentClient.java
+++ b/daemons/src/main/java/org/wigeontally/entry/AgentClient.java
@@ -29,6 +29,15 @@
 
 	private static final int MAX_CONNECTIONS = 1024;
 
+	/**
+	 * Idle time after which a connection is closed. Together with the interval of the
+	 * checks shorter than an agent announces its end (3 s): a connection that is still
+	 * kept when the agent closes was used meanwhile, and that answer has closed it.
+	 */
+	private static final int KEEP_ALIVE_S = 1;
+
+	private static final int KEEP_ALIVE_CHECK_INTERVAL_MS = 500;
+
 	/**
 	 * Equals the connect timeout: within that time, a busy agent accepts the connection,
 	 * and one that does not accept it is taken to be down.
@@ -42,8 +51,11 @@
 	}
 
 	static AgentClient create(Vertx vertx) {
-		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true);
-		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS)
+			.setKeepAliveTimeout(KEEP_ALIVE_S)
+			.setTcpNoDelay(true);
+		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)
+			.setCleanerPeriod(KEEP_ALIVE_CHECK_INTERVAL_MS);
 		return new AgentClient(vertx.httpClientBuilder().with(options).with(pool).build());
 	}
 
