Drains of the own interface close the server and finish what they have taken

Seen by callers: a request whose body the agent or the entry of the project's own interface was reading, or an answer of which a part was unsent, was cut when the process ended; and answers of a draining process kept their connections, on which the next request could meet the close. Cause: the drain ended by a count of dispatches, which a request enters when its body has been read and leaves when its answer has been handed to Vert.x. The port and all connections stayed open until then; after that they were closed at once while the process exited. No answer said that its connection would end. Change: the second half of the drain of GatewayDaemon (closing, unsent bytes, shutdown) becomes ServerDrain, and DaemonServer uses it with a DrainSchedule of its own times (3 s for agents, 6 s for entries, then drain_ms). Answers over HTTP/1 that begin after the signal close their connection. HTTP/2 connections of control get a GOAWAY from the shutdown of Vert.x. Drain is gone, and GatewayDaemon behaves as before (DrainEndTests green). Red before, on: DaemonDrainTests#dispatchWhoseBodyIsBeingSentIsAnsweredBeforeTheAgentEnds, #requestWhoseBodyIsBeingSentIsAnsweredBeforeTheEntryEnds (the drain had completed) and #answerOfADrainingAgentClosesItsConnection (no such header). Green with the change, with #largeAnswerThatIsReadSlowlyIsSentBeforeTheServerCloses, which needs the new interface. HostListTests passes a Router to DaemonServer instead of a handler; its checks are unchanged. Ruled out: the header put when the request arrives, which would leave out requests in flight at the signal.

--- a/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AgentDaemon.java
@@ -7,7 +7,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,7 +16,6 @@
 import org.wigeontally.control.ControlSettings;
 import org.wigeontally.control.HostListFollower;
 import org.wigeontally.http.DaemonServer;
-import org.wigeontally.http.Drain;
 import org.wigeontally.metrics.AgentMetrics;
 import org.wigeontally.metrics.ControlMetrics;
 import org.wigeontally.metrics.MetricsApi;
@@ -56,6 +54,10 @@
 
 	private final Optional<ModelDistributor> modelDistributor;
 
+	private final Clock clock;
+
+	private DaemonServer server;
+
 	private AgentDaemon(Vertx vertx, AgentSettings settings, Closer closer, ControlNode control,
 			List<BackendLink> links, Clock clock) {
 		this.vertx = vertx;
@@ -63,6 +65,7 @@
 		this.closer = closer;
 		this.control = control;
 		this.links = links;
+		this.clock = clock;
 		this.dispatchApi = new DispatchApi(vertx, control.view(), links,
 				closer.add(BackendLossNotifier.create(vertx, control.view(), clock)),
 				AgentMetrics.create(this.registry), clock);
@@ -95,7 +98,7 @@
 		});
 	}
 
-	private Future<HttpServer> listen() {
+	private Future<DaemonServer> listen() {
 		Router router = Router.router(this.vertx);
 		ControlMetrics.register(this.registry, this.control.view());
 		ControlMetrics.registerBackends(this.registry, this::backendStates);
@@ -104,7 +107,7 @@
 		this.dispatchApi.mount(router, MAX_BODY_BYTES);
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
-				this.closer.add(server::close);
+				this.server = this.closer.add(server);
 				logger.info("agent: {} listens on {}", this.settings.getHost(),
 						Addresses.format(this.settings.getListen()));
 			});
@@ -125,14 +128,15 @@
 	}
 
 	/**
-	 * Drains the agent: refuses new requests, waits for the requests in flight, then
-	 * closes.
+	 * Drains the agent: refuses new requests, closes the port and the idle connections,
+	 * waits for the others, then closes.
 	 * @return the number of requests that did not complete within the drain time
 	 */
 	public Future<Integer> drain() {
 		logger.info("agent: {} is draining", this.settings.getHost());
 		this.control.leave();
-		return Drain.await(this.vertx, this.dispatchApi::inFlight, DRAIN_NOTICE_MS, this.settings.getDrainMs())
+		return this.server.drain(DRAIN_NOTICE_MS, this.settings.getDrainMs(), this.clock)
+			.map((drained) -> this.dispatchApi.inFlight())
 			.onSuccess((aborted) -> {
 				logger.info("agent: {} is drained, {} requests aborted", this.settings.getHost(), aborted);
 				close();
--- a/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/entry/EntryDaemon.java
@@ -3,7 +3,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,7 +15,6 @@
 import org.wigeontally.control.HostListFollower;
 import org.wigeontally.errors.InputException;
 import org.wigeontally.http.DaemonServer;
-import org.wigeontally.http.Drain;
 import org.wigeontally.metrics.ControlMetrics;
 import org.wigeontally.metrics.EntryMetrics;
 import org.wigeontally.metrics.MetricsApi;
@@ -52,14 +50,19 @@
 
 	private final AtMostOnceRequests atMostOnce;
 
+	private final Clock clock;
+
+	private DaemonServer server;
+
 	private EntryDaemon(Vertx vertx, EntrySettings settings, Closer closer, ControlNode control, Dispatcher dispatcher,
-			AtMostOnceRequests atMostOnce) {
+			AtMostOnceRequests atMostOnce, Clock clock) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.closer = closer;
 		this.control = control;
 		this.dispatcher = dispatcher;
 		this.atMostOnce = atMostOnce;
+		this.clock = clock;
 	}
 
 	/**
@@ -87,17 +90,18 @@
 			ClaimInquiryClient inquiries = closer.add(ClaimInquiryClient.create(vertx, control.view()));
 			return AtMostOnceRequests.start(vertx, log, control.view(), agents, inquiries, clock)
 				.compose((atMostOnce) -> {
-					EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher, atMostOnce);
-					return daemon.listen(registry, clock).map(daemon);
+					EntryDaemon daemon = new EntryDaemon(vertx, settings, closer, control, dispatcher, atMostOnce,
+							clock);
+					return daemon.listen(registry).map(daemon);
 				});
 		});
 	}
 
-	private Future<HttpServer> listen(PrometheusRegistry registry, Clock clock) {
+	private Future<DaemonServer> listen(PrometheusRegistry registry) {
 		Router router = Router.router(this.vertx);
 		MetricsApi.mount(router, registry, this.control.view()::isServing);
 		ControlMetrics.register(registry, this.control.view());
-		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(clock), this.dispatcher,
+		CallerApi callers = new CallerApi(this.control.view(), new RequestReader(this.clock), this.dispatcher,
 				this.atMostOnce, RequestMetrics.register(registry));
 		this.atMostOnce.mount(router);
 		callers.mount(router, this.settings.getBodyLimitBytes());
@@ -105,7 +109,7 @@
 		router.route("/v1/admin/*").subRouter(AdministrationApi.createRouter(this.vertx, administration));
 		return DaemonServer.start(this.vertx, this.settings.getListen(), this.control.handler(), router)
 			.onSuccess((server) -> {
-				this.closer.add(server::close);
+				this.server = this.closer.add(server);
 				logger.info("entry: {} is listening on {}", this.settings.getHost(),
 						Addresses.format(this.settings.getListen()));
 			});
@@ -121,15 +125,14 @@
 
 	/**
 	 * Shuts down gracefully: announces that this entry is leaving, refuses new requests,
-	 * waits for the requests in flight, and closes.
+	 * closes the port and the idle connections, waits for the others, and closes.
 	 * @return the number of requests that had not ended when the drain timeout expired
 	 */
 	public Future<Integer> drain() {
 		logger.info("entry: {} is draining", this.settings.getHost());
 		this.control.leave();
-		return Drain
-			.await(this.vertx, () -> this.dispatcher.inFlight() + this.atMostOnce.inFlight(), DRAIN_NOTICE_MS,
-					this.settings.getDrainMs())
+		return this.server.drain(DRAIN_NOTICE_MS, this.settings.getDrainMs(), this.clock)
+			.map((drained) -> this.dispatcher.inFlight() + this.atMostOnce.inFlight())
 			.onSuccess((aborted) -> {
 				logger.info("entry: {} drained, {} requests aborted", this.settings.getHost(), aborted);
 				close();
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -3,7 +3,6 @@
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -11,6 +10,7 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CallerConnectionState;
 import org.wigeontally.fleet.CallerLimits;
+import org.wigeontally.http.ChannelOutput;
 
 /**
  * A connection of a caller. Runs on the event loop.
@@ -110,9 +110,7 @@
 	 * @return true if so
 	 */
 	boolean hasUnsentBytes() {
-		// The channel is not empty as long as Vert.x queues more for it.
-		ChannelOutboundBuffer unsent = this.channel.unsafe().outboundBuffer();
-		return unsent != null && !unsent.isEmpty();
+		return ChannelOutput.hasUnsentBytes(this.channel);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -24,10 +23,10 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.CompactedTopic;
-import org.wigeontally.fleet.ConnectionSweep;
 import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.harmful.PromptPart;
+import org.wigeontally.http.ServerDrain;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
@@ -96,8 +95,6 @@
 
 	private static final long HOUSEKEEPING_INTERVAL_MS = 250;
 
-	private static final long DRAIN_CHECK_INTERVAL_MS = 20;
-
 	private final Vertx vertx;
 
 	private final Context eventLoop;
@@ -132,8 +129,6 @@
 
 	private HttpServer front;
 
-	private boolean closing;
-
 	private boolean ready;
 
 	private int entryReadIntervals;
@@ -381,42 +376,11 @@
 		this.store.write(StoreTopic.ENTRIES, this.settings.getHost(), new byte[0])
 			.onFailure((failure) -> this.log.write(LogEvent.STORE_LOST, "topic", StoreTopic.ENTRIES, "reason",
 					failure.getMessage()));
-		this.vertx.setPeriodic(DRAIN_CHECK_INTERVAL_MS, (id) -> {
-			long nowMs = this.context.nowMs();
-			if (schedule.isAnswerDue(nowMs)) {
-				this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
-			}
-			if (schedule.isClosingDue(nowMs) && !this.closing) {
-				this.vertx.setTimer(ConnectionSweep.CONFIRMATION_DELAY_MS, (timer) -> closeFront(schedule, drained));
-			}
-			if (schedule.remainingMs(nowMs) <= 0) {
-				this.vertx.cancelTimer(id);
-				endDraining(drained);
-			}
-		});
-	}
-
-	// Closes the port and the idle connections at once, and each of the others when its
-	// response has been sent. Must run on a timer of its own, so that requests which had
-	// arrived have been read. Vert.x would discard what is unsent of a response that has
-	// ended, so unsent bytes are waited for.
-	private void closeFront(DrainSchedule schedule, Promise<Integer> drained) {
-		long remainingMs = schedule.remainingMs(this.context.nowMs());
-		if (this.closing || remainingMs <= 0 || this.callerConnections.hasUnsentBytes()) {
-			return;
-		}
-		this.closing = true;
-		logPhase("closing");
-		// The last connection may close while its request is still being ended.
-		this.front.shutdown(remainingMs, TimeUnit.MILLISECONDS)
-			.onComplete((closed) -> this.eventLoop.runOnContext((v) -> endDraining(drained)));
-	}
-
-	private void endDraining(Promise<Integer> drained) {
-		int inFlight = this.context.inFlight();
-		if (drained.tryComplete(inFlight)) {
-			logPhase("ended");
-		}
+		ServerDrain.start(this.vertx, this.front, schedule, this.context::nowMs, new DrainListener())
+			.onComplete((closed) -> {
+				logPhase("ended");
+				drained.complete(this.context.inFlight());
+			});
 	}
 
 	private void logPhase(String phase) {
@@ -442,6 +406,28 @@
 		this.closer.close();
 	}
 
+	/**
+	 * What the drain asks of the connections and requests of callers.
+	 */
+	private final class DrainListener implements ServerDrain.Listener {
+
+		@Override
+		public boolean hasUnsentBytes() {
+			return GatewayDaemon.this.callerConnections.hasUnsentBytes();
+		}
+
+		@Override
+		public void answerDue() {
+			GatewayDaemon.this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
+		}
+
+		@Override
+		public void closing() {
+			logPhase("closing");
+		}
+
+	}
+
 	/**
 	 * The gRPC service that other entries and agents call.
 	 */
--- a/library/src/main/java/org/wigeontally/fleet/DrainSchedule.java
+++ b/library/src/main/java/org/wigeontally/fleet/DrainSchedule.java
@@ -39,10 +39,10 @@
 
 	private final long exitMs;
 
-	private DrainSchedule(long signalMs, long graceMs) {
+	private DrainSchedule(long signalMs, long openMs, long graceMs) {
 		long endMarginMs = (long) Math.min(MAX_END_MARGIN_MS, graceMs * END_MARGIN_FRACTION);
 		this.lastAnswerMs = signalMs + graceMs - endMarginMs;
-		this.closingMs = Math.min(signalMs + MIN_OPEN_MS, this.lastAnswerMs);
+		this.closingMs = Math.min(signalMs + openMs, this.lastAnswerMs);
 		this.exitMs = signalMs + graceMs - endMarginMs / 2;
 	}
 
@@ -53,7 +53,18 @@
 	 * @return the schedule
 	 */
 	public static DrainSchedule of(long signalMs, long graceMs) {
-		return new DrainSchedule(signalMs, graceMs);
+		return of(signalMs, MIN_OPEN_MS, graceMs);
+	}
+
+	/**
+	 * Creates a schedule of a process that is not found by the directory.
+	 * @param signalMs time of the signal, on the monotonic clock
+	 * @param openMs time after the signal for which connections are accepted
+	 * @param graceMs time between the signal and the forced end of the process
+	 * @return the schedule
+	 */
+	public static DrainSchedule of(long signalMs, long openMs, long graceMs) {
+		return new DrainSchedule(signalMs, openMs, graceMs);
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/platform/HostListTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/HostListTests.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.ext.web.Router;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -83,7 +84,9 @@
 			.build();
 		ControlSettings settings = new ControlSettings(self, List.of(), TimeUnit.HOURS.toMillis(1));
 		ControlNode node = await(ControlNode.start(this.vertx, settings, log, KeyRing.acceptingAll(), Clock.system()));
-		await(DaemonServer.start(this.vertx, address, node.handler(), (request) -> request.response().end()));
+		Router router = Router.router(this.vertx);
+		router.route().handler((context) -> context.end());
+		await(DaemonServer.start(this.vertx, address, node.handler(), router));
 		this.closer.add(HostListFollower.start(this.vertx, hostListAddress, node));
 		String registrationUri = "/hosts?host=" + name + "&role=entry&address=" + Addresses.format(address);
 		await(this.client.request(HttpMethod.POST, hostListAddress.getPort(), hostListAddress.getIp(), registrationUri)
