The grace for lapsed registrations ends no later at the entries that are told of it

What callers saw: nothing that was followed to this fault.

Cause: after an outage of the store an entry keeps removed registrations for 2.2 s and tells the others how much is left. The receiver counted the rest from the arrival of the reply and passed on what was left of that, so each hop made the end later by the time on the way and by any pause. Nothing compared it with what the receiver itself knew of the store.

Change: LapseGrace decides, apart from I/O. A rest is counted from when the receiver asked, which is before it was told; it may only become shorter on its way, and the later end of two is never later than that of the entry that saw the store return. That entry counts from the start of the call that the store answered, not from when the answer was handled. An entry that knew the records as of times less than two heartbeats apart (StoreKnowledge) takes no grace over: no registration lapses in so short an outage. The message is as before; only the comment changed.

Ruled out: requests between entries carry no records, hence no grace; only replies do, and the time of the question is known for these.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -195,6 +195,7 @@
 					exchange(entry, false);
 				}
 				if (result.succeeded()) {
+					recordLapseGrace(result.result(), sentAtMs);
 					applyNews(result.result());
 					recordAges(result.result(), sentAtMs);
 					fetchIfBehind(result.result());
@@ -235,6 +236,13 @@
 		}
 	}
 
+	// Registrations may lapse while the store is away; the reader knows that it was.
+	private void recordLapseGrace(EntryNews reply, long sentAtMs) {
+		if (reply.hasBackendUpdate()) {
+			this.context.fleet().lapseGraceTold(reply.getLapseGraceMs(), sentAtMs, this.backendFollower.knowledge());
+		}
+	}
+
 	// The reply holds all records that its sender knew when it was asked, so they are
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
@@ -379,9 +387,6 @@
 				.forEach((topicRecord) -> fleet.applyConfigurationRecord(topicRecord, source));
 		}
 		if (peerNews.hasBackendUpdate()) {
-			// Registrations may lapse while the store is away; the reader knows that it
-			// was.
-			fleet.startLapseGrace(peerNews.getLapseGraceMs());
 			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source);
 		}
 		long nowMs = this.context.nowMs();
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -16,7 +16,9 @@
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.FleetConfiguration;
+import org.wigeontally.fleet.LapseGrace;
 import org.wigeontally.fleet.Service;
+import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.WarmupShare;
 import org.wigeontally.misc.Clock;
@@ -94,7 +96,7 @@
 
 	private int entryCount = MIN_ENTRY_COUNT;
 
-	private long lapseGraceEndsAtMs = Long.MIN_VALUE / 2;
+	private LapseGrace lapseGrace = LapseGrace.none();
 
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
@@ -306,7 +308,7 @@
 			registerBackend(id, topicRecord, source);
 			return;
 		}
-		if (nowMs < this.lapseGraceEndsAtMs) {
+		if (!this.lapseGrace.isOver(nowMs)) {
 			// The registration may have lapsed because the store was unavailable; it is
 			// removed only if it is not renewed within the grace period.
 			this.lapsedIds.add(id);
@@ -316,12 +318,22 @@
 	}
 
 	/**
-	 * Starts the grace period for registrations that lapsed while the store was
-	 * unavailable. They are kept until it ends.
-	 * @param graceMs length of the grace period
+	 * Keeps registrations that lapsed while the store was away for a grace period after
+	 * its return.
+	 * @param askedAtMs start of the call to the store that it answered
 	 */
-	void startLapseGrace(long graceMs) {
-		this.lapseGraceEndsAtMs = Math.max(this.lapseGraceEndsAtMs, this.clock.monotonicMs() + graceMs);
+	void storeReturned(long askedAtMs) {
+		this.lapseGrace = this.lapseGrace.storeReturned(askedAtMs);
+	}
+
+	/**
+	 * Records the grace period of another entry.
+	 * @param restMs what was left of it when the entry replied
+	 * @param askedAtMs when this entry asked
+	 * @param knowledge what this entry knows of the store
+	 */
+	void lapseGraceTold(long restMs, long askedAtMs, StoreKnowledge knowledge) {
+		this.lapseGrace = this.lapseGrace.told(restMs, askedAtMs, knowledge, this.clock.monotonicMs());
 	}
 
 	/**
@@ -329,7 +341,7 @@
 	 * @return milliseconds; 0 if there is none
 	 */
 	long remainingLapseGraceMs() {
-		return Math.max(0, this.lapseGraceEndsAtMs - this.clock.monotonicMs());
+		return this.lapseGrace.restMs(this.clock.monotonicMs());
 	}
 
 	/**
@@ -337,7 +349,7 @@
 	 * grace period.
 	 */
 	void removeLapsedBackends() {
-		if (this.lapsedIds.isEmpty() || this.clock.monotonicMs() < this.lapseGraceEndsAtMs) {
+		if (this.lapsedIds.isEmpty() || !this.lapseGrace.isOver(this.clock.monotonicMs())) {
 			return;
 		}
 		this.lapsedIds.forEach((id) -> removeBackend(id, this.backendRecords.endPosition(), "lapsed"));
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -27,6 +27,7 @@
 import org.wigeontally.fleet.ConnectionSweep;
 import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.LapseGrace;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.metrics.MetricsApi;
 import org.wigeontally.misc.Clock;
@@ -83,12 +84,6 @@
 	 */
 	private static final int ENTRY_READ_INTERVALS = 6;
 
-	/**
-	 * Time within which live backend servers renew registrations that lapsed while the
-	 * store was unavailable.
-	 */
-	private static final long LAPSE_GRACE_MS = 2_200;
-
 	/**
 	 * Time within which the operator writes records again that a restored store lost.
 	 */
@@ -171,10 +166,9 @@
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
 				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
-				new StoreFollower.RestoreBehaviour(LAPSE_GRACE_MS, new BackendRestorePolicy(log),
-						() -> fleet.startLapseGrace(LAPSE_GRACE_MS)),
-				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source),
-				() -> fleet.startLapseGrace(LAPSE_GRACE_MS));
+				new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS, new BackendRestorePolicy(log),
+						this::storeReturned),
+				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source), this::storeReturned);
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
@@ -281,6 +275,10 @@
 		}
 	}
 
+	private void storeReturned() {
+		this.context.fleet().storeReturned(this.backendFollower.callStartedAtMs());
+	}
+
 	private void writeOwnRecords() {
 		registerSelf();
 		this.harmfulPartStore.writeAll();
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -10,6 +10,7 @@
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.RestorePolicy;
+import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.StoreReadPlan;
 import org.wigeontally.misc.Clock;
@@ -90,8 +91,7 @@
 	// then, or other entries know when later records were written.
 	private long lastFailedCallAtMs;
 
-	// Time as of which all records are known, from the store or another entry.
-	private long knownAsOfMs;
+	private StoreKnowledge knowledge;
 
 	// Whether the last call was a successful long poll, so that the next one starts
 	// where it ended.
@@ -133,7 +133,7 @@
 		this.lastReceivedAtMs = this.startedAtMs - MAX_RECEIVE_PAUSE_MS;
 		this.lastResponseAtMs = this.startedAtMs;
 		this.lastFailedCallAtMs = this.lastResponseAtMs;
-		this.knownAsOfMs = this.lastResponseAtMs;
+		this.knowledge = StoreKnowledge.startedAt(this.lastResponseAtMs);
 	}
 
 	void start() {
@@ -150,7 +150,7 @@
 	 * @return milliseconds
 	 */
 	long ageMs() {
-		return this.clock.monotonicMs() - this.knownAsOfMs;
+		return this.clock.monotonicMs() - this.knowledge.asOfMs();
 	}
 
 	/**
@@ -158,7 +158,24 @@
 	 * @param asOfMs the time
 	 */
 	void recordKnownAsOf(long asOfMs) {
-		this.knownAsOfMs = Math.max(this.knownAsOfMs, asOfMs);
+		this.knowledge = this.knowledge.knownAsOf(asOfMs);
+	}
+
+	/**
+	 * Returns the knowledge of the topic, whether it comes from the store or from another
+	 * entry.
+	 * @return the knowledge
+	 */
+	StoreKnowledge knowledge() {
+		return this.knowledge;
+	}
+
+	/**
+	 * Returns when the last call to the store was made.
+	 * @return start of the call that is pending, or of the last one
+	 */
+	long callStartedAtMs() {
+		return this.callStartedAtMs;
 	}
 
 	boolean isStoreReachable() {
@@ -270,7 +287,7 @@
 			keys = this.records.applySnapshot(page.records(), page.endPosition());
 		}
 		// A snapshot that lags behind what is known does not show what the store has now.
-		recordSuccess(outdated ? this.knownAsOfMs : this.callStartedAtMs);
+		recordSuccess(outdated ? this.knowledge.asOfMs() : this.callStartedAtMs);
 		if (restored) {
 			this.restore.storeRestored().run();
 		}
@@ -312,7 +329,7 @@
 	// records are from after the last failed call. If it was down for this host only,
 	// other entries report when they first saw the records.
 	private long earliestChangeMs() {
-		return Math.max(this.knownAsOfMs, this.lastFailedCallAtMs);
+		return Math.max(this.knowledge.asOfMs(), this.lastFailedCallAtMs);
 	}
 
 	private void recordSuccess(long asOfMs) {
@@ -334,7 +351,7 @@
 
 	// Another entry has read the store since, so it was away for this entry only.
 	private boolean isSuppliedSinceFailure() {
-		return this.knownAsOfMs > this.lastFailedCallAtMs;
+		return this.knowledge.asOfMs() > this.lastFailedCallAtMs;
 	}
 
 	private void recordFailure(Throwable failure) {
