--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -25,6 +25,7 @@
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.DrainSchedule;
 import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.fleet.LapseGrace;
 import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.http.ServerDrain;
 import org.wigeontally.metrics.MetricsApi;
@@ -82,12 +83,6 @@
 	 */
 	private static final int ENTRY_READ_INTERVALS = 6;
 
-	/**
-	 * Time within which live backend servers renew registrations that lapsed while the
-	 * store was unavailable.
-	 */
-	private static final long LAPSE_GRACE_MS = 2_200;
-
 	/**
 	 * Time within which the operator writes records again that a restored store lost.
 	 */
@@ -166,10 +161,9 @@
 				});
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
 				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
-				new StoreFollower.RestoreBehaviour(LAPSE_GRACE_MS, new BackendRestorePolicy(log),
-						() -> fleet.startLapseGrace(LAPSE_GRACE_MS)),
-				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source),
-				() -> fleet.startLapseGrace(LAPSE_GRACE_MS));
+				new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS, new BackendRestorePolicy(log),
+						this::storeReturned),
+				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source), this::storeReturned);
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
@@ -276,6 +270,10 @@
 		}
 	}
 
+	private void storeReturned() {
+		this.context.fleet().storeReturned(this.backendFollower.callStartedAtMs());
+	}
+
 	private void writeOwnRecords() {
 		registerSelf();
 		this.harmfulPartStore.writeAll();
