Engines without a recent report are not taken for full by a multiple of own requests

Cause: without a report an engine counted as holding this entry's requests times the number of entries, at least nine. With 16 places two own requests made it full, with 40 entries one did. That holds only if all entries get equal shares, and one entry's requests are a sample of one or two.

Change: UnreportedLoad. The multiple compares engines only and never fills one; what the other entries had at the last report (also one in an answer's load header) is kept and halves each second. Services without engines are estimated as before: their placement never refuses.

Evidence: UnreportedEngineTests, a replay in virtual time with the real decisions (6 engines of 12 or 16 places that queue four more; agents of 2 or 6 away for 3, 1, 8 and 2 s, the first time at the start). After: all green.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -15,6 +15,7 @@
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.StorePosition;
@@ -392,6 +393,7 @@
 		backend.pool()
 			.setMaxConnections(Math.max(MIN_CONNECTIONS,
 					(int) (service.maxConnections() * MAX_CONNECTION_FRACTION / this.entryCount)));
+		backend.load().setPlaces(service.engine().map(EngineProfile::batchSlots).orElse(0));
 		if (service.warmupRequestsPerSecond() > 0) {
 			double warmupPerSecond = service.warmupRequestsPerSecond() * this.settings.getBounds().getColdFactor()
 					+ this.settings.getBounds().getColdSlack();
--- a/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
+++ b/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
@@ -17,6 +17,8 @@
 
 	private long reportedAtMs = Long.MIN_VALUE / 2;
 
+	private int places;
+
 	private int sentSinceReport;
 
 	private int endedSinceReport;
@@ -36,6 +38,14 @@
 		return new BackendLoad();
 	}
 
+	/**
+	 * Sets the number of requests that the engine processes at the same time.
+	 * @param newest the number; 0 if there is no engine
+	 */
+	public void setPlaces(int newest) {
+		this.places = newest;
+	}
+
 	/**
 	 * Records a report.
 	 * @param requests requests that run or wait at the backend server
@@ -94,10 +104,24 @@
 	 * @return number of requests
 	 */
 	public int estimatedRequests(long nowMs, int entries) {
-		if (reportAgeMs(nowMs) > MAX_REPORT_AGE_MS) {
+		return isReportRecent(nowMs) ? requestsSinceReport() : unreportedRequests(nowMs, entries);
+	}
+
+	private boolean isReportRecent(long nowMs) {
+		return reportAgeMs(nowMs) <= MAX_REPORT_AGE_MS;
+	}
+
+	private int requestsSinceReport() {
+		return Math.max(this.inFlight, this.reportedRequests + this.sentSinceReport - this.endedSinceReport);
+	}
+
+	private int unreportedRequests(long nowMs, int entries) {
+		if (this.places <= 0) {
 			return this.inFlight * Math.max(1, entries);
 		}
-		return Math.max(this.inFlight, this.reportedRequests + this.sentSinceReport - this.endedSinceReport);
+		long overdueMs = reportAgeMs(nowMs) - MAX_REPORT_AGE_MS;
+		return this.inFlight + UnreportedLoad.ofOthers(requestsSinceReport() - this.inFlight, overdueMs, this.inFlight,
+				Math.max(0, entries - 1), this.places);
 	}
 
 }
