--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -68,8 +68,6 @@
 						"connection-closing");
 			return;
 		}
-		connection.handlingBegun(request.getHeader(WireNames.ATTEMPT_ID),
-				receivedAtMs + Math.min(callerTimeoutMs(request), DEFAULT_CALLER_TIMEOUT_MS));
 		request.response().endHandler((v) -> connection.answered());
 		try {
 			read(connection, request);
@@ -82,6 +80,8 @@
 
 	private void read(CallerConnection connection, HttpServerRequest request) {
 		long receivedAtMs = this.context.nowMs();
+		connection.handlingBegun(request.getHeader(WireNames.ATTEMPT_ID),
+				receivedAtMs + Math.min(callerTimeoutMs(request), DEFAULT_CALLER_TIMEOUT_MS));
 		CallerLimits limits = this.connections.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes()) {
 			refuseAndClose(connection, request, LocalResponse.rejected(431, "headers-too-large"));
