A forgotten loss is not taken back from an entry that counts it later

What callers saw: nothing that was followed to this. Requests with a suspected content can stay kept back or refused after the 600 s for which a loss counts. Cause: entries tell each other the ages of losses, each counted from its arrival and so younger by the way. An entry that forgot a loss took it back, younger, from one that still held it, and told it on in its turn. Evidence: HarmfulRequestTrackerTests#lossThatEntriesGoOnTellingEachOtherIsForgottenInTime (two entries, 50 ms on the way, virtual time) with the margin set to 0, which is the former rule: the loss still counted a second after its end. Now it does not. Why it works: a loss that is not known here is left out in the last 10 s of its time; the way must add 10 s before one returns. Ruled out: known losses, of which the older age wins. Not worked on: single losses of parts (60 s), and trials, which can be told back for their 1.5 s.

--- a/library/src/main/java/org/wigeontally/harmful/LossTable.java
+++ b/library/src/main/java/org/wigeontally/harmful/LossTable.java
@@ -30,6 +30,13 @@
 
 	private static final int MAX_LOSSES_PER_CONTENT = 16;
 
+	/**
+	 * Age below the maximum from which a loss that is not known here is left out. It may
+	 * have been forgotten here, and would become younger by the time on the way whenever
+	 * entries tell it each other.
+	 */
+	private static final long FORGOTTEN_MARGIN_MS = 10_000;
+
 	/** Orders the losses of a content by what they say about it. */
 	private static final Comparator<Loss> BY_EVIDENCE = Comparator.comparing(Loss::cleared)
 		.reversed()
@@ -186,7 +193,7 @@
 		for (SuspectContent contentSummary : summary.getContentsList()) {
 			C content = this.codec.read(contentSummary);
 			for (BackendLoss loss : contentSummary.getLossesList()) {
-				if (loss.getAgeMs() < maxAgeMs && !isForgotten(content, loss, clearedRetentionMs)) {
+				if (loss.getAgeMs() < maxAgeMs && !isForgotten(content, loss, maxAgeMs, clearedRetentionMs)) {
 					Loss merged = Loss.of(nowMs - Math.max(0, loss.getAgeMs()), trial(loss), loss.getTrialId());
 					changed |= add(content, loss.getId(), loss.getCleared() ? merged.clear(nowMs) : merged);
 				}
@@ -196,8 +203,12 @@
 	}
 
 	// Would otherwise be kept alive by entries that tell it each other in turn.
-	private boolean isForgotten(C content, BackendLoss loss, long clearedRetentionMs) {
-		return loss.getCleared() && loss.getAgeMs() >= clearedRetentionMs && !losses(content).containsKey(loss.getId());
+	private boolean isForgotten(C content, BackendLoss loss, long maxAgeMs, long clearedRetentionMs) {
+		if (losses(content).containsKey(loss.getId())) {
+			return false;
+		}
+		return loss.getAgeMs() >= maxAgeMs - FORGOTTEN_MARGIN_MS
+				|| (loss.getCleared() && loss.getAgeMs() >= clearedRetentionMs);
 	}
 
 	private static Loss.Trial trial(BackendLoss loss) {
--- a/testsuite/src/test/java/org/wigeontally/harmful/HarmfulRequestTrackerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/harmful/HarmfulRequestTrackerTests.java
@@ -48,6 +48,22 @@
 		}
 	}
 
+	@Test
+	public void lossThatEntriesGoOnTellingEachOtherIsForgottenInTime() {
+		List<HarmfulRequestTracker> entries = entries(2);
+		Fingerprint suspect = content("suspect");
+		entries.get(0).recordBackendLoss("host-1/1/1", List.of(suspect));
+		long startMs = this.clock.monotonicMs();
+		while (this.clock.monotonicMs() - startMs < HarmfulRequestTracker.LOSS_RETENTION_MS + 1_000) {
+			SuspectSummary first = entries.get(0).summary();
+			SuspectSummary second = entries.get(1).summary();
+			this.clock.advance(50);
+			entries.get(0).merge(second);
+			entries.get(1).merge(first);
+		}
+		assertThat(entries).allMatch((entry) -> entry.classify(suspect).level() == Suspicion.Level.NONE);
+	}
+
 	@Test
 	public void completedSuspectIsCleared() {
 		List<HarmfulRequestTracker> entries = entries(2);
