An entry that has only started tells no fresh age of its records

What callers saw: nothing that was followed to this. Cause: the age of an entry's records counted from its start until it knew better, and was told so. An entry that started in an outage, empty or with old records of another entry, thus made the others believe that somebody had read the store at its start. The age by which the entry itself reads is as before. Ruled out: the ages' way, which the receiver takes off already (it counts from its question).

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -336,8 +336,8 @@
 			.setBackendEnd(fleet.backendRecords().endPosition())
 			.setConfigurationVersion(fleet.configurationVersion())
 			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
-			.setOperatorAgeMs(Math.max(0, this.operatorFollower.ageMs()))
-			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()))
+			.setOperatorAgeMs(this.operatorFollower.toldAgeMs())
+			.setBackendAgeMs(this.backendFollower.toldAgeMs())
 			.setReadsContent(true)
 			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -178,6 +178,22 @@
 		return this.callStartedAtMs;
 	}
 
+	/**
+	 * Returns when the last failed call to the store was made.
+	 * @return start of the call; start of this process if none failed
+	 */
+	long lastFailedCallAtMs() {
+		return this.lastFailedCallAtMs;
+	}
+
+	/**
+	 * Returns the age of the knowledge of the topic for other entries.
+	 * @return milliseconds
+	 */
+	long toldAgeMs() {
+		return this.knowledge.toldAgeMs(this.clock.monotonicMs());
+	}
+
 	boolean isStoreReachable() {
 		return this.failures == 0;
 	}
--- a/library/src/main/java/org/wigeontally/fleet/StoreKnowledge.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreKnowledge.java
@@ -12,13 +12,22 @@
 	 */
 	static final long MIN_OUTAGE_MS = 2_000;
 
+	/** Age that is told as long as nothing is known, in milliseconds. */
+	static final long UNKNOWN_AGE_MS = 24 * 60 * 60 * 1_000L;
+
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final long gaplessSinceMs;
 
 	private final long asOfMs;
 
-	private StoreKnowledge(long gaplessSinceMs, long asOfMs) {
+	// Unlike the time above, not the start of the process.
+	private final long answeredAtMs;
+
+	private StoreKnowledge(long gaplessSinceMs, long asOfMs, long answeredAtMs) {
 		this.gaplessSinceMs = gaplessSinceMs;
 		this.asOfMs = asOfMs;
+		this.answeredAtMs = answeredAtMs;
 	}
 
 	/**
@@ -27,7 +36,7 @@
 	 * @return the knowledge
 	 */
 	public static StoreKnowledge startedAt(long nowMs) {
-		return new StoreKnowledge(nowMs, nowMs);
+		return new StoreKnowledge(nowMs, nowMs, NEVER_MS);
 	}
 
 	/**
@@ -36,11 +45,11 @@
 	 * @return the knowledge; the present one if it is newer
 	 */
 	public StoreKnowledge knownAsOf(long newAsOfMs) {
-		if (newAsOfMs <= this.asOfMs) {
+		if (newAsOfMs <= this.answeredAtMs) {
 			return this;
 		}
 		boolean gap = newAsOfMs - this.asOfMs >= MIN_OUTAGE_MS;
-		return new StoreKnowledge(gap ? newAsOfMs : this.gaplessSinceMs, newAsOfMs);
+		return new StoreKnowledge(gap ? newAsOfMs : this.gaplessSinceMs, Math.max(this.asOfMs, newAsOfMs), newAsOfMs);
 	}
 
 	/**
@@ -51,6 +60,16 @@
 		return this.asOfMs;
 	}
 
+	/**
+	 * Returns the age of the knowledge for other entries. A process that only started
+	 * tells them nothing about the store.
+	 * @param nowMs current time in milliseconds
+	 * @return milliseconds; a day if there is no knowledge
+	 */
+	public long toldAgeMs(long nowMs) {
+		return Math.min(UNKNOWN_AGE_MS, Math.max(0, nowMs - this.answeredAtMs));
+	}
+
 	/**
 	 * Returns whether the store was not away for so long that registrations lapsed.
 	 * @param fromMs time at which such an outage may have begun
