The grace counts from the first answer of the store to any entry

What callers saw: nothing that was followed to this. An entry whose own calls went on failing kept removed registrations longer than the others. Cause: it counted the grace from its own first answer, and what it heard after that from an entry that had read the store earlier changed nothing. Evidence: LapseGraceTests#graceCountsFromTheFirstAnswerOfTheStoreToAnyEntry, with storeAnswered doing nothing as before: 3,700 ms left, expected 2,200. Why it works: an answer to another entry after the start of this one's last failed call shows that the store was back by then; the end moves to 2.2 s after it, never later. After a restore nothing is shortened, since the registrations are written again only then. Not tried: a store that answers a hanging call only on its return; the grace is then shorter by up to the duration of that call.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -247,6 +247,7 @@
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
 		FleetState fleet = this.context.fleet();
+		fleet.storeAnswered(sentAtMs - reply.getBackendAgeMs());
 		if (fleet.operatorRecords().endPosition() >= reply.getOperatorEnd()) {
 			this.operatorFollower.recordKnownAsOf(sentAtMs - reply.getOperatorAgeMs());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -320,10 +320,19 @@
 	/**
 	 * Keeps registrations that lapsed while the store was away for a grace period after
 	 * its return.
-	 * @param askedAtMs start of the call to the store that it answered
+	 * @param lostAtMs start of the last call to the store that failed
+	 * @param askedAtMs start of the call that it answered
 	 */
-	void storeReturned(long askedAtMs) {
-		this.lapseGrace = this.lapseGrace.storeReturned(askedAtMs);
+	void storeReturned(long lostAtMs, long askedAtMs) {
+		this.lapseGrace = this.lapseGrace.storeReturned(lostAtMs, askedAtMs);
+	}
+
+	/**
+	 * Records that the store answered some entry, perhaps before it answered this one.
+	 * @param asOfMs a time at which, or after which, it answered
+	 */
+	void storeAnswered(long asOfMs) {
+		this.lapseGrace = this.lapseGrace.storeAnswered(asOfMs);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -167,7 +167,7 @@
 		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
 				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
 				new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS, new BackendRestorePolicy(log),
-						this::storeReturned),
+						this::storeRestored),
 				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source), this::storeReturned);
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
@@ -276,7 +276,15 @@
 	}
 
 	private void storeReturned() {
-		this.context.fleet().storeReturned(this.backendFollower.callStartedAtMs());
+		this.context.fleet()
+			.storeReturned(this.backendFollower.lastFailedCallAtMs(), this.backendFollower.callStartedAtMs());
+	}
+
+	// The registrations that are written again come after the restore, however long ago
+	// the store answered.
+	private void storeRestored() {
+		long askedAtMs = this.backendFollower.callStartedAtMs();
+		this.context.fleet().storeReturned(askedAtMs, askedAtMs);
 	}
 
 	private void writeOwnRecords() {
--- a/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
@@ -18,11 +18,15 @@
 	 */
 	public static final long LENGTH_MS = 2_200;
 
-	private static final LapseGrace NONE = new LapseGrace(Long.MIN_VALUE / 2);
+	private static final LapseGrace NONE = new LapseGrace(Long.MAX_VALUE, Long.MIN_VALUE / 2);
+
+	// Later answers of the store are from after its return.
+	private final long lostAtMs;
 
 	private final long endsAtMs;
 
-	private LapseGrace(long endsAtMs) {
+	private LapseGrace(long lostAtMs, long endsAtMs) {
+		this.lostAtMs = lostAtMs;
 		this.endsAtMs = endsAtMs;
 	}
 
@@ -36,11 +40,12 @@
 
 	/**
 	 * Returns the period after the store answered this entry again.
+	 * @param lostAtMs start of the last call that failed
 	 * @param askedAtMs start of the call that succeeded
 	 * @return the period; the present one if it ends later
 	 */
-	public LapseGrace storeReturned(long askedAtMs) {
-		return laterOf(new LapseGrace(askedAtMs + LENGTH_MS));
+	public LapseGrace storeReturned(long lostAtMs, long askedAtMs) {
+		return laterOf(new LapseGrace(lostAtMs, askedAtMs + LENGTH_MS));
 	}
 
 	/**
@@ -60,7 +65,19 @@
 		if (knowledge.isGapless(endsAtMs - LENGTH_MS - StoreKnowledge.MIN_OUTAGE_MS, nowMs)) {
 			return this;
 		}
-		return laterOf(new LapseGrace(endsAtMs));
+		return laterOf(new LapseGrace(Long.MAX_VALUE, endsAtMs));
+	}
+
+	/**
+	 * Returns the period with the knowledge that the store answered some entry.
+	 * @param asOfMs a time at which, or after which, it answered
+	 * @return the period; shorter if it answered that entry before this one
+	 */
+	public LapseGrace storeAnswered(long asOfMs) {
+		if (asOfMs <= this.lostAtMs || asOfMs + LENGTH_MS >= this.endsAtMs) {
+			return this;
+		}
+		return new LapseGrace(this.lostAtMs, asOfMs + LENGTH_MS);
 	}
 
 	private LapseGrace laterOf(LapseGrace other) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -10,7 +10,7 @@
 import org.wigeontally.fleet.CompactedTopic.TopicRecord;
 import org.wigeontally.fleet.LapseGrace;
 import org.wigeontally.fleet.StoreKnowledge;
-import org.wigeontally.misc.Clock;
+import org.wigeontally.misc.ManualClock;
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.schema.generated.HostSettings;
 
@@ -24,7 +24,7 @@
 
 	private static final long ENDS_AT_MS = RETURNED_AT_MS + LapseGrace.LENGTH_MS;
 
-	private final VirtualClock clock = new VirtualClock();
+	private ManualClock clock;
 
 	private FleetState first;
 
@@ -32,7 +32,7 @@
 
 	@BeforeMethod
 	public void create() {
-		this.clock.nowMs = RETURNED_AT_MS;
+		this.clock = ManualClock.startingAt(RETURNED_AT_MS);
 		this.first = fleet();
 		this.second = fleet();
 	}
@@ -57,14 +57,14 @@
 	/** The delays are those of the question and of the reply, with pauses. */
 	@Test(dataProvider = "delays")
 	public void graceThatEntriesTellEachOtherEndsOnTime(int questionMs, int replyMs) {
-		this.first.storeReturned(RETURNED_AT_MS);
+		this.first.storeReturned(RETURNED_AT_MS - 1_000, RETURNED_AT_MS);
 		FleetState teller = this.first;
 		FleetState asker = this.second;
-		while (this.clock.nowMs < ENDS_AT_MS) {
-			long askedAtMs = this.clock.nowMs;
-			this.clock.nowMs += questionMs;
+		while (this.clock.monotonicMs() < ENDS_AT_MS) {
+			long askedAtMs = this.clock.monotonicMs();
+			this.clock.advance(questionMs);
 			long restMs = teller.remainingLapseGraceMs();
-			this.clock.nowMs += replyMs;
+			this.clock.advance(replyMs);
 			asker.lapseGraceTold(restMs, askedAtMs, StoreKnowledge.startedAt(askedAtMs));
 			apply(asker, new TopicRecord(ID, 2, new byte[0], true));
 			FleetState next = teller;
@@ -80,20 +80,30 @@
 
 	@Test
 	public void lapsedRegistrationIsKeptUntilTheGraceEnds() {
-		this.first.storeReturned(RETURNED_AT_MS);
-		this.clock.nowMs += 50;
-		this.second.lapseGraceTold(this.first.remainingLapseGraceMs(), this.clock.nowMs,
+		this.first.storeReturned(RETURNED_AT_MS - 1_000, RETURNED_AT_MS);
+		this.clock.advance(50);
+		this.second.lapseGraceTold(this.first.remainingLapseGraceMs(), this.clock.monotonicMs(),
 				StoreKnowledge.startedAt(RETURNED_AT_MS));
 		List<FleetState> fleets = List.of(this.first, this.second);
 		fleets.forEach((fleet) -> apply(fleet, new TopicRecord(ID, 2, new byte[0], true)));
-		this.clock.nowMs = ENDS_AT_MS - 1;
+		this.clock.advance(LapseGrace.LENGTH_MS - 51);
 		fleets.forEach(FleetState::removeLapsedBackends);
 		assertThat(fleets).allMatch((fleet) -> fleet.backends().iterator().hasNext());
-		this.clock.nowMs = ENDS_AT_MS;
+		this.clock.advance(1);
 		fleets.forEach(FleetState::removeLapsedBackends);
 		assertThat(fleets).noneMatch((fleet) -> fleet.backends().iterator().hasNext());
 	}
 
+	/** This entry's own calls failed for longer than those of the others. */
+	@Test
+	public void graceCountsFromTheFirstAnswerOfTheStoreToAnyEntry() {
+		this.first.storeReturned(RETURNED_AT_MS - 1_000, RETURNED_AT_MS + 1_500);
+		this.first.storeAnswered(RETURNED_AT_MS - 1_000);
+		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(LapseGrace.LENGTH_MS + 1_500);
+		this.first.storeAnswered(RETURNED_AT_MS);
+		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(LapseGrace.LENGTH_MS);
+	}
+
 	@DataProvider
 	public Object[][] gaps() {
 		return new Object[][] { { 700, 0 }, { 2_500, 2_000 } };
@@ -110,20 +120,4 @@
 		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(keptMs);
 	}
 
-	private static final class VirtualClock implements Clock {
-
-		private long nowMs;
-
-		@Override
-		public long monotonicMs() {
-			return this.nowMs;
-		}
-
-		@Override
-		public long wallMs() {
-			return this.nowMs;
-		}
-
-	}
-
 }
