Test: an entry counts a grace that it is told from when it asked

EntryExchangeTests#graceThatEndsOnTheWayPostponesNoRemoval: the store is away, and the other entry tells a removal and a rest of 300 ms after 400 ms. SlowEntry can send records now; the existing test is unchanged.

--- a/testsuite/src/test/java/org/wigeontally/gateway/EntryExchangeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EntryExchangeTests.java
@@ -1,22 +1,31 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.grpc.server.GrpcServer;
+import org.slf4j.LoggerFactory;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.FleetGrpcService;
 import org.wigeontally.schema.generated.FleetService;
+import org.wigeontally.schema.generated.RecordUpdate;
+import org.wigeontally.schema.generated.StoreRecord;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -57,6 +66,44 @@
 		assertThat(GatewayFixture.countArrivals(backends, "deadly")).isPositive();
 	}
 
+	/** The store is away, and the other entry takes longer to answer than is left. */
+	@Test
+	public void graceThatEndsOnTheWayPostponesNoRemoval() throws Exception {
+		ListAppender<ILoggingEvent> appender = new ListAppender<>();
+		appender.start();
+		Logger logger = (Logger) LoggerFactory.getLogger("wigeontally");
+		logger.addAppender(appender);
+		try {
+			this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
+			this.fixture.startEntry();
+			this.fixture.awaitStatus(0, "plain", 200);
+			this.fixture.store().setMode(FakeStore.Mode.UNAVAILABLE);
+			Thread.sleep(2_500);
+			SlowEntry other = new SlowEntry(this.fixture.vertx(), GatewayFixture.freeAddress(), 400);
+			long end = StorePosition.of(0, 1_000);
+			other.update = RecordUpdate.newBuilder()
+				.setFrom(1)
+				.setEnd(end)
+				.addRecords(StoreRecord.newBuilder().setKey("desk-1").setPosition(end - 1).setRemoved(true))
+				.build();
+			GatewayFixture.await(other.listen());
+			this.fixture.addEntryAddress(0, other.address);
+			GatewayFixture.awaitTrue(() -> removal(appender).isPresent());
+			assertThat(removal(appender).orElseThrow()).contains("reason=entry:slow");
+		}
+		finally {
+			logger.detachAppender(appender);
+		}
+	}
+
+	private static Optional<String> removal(ListAppender<ILoggingEvent> appender) {
+		return List.copyOf(appender.list)
+			.stream()
+			.map(ILoggingEvent::getFormattedMessage)
+			.filter((line) -> line.contains("backend=desk-1") && line.contains("gone=true"))
+			.findFirst();
+	}
+
 	private static final class SlowEntry extends FleetService {
 
 		private final List<EntryNews> messages = new CopyOnWriteArrayList<>();
@@ -67,6 +114,8 @@
 
 		private final long delayMs;
 
+		private RecordUpdate update;
+
 		private SlowEntry(Vertx vertx, Address address, long delayMs) {
 			this.vertx = vertx;
 			this.address = address;
@@ -86,13 +135,15 @@
 		public Future<EntryNews> exchange(EntryNews request) {
 			this.messages.add(request);
 			Promise<EntryNews> reply = Promise.promise();
-			this.vertx.setTimer(this.delayMs,
-					(id) -> reply.complete(EntryNews.newBuilder()
-						.setHost("slow")
-						.setControl(this.address)
-						.setRegion("region-a")
-						.setZone("zone-a")
-						.build()));
+			EntryNews.Builder news = EntryNews.newBuilder()
+				.setHost("slow")
+				.setControl(this.address)
+				.setRegion("region-a")
+				.setZone("zone-a");
+			if (this.update != null) {
+				news.setBackendUpdate(this.update).setLapseGraceMs(this.delayMs - 100);
+			}
+			this.vertx.setTimer(this.delayMs, (id) -> reply.complete(news.build()));
 			return reply.future();
 		}
 
