A reply about the end of a limit counts from the question

What callers saw: nothing that was followed to this; a backend server with a limit can get more than it accepts and reject requests. Cause: the end of a limit that another entry replied counted from its arrival less 200 ms. A reply that took longer seemed newer than a limit that was named meanwhile, and lifted it. Evidence: BackendLimitTests#replyWithAnEndThatTookLongDoesNotLiftALimitThatWasNamedMeanwhile with that arithmetic in recordReply: ENDED, expected NONE. Green now; BackendLimitTests, ServerLimitTests, EntryExchangeTests and the tests of permits: 33 tests, green, existing ones unchanged. Why it works: the evidence is older than the reply, which is later than the question. As the younger evidence wins, the error does not grow. Ruled out: limits that are named, which may only seem younger. Open: an end that an entry calls to tell, if the call takes over 200 ms.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendLimits.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendLimits.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
@@ -49,11 +50,28 @@
 	}
 
 	/**
-	 * Records what another entry knows of the limit of a backend server.
+	 * Records what an entry that calls this one knows of the limit of a backend server.
 	 * @param limited the limit
 	 * @param source the entry that says so, for the log
 	 */
 	void record(LimitedBackend limited, String source) {
+		long nowMs = this.clock.monotonicMs();
+		record(limited, source, (limit) -> limit.recordNews(limited.getPerSecond(), limited.getEvidenceAgeMs(), nowMs));
+	}
+
+	/**
+	 * Records what another entry replied about the limit of a backend server.
+	 * @param limited the limit
+	 * @param source the entry that says so, for the log
+	 * @param askedAtMs when this entry asked
+	 */
+	void recordReply(LimitedBackend limited, String source, long askedAtMs) {
+		long nowMs = this.clock.monotonicMs();
+		record(limited, source,
+				(limit) -> limit.recordReply(limited.getPerSecond(), limited.getEvidenceAgeMs(), askedAtMs, nowMs));
+	}
+
+	private void record(LimitedBackend limited, String source, Function<BackendLimit, BackendLimit.Change> evidence) {
 		Backend backend = this.fleet.backend(limited.getId(), limited.getProcessStartMs());
 		if (backend == null) {
 			// Not registered here yet, or no longer; the news comes with each exchange.
@@ -64,8 +82,7 @@
 					"limit of " + limited.getPerSecond() + " requests per second");
 			return;
 		}
-		changed(backend, backend.limit()
-			.recordNews(limited.getPerSecond(), limited.getEvidenceAgeMs(), this.clock.monotonicMs()), source);
+		changed(backend, evidence.apply(backend.limit()), source);
 	}
 
 	private void changed(Backend backend, BackendLimit.Change change, String source) {
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -197,6 +197,7 @@
 				if (result.succeeded()) {
 					recordLapseGrace(result.result(), sentAtMs);
 					applyNews(result.result());
+					recordLimits(result.result(), sentAtMs);
 					recordAges(result.result(), sentAtMs);
 					fetchIfBehind(result.result());
 				}
@@ -236,6 +237,15 @@
 		}
 	}
 
+	private void recordLimits(EntryNews reply, long sentAtMs) {
+		BackendLimits limits = this.context.limits();
+		reply.getLimitedBackendsList().forEach((limited) -> limits.recordReply(limited, source(reply), sentAtMs));
+	}
+
+	private static String source(EntryNews peerNews) {
+		return "entry:" + peerNews.getHost();
+	}
+
 	// Registrations may lapse while the store is away; the reader knows that it was.
 	private void recordLapseGrace(EntryNews reply, long sentAtMs) {
 		if (reply.hasBackendUpdate()) {
@@ -263,6 +273,8 @@
 	 */
 	EntryNews handleNews(EntryNews peerNews) {
 		applyNews(peerNews);
+		BackendLimits limits = this.context.limits();
+		peerNews.getLimitedBackendsList().forEach((limited) -> limits.record(limited, source(peerNews)));
 		fetchIfBehind(peerNews);
 		return newsFor(peerNews).build();
 	}
@@ -372,7 +384,7 @@
 		}
 		peerNews.getEntriesList().forEach(this.table::addAddress);
 		FleetState fleet = this.context.fleet();
-		String source = "entry:" + peerNews.getHost();
+		String source = source(peerNews);
 		if (peerNews.hasOperatorUpdate()) {
 			boolean first = fleet.operatorRecords().endPosition() == 0;
 			long sinceMs = first ? AnnouncedVersions.UNKNOWN_TIME_MS : this.context.nowMs() - INTERVAL_MS;
@@ -395,7 +407,6 @@
 			.forEach((announced) -> fleet.announcedVersions(announced.getModel())
 				.updateAnnouncementTime(announced.getVersion(), nowMs - announced.getAgeMs()));
 		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
-		peerNews.getLimitedBackendsList().forEach((limited) -> this.context.limits().record(limited, source));
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/PermitClient.java
@@ -58,9 +58,10 @@
 			.setBackend(this.context.limits().toNews(backend))
 			.setCount(count)
 			.build();
+		long askedAtMs = this.context.nowMs();
 		EntryNews coordinator = this.server.coordinator(backend);
 		if (this.server.isCoordinator(coordinator)) {
-			answered(backend, this.server.handle(request), count, "entry:self");
+			answered(backend, this.server.handle(request), count, "entry:self", askedAtMs);
 			return;
 		}
 		Address peer = coordinator.getControl();
@@ -75,17 +76,17 @@
 					failed(backend, peer, "the answer came after this process was paused");
 				}
 				else {
-					answered(backend, result.result(), count, "entry:" + coordinator.getHost());
+					answered(backend, result.result(), count, "entry:" + coordinator.getHost(), askedAtMs);
 				}
 			});
 	}
 
-	private void answered(Backend backend, PermitReply reply, int asked, String source) {
+	private void answered(Backend backend, PermitReply reply, int asked, String source, long askedAtMs) {
 		String service = backend.record().service();
 		this.context.metrics().recordPermits(service, "granted", reply.getGranted());
 		this.context.metrics().recordPermits(service, "denied", asked - reply.getGranted());
 		if (reply.hasBackend()) {
-			this.context.limits().record(reply.getBackend(), source);
+			this.context.limits().recordReply(reply.getBackend(), source, askedAtMs);
 		}
 		backend.permits().answered(new PermitGrant(reply.getGranted(), reply.getNextInMs()), this.context.nowMs());
 		ask(backend);
--- a/library/src/main/java/org/wigeontally/limits/BackendLimit.java
+++ b/library/src/main/java/org/wigeontally/limits/BackendLimit.java
@@ -15,9 +15,9 @@
 public final class BackendLimit {
 
 	/**
-	 * Time by which the end of a limit counts as earlier if another entry tells it. News
-	 * seems younger than it is by the time that it takes, and must not lift a limit that
-	 * was named meanwhile.
+	 * Time by which the end of a limit counts as earlier if another entry calls to tell
+	 * it. News seems younger than it is by the time that it takes, and must not lift a
+	 * limit that was named meanwhile.
 	 */
 	private static final long NEWS_DELAY_MS = 200;
 
@@ -85,7 +85,7 @@
 	}
 
 	/**
-	 * Records what another entry knows.
+	 * Records what another entry that calls this one knows.
 	 * @param newPerSecond requests per second, or {@link #NONE}
 	 * @param ageMs age of its evidence when it told so
 	 * @param nowMs the current time
@@ -96,6 +96,20 @@
 		return record(newPerSecond, nowMs - Math.max(0, ageMs) - delayMs, nowMs);
 	}
 
+	/**
+	 * Records what another entry replied. An end counts as of before the question,
+	 * however long the reply took.
+	 * @param newPerSecond requests per second, or {@link #NONE}
+	 * @param ageMs age of its evidence when it replied
+	 * @param askedAtMs when this entry asked
+	 * @param nowMs the current time
+	 * @return how much the limit in force has changed
+	 */
+	public Change recordReply(double newPerSecond, long ageMs, long askedAtMs, long nowMs) {
+		long atMs = (newPerSecond > NONE) ? nowMs : askedAtMs;
+		return record(newPerSecond, atMs - Math.max(0, ageMs), nowMs);
+	}
+
 	/**
 	 * Returns whether a limit is in force.
 	 * @return true if it is
--- a/testsuite/src/test/java/org/wigeontally/limits/BackendLimitTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/BackendLimitTests.java
@@ -39,6 +39,14 @@
 		assertThat(limit.recordNews(BackendLimit.NONE, 0, 1_300)).isEqualTo(BackendLimit.Change.ENDED);
 	}
 
+	@Test
+	public void replyWithAnEndThatTookLongDoesNotLiftALimitThatWasNamedMeanwhile() {
+		BackendLimit limit = BackendLimit.create();
+		limit.record(2, 1_000, 1_000);
+		assertThat(limit.recordReply(BackendLimit.NONE, 5, 980, 1_600)).isEqualTo(BackendLimit.Change.NONE);
+		assertThat(limit.recordReply(BackendLimit.NONE, 5, 1_010, 1_700)).isEqualTo(BackendLimit.Change.ENDED);
+	}
+
 	@Test
 	public void newerEvidenceHoldsWhoeverTellsIt() {
 		BackendLimit limit = BackendLimit.create();
