--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -197,6 +197,7 @@
 				if (result.succeeded()) {
 					recordLapseGrace(result.result(), sentAtMs);
 					applyNews(result.result());
+					recordLimits(result.result(), sentAtMs);
 					recordAges(result.result(), sentAtMs);
 					fetchIfBehind(result.result());
 				}
@@ -236,6 +237,15 @@
 		}
 	}
 
+	private void recordLimits(EntryNews reply, long sentAtMs) {
+		BackendLimits limits = this.context.limits();
+		reply.getLimitedBackendsList().forEach((limited) -> limits.recordReply(limited, source(reply), sentAtMs));
+	}
+
+	private static String source(EntryNews peerNews) {
+		return "entry:" + peerNews.getHost();
+	}
+
 	// Registrations may lapse while the store is away; the reader knows that it was.
 	private void recordLapseGrace(EntryNews reply, long sentAtMs) {
 		if (reply.hasBackendUpdate()) {
@@ -247,6 +257,7 @@
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
 		FleetState fleet = this.context.fleet();
+		fleet.storeAnswered(sentAtMs - reply.getBackendAgeMs());
 		if (fleet.operatorRecords().endPosition() >= reply.getOperatorEnd()) {
 			this.operatorFollower.recordKnownAsOf(sentAtMs - reply.getOperatorAgeMs());
 		}
@@ -262,6 +273,8 @@
 	 */
 	EntryNews handleNews(EntryNews peerNews) {
 		applyNews(peerNews);
+		BackendLimits limits = this.context.limits();
+		peerNews.getLimitedBackendsList().forEach((limited) -> limits.record(limited, source(peerNews)));
 		fetchIfBehind(peerNews);
 		return newsFor(peerNews).build();
 	}
@@ -336,8 +349,8 @@
 			.setBackendEnd(fleet.backendRecords().endPosition())
 			.setConfigurationVersion(fleet.configurationVersion())
 			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
-			.setOperatorAgeMs(Math.max(0, this.operatorFollower.ageMs()))
-			.setBackendAgeMs(Math.max(0, this.backendFollower.ageMs()))
+			.setOperatorAgeMs(this.operatorFollower.toldAgeMs())
+			.setBackendAgeMs(this.backendFollower.toldAgeMs())
 			.setReadsContent(true)
 			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
 	}
@@ -371,7 +384,7 @@
 		}
 		peerNews.getEntriesList().forEach(this.table::addAddress);
 		FleetState fleet = this.context.fleet();
-		String source = "entry:" + peerNews.getHost();
+		String source = source(peerNews);
 		if (peerNews.hasOperatorUpdate()) {
 			boolean first = fleet.operatorRecords().endPosition() == 0;
 			long sinceMs = first ? AnnouncedVersions.UNKNOWN_TIME_MS : this.context.nowMs() - INTERVAL_MS;
@@ -394,7 +407,6 @@
 			.forEach((announced) -> fleet.announcedVersions(announced.getModel())
 				.updateAnnouncementTime(announced.getVersion(), nowMs - announced.getAgeMs()));
 		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
-		peerNews.getLimitedBackendsList().forEach((limited) -> this.context.limits().record(limited, source));
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
