A refusal of an engine counts as evidence of its load for a short time

What callers saw: while agents were away, requests went to engines that had just refused one without running it, lost time and used up their sendings.

Cause: an entry forgot a refusal at once; without a report the engine looked as free as before.

Change: after a 503 that proves that the request did not run, the engine counts as full for 300 ms, or until a report or a load header arrives; then the other entries' part halves each second as after a report. A report since the sending is better evidence, so the refusal is ignored then.

Evidence: UnreportedEngineTests#refusalOfAnEngineCountsAsFullForAShortTime, red before.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -51,6 +51,9 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/** Status of a refusal because the backend server is full. */
+	private static final int UNAVAILABLE = 503;
+
 	private final GatewayContext context;
 
 	private final CallerRequest request;
@@ -460,6 +463,9 @@
 		markEnded();
 		endTrial();
 		if (this.reader.isNotRun()) {
+			if (this.reader.status() == UNAVAILABLE) {
+				this.backend.load().recordRefusal(this.sentAtMs, nowMs);
+			}
 			this.listener.attemptFailed(this, AttemptFailure.NOT_RUN, "status " + this.reader.status());
 			return;
 		}
--- a/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
+++ b/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
@@ -13,10 +13,18 @@
 	 */
 	public static final long MAX_REPORT_AGE_MS = 1_000;
 
+	/**
+	 * Time for which a backend server counts as full after a refusal, unless a report
+	 * arrives. A full engine completes a few requests in it.
+	 */
+	private static final long REFUSAL_LIFETIME_MS = 300;
+
 	private int reportedRequests;
 
 	private long reportedAtMs = Long.MIN_VALUE / 2;
 
+	private long refusedAtMs = Long.MIN_VALUE / 2;
+
 	private int places;
 
 	private int sentSinceReport;
@@ -46,6 +54,22 @@
 		this.places = newest;
 	}
 
+	/**
+	 * Records that the backend server refused a request without running it. A report that
+	 * arrived after the sending is better evidence.
+	 * @param sentAtMs when the request was sent, in milliseconds
+	 * @param nowMs current time in milliseconds
+	 */
+	public void recordRefusal(long sentAtMs, long nowMs) {
+		if (this.reportedAtMs >= sentAtMs) {
+			return;
+		}
+		this.refusedAtMs = nowMs;
+		this.reportedRequests = Math.max(requestsSinceReport(), this.places);
+		this.sentSinceReport = 0;
+		this.endedSinceReport = 0;
+	}
+
 	/**
 	 * Records a report.
 	 * @param requests requests that run or wait at the backend server
@@ -58,6 +82,7 @@
 		this.reportedAtMs = nowMs;
 		this.sentSinceReport = 0;
 		this.endedSinceReport = 0;
+		this.refusedAtMs = Long.MIN_VALUE / 2;
 	}
 
 	/** Records that this entry sent a request. */
@@ -104,7 +129,12 @@
 	 * @return number of requests
 	 */
 	public int estimatedRequests(long nowMs, int entries) {
-		return isReportRecent(nowMs) ? requestsSinceReport() : unreportedRequests(nowMs, entries);
+		int requests = isReportRecent(nowMs) ? requestsSinceReport() : unreportedRequests(nowMs, entries);
+		return (nowMs <= refusalEndsAtMs()) ? Math.max(requests, this.places) : requests;
+	}
+
+	private long refusalEndsAtMs() {
+		return this.refusedAtMs + REFUSAL_LIFETIME_MS;
 	}
 
 	private boolean isReportRecent(long nowMs) {
@@ -119,9 +149,9 @@
 		if (this.places <= 0) {
 			return this.inFlight * Math.max(1, entries);
 		}
-		long overdueMs = reportAgeMs(nowMs) - MAX_REPORT_AGE_MS;
-		return this.inFlight + UnreportedLoad.ofOthers(requestsSinceReport() - this.inFlight, overdueMs, this.inFlight,
-				Math.max(0, entries - 1), this.places);
+		long overdueMs = nowMs - Math.max(this.reportedAtMs + MAX_REPORT_AGE_MS, refusalEndsAtMs());
+		return this.inFlight + UnreportedLoad.ofOthers(requestsSinceReport() - this.inFlight, Math.max(0, overdueMs),
+				this.inFlight, Math.max(0, entries - 1), this.places);
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/UnreportedLoad.java
+++ b/library/src/main/java/org/wigeontally/fleet/UnreportedLoad.java
@@ -19,7 +19,8 @@
  * keeps entries that see idle engines at the same time from crowding one. What the other
  * entries had at the last report, which can come with an answer, counts as well and
  * halves with each further second, since requests last about as long. An engine that is
- * full all the same refuses at once, which costs another sending.
+ * full all the same refuses at once, which costs another sending; the refusal counts like
+ * a report.
  */
 final class UnreportedLoad {
 
--- a/testsuite/src/test/java/org/wigeontally/fleet/UnreportedEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/UnreportedEngineTests.java
@@ -84,6 +84,20 @@
 			.isInstanceOf(PlacementDecision.Place.class);
 	}
 
+	@Test
+	public void refusalOfAnEngineCountsAsFullForAShortTime() {
+		BackendLoad load = BackendLoad.create();
+		load.setPlaces(16);
+		load.recordRefusal(10_000, 10_000);
+		assertThat(load.estimatedRequests(10_050, 9)).isGreaterThanOrEqualTo(16);
+		assertThat(load.estimatedRequests(12_000, 9)).isLessThan(8);
+		load.recordRefusal(20_000, 20_000);
+		load.recordReport(3, 1, 20_010);
+		assertThat(load.estimatedRequests(20_020, 9)).isEqualTo(3);
+		load.recordRefusal(20_005, 20_020);
+		assertThat(load.estimatedRequests(20_030, 9)).isEqualTo(3);
+	}
+
 	private static EngineProfile profile(int places) {
 		return new EngineProfile(places, BASE.kvCacheTokens(), BASE.decodeStepMs(), BASE.stepMsPerSequence(),
 				BASE.stepMsPerThousandContextTokens(), BASE.prefillTokensPerMs(), BASE.attentionMsPerMillionPairs(),
@@ -212,6 +226,9 @@
 				this.refusedByEngines++;
 				this.loads[entry][engine].recordEnd();
 				recordHeader(entry, engine);
+				if (!this.multiplied) {
+					this.loads[entry][engine].recordRefusal((long) this.nowMs, (long) this.nowMs);
+				}
 				tried.add(engine);
 				arrive(entry, tried, sendings + 1);
 				return;
