Soak: series of changed limits, routes and weights beside kept connections

ALL now also plays series of up to six configurations at most 0.5 s apart that change idle and body limits, timeouts, added routes and the weights of a split over two services, and replaces backend servers (draining, gone, new one). A third of the callers have a connection of their own and let it rest for up to four fifths of the idle limit. Timeouts only grow from the value that the checks use, so no check became wider.

Checked in addition, for all kinds: a request that was sent, did not run, and ended without an answer after 200 ms and before seven tenths of its time; and an allowed request that got a 4xx other than 408, 421 and 429. Requests that got no connection at all are kept apart from broken ones. A backend server that is being replaced does not crash as well: its second start would have listened beside the first.

--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -25,6 +25,9 @@
  */
 final class SoakBackend implements FakeBackend.Behaviour {
 
+	/** Service of the engines. */
+	static final String ENGINES = "engines";
+
 	private static final int SLOTS = 16;
 
 	private static final int MAX_DELAY_MS = 60;
@@ -43,6 +46,8 @@
 
 	private final String id;
 
+	private final String service;
+
 	private final boolean engine;
 
 	private final String zone;
@@ -72,21 +77,22 @@
 
 	private final List<Long> limitedArrivalsMs = new CopyOnWriteArrayList<>();
 
-	private SoakBackend(Vertx vertx, String id, boolean engine, String zone, SoakHistory history, long seed,
+	private SoakBackend(Vertx vertx, String id, String service, String zone, SoakHistory history, long seed,
 			LoopbackProxy proxy) {
 		this.vertx = vertx;
 		this.id = id;
-		this.engine = engine;
+		this.service = service;
+		this.engine = service.equals(ENGINES);
 		this.zone = zone;
 		this.history = history;
 		this.random = new Random(seed);
 		this.proxy = proxy;
 	}
 
-	static Future<SoakBackend> start(Vertx vertx, String id, boolean engine, String zone, SoakHistory history,
+	static Future<SoakBackend> start(Vertx vertx, String id, String service, String zone, SoakHistory history,
 			long seed) {
 		return LoopbackProxy.start(vertx, 0)
-			.map((proxy) -> new SoakBackend(vertx, id, engine, zone, history, seed, proxy))
+			.map((proxy) -> new SoakBackend(vertx, id, service, zone, history, seed, proxy))
 			.compose((backend) -> backend.startServer().map(backend));
 	}
 
@@ -115,8 +121,16 @@
 	}
 
 	JsonObject registration() {
-		return FakeBackend
-			.registration(this.proxy.port(), this.engine ? "engines" : "desk", this.zone, "ready", this.engine ? 1 : 0)
+		return registration("ready");
+	}
+
+	/**
+	 * Returns the registration in a state.
+	 * @param state the state
+	 * @return the content of the store record
+	 */
+	JsonObject registration(String state) {
+		return FakeBackend.registration(this.proxy.port(), this.service, this.zone, state, this.engine ? 1 : 0)
 			.put("born", this.starts);
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakCallers.java
@@ -1,5 +1,6 @@
 package org.wigeontally.emulator.soak;
 
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Random;
 
@@ -24,6 +25,12 @@
 
 	private static final int MAX_PAUSE_MS = 40;
 
+	/** One of this many callers lets its connection rest. */
+	private static final int RESTING_INTERVAL = 3;
+
+	/** One of this many rests is as long as callers may let a connection rest. */
+	private static final int LONGEST_REST_INTERVAL = 3;
+
 	private final Vertx vertx;
 
 	private final List<SoakEntry> entries;
@@ -34,6 +41,10 @@
 
 	private final HttpClient client;
 
+	private final SoakConfigurations configurations;
+
+	private final boolean someRest;
+
 	private final long timeoutMs;
 
 	private final boolean staysWithStopping;
@@ -42,21 +53,30 @@
 
 	private int requests;
 
-	SoakCallers(Vertx vertx, List<SoakEntry> entries, SoakHistory history, SoakSetting setting) {
+	SoakCallers(Vertx vertx, List<SoakEntry> entries, SoakHistory history, SoakConfigurations configurations,
+			SoakSetting setting) {
 		this.vertx = vertx;
 		this.entries = entries;
 		this.history = history;
 		this.random = new Random(setting.seed());
 		this.timeoutMs = setting.disruptions().callerTimeoutMs();
+		this.configurations = configurations;
+		this.someRest = setting.disruptions().hasChanges();
 		this.staysWithStopping = setting.disruptions().hasSignals();
-		this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAliveTimeout(20),
-				new PoolOptions().setHttp1MaxSize(setting.callers()));
+		this.client = createClient(setting.callers());
+	}
+
+	private HttpClient createClient(int connections) {
+		return this.vertx.createHttpClient(new HttpClientOptions().setKeepAliveTimeout(20),
+				new PoolOptions().setHttp1MaxSize(connections));
 	}
 
 	void start(int callers) {
 		this.vertx.runOnContext((v) -> {
 			for (int i = 0; i < callers; i++) {
-				send(this.random.nextInt(this.entries.size()));
+				boolean rests = this.someRest && i % RESTING_INTERVAL == 0;
+				send(new Caller(rests ? createClient(1) : this.client, rests),
+						this.random.nextInt(this.entries.size()));
 			}
 		});
 	}
@@ -65,7 +85,7 @@
 		this.stopped = true;
 	}
 
-	private void send(int entryIndex) {
+	private void send(Caller caller, int entryIndex) {
 		if (this.stopped) {
 			return;
 		}
@@ -74,23 +94,33 @@
 		String attemptId = "soak-" + this.requests++;
 		SoakHistory.Call call = new SoakHistory.Call(attemptId, route, entry, SoakHistory.nowMs(), 0, 0, null);
 		TestCaller
-			.sendRequest(this.client, entry.front(), "/" + route.pathName() + "/x", attemptId,
+			.sendRequest(caller.client(), entry.front(), "/" + route.pathName() + "/x", attemptId,
 					FakeConfiguration.API_KEY, null, "body of " + attemptId, this.timeoutMs)
 			.onComplete((result) -> {
 				if (result.succeeded()) {
 					this.history.answered(call, result.result());
 					entry.answered();
 					boolean leaves = result.result().status() == REFUSED && !staysWith(entry);
-					sendLater(leaves ? otherThan(entryIndex) : entryIndex, 1 + this.random.nextInt(MAX_PAUSE_MS));
+					if (leaves) {
+						move(caller, entryIndex, 1 + this.random.nextInt(MAX_PAUSE_MS));
+					}
+					else {
+						sendLater(caller, entryIndex, pauseMs(caller));
+					}
 					return;
 				}
 				String reason = result.cause().getMessage();
-				this.history.broken(call, reason);
+				if (result.cause() instanceof ConnectException) {
+					this.history.notSent(call, reason);
+				}
+				else {
+					this.history.broken(call, reason);
+				}
 				boolean overdue = SoakHistory.nowMs() - call.sentAtMs() >= this.timeoutMs;
 				if (overdue && !entry.wasDisturbedSince(call.sentAtMs() - this.timeoutMs)) {
 					this.history.violation("no answer until the deadline: " + call);
 				}
-				sendLater(otherThan(entryIndex), PAUSE_AFTER_FAILURE_MS);
+				move(caller, entryIndex, PAUSE_AFTER_FAILURE_MS);
 			});
 	}
 
@@ -103,8 +133,33 @@
 		return (entryIndex + 1 + this.random.nextInt(this.entries.size() - 1)) % this.entries.size();
 	}
 
-	private void sendLater(int entryIndex, long delayMs) {
-		this.vertx.setTimer(delayMs, (id) -> send(entryIndex));
+	private long pauseMs(Caller caller) {
+		if (!caller.rests()) {
+			return 1 + this.random.nextInt(MAX_PAUSE_MS);
+		}
+		// The protocol lets callers use connections that rested so long.
+		long longestMs = this.configurations.idleLimitMs() * 4 / 5;
+		boolean isLongest = this.random.nextInt(LONGEST_REST_INTERVAL) == 0;
+		return isLongest ? longestMs : 1 + this.random.nextLong(longestMs);
+	}
+
+	// A connection that is left would rest longer than it may.
+	private void move(Caller caller, int entryIndex, long delayMs) {
+		Caller moved = caller;
+		if (caller.rests()) {
+			caller.client().close();
+			moved = new Caller(createClient(1), true);
+		}
+		sendLater(moved, otherThan(entryIndex), delayMs);
+	}
+
+	private void sendLater(Caller caller, int entryIndex, long delayMs) {
+		this.vertx.setTimer(delayMs, (id) -> send(caller, entryIndex));
+	}
+
+	/** A caller that lets its connection rest has it for itself. */
+	private record Caller(HttpClient client, boolean rests) {
+
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -37,6 +37,8 @@
 
 	}
 
+	private static final int NOT_SENT = -1;
+
 	private static final int SHORT_STREAM_EVENTS = 6;
 
 	private static final int LONG_STREAM_EVENTS = 40;
@@ -49,6 +51,12 @@
 	 */
 	private static final long TIMEOUT_TOLERANCE_MS = 100;
 
+	/** Share of its time after which a request may end without an answer. */
+	private static final double LOST_SHARE = 0.7;
+
+	/** Time after which a request that was sent has been read. */
+	private static final long READ_MS = 200;
+
 	private final SoakDisruptions disruptions;
 
 	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
@@ -143,10 +151,20 @@
 		this.calls.add(call.ended(0, reason));
 	}
 
+	/**
+	 * Records that there was no connection to send a request on.
+	 * @param call the request
+	 * @param reason what the caller saw
+	 */
+	void notSent(Call call, String reason) {
+		this.calls.add(call.ended(NOT_SENT, reason));
+	}
+
 	/**
 	 * Checks what can be told only at the end: requests that ran twice, refusals of
-	 * requests that ran, and requests that an entry left without an answer, or gave up
-	 * before their time, although their backend servers were sound.
+	 * requests that ran or that the configuration allows, and requests that an entry left
+	 * without an answer, or gave up before their time, although their backend servers
+	 * were sound.
 	 */
 	void checkAtEnd() {
 		for (Call call : this.calls) {
@@ -159,6 +177,13 @@
 			if (call.route() == Route.ONCE && promisesNotRun && ran > 0) {
 				violation("refused as not run, but ran: " + call);
 			}
+			if (ran == 0 && call.status() == 0 && !call.entry().wasDisturbedSince(call.sentAtMs())
+					&& call.lengthMs() > READ_MS && call.lengthMs() < LOST_SHARE * this.disruptions.timeoutMs()) {
+				violation("lost before it ran: " + call);
+			}
+			if (call.status() / 100 == 4 && !promisesNotRun) {
+				violation("denied: " + call);
+			}
 			boolean sound = ran > 0 && !this.spoiled.containsKey(call.attemptId());
 			if (!sound || call.entry().wasDisturbedSince(call.sentAtMs())
 					|| call.lengthMs() >= this.disruptions.timeoutMs() - TIMEOUT_TOLERANCE_MS) {
@@ -201,7 +226,7 @@
 	 * @param entry the entry that it was sent to
 	 * @param sentAtMs when it was sent
 	 * @param lengthMs time until its end, milliseconds
-	 * @param status status of the response; 0 for none
+	 * @param status status of the response; 0 for none, negative if it was not sent
 	 * @param failure why there was no response, or null
 	 */
 	record Call(String attemptId, Route route, SoakEntry entry, long sentAtMs, long lengthMs, int status,
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakRun.java
@@ -5,8 +5,10 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -14,7 +16,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 
-import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.settings.Addresses;
@@ -49,6 +50,12 @@
 
 	private static final int MAX_HANGUP_INTERVAL_MS = 400;
 
+	private static final int MAX_CONFIGURATIONS = 6;
+
+	private static final int MAX_CONFIGURATION_INTERVAL_MS = 500;
+
+	private static final long RELEASE_MS = 1_500;
+
 	private static final int MIN_SILENCE_MS = 800;
 
 	private static final int MAX_SILENCE_MS = 2_500;
@@ -71,9 +78,12 @@
 
 	private final List<String> disruptions = new ArrayList<>();
 
+	// Backend servers that are being replaced.
+	private final Set<SoakBackend> replaced = new HashSet<>();
+
 	private FakeStore store;
 
-	private int configurationVersion = 1;
+	private final SoakConfigurations configurations;
 
 	// Disruptions that end later, in order of their ends.
 	private final List<Ending> endings = new ArrayList<>();
@@ -82,6 +92,7 @@
 		this.setting = setting;
 		this.history = new SoakHistory(setting.disruptions());
 		this.random = new Random(setting.seed());
+		this.configurations = new SoakConfigurations(setting);
 	}
 
 	/**
@@ -102,10 +113,9 @@
 		this.store = await(FakeStore.start(this.vertx));
 		writeConfiguration();
 		for (int i = 0; i < this.setting.plainBackends() + this.setting.engines(); i++) {
-			boolean engine = i >= this.setting.plainBackends();
 			String zone = (this.setting.disruptions().hasSilences() && i % 2 == 1) ? "zone-b" : "zone-a";
-			SoakBackend backend = await(
-					SoakBackend.start(this.vertx, "backend-" + i, engine, zone, this.history, this.random.nextLong()));
+			SoakBackend backend = await(SoakBackend.start(this.vertx, "backend-" + i, service(i), zone, this.history,
+					this.random.nextLong()));
 			this.backends.add(backend);
 			this.store.write("servers", backend.id(), backend.registration());
 		}
@@ -122,6 +132,14 @@
 		}
 	}
 
+	private String service(int backendIndex) {
+		if (backendIndex >= this.setting.plainBackends()) {
+			return SoakBackend.ENGINES;
+		}
+		boolean isOther = this.setting.disruptions().hasChanges() && backendIndex % 2 == 1;
+		return isOther ? SoakConfigurations.OTHER_DESK : "desk";
+	}
+
 	private static void awaitReady(SoakEntry entry, long deadlineMs) throws Exception {
 		while (!isReady(entry)) {
 			if (SoakHistory.nowMs() > deadlineMs) {
@@ -148,7 +166,8 @@
 	}
 
 	private SoakResult soak() throws Exception {
-		SoakCallers callers = new SoakCallers(this.vertx, this.entries, this.history, this.setting);
+		SoakCallers callers = new SoakCallers(this.vertx, this.entries, this.history, this.configurations,
+				this.setting);
 		callers.start(this.setting.callers());
 		StallDetector stalls = StallDetector.start(this.vertx);
 		long startMs = SoakHistory.nowMs();
@@ -180,6 +199,11 @@
 
 	private void disrupt() throws Exception {
 		SoakDisruptions kinds = this.setting.disruptions();
+		if (kinds.hasChanges() && this.random.nextInt(3) == 0) {
+			configureInSeries(1 + this.random.nextInt(MAX_CONFIGURATIONS));
+			release(this.backends.get(this.random.nextInt(this.backends.size())));
+			return;
+		}
 		if (kinds.hasSignals() && (!kinds.hasFaults() || this.random.nextInt(4) == 0)) {
 			signalOrPlannedWork();
 			return;
@@ -204,6 +228,32 @@
 		}
 	}
 
+	private void configureInSeries(int count) {
+		if (count == 0) {
+			return;
+		}
+		configure();
+		at(this.random.nextInt(MAX_CONFIGURATION_INTERVAL_MS), () -> configureInSeries(count - 1));
+	}
+
+	// A backend server leaves, and a new one takes its place.
+	private void release(SoakBackend backend) {
+		if (!this.replaced.add(backend)) {
+			return;
+		}
+		disruption("release " + backend.id());
+		this.store.write("servers", backend.id(), backend.registration("draining"));
+		at(RELEASE_MS, () -> {
+			// Requests still cross its end where the store is disturbed.
+			backend.setConnections(LoopbackProxy.Mode.RESET);
+			await(backend.crash());
+			await(backend.startServer());
+			backend.setConnections(LoopbackProxy.Mode.PASS);
+			this.store.write("servers", backend.id(), backend.registration());
+			this.replaced.remove(backend);
+		});
+	}
+
 	// A series that goes on while the process is stopped and started again.
 	private void hangUp(SoakEntry entry, int count) {
 		if (count == 0) {
@@ -365,11 +415,15 @@
 	}
 
 	private void crash(SoakBackend backend, long lengthMs) throws Exception {
+		if (!this.replaced.add(backend)) {
+			return;
+		}
 		disruption("crash " + backend.id() + " for " + lengthMs);
 		await(backend.crash());
 		at(lengthMs, () -> {
 			await(backend.startServer());
 			this.store.write("servers", backend.id(), backend.registration());
+			this.replaced.remove(backend);
 		});
 	}
 
@@ -393,16 +447,13 @@
 	}
 
 	private void configure() {
-		this.configurationVersion++;
-		disruption("configuration " + this.configurationVersion);
 		writeConfiguration();
+		disruption("configuration " + this.configurations.version() + " with an idle limit of "
+				+ this.configurations.idleLimitMs());
 	}
 
-	// Every other configuration lacks a route that no caller uses.
 	private void writeConfiguration() {
-		List<String> omitted = (this.configurationVersion % 2 == 0) ? List.of("homed") : List.of();
-		this.store.write("op", "config",
-				FakeConfiguration.create(this.configurationVersion, omitted, this.setting.disruptions().timeoutMs()));
+		this.store.write("op", "config", this.configurations.next());
 	}
 
 	private void at(long delayMs, Action action) {
