A request is answered at once if its entry throws

Callers saw no answer: an exception before the body's timer left the request open for good, and one in a callback or timer of an attempt left it open until the route's timeout (504 after 1.5 s instead of 502).

Cause: Vert.x logs what a handler throws and goes on. BackendConnection has cleared its handler by the time it reports the end of a response, so what was thrown after that reached nobody.

Evidence: EntryFaultTests throws from the clock at each of its calls for a request in turn.

Every entry point of the relay and the attempt passes what it catches to RequestRelay.entryFailed: a fault line, the ready response if there is one, else 502, or 503 if nothing was sent; a response whose head was written ends by closing its connection. The attempts are cancelled, so places and memory are given back; the test waits for no request in flight.

--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -70,4 +70,11 @@
 	 */
 	void attemptFailed(BackendAttempt attempt, AttemptFailure outcome, String reason);
 
+	/**
+	 * Called when this entry itself failed while it carried out the attempt, which may
+	 * still run.
+	 * @param failure what was thrown
+	 */
+	void entryFailed(Throwable failure);
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -112,7 +112,7 @@
 		this.enginePriority = placed.enginePriority();
 		this.version = placed.version();
 		this.listener = listener;
-		this.memory = context.memory().open(() -> abandon("no memory left for the response"));
+		this.memory = context.memory().open(() -> guard(() -> abandon("no memory left for the response")));
 		this.startMs = context.nowMs();
 		this.lastReceivedMs = this.startMs;
 	}
@@ -125,7 +125,7 @@
 		BackendConnection idleConnection = this.backend.pool().takeIdle(idleFraction);
 		Future<BackendConnection> connected = (idleConnection != null) ? Future.succeededFuture(idleConnection)
 				: this.backend.pool().connect();
-		connected.onComplete((result) -> {
+		connected.onComplete((result) -> guard(() -> {
 			if (result.failed()) {
 				connectFailed(result.cause());
 			}
@@ -135,7 +135,17 @@
 			else {
 				send(result.result());
 			}
-		});
+		}));
+	}
+
+	// Whatever fails here must not leave the request without an answer.
+	private void guard(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			this.listener.entryFailed(ex);
+		}
 	}
 
 	String backendId() {
@@ -258,6 +268,7 @@
 	}
 
 	private void send(BackendConnection backendConnection) {
+		this.connection = backendConnection;
 		long nowMs = this.context.nowMs();
 		String obstacle = findObstacle(nowMs);
 		if (obstacle != null) {
@@ -266,7 +277,6 @@
 			this.listener.attemptFailed(this, AttemptFailure.NOT_SENT, obstacle);
 			return;
 		}
-		this.connection = backendConnection;
 		this.sent = true;
 		this.sentAtMs = nowMs;
 		this.lastReceivedMs = nowMs;
@@ -281,7 +291,8 @@
 				this.version.requiredVersion(nowMs), lastEventId);
 		backendConnection.send(backendRequest, this, () -> this.backend.pool().release(backendConnection));
 		if (this.request.route().isRetryable() || this.version != VersionRequirement.NONE) {
-			this.progressTimer = this.context.vertx().setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> checkProgress());
+			this.progressTimer = this.context.vertx()
+				.setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> guard(this::checkProgress));
 		}
 	}
 
@@ -330,7 +341,7 @@
 			return;
 		}
 		if (untilWithdrawalMs < PROGRESS_CHECK_INTERVAL_MS) {
-			this.context.vertx().setTimer(untilWithdrawalMs, (id) -> checkProgress());
+			this.context.vertx().setTimer(untilWithdrawalMs, (id) -> guard(this::checkProgress));
 		}
 		boolean silent = isSilent();
 		if (silent && !this.silenceLogged) {
@@ -449,12 +460,16 @@
 
 	@Override
 	public void responseEnded(boolean delimitedByClose) {
+		guard(() -> endResponse(delimitedByClose));
+	}
+
+	private void endResponse(boolean delimitedByClose) {
 		if (this.ended) {
 			return;
 		}
 		long nowMs = this.context.nowMs();
 		if (this.reader.isBrokenOff(delimitedByClose)) {
-			connectionFailed("stream ended before or within an event");
+			loseConnection("stream ended before or within an event");
 			return;
 		}
 		markEnded();
@@ -487,6 +502,10 @@
 
 	@Override
 	public void connectionFailed(String reason) {
+		guard(() -> loseConnection(reason));
+	}
+
+	private void loseConnection(String reason) {
 		if (this.ended) {
 			return;
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -61,7 +61,6 @@
 	}
 
 	void handle(HttpServerRequest request) {
-		long receivedAtMs = this.context.nowMs();
 		CallerConnection connection = this.connections.of(request.connection());
 		if (connection == null || connection.isClosing()) {
 			this.context.log()
@@ -70,6 +69,17 @@
 			return;
 		}
 		request.response().endHandler((v) -> connection.answered());
+		try {
+			read(connection, request);
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			logFault(request, ex);
+			refuseAndClose(connection, request, LocalResponse.unknownOutcome("failure"));
+		}
+	}
+
+	private void read(CallerConnection connection, HttpServerRequest request) {
+		long receivedAtMs = this.context.nowMs();
 		CallerLimits limits = this.connections.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes()) {
 			refuseAndClose(connection, request, LocalResponse.rejected(431, "headers-too-large"));
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -57,6 +57,9 @@
 	/** Refusal reason of an entry that is shutting down. */
 	private static final String LEAVING = "leaving";
 
+	/** Refusal reason of an entry that failed while it handled the request. */
+	private static final String ENTRY_FAILED = "failure";
+
 	/** Callers that a shutting-down entry refuses can use another one immediately. */
 	private static final double LEAVING_RETRY_AFTER_S = 0;
 
@@ -117,14 +120,64 @@
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
-		this.memory = context.memory().open(this::endForMemory);
+		this.memory = context.memory().open(() -> guard(this::endForMemory));
 		this.elapsedBeforeMs = context.elapsedBeforeMs(request.route().name(), request.callerTimeoutMs());
 	}
 
 	void start() {
+		guard(this::begin);
+	}
+
+	// Whatever fails here must not leave the request without an answer.
+	private void guard(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			entryFailed(ex);
+		}
+	}
+
+	@Override
+	public void entryFailed(Throwable failure) {
+		logFault(failure);
+		HttpServerResponse response = this.request.http().response();
+		clearUnsentHead(response);
+		try {
+			endUnfinished(LocalResponse.unknownOutcome(ENTRY_FAILED));
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			logFault(ex);
+			clearUnsentHead(response);
+		}
+		if (!response.ended() && response.headWritten()) {
+			this.request.http().connection().close();
+		}
+		else {
+			CallerRequestHandler.writeResponse(response, LocalResponse.unknownOutcome(ENTRY_FAILED), true);
+		}
+		if (!this.finished) {
+			finish(ENTRY_FAILED);
+		}
+	}
+
+	// The head may have been copied in part.
+	private static void clearUnsentHead(HttpServerResponse response) {
+		if (!response.headWritten()) {
+			response.headers().clear();
+		}
+	}
+
+	private void logFault(Throwable failure) {
+		this.context.log()
+			.write(LogEvent.FAULT, "id", this.request.attemptId(), "sends", this.sentAttempts, "reason",
+					failure.toString());
+	}
+
+	private void begin() {
 		this.context.requestStarted(this);
-		this.request.http().response().closeHandler((v) -> callerDisconnected());
-		this.request.http().response().exceptionHandler((failure) -> callerDisconnected());
+		this.request.http().response().closeHandler((v) -> guard(this::callerDisconnected));
+		this.request.http().response().exceptionHandler((failure) -> guard(this::callerDisconnected));
 		updateMemory();
 		if (this.finished) {
 			return;
@@ -141,7 +194,7 @@
 		}
 		this.context.retryBudget(this.request.service()).recordRequest(this.request.receivedAtMs());
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
-		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> timedOut());
+		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> guard(this::timedOut));
 		placeRequest();
 	}
 
@@ -178,7 +231,7 @@
 				if (RequestRelay.this.finished) {
 					return false;
 				}
-				send(placed, permit);
+				guard(() -> send(placed, permit));
 				return true;
 			}
 
@@ -186,7 +239,7 @@
 			public void denied() {
 				if (!RequestRelay.this.finished) {
 					RequestRelay.this.triedBackendIds.add(backend.record().id());
-					placeRequest();
+					guard(RequestRelay.this::placeRequest);
 				}
 			}
 
@@ -348,6 +401,8 @@
 			return;
 		}
 		keepOnly(attempt);
+		// Whatever fails from here on, the response is ready.
+		this.failureResponse = response;
 		this.context.metrics().recordFirstByteTime(this.request.service(), elapsedMs());
 		deliver(response);
 	}
@@ -430,7 +485,7 @@
 	 * Ends the request with what is known of it, because the process ends.
 	 */
 	void endForShutdown() {
-		endUnfinished(LocalResponse.unknownOutcome(LEAVING));
+		guard(() -> endUnfinished(LocalResponse.unknownOutcome(LEAVING)));
 	}
 
 	// Closing the connection shows the caller that the response is incomplete.
--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -42,6 +42,8 @@
 
 	private final Vertx vertx;
 
+	private final Clock clock;
+
 	private final FakeStore store;
 
 	private final HttpClient client;
@@ -57,6 +59,11 @@
 	}
 
 	public GatewayFixture(Vertx vertx) throws Exception {
+		this(vertx, Clock.system());
+	}
+
+	GatewayFixture(Vertx vertx, Clock clock) throws Exception {
+		this.clock = clock;
 		this.vertx = vertx;
 		this.client = vertx.createHttpClient();
 		this.store = await(FakeStore.start(this.vertx));
@@ -122,7 +129,7 @@
 	}
 
 	private void startEntry(HostSettings entrySettings) throws Exception {
-		GatewayDaemon entry = await(GatewayDaemon.start(this.vertx, entrySettings, Clock.system(),
+		GatewayDaemon entry = await(GatewayDaemon.start(this.vertx, entrySettings, this.clock,
 				EventLog.create(Clock.system(), entrySettings.getHost())));
 		this.settings.add(entrySettings);
 		this.entries.add(entry);
