A request with a header without a name is refused with 400

Callers that sent a line like ": x" among their headers got 504 after the route's timeout, and 502 since the entry answers what it throws on.

Cause: Vert.x takes such a header, and netty refuses to copy it into the request to the backend server, when a place there was already taken.

NamelessHeaderTests was red before (expected 400). The request is now refused before it is placed, and its connection stays usable.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -128,6 +128,11 @@
 			refuse(request, LocalResponse.rejected(400, "no-attempt-id"));
 			return;
 		}
+		// It cannot be written to a backend server.
+		if (request.headers().contains("")) {
+			refuse(request, LocalResponse.rejected(400, "header-without-name"));
+			return;
+		}
 		Optional<String> service = route.get().pickService(this.context.random().nextDouble());
 		if (service.isEmpty()) {
 			refuse(request, LocalResponse.notRun("no-service", NO_SERVICE_RETRY_AFTER_S));
