The end of a drain waits for headers that are being read

A caller that had sent a part of its headers when the entry closed saw the connection closed, although the same request was waited for once its headers were complete.

Cause: HttpServer.shutdown closes at once what Vert.x takes for idle, and it knows a request only from the end of its headers.

DrainEndTests#requestWhoseHeadIsBeingSentIsAnsweredBeforeTheEnd was red before: the drain had ended while the headers were being sent. Closing is now put off while a connection reads headers, until the time of the last answer, from which no request would be started; so callers that send headers slowly cannot hold the process longer than its grace.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -96,6 +96,14 @@
 		return this.state.isInRequest() || hasUnsentBytes();
 	}
 
+	/**
+	 * Returns whether the caller has begun a request and not ended its headers.
+	 * @return true if it has
+	 */
+	boolean isReadingHead() {
+		return !this.closing && this.state.isHeadBegun();
+	}
+
 	boolean isExpired() {
 		long nowMs = this.context.nowMs();
 		this.state.applyLimits(this.limits.get());
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -55,6 +55,14 @@
 		return this.open.values().stream().anyMatch(CallerConnection::hasUnsentBytes);
 	}
 
+	/**
+	 * Returns whether headers of requests are being read.
+	 * @return true if there are any
+	 */
+	boolean isReadingHeads() {
+		return this.open.values().stream().anyMatch(CallerConnection::isReadingHead);
+	}
+
 	/**
 	 * Returns the limits in force.
 	 * @return the limits
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -399,12 +399,18 @@
 	// Closes the port and the idle connections at once, and each of the others when its
 	// response has been sent. Must run on a timer of its own, so that requests which had
 	// arrived have been read. Vert.x would discard what is unsent of a response that has
-	// ended, so unsent bytes are waited for.
+	// ended, so unsent bytes are waited for. It takes a connection for idle whose next
+	// request has not been read to the end of its headers; these are waited for until no
+	// request would be started any more.
 	private void closeFront(DrainSchedule schedule, Promise<Integer> drained) {
-		long remainingMs = schedule.remainingMs(this.context.nowMs());
+		long nowMs = this.context.nowMs();
+		long remainingMs = schedule.remainingMs(nowMs);
 		if (this.closing || remainingMs <= 0 || this.callerConnections.hasUnsentBytes()) {
 			return;
 		}
+		if (this.callerConnections.isReadingHeads() && !schedule.isAnswerDue(nowMs)) {
+			return;
+		}
 		this.closing = true;
 		logPhase("closing");
 		// The last connection may close while its request is still being ended.
--- a/testsuite/src/test/java/org/wigeontally/gateway/DrainEndTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/DrainEndTests.java
@@ -110,6 +110,23 @@
 		}
 	}
 
+	/** Guards against requests whose headers are being read when the process ends. */
+	@Test
+	public void requestWhoseHeadIsBeingSentIsAnsweredBeforeTheEnd() throws Exception {
+		startEntry(GRACE_S, "ok");
+		try (KeptConnection connection = KeptConnection.open(front())) {
+			Future<Integer> ended = this.fixture.entry(0).drain();
+			Thread.sleep(IDLE_END_MS - 800);
+			String request = KeptConnection.request("plain", "slow");
+			connection.send(request.substring(0, request.length() / 2));
+			Thread.sleep(800);
+			assertThat(ended.isComplete()).isFalse();
+			connection.send(request.substring(request.length() / 2));
+			assertThat(connection.readStatus()).isPositive();
+			GatewayFixture.await(ended);
+		}
+	}
+
 	/** Guards against requests that are cut because others have ended. */
 	@Test
 	public void requestInProgressWhenTheEntryIsClosedIsAnswered() throws Exception {
