A silent engine is given up only after two events of its successor

Callers saw a stream cut although its first engine was sound and went on: it had been silent, its successor wrote one further event and broke off, and by then the first one had been cancelled and the attempts were spent.

Cause: one forwarded event was enough to cancel all other attempts. An engine that crashes as it begins may still send one, which is why BackendAttempt asks for two before an answer counts as begun.

SilentBackendTests#streamOfASilentEngineGoesOnIfItsSuccessorBreaksOff was red before (connection closed); the stream now arrives whole.

Cost: the request runs at both engines for one event longer, the time between two events of the successor. If that one falls silent too, both are kept until either goes on or the time of the request is over, as for two silent engines before. A stream that ends with its first event is kept at its end.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -85,6 +85,8 @@
 
 	private boolean answerBegun;
 
+	private long forwardedEvents;
+
 	private long progressTimer = -1;
 
 	private boolean silenceLogged;
@@ -178,6 +180,23 @@
 		return this.answerBegun;
 	}
 
+	/**
+	 * Records events of this attempt that the caller had not received before.
+	 * @param count number of events
+	 */
+	void eventsForwarded(long count) {
+		this.forwardedEvents += count;
+	}
+
+	/**
+	 * Returns whether the backend server has brought the stream far enough that other
+	 * attempts are given up for it.
+	 * @return true if it has
+	 */
+	boolean isSound() {
+		return this.forwardedEvents >= MIN_SOUND_EVENTS;
+	}
+
 	SuspectRequest toSuspect() {
 		return new SuspectRequest(this.request.sharedParts(), this.triedParts);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -28,7 +28,8 @@
  * backend server says so), or if its route allows it to run more than once. While its
  * attempts are silent, such a request is sent to one more backend server, and the attempt
  * that makes progress first is kept: a sound backend server can be silent for a moment,
- * and no other one is certain to answer. A response is forwarded only after it was
+ * and no other one is certain to answer. One event of a stream is not enough for that,
+ * since an engine can break off after it. A response is forwarded only after it was
  * received completely. Event streams are the exception: each complete event is forwarded
  * when it arrives. If a stream breaks, another backend server resumes it where the route
  * allows that; otherwise the connection to the caller is closed, so that the response
@@ -349,9 +350,13 @@
 		long writtenBefore = this.streamWriter.writtenEvents();
 		boolean follows = this.streamWriter.writeEvents(reader);
 		// Events that a resumed stream repeats do not show that it goes on.
-		if (this.streamWriter.writtenEvents() > writtenBefore) {
+		long written = this.streamWriter.writtenEvents() - writtenBefore;
+		if (written > 0) {
 			this.lastEventsMs = nowMs;
-			keepOnly(attempt);
+			attempt.eventsForwarded(written);
+			if (attempt.isSound()) {
+				keepOnly(attempt);
+			}
 		}
 		return follows;
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/SilentBackendTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/SilentBackendTests.java
@@ -38,6 +38,9 @@
 	/** Longer than an entry waits on a plain route. */
 	private static final long PLAIN_SILENCE_MS = 900;
 
+	/** Time in which the only event of a successor is forwarded. */
+	private static final long SUCCESSOR_RUN_MS = 60;
+
 	private static final int FULL_LOAD = 24;
 
 	private static final int MAX_STREAMS = 64;
@@ -119,6 +122,17 @@
 		assertWhole(name, this.fixture.call("events"));
 	}
 
+	/** Guards against giving up a sound engine for one that breaks off at once. */
+	@Test
+	public void streamOfASilentEngineGoesOnIfItsSuccessorBreaksOff() throws Exception {
+		this.fixture.startPair("engines", this::pausedStream, (arrival, socket) -> {
+			String headers = FakeBackend.signatureHeader("s2") + FakeBackend.loadHeader(1, 16);
+			socket.write(FakeBackend.eventStreamHead(arrival, headers) + FakeBackend.eventChunks(3, 4));
+			this.fixture.later(SUCCESSOR_RUN_MS, socket::close);
+		});
+		assertWhole("breaks off", this.fixture.call("events"));
+	}
+
 	@Test
 	public void streamThatIsSilentWithinAnEventGoesOn() throws Exception {
 		this.fixture.startPair("engines", this::streamPausedWithinAnEvent, SilentBackendTests::refuse);
