--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -423,6 +423,11 @@
 			return GatewayDaemon.this.callerConnections.hasUnsentBytes();
 		}
 
+		@Override
+		public boolean isReadingHeads() {
+			return GatewayDaemon.this.callerConnections.isReadingHeads();
+		}
+
 		@Override
 		public void answerDue() {
 			GatewayDaemon.this.context.requestsInFlight().forEach(RequestRelay::endForShutdown);
--- a/daemons/src/main/java/org/wigeontally/http/ServerDrain.java
+++ b/daemons/src/main/java/org/wigeontally/http/ServerDrain.java
@@ -81,12 +81,18 @@
 
 	// Must run on a timer of its own, so that requests which had arrived have been read.
 	// Vert.x would discard what is unsent of a response that has ended, so unsent bytes
-	// are waited for.
+	// are waited for. It takes a connection for idle whose next request has not been read
+	// to the end of its headers; these are waited for until no request would be started
+	// any more.
 	private void close() {
-		long remainingMs = this.schedule.remainingMs(this.monotonicMs.getAsLong());
+		long nowMs = this.monotonicMs.getAsLong();
+		long remainingMs = this.schedule.remainingMs(nowMs);
 		if (this.closing || remainingMs <= 0 || this.listener.hasUnsentBytes()) {
 			return;
 		}
+		if (this.listener.isReadingHeads() && !this.schedule.isAnswerDue(nowMs)) {
+			return;
+		}
 		this.closing = true;
 		this.listener.closing();
 		// The last connection may close while its request is still being ended.
@@ -105,6 +111,14 @@
 		 */
 		boolean hasUnsentBytes();
 
+		/**
+		 * Returns whether headers of requests are being read, as far as the owner knows.
+		 * @return true if there are any
+		 */
+		default boolean isReadingHeads() {
+			return false;
+		}
+
 		/**
 		 * The requests in flight must be answered now. May be called several times.
 		 */
