--- a/testsuite/src/test/java/org/wigeontally/fleet/UnreportedEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/UnreportedEngineTests.java
@@ -19,6 +19,10 @@
  */
 public class UnreportedEngineTests {
 
+	private static final long SEED = 20_261_206;
+
+	private static final int HERD_SEEDS = 20;
+
 	private static final int ENGINES = 6;
 
 	private static final int QUEUE = 4;
@@ -41,15 +45,15 @@
 		for (double traffic : new double[] { 0.6, 1 }) {
 			for (int away : new int[] { ENGINES / 3, ENGINES }) {
 				for (int usedEntries : new int[] { 2, entries }) {
-					check(new Replay(entries, places, away, true), traffic, usedEntries);
-					check(new Replay(entries, places, away, false), traffic, usedEntries);
+					check(new Replay(entries, places, away, true, SEED), traffic, usedEntries);
+					check(new Replay(entries, places, away, false, SEED), traffic, usedEntries);
 				}
 			}
 		}
 	}
 
 	private static void check(Replay replay, double traffic, int usedEntries) {
-		Replay multiplied = new Replay(replay.loads.length, replay.places, replay.away, replay.headers);
+		Replay multiplied = new Replay(replay.loads.length, replay.places, replay.away, replay.headers, SEED);
 		multiplied.multiplied = true;
 		String figures = String.format("traffic %.1f at %d entries, %s; own requests multiplied: %s", traffic,
 				usedEntries, replay.run(traffic, usedEntries), multiplied.run(traffic, usedEntries));
@@ -64,12 +68,25 @@
 	 */
 	@Test
 	public void entriesThatSeeIdleEnginesAtOnceDoNotCrowdOne() {
-		Replay replay = new Replay(9, 16, ENGINES, false);
-		for (int i = 0; i < ENGINES * 16; i++) {
-			replay.arrive(i % 9, new HashSet<>(), 0);
+		checkHerd(ENGINES * 16);
+	}
+
+	@Test
+	public void entriesThatSeeIdleEnginesAtOnceFillThreeQuartersOfThemEvenly() {
+		checkHerd(ENGINES * 16 * 3 / 4);
+	}
+
+	private static void checkHerd(int requests) {
+		int refusedByEngines = 0;
+		for (int seed = 0; seed <= HERD_SEEDS; seed++) {
+			Replay replay = new Replay(9, 16, ENGINES, false, (seed == 0) ? SEED : seed);
+			for (int i = 0; i < requests; i++) {
+				replay.arrive(i % 9, new HashSet<>(), 0);
+			}
+			assertThat(replay.refusedBelowHalf).isZero();
+			refusedByEngines += replay.refusedByEngines;
 		}
-		assertThat(replay.refusedBelowHalf).isZero();
-		assertThat(replay.refusedByEngines).isZero();
+		assertThat(refusedByEngines).as("sent beyond places and queue").isZero();
 	}
 
 	@Test
@@ -110,7 +127,7 @@
 	 */
 	private static final class Replay {
 
-		private final Random random = new Random(20_261_206);
+		private final Random random;
 
 		private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::atMs));
 
@@ -147,7 +164,8 @@
 
 		private int mostAtEngine;
 
-		private Replay(int entries, int places, int away, boolean headers) {
+		private Replay(int entries, int places, int away, boolean headers, long seed) {
+			this.random = new Random(seed);
 			this.places = places;
 			this.away = away;
 			this.headers = headers;
