The grace counts from the store's answer, not from the start of the call

A call that hangs in an outage is answered when the store returns, so the grace that counted from its start left live backend servers as little as 0.7 s to renew their registrations, less than a heartbeat; they would have been removed although they ran. The same held for what other entries heard.

The entry that read the store counts from the answer again, as it did before the grace was bound; only what is told counts from the question. An answer to another entry shortens the grace as far as the longest call leaves no doubt.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -320,17 +320,16 @@
 
 	/**
 	 * Keeps registrations that lapsed while the store was away for a grace period after
-	 * its return.
+	 * its return, which is now.
 	 * @param lostAtMs start of the last call to the store that failed
-	 * @param askedAtMs start of the call that it answered
 	 */
-	void storeReturned(long lostAtMs, long askedAtMs) {
-		this.lapseGrace = this.lapseGrace.storeReturned(lostAtMs, askedAtMs);
+	void storeReturned(long lostAtMs) {
+		this.lapseGrace = this.lapseGrace.storeReturned(lostAtMs, this.clock.monotonicMs());
 	}
 
 	/**
 	 * Records that the store answered some entry, perhaps before it answered this one.
-	 * @param asOfMs a time at which, or after which, it answered
+	 * @param asOfMs start of the call that it answered
 	 */
 	void storeAnswered(long asOfMs) {
 		this.lapseGrace = this.lapseGrace.storeAnswered(asOfMs);
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -271,15 +271,13 @@
 	}
 
 	private void storeReturned() {
-		this.context.fleet()
-			.storeReturned(this.backendFollower.lastFailedCallAtMs(), this.backendFollower.callStartedAtMs());
+		this.context.fleet().storeReturned(this.backendFollower.lastFailedCallAtMs());
 	}
 
 	// The registrations that are written again come after the restore, however long ago
 	// the store answered.
 	private void storeRestored() {
-		long askedAtMs = this.backendFollower.callStartedAtMs();
-		this.context.fleet().storeReturned(askedAtMs, askedAtMs);
+		this.context.fleet().storeReturned(this.context.nowMs());
 	}
 
 	private void writeOwnRecords() {
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -170,14 +170,6 @@
 		return this.knowledge;
 	}
 
-	/**
-	 * Returns when the last call to the store was made.
-	 * @return start of the call that is pending, or of the last one
-	 */
-	long callStartedAtMs() {
-		return this.callStartedAtMs;
-	}
-
 	/**
 	 * Returns when the last failed call to the store was made.
 	 * @return start of the call; start of this process if none failed
--- a/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
@@ -6,9 +6,13 @@
  *
  * <p>
  * It ends a fixed time after the store answered again. An entry that read the store then
- * counts from the start of that call, and tells the others what is left. They count the
- * rest from when they asked for it, which is before it was told. So no delay on the way
- * and no pause of a process makes the period longer, however many entries pass it on.
+ * tells the others what is left. They count the rest from when they asked for it, which
+ * is before it was told. So no delay on the way and no pause of a process makes the
+ * period longer, however many entries pass it on.
+ *
+ * <p>
+ * A call that hangs in the outage is answered when the store returns, so the start of a
+ * call does not show since when it was back, and the period must not count from there.
  */
 public final class LapseGrace {
 
@@ -18,6 +22,9 @@
 	 */
 	public static final long LENGTH_MS = 2_200;
 
+	/** Duration of the longest call to the store: a long poll and its timeout. */
+	static final long MAX_CALL_MS = 2_200;
+
 	private static final LapseGrace NONE = new LapseGrace(Long.MAX_VALUE, Long.MIN_VALUE / 2);
 
 	// Later answers of the store are from after its return.
@@ -41,11 +48,11 @@
 	/**
 	 * Returns the period after the store answered this entry again.
 	 * @param lostAtMs start of the last call that failed
-	 * @param askedAtMs start of the call that succeeded
+	 * @param answeredAtMs when its answer arrived
 	 * @return the period; the present one if it ends later
 	 */
-	public LapseGrace storeReturned(long lostAtMs, long askedAtMs) {
-		return laterOf(new LapseGrace(lostAtMs, askedAtMs + LENGTH_MS));
+	public LapseGrace storeReturned(long lostAtMs, long answeredAtMs) {
+		return laterOf(new LapseGrace(lostAtMs, answeredAtMs + LENGTH_MS));
 	}
 
 	/**
@@ -70,14 +77,15 @@
 
 	/**
 	 * Returns the period with the knowledge that the store answered some entry.
-	 * @param asOfMs a time at which, or after which, it answered
-	 * @return the period; shorter if it answered that entry before this one
+	 * @param asOfMs start of the call that it answered
+	 * @return the period; shorter if it answered that entry long before this one
 	 */
 	public LapseGrace storeAnswered(long asOfMs) {
-		if (asOfMs <= this.lostAtMs || asOfMs + LENGTH_MS >= this.endsAtMs) {
+		long latestEndMs = asOfMs + MAX_CALL_MS + LENGTH_MS;
+		if (asOfMs <= this.lostAtMs || latestEndMs >= this.endsAtMs) {
 			return this;
 		}
-		return new LapseGrace(this.lostAtMs, asOfMs + LENGTH_MS);
+		return new LapseGrace(this.lostAtMs, latestEndMs);
 	}
 
 	private LapseGrace laterOf(LapseGrace other) {
