Test of a drain with a large answer: parts and a GET, as services send them

The answer was one buffer after a request with a body that nobody read. It is written in parts of 1 MB after a GET now; the checks are the same. Red on a planted shutdown without a grace period and without the wait for unsent bytes (with both tests of half-sent bodies). Leaving out the wait alone keeps it green, before and after this change, so this test does not show that the wait is needed for DaemonServer.

--- a/testsuite/src/test/java/org/wigeontally/http/DaemonDrainTests.java
+++ b/testsuite/src/test/java/org/wigeontally/http/DaemonDrainTests.java
@@ -49,6 +49,8 @@
 	/** More than the buffers of the two sockets take. */
 	private static final int LARGE_ANSWER_BYTES = 32 << 20;
 
+	private static final int PART_BYTES = 1 << 20;
+
 	private static final String HEAD = "POST %s HTTP/1.1\r\nHost: x\r\nWigeontally-Dispatch: d\r\nContent-Length: 4\r\n\r\n";
 
 	private Vertx vertx;
@@ -100,11 +102,17 @@
 	@Test
 	public void largeAnswerThatIsReadSlowlyIsSentBeforeTheServerCloses() throws Exception {
 		Router router = Router.router(this.vertx);
-		router.route().handler((context) -> context.end(Buffer.buffer(new byte[LARGE_ANSWER_BYTES])));
+		router.route().handler((context) -> {
+			context.response().putHeader("Content-Length", Integer.toString(LARGE_ANSWER_BYTES));
+			for (int sentBytes = 0; sentBytes < LARGE_ANSWER_BYTES; sentBytes += PART_BYTES) {
+				context.response().write(Buffer.buffer(new byte[PART_BYTES]));
+			}
+			context.end();
+		});
 		DaemonServer server = await(DaemonServer.start(this.vertx, this.address, (request) -> {
 		}, router));
 		try (Socket socket = connect()) {
-			send(socket, HEAD.formatted("/x") + "abcd");
+			send(socket, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
 			readHead(socket);
 			Future<Void> ended = server.drain(SHORT_NOTICE_MS, READ_TIMEOUT_MS, Clock.system());
 			Thread.sleep(2 * SHORT_NOTICE_MS);
