Lapsed registrations are kept for a heartbeat after an answer that the store held back

What callers would see: 503 for live backend servers, for up to a heartbeat, after an outage in which the store was silent.

Cause: since the grace counts from the start of the call that the store answered. A silent store may hold that call and answer it on its return: a long poll has 700 + 1,500 ms for that, nearly the whole grace of 2,200 ms. Live backend servers write about every 1.2 s only (heartbeat-ms), so what had lapsed was removed before they could renew it.

Change: the grace ends no earlier than 1.5 s after the answer. Answers within 700 ms, as long as a sound store holds a long poll, are treated as before; no grace is longer than before (2.2 s after the answer). What entries tell each other is unchanged.

Evidence: LapseGraceTests#lapsedRegistrationIsKeptAfterAnAnswerThatTheStoreHeldBack, both rows (held back for 900 and 2,100 ms) red before, green now; the other tests of the class, StoreFollowerTests, FleetStateTests, StoreRestoreTests and EntryExchangeTests green, unchanged.

Price: an entry that handles such an answer late, since it was paused, ends the grace by as much later than without this commit.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -324,7 +324,7 @@
 	 * @param askedAtMs start of the call to the store that it answered
 	 */
 	void storeReturned(long askedAtMs) {
-		this.lapseGrace = this.lapseGrace.storeReturned(askedAtMs);
+		this.lapseGrace = this.lapseGrace.storeReturned(askedAtMs, this.clock.monotonicMs());
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
@@ -6,9 +6,10 @@
  *
  * <p>
  * It ends a fixed time after the store answered again. An entry that read the store then
- * counts from the start of that call, and tells the others what is left. They count the
- * rest from when they asked for it, which is before it was told. So no delay on the way
- * and no pause of a process makes the period longer, however many entries pass it on.
+ * counts from the start of that call, unless the store held it for long, and tells the
+ * others what is left. They count the rest from when they asked for it, which is before
+ * it was told. So no delay on the way between entries makes the period longer, however
+ * many pass it on.
  */
 public final class LapseGrace {
 
@@ -18,6 +19,12 @@
 	 */
 	public static final long LENGTH_MS = 2_200;
 
+	/**
+	 * Time within which live backend servers write their next heartbeat, which is due
+	 * about every 1.2 s.
+	 */
+	private static final long RENEWAL_MS = 1_500;
+
 	private static final LapseGrace NONE = new LapseGrace(Long.MIN_VALUE / 2);
 
 	private final long endsAtMs;
@@ -35,12 +42,15 @@
 	}
 
 	/**
-	 * Returns the period after the store answered this entry again.
+	 * Returns the period after the store answered this entry again. A store that is away
+	 * may hold a call and answer it when it returns, so live backend servers have time
+	 * for a heartbeat after the answer in any case.
 	 * @param askedAtMs start of the call that succeeded
+	 * @param answeredAtMs when it succeeded
 	 * @return the period; the present one if it ends later
 	 */
-	public LapseGrace storeReturned(long askedAtMs) {
-		return laterOf(new LapseGrace(askedAtMs + LENGTH_MS));
+	public LapseGrace storeReturned(long askedAtMs, long answeredAtMs) {
+		return laterOf(new LapseGrace(Math.max(askedAtMs + LENGTH_MS, answeredAtMs + RENEWAL_MS)));
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -24,6 +24,8 @@
 
 	private static final long ENDS_AT_MS = RETURNED_AT_MS + LapseGrace.LENGTH_MS;
 
+	private static final long HEARTBEAT_MS = 1_400;
+
 	private final VirtualClock clock = new VirtualClock();
 
 	private FleetState first;
@@ -94,6 +96,25 @@
 		assertThat(fleets).noneMatch((fleet) -> fleet.backends().iterator().hasNext());
 	}
 
+	@DataProvider
+	public Object[][] heldBackMs() {
+		return new Object[][] { { 900 }, { 2_100 } };
+	}
+
+	/**
+	 * Guards against removals before live backend servers could write their next
+	 * heartbeat.
+	 */
+	@Test(dataProvider = "heldBackMs")
+	public void lapsedRegistrationIsKeptAfterAnAnswerThatTheStoreHeldBack(long heldBackMs) {
+		this.clock.nowMs += heldBackMs;
+		this.first.storeReturned(RETURNED_AT_MS);
+		apply(this.first, new TopicRecord(ID, 2, new byte[0], true));
+		this.clock.nowMs += HEARTBEAT_MS;
+		this.first.removeLapsedBackends();
+		assertThat(this.first.backends()).isNotEmpty();
+	}
+
 	@DataProvider
 	public Object[][] gaps() {
 		return new Object[][] { { 700, 0 }, { 2_500, 2_000 } };
