A content that entries download goes on after one of its steps threw

What callers would see: an entry that gets large configurations from others kept the old one for as long as the store gave it none itself.

Cause: the download of a content hangs on the callback of its last call or on one timer. Vert.x logs what these throw and goes on, so an exception or an OutOfMemoryError (a part of a content is decompressed there) left `download` set for good, and no other content was ever started.

Change: every step runs in goOn, which writes a fault line and plans the next step after 500 ms, as StoreFollower does. A step of a download that has ended meanwhile does nothing, as before.

Evidence: ContentExchangeTests#contentArrivesAfterAStepOfTheDownloadThrew; the clock throws once in the request for a part, in the reply, and in the step after it. All three rows red before (no configuration within 10 s), green now, with one fault line each; the other tests of the class and ContentDownloadTests green, unchanged.

Ruled out: two chains of calls for one download, since each step plans the next one with its last statement.

--- a/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ContentExchange.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 
 import com.google.protobuf.ByteString;
+import io.vertx.core.AsyncResult;
 
 import org.wigeontally.contents.ContentCache;
 import org.wigeontally.contents.ContentDownload;
@@ -45,6 +46,9 @@
 	/** Interval at which a source is looked for while there is none. */
 	private static final long SOURCE_CHECK_MS = 30;
 
+	/** Pause of a download after one of its steps failed in this process. */
+	private static final long FAULT_PAUSE_MS = 500;
+
 	/**
 	 * Time without a further part after which the region no longer waits for it; longer
 	 * than a part may take.
@@ -166,7 +170,7 @@
 					this.context.settings().getControl(), this.context.nowMs());
 			this.downloadedRecord = missing;
 			this.remoteSource = false;
-			requestNextPart();
+			goOn(this.download, this::requestNextPart);
 		}
 		catch (ContentException ex) {
 			this.context.log()
@@ -175,6 +179,18 @@
 		}
 	}
 
+	// Each step plans the next one. Whatever it throws must not end the download, which
+	// would keep all later ones from starting.
+	private void goOn(ContentDownload current, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			this.context.vertx().setTimer(FAULT_PAUSE_MS, (id) -> goOn(current, () -> continueWith(current)));
+			this.context.log().write(LogEvent.FAULT, "content", current.offset(), "reason", ex);
+		}
+	}
+
 	private void requestNextPart() {
 		ContentDownload current = this.download;
 		long nowMs = this.context.nowMs();
@@ -183,7 +199,7 @@
 					mayReadFromOtherRegion(nowMs) ? holders(this.entries.remoteEntries(nowMs)) : List.of(), nowMs)
 			.orElse(null);
 		if (source == null) {
-			this.context.vertx().setTimer(SOURCE_CHECK_MS, (id) -> continueWith(current));
+			this.context.vertx().setTimer(SOURCE_CHECK_MS, (id) -> goOn(current, () -> continueWith(current)));
 			return;
 		}
 		boolean remote = this.entries.remoteEntries(nowMs).stream().anyMatch(isAt(source));
@@ -197,19 +213,22 @@
 			.setOffset(current.offset())
 			.build();
 		this.client.call(source, FleetGrpcClient.ReadContent, request, () -> this.failures.recordFailure(source))
-			.onComplete((result) -> {
-				if (result.succeeded()) {
-					this.failures.recordSuccess(source);
-					recordReply(current, source, result.result());
-				}
-				else {
-					this.context.log()
-						.write(LogEvent.CONTENT_FAILED, "key", this.downloadedRecord.key(), "source", source.getIp(),
-								"offset", current.offset(), "reason", result.cause().getMessage());
-					current.recordFailure(source, this.context.nowMs());
-				}
+			.onComplete((result) -> goOn(current, () -> {
+				recordResult(current, source, result);
 				continueWith(current);
-			});
+			}));
+	}
+
+	private void recordResult(ContentDownload current, Address source, AsyncResult<ContentPart> result) {
+		if (result.succeeded()) {
+			this.failures.recordSuccess(source);
+			recordReply(current, source, result.result());
+			return;
+		}
+		this.context.log()
+			.write(LogEvent.CONTENT_FAILED, "key", this.downloadedRecord.key(), "source", source.getIp(), "offset",
+					current.offset(), "reason", result.cause().getMessage());
+		current.recordFailure(source, this.context.nowMs());
 	}
 
 	private boolean mayReadFromOtherRegion(long nowMs) {
@@ -282,7 +301,7 @@
 			this.context.log()
 				.write(LogEvent.CONTENT_FAILED, "key", this.downloadedRecord.key(), "reason", ex.getMessage());
 			current.discard(this.context.nowMs());
-			this.context.vertx().setTimer(SOURCE_CHECK_MS, (id) -> continueWith(current));
+			this.context.vertx().setTimer(SOURCE_CHECK_MS, (id) -> goOn(current, () -> continueWith(current)));
 		}
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
@@ -4,17 +4,21 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import io.vertx.grpc.server.GrpcServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.wigeontally.contents.ContentDownload;
 import org.wigeontally.contents.LargeContent;
+import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.schema.generated.Address;
@@ -43,9 +47,12 @@
 
 	private GatewayFixture fixture;
 
+	private FailingClock clock;
+
 	@BeforeMethod
 	public void start() throws Exception {
-		this.fixture = new GatewayFixture();
+		this.clock = new FailingClock();
+		this.fixture = new GatewayFixture(Vertx.vertx(), this.clock);
 		this.fixture.writeConfiguration();
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
 		this.fixture.startEntry();
@@ -116,6 +123,24 @@
 		assertThat(this.fixture.call("once").status()).isNotEqualTo(404);
 	}
 
+	@DataProvider
+	public Object[][] steps() {
+		return new Object[][] { { "requestNextPart" }, { "recordReply" }, { "continueWith" } };
+	}
+
+	/**
+	 * Guards against a configuration that never arrives because a step of its download
+	 * threw.
+	 */
+	@Test(dataProvider = "steps")
+	public void contentArrivesAfterAStepOfTheDownloadThrew(String step) throws Exception {
+		this.clock.failIn(step);
+		Holder holder = startHolder(LargeContent.of(largeConfiguration()));
+		this.fixture.awaitStatus(0, "plain", 404);
+		assertThat(this.clock.hasFailed()).isTrue();
+		assertThat(holder.partsSent.get()).isPositive();
+	}
+
 	private enum Behaviour {
 
 		SENDING, BUSY, SPOILING, FAILING_AFTER_TWO_PARTS
@@ -187,4 +212,42 @@
 
 	}
 
+	/** Throws once, in a method of the exchange. */
+	private static final class FailingClock implements Clock {
+
+		private final Clock system = Clock.system();
+
+		private final AtomicReference<String> failing = new AtomicReference<>();
+
+		private void failIn(String method) {
+			this.failing.set(method);
+		}
+
+		private boolean hasFailed() {
+			return this.failing.get() == null;
+		}
+
+		@Override
+		public long monotonicMs() {
+			String method = this.failing.get();
+			if (method != null && isCalledIn(method) && this.failing.compareAndSet(method, null)) {
+				throw new IllegalStateException("planted");
+			}
+			return this.system.monotonicMs();
+		}
+
+		@Override
+		public long wallMs() {
+			return this.system.wallMs();
+		}
+
+		private static boolean isCalledIn(String method) {
+			return StackWalker.getInstance()
+				.walk((frames) -> frames
+					.anyMatch((frame) -> frame.getClassName().equals(ContentExchange.class.getName())
+							&& frame.getMethodName().equals(method)));
+		}
+
+	}
+
 }
