--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -24,6 +24,8 @@
 
 	private static final long ENDS_AT_MS = RETURNED_AT_MS + LapseGrace.LENGTH_MS;
 
+	private static final long HEARTBEAT_MS = 1_400;
+
 	/** A long poll of the store and its timeout. */
 	private static final long MAX_CALL_MS = 2_200;
 
@@ -116,6 +118,25 @@
 		assertThat(grace.storeAnswered(RETURNED_AT_MS - 1_400).restMs(RETURNED_AT_MS)).isEqualTo(LapseGrace.LENGTH_MS);
 	}
 
+	@DataProvider
+	public Object[][] heldBackMs() {
+		return new Object[][] { { 900 }, { 2_100 } };
+	}
+
+	/**
+	 * Guards against removals before live backend servers could write their next
+	 * heartbeat.
+	 */
+	@Test(dataProvider = "heldBackMs")
+	public void lapsedRegistrationIsKeptAfterAnAnswerThatTheStoreHeldBack(long heldBackMs) {
+		this.clock.advance(heldBackMs);
+		this.first.storeReturned(RETURNED_AT_MS - 1_000);
+		apply(this.first, new TopicRecord(ID, 2, new byte[0], true));
+		this.clock.advance(HEARTBEAT_MS);
+		this.first.removeLapsedBackends();
+		assertThat(this.first.backends()).isNotEmpty();
+	}
+
 	@DataProvider
 	public Object[][] gaps() {
 		return new Object[][] { { 700, 0 }, { 2_500, 2_000 } };
