--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import io.vertx.core.Promise;
 import io.vertx.core.json.JsonObject;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.AfterMethod;
@@ -210,8 +211,14 @@
 			.build()
 			.toByteArray();
 		Address store = Address.newBuilder().setIp("127.0.0.1").setPort(this.fixture.store().port()).build();
-		GatewayFixture
-			.await(StoreClient.create(this.fixture.vertx(), store).write(StoreTopic.HARMFUL_PARTS, key, value));
+		// A response can end before its reader is set if the call comes from no event loop.
+		Promise<Void> written = Promise.promise();
+		this.fixture.vertx()
+			.getOrCreateContext()
+			.runOnContext((v) -> StoreClient.create(this.fixture.vertx(), store)
+				.write(StoreTopic.HARMFUL_PARTS, key, value)
+				.onComplete(written));
+		GatewayFixture.await(written.future());
 	}
 
 	private void replaceBackend(String oldId, String newId, String body) throws Exception {
