A registration whose id cannot be sent in a header names no backend server

Callers saw 502 at once, on routes that must not be repeated, for each request that was placed on such a backend server: the entry threw as it wrote the id into the request's header. Another writer can leave such a record, and an odd record names no backend server.

--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -211,7 +211,8 @@
 			.build()
 			.toByteArray();
 		Address store = Address.newBuilder().setIp("127.0.0.1").setPort(this.fixture.store().port()).build();
-		// A response can end before its reader is set if the call comes from no event loop.
+		// A response can end before its reader is set if the call comes from no event
+		// loop.
 		Promise<Void> written = Promise.promise();
 		this.fixture.vertx()
 			.getOrCreateContext()
--- a/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
+++ b/testsuite/src/test/java/org/wigeontally/platform/wire/DecoderTests.java
@@ -13,6 +13,7 @@
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.RequestKind;
 import org.wigeontally.fleet.Route;
+import org.wigeontally.platform.standin.FakeBackend;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -78,6 +79,16 @@
 		}
 	}
 
+	/** Guards against a backend server to which every request fails as it is written. */
+	@Test
+	public void registrationWhoseIdCannotBeSentInAHeaderIsRejected() {
+		byte[] registration = FakeBackend.registration(9, "desk", "zone-a", "ready", 1).toBuffer().getBytes();
+		for (String id : List.of("", "i-1\u0000", "i\r\nX-Other: 1", "i 1", "i-\u00e9", "i-\u007f")) {
+			assertThatThrownBy(() -> BackendDecoder.decode(id, registration)).as(id)
+				.isInstanceOf(PlatformException.class);
+		}
+	}
+
 	@Test
 	public void versionWithEmptyLayerListIsNotLoaded() throws Exception {
 		String record = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\",\"models\":["
