The log of the own interface is read on after a step threw

What callers would see: an entry or agent of the project's own interface that reads the log no more, and knows changes of the configuration and renews its serving lease by other hosts' answers only.

Cause: the reading hangs on one callback. Whatever handling a page, the question whether to read, or the start of a read threw went to Vert.x, which logs it, and no further read was planned.

Change: as in StoreFollower, each step plans the next one whatever it throws, and a failure has a line (one in 5 s). A page whose handling failed is read again from the last applied record, which is verified, as after a failed read.

Ruled out (by reading): two loops of reading, since each step plans the next one last.

--- a/daemons/src/main/java/org/wigeontally/control/LogFollower.java
+++ b/daemons/src/main/java/org/wigeontally/control/LogFollower.java
@@ -64,9 +64,20 @@
 	}
 
 	/**
-	 * Reads the log repeatedly until the follower is closed.
+	 * Reads the log repeatedly until the follower is closed. Whatever a step throws must
+	 * not end the reading.
 	 */
 	void start() {
+		try {
+			readNext();
+		}
+		catch (RuntimeException | VirtualMachineError ex) {
+			this.vertx.setTimer(RETRY_DELAY_MS, (id) -> start());
+			logger.warn("control: the log was not read; retrying: {}", ex.toString());
+		}
+	}
+
+	private void readNext() {
 		if (this.closed) {
 			return;
 		}
@@ -75,11 +86,11 @@
 			return;
 		}
 		read(this.cursor.mustReadImmediately() ? 0 : LONG_POLL_MS).onComplete((delayMs, failure) -> {
-			if (delayMs == 0) {
+			if (failure == null && delayMs == 0) {
 				start();
 			}
 			else {
-				this.vertx.setTimer(delayMs, (id) -> start());
+				this.vertx.setTimer((failure != null) ? RETRY_DELAY_MS : delayMs, (id) -> start());
 			}
 		});
 	}
@@ -90,20 +101,22 @@
 	 * @return the delay before the next read, in milliseconds
 	 */
 	private Future<Long> read(long waitMs) {
-		Promise<Long> delay = Promise.promise();
 		long sentAtMs = this.clock.monotonicMs();
 		long fromOffset = this.cursor.nextOffset();
-		Future.succeededFuture()
+		return Future.succeededFuture()
 			.compose((unused) -> Future.fromCompletionStage(
 					this.platformLog.read(PlatformLog.CONFIGURATION, fromOffset, MAX_PAGE_RECORDS, waitMs),
 					this.context))
-			.onComplete((page, failure) -> {
-				if (failure != null) {
-					this.cursor.recordFailure();
-				}
-				delay.complete((failure != null) ? RETRY_DELAY_MS : handlePage(sentAtMs, fromOffset, page));
-			});
-		return delay.future();
+			.map((page) -> handlePage(sentAtMs, fromOffset, page))
+			.otherwise(this::recordFailure);
+	}
+
+	private long recordFailure(Throwable failure) {
+		this.cursor.recordFailure();
+		if (isWarningDue()) {
+			logger.warn("control: reading the log failed; retrying: {}", failure.toString());
+		}
+		return RETRY_DELAY_MS;
 	}
 
 	private long handlePage(long sentAtMs, long fromOffset, LogPage page) {
@@ -126,10 +139,9 @@
 	}
 
 	private void logWarning(LogCursor.Outcome outcome, LogPage page) {
-		if (this.clock.monotonicMs() - this.lastWarningMs < WARNING_INTERVAL_MS) {
+		if (!isWarningDue()) {
 			return;
 		}
-		this.lastWarningMs = this.clock.monotonicMs();
 		switch (outcome) {
 			case STALE_HEAD ->
 				logger.warn("control: head {} of the log is behind the records already read; retrying", page.head());
@@ -140,6 +152,15 @@
 		}
 	}
 
+	private boolean isWarningDue() {
+		long nowMs = this.clock.monotonicMs();
+		if (nowMs - this.lastWarningMs < WARNING_INTERVAL_MS) {
+			return false;
+		}
+		this.lastWarningMs = nowMs;
+		return true;
+	}
+
 	private void completeSyncs(long sentAtMs) {
 		List<Sync> completed = new ArrayList<>();
 		for (Sync sync : this.pendingSyncs) {
