--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnection.java
@@ -134,10 +134,10 @@
 	}
 
 	/**
-	 * Logs a request whose caller has lost its patience without an answer.
+	 * Logs a request that has no answer although its caller's timeout is over.
 	 */
 	void logIfOverdue() {
-		if (!this.state.becomesOverdue(this.context.nowMs())) {
+		if (!this.state.detectOverdue(this.context.nowMs())) {
 			return;
 		}
 		this.context.metrics().recordOverdueRequest();
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerConnections.java
@@ -84,7 +84,7 @@
 	}
 
 	/**
-	 * Logs requests whose callers have lost their patience without an answer.
+	 * Logs requests that have no answer although their callers' timeouts are over.
 	 */
 	void logOverdue() {
 		this.open.values().forEach(CallerConnection::logIfOverdue);
--- a/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
+++ b/library/src/main/java/org/wigeontally/fleet/CallerConnectionState.java
@@ -13,7 +13,7 @@
 public final class CallerConnectionState {
 
 	/**
-	 * Time from the end of a caller's patience until its request counts as unanswered. An
+	 * Time from the end of a caller's timeout until its request counts as overdue. An
 	 * event loop that is held up answers late.
 	 */
 	static final long OVERDUE_MARGIN_MS = 1_000;
@@ -85,12 +85,11 @@
 	}
 
 	/**
-	 * Returns whether the response of the current request should have ended. Tells it
-	 * once for each request.
+	 * Detects that the response of the current request should have ended.
 	 * @param nowMs monotonic time
-	 * @return true if nothing seems to answer the request any more
+	 * @return true if it is overdue; once for each request
 	 */
-	public boolean becomesOverdue(long nowMs) {
+	public boolean detectOverdue(long nowMs) {
 		if (this.answerDueAtMs == NOT_DUE || nowMs - this.answerDueAtMs <= OVERDUE_MARGIN_MS) {
 			return false;
 		}
--- a/library/src/main/java/org/wigeontally/fleet/StoreKnowledge.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreKnowledge.java
@@ -7,8 +7,8 @@
 public final class StoreKnowledge {
 
 	/**
-	 * Time for which registrations hold without the store. They lapse after three
-	 * heartbeats of a second, and the last one may be nearly a second old.
+	 * Time for which registrations hold without the store, at least. They lapse after
+	 * three heartbeats of 1.2 s, and the last one may be nearly as old.
 	 */
 	static final long MIN_OUTAGE_MS = 2_000;
 
--- a/testsuite/src/test/java/org/wigeontally/fleet/CallerConnectionStateTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/CallerConnectionStateTests.java
@@ -23,16 +23,16 @@
 	public void requestWithoutAnswerBecomesOverdueOnce() {
 		CallerConnectionState state = inRequest();
 		long limitMs = DUE_MS + CallerConnectionState.OVERDUE_MARGIN_MS;
-		assertThat(state.becomesOverdue(limitMs)).isFalse();
-		assertThat(state.becomesOverdue(limitMs + 1)).isTrue();
-		assertThat(state.becomesOverdue(limitMs + 2)).isFalse();
+		assertThat(state.detectOverdue(limitMs)).isFalse();
+		assertThat(state.detectOverdue(limitMs + 1)).isTrue();
+		assertThat(state.detectOverdue(limitMs + 2)).isFalse();
 	}
 
 	@Test
 	public void answeredRequestNeverBecomesOverdue() {
 		CallerConnectionState state = inRequest();
 		state.answered(DUE_MS);
-		assertThat(state.becomesOverdue(10 * DUE_MS)).isFalse();
+		assertThat(state.detectOverdue(10 * DUE_MS)).isFalse();
 	}
 
 	@Test
@@ -42,8 +42,8 @@
 		state.headBegun(4_000, CallerLimits.DEFAULT);
 		state.headReceived();
 		state.handlingBegun(2 * DUE_MS);
-		assertThat(state.becomesOverdue(DUE_MS + CallerConnectionState.OVERDUE_MARGIN_MS + 1)).isFalse();
-		assertThat(state.becomesOverdue(2 * DUE_MS + CallerConnectionState.OVERDUE_MARGIN_MS + 1)).isTrue();
+		assertThat(state.detectOverdue(DUE_MS + CallerConnectionState.OVERDUE_MARGIN_MS + 1)).isFalse();
+		assertThat(state.detectOverdue(2 * DUE_MS + CallerConnectionState.OVERDUE_MARGIN_MS + 1)).isTrue();
 	}
 
 }
