One guard for the steps of a request and of its attempts

RequestRelay and BackendAttempt each had the same try and catch. The attempt runs its steps through its listener now, which answers the request whatever they throw.

--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -71,10 +71,10 @@
 	void attemptFailed(BackendAttempt attempt, AttemptFailure outcome, String reason);
 
 	/**
-	 * Called when this entry itself failed while it carried out the attempt, which may
-	 * still run.
-	 * @param failure what was thrown
+	 * Runs a step of the attempt. Whatever it throws ends the request with an answer,
+	 * although the attempt may still run.
+	 * @param step the step
 	 */
-	void entryFailed(Throwable failure);
+	void guard(Runnable step);
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -117,7 +117,7 @@
 		this.enginePriority = placed.enginePriority();
 		this.version = placed.version();
 		this.listener = listener;
-		this.memory = context.memory().open(() -> guard(() -> abandon("no memory left for the response")));
+		this.memory = context.memory().open(() -> listener.guard(() -> abandon("no memory left for the response")));
 		this.startMs = context.nowMs();
 		this.lastReceivedMs = this.startMs;
 	}
@@ -130,7 +130,7 @@
 		BackendConnection idleConnection = this.backend.pool().takeIdle(idleFraction);
 		Future<BackendConnection> connected = (idleConnection != null) ? Future.succeededFuture(idleConnection)
 				: this.backend.pool().connect();
-		connected.onComplete((result) -> guard(() -> {
+		connected.onComplete((result) -> this.listener.guard(() -> {
 			if (result.failed()) {
 				connectFailed(result.cause());
 			}
@@ -143,16 +143,6 @@
 		}));
 	}
 
-	// Whatever fails here must not leave the request without an answer.
-	private void guard(Runnable step) {
-		try {
-			step.run();
-		}
-		catch (RuntimeException | VirtualMachineError ex) {
-			this.listener.entryFailed(ex);
-		}
-	}
-
 	String backendId() {
 		return this.backend.record().id();
 	}
@@ -314,7 +304,7 @@
 		backendConnection.send(backendRequest, this, () -> this.backend.pool().release(backendConnection));
 		if (this.request.route().isRetryable() || this.version != VersionRequirement.NONE) {
 			this.progressTimer = this.context.vertx()
-				.setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> guard(this::checkProgress));
+				.setPeriodic(PROGRESS_CHECK_INTERVAL_MS, (id) -> this.listener.guard(this::checkProgress));
 		}
 	}
 
@@ -363,7 +353,7 @@
 			return;
 		}
 		if (untilWithdrawalMs < PROGRESS_CHECK_INTERVAL_MS) {
-			this.context.vertx().setTimer(untilWithdrawalMs, (id) -> guard(this::checkProgress));
+			this.context.vertx().setTimer(untilWithdrawalMs, (id) -> this.listener.guard(this::checkProgress));
 		}
 		boolean silent = isSilent();
 		if (silent && !this.silenceLogged) {
@@ -482,7 +472,7 @@
 
 	@Override
 	public void responseEnded(boolean delimitedByClose) {
-		guard(() -> endResponse(delimitedByClose));
+		this.listener.guard(() -> endResponse(delimitedByClose));
 	}
 
 	private void endResponse(boolean delimitedByClose) {
@@ -527,7 +517,7 @@
 
 	@Override
 	public void connectionFailed(String reason) {
-		guard(() -> loseConnection(reason));
+		this.listener.guard(() -> loseConnection(reason));
 	}
 
 	private void loseConnection(String reason) {
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -130,7 +130,8 @@
 	}
 
 	// Whatever fails here must not leave the request without an answer.
-	private void guard(Runnable step) {
+	@Override
+	public void guard(Runnable step) {
 		try {
 			step.run();
 		}
@@ -139,8 +140,7 @@
 		}
 	}
 
-	@Override
-	public void entryFailed(Throwable failure) {
+	private void entryFailed(Throwable failure) {
 		logFault(failure);
 		HttpServerResponse response = this.request.http().response();
 		clearUnsentHead(response);
