Tests: one clock that throws once

EntryFaultTests, ContentExchangeTests and LogFollowerTests each had a clock of their own that throws in a chosen method. The checks are as they were.

--- a/testsuite/src/test/java/org/wigeontally/control/LogFollowerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/control/LogFollowerTests.java
@@ -1,7 +1,6 @@
 package org.wigeontally.control;
 
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
 import org.testng.annotations.DataProvider;
@@ -10,6 +9,7 @@
 import org.wigeontally.configuration.KeyRing;
 import org.wigeontally.confirmation.ServingLease;
 import org.wigeontally.emulator.platform.MemoryLog;
+import org.wigeontally.gateway.FailingClock;
 import org.wigeontally.gateway.GatewayFixture;
 import org.wigeontally.log.PlatformLog;
 import org.wigeontally.misc.Clock;
@@ -36,7 +36,8 @@
 	public void logIsReadAfterAStepThrew(String step) throws Exception {
 		Vertx vertx = Vertx.vertx();
 		try {
-			FailingClock clock = new FailingClock(step);
+			FailingClock clock = FailingClock.create();
+			clock.failIn(LogFollower.class, step);
 			ServingLease lease = ServingLease.create(Clock.system(), "entry-1", List.of("entry-1"));
 			ConfigurationReplica replica = ConfigurationReplica.create(KeyRing.acceptingAll(), lease, "process-1");
 			MemoryLog log = MemoryLog.create(Clock.system(), 1);
@@ -49,7 +50,7 @@
 			});
 			vertx.runOnContext((v) -> follower.start());
 			GatewayFixture.awaitTrue(follower::isCaughtUp);
-			assertThat(clock.hasFailed.get()).isTrue();
+			assertThat(clock.hasFailed()).isTrue();
 			follower.close();
 		}
 		finally {
@@ -57,39 +58,4 @@
 		}
 	}
 
-	/** Throws once, in a method of the follower. */
-	private static final class FailingClock implements Clock {
-
-		private final Clock system = Clock.system();
-
-		private final AtomicBoolean hasFailed = new AtomicBoolean();
-
-		private final String method;
-
-		private FailingClock(String method) {
-			this.method = method;
-		}
-
-		@Override
-		public long monotonicMs() {
-			if (!this.hasFailed.get() && isCalledInMethod()) {
-				this.hasFailed.set(true);
-				throw new IllegalStateException("planted");
-			}
-			return this.system.monotonicMs();
-		}
-
-		@Override
-		public long wallMs() {
-			return this.system.wallMs();
-		}
-
-		private boolean isCalledInMethod() {
-			return StackWalker.getInstance()
-				.walk((frames) -> frames.anyMatch((frame) -> frame.getClassName().equals(LogFollower.class.getName())
-						&& frame.getMethodName().equals(this.method)));
-		}
-
-	}
-
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/ContentExchangeTests.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Future;
@@ -18,7 +17,6 @@
 
 import org.wigeontally.contents.ContentDownload;
 import org.wigeontally.contents.LargeContent;
-import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.FakeStore;
 import org.wigeontally.schema.generated.Address;
@@ -51,7 +49,7 @@
 
 	@BeforeMethod
 	public void start() throws Exception {
-		this.clock = new FailingClock();
+		this.clock = FailingClock.create();
 		this.fixture = new GatewayFixture(Vertx.vertx(), this.clock);
 		this.fixture.writeConfiguration();
 		this.fixture.startBackend("desk-1", "desk", "zone-a", GatewayFixture.respondWithSuccess("ok"));
@@ -134,7 +132,7 @@
 	 */
 	@Test(dataProvider = "steps")
 	public void contentArrivesAfterAStepOfTheDownloadThrew(String step) throws Exception {
-		this.clock.failIn(step);
+		this.clock.failIn(ContentExchange.class, step);
 		Holder holder = startHolder(LargeContent.of(largeConfiguration()));
 		this.fixture.awaitStatus(0, "plain", 404);
 		assertThat(this.clock.hasFailed()).isTrue();
@@ -212,42 +210,4 @@
 
 	}
 
-	/** Throws once, in a method of the exchange. */
-	private static final class FailingClock implements Clock {
-
-		private final Clock system = Clock.system();
-
-		private final AtomicReference<String> failing = new AtomicReference<>();
-
-		private void failIn(String method) {
-			this.failing.set(method);
-		}
-
-		private boolean hasFailed() {
-			return this.failing.get() == null;
-		}
-
-		@Override
-		public long monotonicMs() {
-			String method = this.failing.get();
-			if (method != null && isCalledIn(method) && this.failing.compareAndSet(method, null)) {
-				throw new IllegalStateException("planted");
-			}
-			return this.system.monotonicMs();
-		}
-
-		@Override
-		public long wallMs() {
-			return this.system.wallMs();
-		}
-
-		private static boolean isCalledIn(String method) {
-			return StackWalker.getInstance()
-				.walk((frames) -> frames
-					.anyMatch((frame) -> frame.getClassName().equals(ContentExchange.class.getName())
-							&& frame.getMethodName().equals(method)));
-		}
-
-	}
-
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/EntryFaultTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EntryFaultTests.java
@@ -1,7 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.util.concurrent.atomic.AtomicInteger;
-
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
@@ -10,7 +8,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.TestCaller;
 
@@ -35,7 +32,7 @@
 
 	@BeforeMethod
 	public void start() throws Exception {
-		this.clock = new FailingClock();
+		this.clock = FailingClock.create();
 		this.fixture = new GatewayFixture(Vertx.vertx(), this.clock);
 		this.fixture.writeConfigurationWithTimeout(ROUTE_TIMEOUT_MS);
 		for (int number = 0; number < MAX_CALLS; number++) {
@@ -72,7 +69,7 @@
 	public void requestIsAnsweredAtOnceIfTheEntryThrows(String route, String kind) throws Exception {
 		int call = 1;
 		do {
-			this.clock.failAt(call);
+			this.clock.failAt(call, RequestRelay.class, BackendAttempt.class, CallerRequestHandler.class);
 			try (KeptConnection connection = KeptConnection.open(this.fixture.settings(0).getFront())) {
 				long sentAtNs = System.nanoTime();
 				int status = connection.exchange(TestCaller.requestText("GET /" + route + "/x", kind + call,
@@ -98,42 +95,4 @@
 		}
 	}
 
-	/** Throws at one of the calls that are made for a request. */
-	private static final class FailingClock implements Clock {
-
-		private static final StackWalker WALKER = StackWalker.getInstance(StackWalker.Option.RETAIN_CLASS_REFERENCE);
-
-		private final Clock system = Clock.system();
-
-		private final AtomicInteger callsLeft = new AtomicInteger();
-
-		private void failAt(int call) {
-			this.callsLeft.set(call);
-		}
-
-		private boolean hasFailed() {
-			return this.callsLeft.get() <= 0;
-		}
-
-		@Override
-		public long monotonicMs() {
-			if (this.callsLeft.get() > 0 && isForRequest() && this.callsLeft.decrementAndGet() == 0) {
-				throw new IllegalStateException("planted");
-			}
-			return this.system.monotonicMs();
-		}
-
-		@Override
-		public long wallMs() {
-			return this.system.wallMs();
-		}
-
-		private static boolean isForRequest() {
-			return WALKER.walk((frames) -> frames.map(StackWalker.StackFrame::getDeclaringClass)
-				.anyMatch((type) -> type == RequestRelay.class || type == BackendAttempt.class
-						|| type == CallerRequestHandler.class));
-		}
-
-	}
-
 }
