Classes that place requests have a package of their own

The load of a backend server, the profile of an engine and both placements move to org.wigeontally.placement, and their replays with them.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -8,10 +8,10 @@
 import io.vertx.core.datagram.DatagramSocket;
 
 import org.wigeontally.fleet.AnnouncedVersions;
-import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.Service;
+import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.schema.generated.AgentPlace;
--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -5,13 +5,13 @@
 import java.util.Set;
 
 import org.wigeontally.fleet.BackendHealth;
-import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.WarmupRateLimiter;
 import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitGrant;
 import org.wigeontally.limits.PermitIssuer;
 import org.wigeontally.limits.PermitQueue;
+import org.wigeontally.placement.BackendLoad;
 
 /**
  * A registered backend server with the load, health and connections that this entry
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -5,11 +5,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
-import org.wigeontally.fleet.BackendCandidate;
-import org.wigeontally.fleet.EngineProfile;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.SilencePolicy;
 import org.wigeontally.fleet.VersionSchedule;
+import org.wigeontally.placement.BackendCandidate;
+import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.schema.generated.HostSettings;
 
 /**
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -6,13 +6,13 @@
 import java.util.Set;
 
 import org.wigeontally.eventlog.LogEvent;
-import org.wigeontally.fleet.BackendCandidate;
-import org.wigeontally.fleet.EngineProfile;
-import org.wigeontally.fleet.EngineRequest;
-import org.wigeontally.fleet.PlacementDecision;
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.SilencePolicy;
+import org.wigeontally.placement.BackendCandidate;
+import org.wigeontally.placement.EngineProfile;
+import org.wigeontally.placement.EngineRequest;
+import org.wigeontally.placement.PlacementDecision;
 
 /**
  * Chooses the backend server for each sending of a request, and the time to return for
--- a/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.wigeontally.fleet.EngineProfile;
+import org.wigeontally.placement.EngineProfile;
 
 /**
  * The version of the weights on which a request may run at the backend server that was
--- a/emulator/src/main/java/org/wigeontally/emulator/limits/LimitSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/limits/LimitSimulation.java
@@ -7,10 +7,10 @@
 import java.util.Set;
 import java.util.function.Function;
 
-import org.wigeontally.fleet.BackendCandidate;
-import org.wigeontally.fleet.LeastLoadedPlacement;
 import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitQueue;
+import org.wigeontally.placement.BackendCandidate;
+import org.wigeontally.placement.LeastLoadedPlacement;
 
 /**
  * Entries and backend servers of one service, some of which name a limit for a while.
--- a/library/src/main/java/org/wigeontally/fleet/Service.java
+++ b/library/src/main/java/org/wigeontally/fleet/Service.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.wigeontally.placement.EngineProfile;
+
 /**
  * A service of the configuration.
  *
--- a/library/src/main/java/org/wigeontally/fleet/BackendCandidate.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 /**
  * A backend server that a request can be placed on.
--- a/library/src/main/java/org/wigeontally/fleet/BackendLoad.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendLoad.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 /**
  * Estimates the load of one backend server from the newest report, which its agent or its
--- a/library/src/main/java/org/wigeontally/fleet/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 import java.util.List;
 import java.util.random.RandomGenerator;
--- a/library/src/main/java/org/wigeontally/fleet/EngineRequest.java
+++ b/library/src/main/java/org/wigeontally/placement/EngineRequest.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 /**
  * The properties of a request for an engine that its placement depends on.
--- a/library/src/main/java/org/wigeontally/fleet/PlacementDecision.java
+++ b/library/src/main/java/org/wigeontally/placement/PlacementDecision.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 /** The decision on where to send a request for an engine. */
 public sealed interface PlacementDecision {
--- a/library/src/main/java/org/wigeontally/fleet/UnreportedLoad.java
+++ b/library/src/main/java/org/wigeontally/placement/UnreportedLoad.java
@@ -1,4 +1,4 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 /**
  * Estimates the requests of the other entries at a backend server without a recent
--- a/testsuite/src/test/java/org/wigeontally/fleet/ReportScheduleTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/ReportScheduleTests.java
@@ -1,9 +1,11 @@
-package org.wigeontally.fleet;
+package org.wigeontally.placement;
 
 import java.util.Random;
 
 import org.testng.annotations.Test;
 
+import org.wigeontally.fleet.ReportSchedule;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Tests how often agents report to entries of other regions. */
--- a/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/SilentEngineTests.java
@@ -7,8 +7,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import org.wigeontally.fleet.BackendLoad;
 import org.wigeontally.gateway.GatewayFixture;
+import org.wigeontally.placement.BackendLoad;
 import org.wigeontally.platform.standin.FakeEngine;
 import org.wigeontally.platform.standin.FakeWeightOrigin;
 import org.wigeontally.schema.generated.EngineStatus;
