Placement is an interface, and services have traits

A service whose streams have different priorities, or whose backend servers report their speed, needs another placement than one by request counts.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -95,8 +95,8 @@
 			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE);
 		}
 		EngineProfile profile = service.engine().get();
-		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()), targetLeftMs,
-				deadlineLeftMs, request.priority());
+		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()),
+				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), 0);
 		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
 			logRejection(request, engineRequest, rejection, candidates.size());
--- a/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
+++ b/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** An immutable version of the configuration that operators publish. */
 public final class FleetConfiguration {
@@ -16,6 +18,9 @@
 
 	private final Map<String, Service> services;
 
+	// Services with engines for which streams of different priorities compete.
+	private final Set<String> rankedServices;
+
 	private final Optional<WeightOrigin> origin;
 
 	private final ApiKeys apiKeys;
@@ -27,6 +32,7 @@
 		this.version = version;
 		this.routesByHost = routesByHost;
 		this.services = services;
+		this.rankedServices = findRankedServices(routesByHost, services);
 		this.origin = origin;
 		this.apiKeys = apiKeys;
 		this.limits = limits;
@@ -57,6 +63,26 @@
 		return new FleetConfiguration(version, byHost, byName, origin, apiKeys, limits);
 	}
 
+	// Other requests do not take slots of engines for long, so their priority is no
+	// reason
+	// to keep slots free.
+	private static Set<String> findRankedServices(Map<String, List<Route>> routesByHost,
+			Map<String, Service> services) {
+		Map<String, Set<Integer>> priorities = new HashMap<>();
+		for (List<Route> routes : routesByHost.values()) {
+			for (Route route : routes) {
+				if (route.kind() == RequestKind.STREAM) {
+					route.services()
+						.forEach((weighted) -> priorities.computeIfAbsent(weighted.service(), (key) -> new HashSet<>())
+							.add(route.priority()));
+				}
+			}
+		}
+		priorities.keySet().removeIf((name) -> !services.containsKey(name) || services.get(name).engine().isEmpty());
+		priorities.values().removeIf((ranks) -> ranks.size() < 2);
+		return Set.copyOf(priorities.keySet());
+	}
+
 	/**
 	 * Returns the version.
 	 * @return the version
@@ -98,6 +124,16 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns whether routes with different priorities compete for the engines of a
+	 * service.
+	 * @param service name of the service
+	 * @return false if all its streams have the same priority, or it has no engines
+	 */
+	public boolean isRanked(String service) {
+		return this.rankedServices.contains(service);
+	}
+
 	/**
 	 * Returns all services.
 	 * @return the services
--- a/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
@@ -31,7 +31,7 @@
  * at each engine matches its room whatever the number of entries. The weight falls with
  * the predicted time, the failure rate, and the distance.
  */
-public final class EnginePlacement {
+public final class EnginePlacement implements PlacementStrategy {
 
 	/**
 	 * Slots of each engine that are reserved for requests that can meet their target.
@@ -102,12 +102,7 @@
 		return new EnginePlacement(profile, random);
 	}
 
-	/**
-	 * Decides on one request.
-	 * @param request the request
-	 * @param candidates engines that can take the request; not empty
-	 * @return the decision
-	 */
+	@Override
 	public PlacementDecision decide(EngineRequest request, List<BackendCandidate> candidates) {
 		double[] firstEventMs = new double[candidates.size()];
 		int fastest = 0;
--- a/testsuite/src/test/java/org/wigeontally/placement/EnginePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/EnginePlacementTests.java
@@ -101,8 +101,8 @@
 	public void onTimeRequestHasHigherPriorityThanLateOne() {
 		EnginePlacement placement = EnginePlacement.of(PlacementSimulation.PROFILE, new Random(1));
 		List<BackendCandidate> full = List.of(new BackendCandidate("a", 0, 11, 1, 0));
-		PlacementDecision fresh = placement.decide(new EngineRequest(600, 500, 6_000, 1), full);
-		PlacementDecision late = placement.decide(new EngineRequest(600, -100, 5_000, 1), full);
+		PlacementDecision fresh = placement.decide(EngineRequest.of(600, 500, 6_000, 1), full);
+		PlacementDecision late = placement.decide(EngineRequest.of(600, -100, 5_000, 1), full);
 		assertThat(((PlacementDecision.Place) fresh).enginePriority())
 			.isLessThan(((PlacementDecision.Place) late).enginePriority());
 	}
@@ -123,7 +123,7 @@
 				new BackendCandidate("far", 2, remoteLoad, 1, 0));
 		int localCount = 0;
 		for (int i = 0; i < 400; i++) {
-			PlacementDecision decision = placement.decide(new EngineRequest(900, 400, 6_000, 1), candidates);
+			PlacementDecision decision = placement.decide(EngineRequest.of(900, 400, 6_000, 1), candidates);
 			localCount += ((PlacementDecision.Place) decision).id().equals("near") ? 1 : 0;
 		}
 		return localCount / 400.0;
@@ -133,9 +133,9 @@
 	public void lateRequestDoesNotTakeReservedSlots() {
 		EnginePlacement placement = EnginePlacement.of(PlacementSimulation.PROFILE, new Random(1));
 		List<BackendCandidate> nearlyFull = List.of(new BackendCandidate("a", 0, 13, 1, 0));
-		assertThat(placement.decide(new EngineRequest(600, 500, 6_000, 1), nearlyFull))
+		assertThat(placement.decide(EngineRequest.of(600, 500, 6_000, 1), nearlyFull))
 			.isInstanceOf(PlacementDecision.Place.class);
-		assertThat(placement.decide(new EngineRequest(600, -100, 5_000, 1), nearlyFull))
+		assertThat(placement.decide(EngineRequest.of(600, -100, 5_000, 1), nearlyFull))
 			.isInstanceOf(PlacementDecision.Reject.class);
 	}
 
@@ -144,7 +144,7 @@
 		EnginePlacement placement = EnginePlacement.of(PlacementSimulation.PROFILE, new Random(1));
 		List<BackendCandidate> candidates = List.of(new BackendCandidate("a", 2, 8, 3, 0.4),
 				new BackendCandidate("b", 0, 40, 1, 0));
-		PlacementDecision decision = placement.decide(new EngineRequest(3_000, -500, 3_000, 3), candidates);
+		PlacementDecision decision = placement.decide(EngineRequest.of(3_000, -500, 3_000, 3), candidates);
 		assertThat(decision).isInstanceOf(PlacementDecision.Place.class);
 		assertThat(((PlacementDecision.Place) decision).id()).isEqualTo("a");
 	}
--- a/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
@@ -114,8 +114,8 @@
 			}
 		}
 		double elapsedMs = nowMs - arrival.firstAttemptMs();
-		EngineRequest request = new EngineRequest(arrival.promptTokens(), TARGET_MS - elapsedMs,
-				DEADLINE_MS - elapsedMs, 1);
+		EngineRequest request = EngineRequest.of(arrival.promptTokens(), TARGET_MS - elapsedMs, DEADLINE_MS - elapsedMs,
+				1);
 		PlacementDecision decision = candidates.isEmpty() ? new PlacementDecision.Reject(200, 0, 0)
 				: this.strategy.decide(request, candidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
--- a/testsuite/src/test/java/org/wigeontally/placement/UnreportedEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/UnreportedEngineTests.java
@@ -97,7 +97,7 @@
 		load.recordSent();
 		EnginePlacement placement = EnginePlacement.of(profile(12), new Random(1));
 		BackendCandidate candidate = new BackendCandidate("a", 0, load.estimatedRequests(10_000, 40), 1, 0);
-		assertThat(placement.decide(new EngineRequest(600, -500, 3_000, 1), List.of(candidate)))
+		assertThat(placement.decide(EngineRequest.of(600, -500, 3_000, 1), List.of(candidate)))
 			.isInstanceOf(PlacementDecision.Place.class);
 	}
 
@@ -233,7 +233,7 @@
 					candidates.add(new BackendCandidate(Integer.toString(engine), 0, estimate(entry, engine), 1, 0));
 				}
 			}
-			PlacementDecision decision = this.placement.decide(new EngineRequest(600, 450, 6_000, 1), candidates);
+			PlacementDecision decision = this.placement.decide(EngineRequest.of(600, 450, 6_000, 1), candidates);
 			if (!(decision instanceof PlacementDecision.Place place) || sendings == MAX_SENDINGS) {
 				recordRefused(tried);
 				return;
