A status line outside the protocol is no answer

A backend server in trouble sent the status 000, and the caller received it as an answer, signature included; so it did with 099, 600, 999, 1200 and with numbers such as 0200 and +20, which the decoder reads as integers. The decoder of backend connections now accepts only HTTP/1 and three digits of the classes 1 to 5. What came before may have run, so a request that runs at most once ends with 502 and others are tried again. The agent of the project's own interface checks the status too and reports an unknown outcome.

--- a/daemons/src/main/java/org/wigeontally/agent/AtMostOnceProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AtMostOnceProxy.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -18,6 +19,7 @@
 import org.wigeontally.errors.ErrorType;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.http.StatusCodes;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.schema.generated.ClaimInquiry;
 import org.wigeontally.schema.generated.ClaimReport;
@@ -124,8 +126,9 @@
 		long timer = this.vertx.setTimer(Math.max(1, request.remainingMs()), (id) -> backendRequest.reset());
 		backendRequest.send(body)
 			.onSuccess((backendResponse) -> link.admission().responseStarted(request.id()))
-			.compose((backendResponse) -> backendResponse.body()
-				.map((responseBody) -> toOutcome(backendResponse, responseBody)))
+			.compose((backendResponse) -> StatusCodes.isFinal(backendResponse.statusCode())
+					? backendResponse.body().map((responseBody) -> toOutcome(backendResponse, responseBody))
+					: dropInvalid(backendRequest))
 			.onComplete((result) -> {
 				this.vertx.cancelTimer(timer);
 				link.admission()
@@ -140,6 +143,11 @@
 			});
 	}
 
+	private static Future<Outcome> dropInvalid(HttpClientRequest backendRequest) {
+		backendRequest.reset();
+		return Future.failedFuture("the backend server answered with an invalid status");
+	}
+
 	private static Outcome toOutcome(HttpClientResponse backendResponse, Buffer body) {
 		String type = backendResponse.getHeader("Content-Type");
 		return Outcome.newBuilder()
--- a/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
@@ -13,6 +13,7 @@
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Outcome;
 import org.wigeontally.http.Refusal;
+import org.wigeontally.http.StatusCodes;
 
 /**
  * Forwards requests to a backend server and streams the responses back. The outcome that
@@ -105,6 +106,12 @@
 		}
 
 		private void relay(HttpClientResponse backendResponse) {
+			if (!StatusCodes.isFinal(backendResponse.statusCode())) {
+				resetBackendRequest(backendResponse.request());
+				requestEnded(AdmissionController.CompletionStatus.FAILED);
+				Refusal.unknownOutcome("the backend server answered with an invalid status").send(this.response);
+				return;
+			}
 			this.link.admission().responseStarted(this.request.id());
 			this.response.setStatusCode(backendResponse.statusCode())
 				.putHeader(Headers.OUTCOME, Outcome.DONE.headerValue())
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendConnection.java
@@ -25,6 +25,7 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 
+import org.wigeontally.http.StatusCodes;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.WireNames;
 
@@ -327,10 +328,18 @@
 
 	/**
 	 * Response decoder that expects no body in the response to a HEAD request, and no
-	 * bytes while no request is open.
+	 * bytes while no request is open, and rejects status lines that are not of HTTP/1.
 	 */
 	private final class ResponseDecoder extends HttpResponseDecoder {
 
+		@Override
+		protected HttpMessage createMessage(String[] initialLine) {
+			if (!StatusCodes.isStatusLine(initialLine[0], initialLine[1])) {
+				throw new IllegalArgumentException("invalid status line");
+			}
+			return super.createMessage(initialLine);
+		}
+
 		@Override
 		protected boolean isContentAlwaysEmpty(HttpMessage message) {
 			return BackendConnection.this.isHeadRequest || super.isContentAlwaysEmpty(message);
