A server that leaves in the grace for lapsed registrations is dropped in time

After an outage of the store removed registrations stayed in use for 2.2 s and until the next housekeeping. A backend server whose leaving was acknowledged just before an entry read the registrations therefore got requests up to 2.5 s later; the bound is 2.0 s. A live server is registered again within one heartbeat, 1.4 s. LapseGraceTests: the new test failed before the change.

--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -16,7 +16,7 @@
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.FleetConfiguration;
-import org.wigeontally.fleet.LapseGrace;
+import org.wigeontally.fleet.LapsedRegistrations;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.fleet.StorePosition;
@@ -77,9 +77,7 @@
 
 	private final Map<String, AnnouncedVersions> announcedVersions = new HashMap<>();
 
-	// Ids of backend servers whose registration lapsed, possibly only because the
-	// store was unavailable.
-	private final Set<String> lapsedIds = new HashSet<>();
+	private final LapsedRegistrations lapsed;
 
 	// Why records were unreadable, by their key, to report each once.
 	private final Map<String, String> unreadableRecords = new HashMap<>();
@@ -97,10 +95,9 @@
 
 	private int entryCount = MIN_ENTRY_COUNT;
 
-	private LapseGrace lapseGrace = LapseGrace.none();
-
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
+		this.lapsed = LapsedRegistrations.create(settings.getBounds().getDrainMs());
 		settings.getZonesList().forEach((place) -> this.regions.putIfAbsent(place.getZone(), place.getRegion()));
 		this.ownEntry = EntryNews.newBuilder()
 			.setControl(settings.getControl())
@@ -305,17 +302,13 @@
 	private void applyBackendRecord(String id, String source, long nowMs) {
 		CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
 		if (!topicRecord.removed()) {
-			this.lapsedIds.remove(id);
+			this.lapsed.renewed(id);
 			registerBackend(id, topicRecord, source);
 			return;
 		}
-		if (!this.lapseGrace.isOver(nowMs)) {
-			// The registration may have lapsed because the store was unavailable; it is
-			// removed only if it is not renewed within the grace period.
-			this.lapsedIds.add(id);
-			return;
+		if (!this.lapsed.keep(id, nowMs)) {
+			removeBackend(id, topicRecord.position(), source);
 		}
-		removeBackend(id, topicRecord.position(), source);
 	}
 
 	/**
@@ -324,7 +317,7 @@
 	 * @param lostAtMs start of the last call to the store that failed
 	 */
 	void storeReturned(long lostAtMs) {
-		this.lapseGrace = this.lapseGrace.storeReturned(lostAtMs, this.clock.monotonicMs());
+		this.lapsed.setGrace(this.lapsed.grace().storeReturned(lostAtMs, this.clock.monotonicMs()));
 	}
 
 	/**
@@ -332,7 +325,7 @@
 	 * @param asOfMs start of the call that it answered
 	 */
 	void storeAnswered(long asOfMs) {
-		this.lapseGrace = this.lapseGrace.storeAnswered(asOfMs);
+		this.lapsed.setGrace(this.lapsed.grace().storeAnswered(asOfMs));
 	}
 
 	/**
@@ -342,7 +335,7 @@
 	 * @param knowledge what this entry knows of the store
 	 */
 	void lapseGraceTold(long restMs, long askedAtMs, StoreKnowledge knowledge) {
-		this.lapseGrace = this.lapseGrace.told(restMs, askedAtMs, knowledge, this.clock.monotonicMs());
+		this.lapsed.setGrace(this.lapsed.grace().told(restMs, askedAtMs, knowledge, this.clock.monotonicMs()));
 	}
 
 	/**
@@ -350,19 +343,15 @@
 	 * @return milliseconds; 0 if there is none
 	 */
 	long remainingLapseGraceMs() {
-		return this.lapseGrace.restMs(this.clock.monotonicMs());
+		return this.lapsed.grace().restMs(this.clock.monotonicMs());
 	}
 
 	/**
-	 * Removes backend servers whose registration lapsed and was not renewed within the
-	 * grace period.
+	 * Removes backend servers whose registration lapsed and was not renewed in time.
 	 */
 	void removeLapsedBackends() {
-		if (this.lapsedIds.isEmpty() || !this.lapseGrace.isOver(this.clock.monotonicMs())) {
-			return;
-		}
-		this.lapsedIds.forEach((id) -> removeBackend(id, this.backendRecords.endPosition(), "lapsed"));
-		this.lapsedIds.clear();
+		this.lapsed.takeDue(this.clock.monotonicMs())
+			.forEach((id) -> removeBackend(id, this.backendRecords.endPosition(), "lapsed"));
 	}
 
 	private void registerBackend(String id, CompactedTopic.TopicRecord topicRecord, String source) {
--- /dev/null
+++ b/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
@@ -0,0 +1,103 @@
+package org.wigeontally.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Registrations of backend servers that were removed shortly after an outage of the
+ * store, and how long they stay in use.
+ *
+ * <p>
+ * After an outage a removed registration may be that of a live backend server that could
+ * not renew it, or of one that has left. The store does not tell which. A live one is
+ * registered again within one heartbeat; one that has left must get nothing more once the
+ * deployment's bound for leaving has passed. So a removed registration stays in use until
+ * the grace period ends, but not beyond that bound. Used by one thread.
+ */
+public final class LapsedRegistrations {
+
+	/**
+	 * Time from the acknowledgement of a removal until an entry reads it, and from the
+	 * end of its use until the next housekeeping.
+	 */
+	static final long EFFECT_DELAY_MS = 400;
+
+	private final long maxKeptMs;
+
+	// When each removal was seen, by the id of the backend server.
+	private final Map<String, Long> removedAtMs = new LinkedHashMap<>();
+
+	private LapseGrace grace = LapseGrace.none();
+
+	private LapsedRegistrations(long maxKeptMs) {
+		this.maxKeptMs = maxKeptMs;
+	}
+
+	/**
+	 * Creates an empty set.
+	 * @param drainMs time within which a leaving backend server must get no more
+	 * requests; 0 if the deployment has no such bound
+	 * @return the set
+	 */
+	public static LapsedRegistrations create(double drainMs) {
+		return new LapsedRegistrations((drainMs > 0) ? Math.max(0, (long) drainMs - EFFECT_DELAY_MS) : Long.MAX_VALUE);
+	}
+
+	/**
+	 * Returns the grace period.
+	 * @return the period
+	 */
+	public LapseGrace grace() {
+		return this.grace;
+	}
+
+	/**
+	 * Sets the grace period.
+	 * @param newest the period
+	 */
+	public void setGrace(LapseGrace newest) {
+		this.grace = newest;
+	}
+
+	/**
+	 * Records that a registration was removed.
+	 * @param id id of the backend server
+	 * @param nowMs current time in milliseconds
+	 * @return true if it stays in use for now
+	 */
+	public boolean keep(String id, long nowMs) {
+		if (this.grace.isOver(nowMs)) {
+			return false;
+		}
+		this.removedAtMs.putIfAbsent(id, nowMs);
+		return true;
+	}
+
+	/**
+	 * Records that a backend server is registered again.
+	 * @param id id of the backend server
+	 */
+	public void renewed(String id) {
+		this.removedAtMs.remove(id);
+	}
+
+	/**
+	 * Takes out the registrations that are no longer to be used.
+	 * @param nowMs current time in milliseconds
+	 * @return ids of their backend servers
+	 */
+	public List<String> takeDue(long nowMs) {
+		List<String> due = new ArrayList<>();
+		boolean isOver = this.grace.isOver(nowMs);
+		this.removedAtMs.forEach((id, atMs) -> {
+			if (isOver || nowMs - atMs >= this.maxKeptMs) {
+				due.add(id);
+			}
+		});
+		due.forEach(this.removedAtMs::remove);
+		return due;
+	}
+
+}
--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -12,6 +12,7 @@
 import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.misc.ManualClock;
 import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -43,8 +44,11 @@
 	}
 
 	private FleetState fleet() {
-		FleetState fleet = new FleetState(HostSettings.getDefaultInstance(), null, this.clock,
-				EventLog.create(this.clock, "entry"));
+		return fleet(HostSettings.getDefaultInstance());
+	}
+
+	private FleetState fleet(HostSettings settings) {
+		FleetState fleet = new FleetState(settings, null, this.clock, EventLog.create(this.clock, "entry"));
 		byte[] registration = FakeBackend.registration(9, "desk", "zone-a", "ready", 1).toBuffer().getBytes();
 		apply(fleet, new TopicRecord(ID, 1, registration, false));
 		return fleet;
@@ -137,6 +141,28 @@
 		assertThat(this.first.backends()).isNotEmpty();
 	}
 
+	/**
+	 * Guards against requests to a backend server that left just before an entry read the
+	 * registrations after an outage: it was kept for the whole grace period and one
+	 * housekeeping, which is longer than the bound for leaving.
+	 */
+	@Test
+	public void serverThatLeavesInTheGraceIsRemovedWithinTheBoundForLeaving() {
+		int drainMs = 2_000;
+		int housekeepingMs = 250;
+		FleetState fleet = fleet(
+				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
+		long acknowledgedAtMs = RETURNED_AT_MS - 50;
+		fleet.storeReturned(RETURNED_AT_MS - 1_000);
+		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
+		this.clock.advance(HEARTBEAT_MS);
+		fleet.removeLapsedBackends();
+		assertThat(fleet.backends()).isNotEmpty();
+		this.clock.advance(acknowledgedAtMs + drainMs - housekeepingMs - this.clock.monotonicMs());
+		fleet.removeLapsedBackends();
+		assertThat(fleet.backends()).isEmpty();
+	}
+
 	@DataProvider
 	public Object[][] gaps() {
 		return new Object[][] { { 700, 0 }, { 2_500, 2_000 } };
