Memory that is held for slow readers is bounded for each organisation

The budget of an entry gave up the largest message whenever the sum was exceeded. Many slow readers of one organisation, each with a moderate response, therefore ended the larger responses of others. A holder now belongs to an organisation; one may hold half of the budget, and where the sum is exceeded the organisation that holds most gives up its largest message.

--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -117,7 +117,8 @@
 		this.enginePriority = placed.enginePriority();
 		this.version = placed.version();
 		this.listener = listener;
-		this.memory = context.memory().open(() -> listener.guard(() -> abandon("no memory left for the response")));
+		this.memory = context.memory()
+			.open(request.memoryOwner(), () -> listener.guard(() -> abandon("no memory left for the response")));
 		this.startMs = context.nowMs();
 		this.lastReceivedMs = this.startMs;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -100,6 +100,15 @@
 		return this.organisation.map(Organisation::name).orElse("none");
 	}
 
+	/**
+	 * Returns the organisation for which the bytes of the request and its responses are
+	 * held.
+	 * @return its name, or null if the request has none
+	 */
+	String memoryOwner() {
+		return this.organisation.map(Organisation::name).orElse(null);
+	}
+
 	int priority() {
 		return this.organisation.map(Organisation::priority).filter((rank) -> rank >= 0).orElse(this.route.priority());
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -121,7 +121,7 @@
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
-		this.memory = context.memory().open(() -> guard(this::endForMemory));
+		this.memory = context.memory().open(request.memoryOwner(), () -> guard(this::endForMemory));
 		this.elapsedBeforeMs = context.elapsedBeforeMs(request.route().name(), request.callerTimeoutMs());
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/limits/MemoryBudgetTests.java
+++ b/testsuite/src/test/java/org/wigeontally/limits/MemoryBudgetTests.java
@@ -76,4 +76,39 @@
 		assertThat(this.givenUp).isNotEmpty().allMatch((name) -> name.startsWith("endless"));
 	}
 
+	/**
+	 * Guards against one organisation whose callers read slowly: its many streams, each
+	 * smaller than the one answer of another organisation, must not end that answer.
+	 */
+	@Test
+	public void slowReadersOfOneOrganisationDoNotEndTheAnswersOfAnother() {
+		this.givenUp.clear();
+		MemoryBudget budget = MemoryBudget.of(1_000);
+		MemoryBudget.Holder answer = budget.open("small", () -> this.givenUp.add("answer"));
+		assertThat(answer.hold(300)).isTrue();
+		for (int i = 0; i < 100; i++) {
+			String name = "slow-" + i;
+			budget.open("large", () -> this.givenUp.add(name)).hold(20 + i);
+			assertThat(budget.heldBytes("large")).isLessThanOrEqualTo(500);
+		}
+		assertThat(this.givenUp).hasSizeGreaterThan(50).allMatch((name) -> name.startsWith("slow"));
+		assertThat(answer.hold(400)).isTrue();
+	}
+
+	/** Three organisations at their limit exceed the budget together. */
+	@Test
+	public void ownerThatHoldsMostGivesUpFirst() {
+		this.givenUp.clear();
+		MemoryBudget budget = MemoryBudget.of(1_000);
+		for (String owner : List.of("a", "b", "c")) {
+			for (int i = 0; i < (owner.equals("b") ? 5 : 3); i++) {
+				budget.open(owner, () -> this.givenUp.add(owner)).hold(90);
+			}
+		}
+		assertThat(this.givenUp).isEmpty();
+		budget.open("c", () -> this.givenUp.add("c")).hold(60);
+		assertThat(this.givenUp).containsExactly("b");
+		assertThat(budget.heldBytes()).isEqualTo(960);
+	}
+
 }
