The agent of an added host fetches weights while its engine starts

Where other agents held the target version when an agent first heard of the fleet, it now fetches for up to 3 s before its engine answers. After a loss of power nobody holds it, and nothing changes. The new test of WeightDistributionTests failed before; agentWithoutEngineFetchesNoWeights is green.

--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -18,6 +18,8 @@
 
 	private boolean peersKnown;
 
+	private boolean weightsHeldAtStart;
+
 	private long confirmedAtMs = Long.MIN_VALUE / 2;
 
 	AgentBriefing briefing() {
@@ -37,6 +39,7 @@
 		}
 		if (!isKnown()) {
 			this.firstBriefingAtMs = nowMs;
+			this.weightsHeldAtStart = isHeldByOthers(received);
 		}
 		boolean isNewVersion = received.getVersion() > this.briefing.getVersion();
 		if (isNewVersion) {
@@ -46,6 +49,20 @@
 		return isNewVersion;
 	}
 
+	private static boolean isHeldByOthers(AgentBriefing received) {
+		long target = AnnouncedVersions.targetVersion(received.getVersion());
+		return received.getAgentsList().stream().anyMatch((agent) -> agent.getWholeVersion() >= target);
+	}
+
+	/**
+	 * Returns whether other agents held the target version when this agent first heard of
+	 * the fleet, so that it joined a running fleet and need not fetch from the origin.
+	 * @return false if it started together with the fleet
+	 */
+	boolean areWeightsHeldAtStart() {
+		return this.weightsHeldAtStart;
+	}
+
 	/**
 	 * Records that an entry has given the briefing or said that it is unchanged.
 	 * @param nowMs current monotonic time
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -74,6 +74,12 @@
 	 */
 	private static final long ENGINE_GONE_MS = 8_000;
 
+	/**
+	 * Time in which the engine of an added host starts. Its agent starts together with
+	 * it.
+	 */
+	private static final long ENGINE_START_MS = 3_000;
+
 	/** Failed polls in a row after which the engine is considered unreachable. */
 	private static final int UNREACHABLE_AFTER_FAILED_POLLS = 3;
 
@@ -106,6 +112,8 @@
 
 	private final long incarnation;
 
+	private final long startedAtMs;
+
 	private EngineState engineState;
 
 	private int failedPolls;
@@ -151,6 +159,7 @@
 		this.clock = clock;
 		this.log = log;
 		this.incarnation = clock.wallMs();
+		this.startedAtMs = clock.monotonicMs();
 		this.client = EngineClient.create(vertx);
 		this.ownAddress = Address.newBuilder().setIp(settings.getIp()).setPort(settings.getInternalPort()).build();
 		this.entryReporter = new EntryReporter(vertx, clock, log, this.view, this.ownAddress, settings.getRegion());
@@ -306,6 +315,14 @@
 		return !isEngineReachable() && this.clock.monotonicMs() - this.lastEngineAnswerMs >= ENGINE_GONE_MS;
 	}
 
+	// After a loss of power the agents of removed engines start too, and would take links
+	// from those whose engines wait for weights. In a running fleet others hold the
+	// weights, and the time in which the engine of an added host starts can be used.
+	private boolean isEngineStarting() {
+		return this.engineState == null && this.view.areWeightsHeldAtStart()
+				&& this.clock.monotonicMs() - this.startedAtMs < ENGINE_START_MS;
+	}
+
 	private long loadedVersion() {
 		return (this.engineState == null) ? 0 : this.engineState.loadedVersions().getOrDefault(this.view.model(), 0L);
 	}
@@ -381,7 +398,7 @@
 
 	private boolean mayCollectWeights() {
 		boolean starting = this.engineState == null && this.failedPolls < UNREACHABLE_AFTER_FAILED_POLLS;
-		return this.view.isKnown() && !starting && !this.draining && !isEngineGone();
+		return this.view.isKnown() && !starting && !this.draining && (!isEngineGone() || isEngineStarting());
 	}
 
 	// Chunks are fetched even while the engine is unreachable for a short time.
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WeightDistributionTests.java
@@ -128,6 +128,24 @@
 		assertThat(this.agents.get(0).newestVerifiedVersion()).isZero();
 	}
 
+	/**
+	 * Guards against added engines that get their weights a second late: their agents
+	 * waited for the engine to start before they fetched anything.
+	 */
+	@Test
+	public void agentOfAnAddedHostFetchesWhileItsEngineStarts() throws Exception {
+		startEngines(2, 1);
+		GatewayFixture.awaitTrue(() -> this.agents.stream().allMatch((agent) -> agent.newestVerifiedVersion() == 1));
+		// Longer than the interval between two reports of an agent.
+		Thread.sleep(600);
+		FakeEngine starting = GatewayFixture.await(FakeEngine.start(this.fixture.vertx(), 0));
+		GatewayFixture.await(starting.stop());
+		startAgent(starting);
+		SidecarDaemon agent = this.agents.get(this.agents.size() - 1);
+		GatewayFixture.awaitTrue(() -> agent.newestVerifiedVersion() == 1);
+		assertThat(this.origin.sentChunks()).isZero();
+	}
+
 	/** An idle connection is lost to the origin if its host loses power. */
 	@Test
 	public void connectionsToTheOriginCloseWithTheResponse() throws Exception {
