EnginePlacement honours reserved slots

EngineRequest carries the slots that are kept for more urgent requests, and EnginePlacement ignored them. An engine now takes a request if the larger of this reserve, that for late requests and that for other regions remains free. Nothing changes where the value is 0, as everywhere so far.

EnginePlacementTests#requestDoesNotTakeSlotsReservedForMoreUrgentOnes.

--- a/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
@@ -144,7 +144,7 @@
 	}
 
 	private boolean hasSlot(EngineRequest request, BackendCandidate candidate, double firstEventMs) {
-		int reservedSlots = isOnTime(request, firstEventMs) ? 0 : RESERVED_SLOTS;
+		int reservedSlots = Math.max(request.reservedSlots(), isOnTime(request, firstEventMs) ? 0 : RESERVED_SLOTS);
 		boolean remote = candidate.distance() == DISTANCE_WEIGHTS.length - 1;
 		int remoteSlots = remote ? (int) Math.ceil(this.profile.batchSlots() * REMOTE_FREE_FRACTION) : 0;
 		int loadLimit = this.profile.batchSlots() - Math.max(reservedSlots, remoteSlots);
--- a/testsuite/src/test/java/org/wigeontally/placement/EnginePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/EnginePlacementTests.java
@@ -139,6 +139,17 @@
 			.isInstanceOf(PlacementDecision.Reject.class);
 	}
 
+	/** Guards against a reservation for more urgent requests that has no effect. */
+	@Test
+	public void requestDoesNotTakeSlotsReservedForMoreUrgentOnes() {
+		EnginePlacement placement = EnginePlacement.of(PlacementSimulation.PROFILE, new Random(1));
+		EngineRequest request = new EngineRequest(600, 0, 500, 6_000, 2, 2);
+		assertThat(placement.decide(request, List.of(new BackendCandidate("a", 0, 13, 1, 0))))
+			.isInstanceOf(PlacementDecision.Place.class);
+		assertThat(placement.decide(request, List.of(new BackendCandidate("a", 0, 14, 1, 0))))
+			.isInstanceOf(PlacementDecision.Reject.class);
+	}
+
 	@Test
 	public void requestIsNotRejectedWhileHalfOfTheSlotsAreFree() {
 		EnginePlacement placement = EnginePlacement.of(PlacementSimulation.PROFILE, new Random(1));
