--- a/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Predicate;
 
 /**
  * Simulates engine placement in virtual time. Entries place requests by their estimates
@@ -16,10 +18,10 @@
 	static final EngineProfile PROFILE = new EngineProfile(16, 317_000, 9.27, 0.0232, 0.0322, 20.7, 1.18, 5, 979, 92,
 			List.of("m"), 16, 96, 24_576);
 
-	private static final double TARGET_MS = 450;
-
 	private static final double DEADLINE_MS = 6_000;
 
+	private static final StreamKind DEFAULT_KIND = new StreamKind(1, 450, 979, 92);
+
 	private static final double NETWORK_MS = 5;
 
 	private static final long DEFAULT_REPORT_INTERVAL_MS = 75;
@@ -30,21 +32,30 @@
 
 	private final BackendLoad[][] loads;
 
-	private final PlacementStrategy strategy;
+	private final EntryStrategy strategy;
+
+	private EngineProfile profile = PROFILE;
 
 	private long reportIntervalMs = DEFAULT_REPORT_INTERVAL_MS;
 
-	private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>(Comparator.comparingDouble(Arrival::atMs));
+	// Entries and engines are assigned to regions in turn.
+	private int regions = 1;
 
-	private int requests;
+	private long remoteReportIntervalMs = DEFAULT_REPORT_INTERVAL_MS;
 
-	private int onTime;
+	private LoadReports reports = (entry, engine, load, nowMs) -> OptionalInt.of(load);
 
-	private int late;
+	private boolean retryAtOnce;
 
-	private int rejected;
+	private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>(Comparator.comparingDouble(Arrival::atMs));
+
+	private final List<Outcome> outcomes = new ArrayList<>();
 
 	PlacementSimulation(int entries, int engineCount, long seed, PlacementStrategy strategy) {
+		this(entries, engineCount, seed, (entry, nowMs, request, candidates) -> strategy.decide(request, candidates));
+	}
+
+	PlacementSimulation(int entries, int engineCount, long seed, EntryStrategy strategy) {
 		this.random = new Random(seed);
 		this.strategy = strategy;
 		this.loads = new BackendLoad[entries][engineCount];
@@ -61,14 +72,42 @@
 		return this;
 	}
 
+	PlacementSimulation profile(EngineProfile newProfile) {
+		this.profile = newProfile;
+		return this;
+	}
+
+	PlacementSimulation regions(int count, long remoteIntervalMs) {
+		this.regions = count;
+		this.remoteReportIntervalMs = remoteIntervalMs;
+		return this;
+	}
+
+	PlacementSimulation reports(LoadReports loadReports) {
+		this.reports = loadReports;
+		return this;
+	}
+
+	PlacementSimulation retryAtOnce() {
+		this.retryAtOnce = true;
+		return this;
+	}
+
 	void addArrivals(double fromMs, double untilMs, double requestsPerSecond) {
+		addArrivals(DEFAULT_KIND, fromMs, untilMs, requestsPerSecond, (draw, atMs) -> draw.nextInt(this.loads.length));
+	}
+
+	void addArrivals(StreamKind kind, double fromMs, double untilMs, double requestsPerSecond, EntryChoice entries) {
 		double atMs = fromMs;
 		while (atMs < untilMs) {
 			atMs += -Math.log(1 - this.random.nextDouble()) * 1_000 / requestsPerSecond;
-			int prompt = (int) Math.max(50, Math.min(3_900, 979 * Math.exp(this.random.nextGaussian() * 0.7 - 0.25)));
-			int answer = (int) Math.max(5, Math.min(250, 92 * Math.exp(this.random.nextGaussian() * 0.6 - 0.18)));
-			this.arrivals.add(new Arrival(atMs, atMs, this.random.nextInt(this.loads.length), prompt, answer, 0));
-			this.requests++;
+			int prompt = (int) Math.max(50,
+					Math.min(3_900, kind.promptTokens() * Math.exp(this.random.nextGaussian() * 0.7 - 0.25)));
+			int answer = (int) Math.max(5,
+					Math.min(250, kind.answerTokens() * Math.exp(this.random.nextGaussian() * 0.6 - 0.18)));
+			Outcome outcome = new Outcome(kind, atMs, prompt);
+			this.outcomes.add(outcome);
+			this.arrivals.add(new Arrival(atMs, entries.choose(this.random, atMs), answer, 0, outcome));
 		}
 	}
 
@@ -81,12 +120,8 @@
 	}
 
 	Result run(double untilMs) {
-		long nextReportMs = 0;
 		for (double nowMs = 0; nowMs < untilMs; nowMs++) {
-			if (nowMs >= nextReportMs) {
-				report((long) nowMs);
-				nextReportMs += this.reportIntervalMs;
-			}
+			report((long) nowMs);
 			while (!this.arrivals.isEmpty() && this.arrivals.peek().atMs() <= nowMs) {
 				place(this.arrivals.poll(), (long) nowMs);
 			}
@@ -94,13 +129,47 @@
 				this.engines.get(engine).advance(nowMs, engine);
 			}
 		}
-		return new Result(this.requests, this.onTime, this.late, this.rejected);
+		return result((outcome) -> true);
+	}
+
+	/**
+	 * Returns the result of a part of the requests.
+	 */
+	Result result(Predicate<Outcome> part) {
+		List<Outcome> selected = this.outcomes.stream().filter(part).toList();
+		return new Result(selected.size(), count(selected, End.ON_TIME), count(selected, End.LATE),
+				count(selected, End.REJECTED));
 	}
 
+	private static int count(List<Outcome> outcomes, End end) {
+		return (int) outcomes.stream().filter((outcome) -> outcome.end == end).count();
+	}
+
+	List<Outcome> outcomes() {
+		return this.outcomes;
+	}
+
+	/** Returns the requests at an engine at this moment. */
+	int requestsAt(int engine) {
+		return this.engines.get(engine).requestCount();
+	}
+
+	int region(int number) {
+		return number % this.regions;
+	}
+
+	// Engines of several regions report one after the other, those of one all at once.
 	private void report(long nowMs) {
 		for (int engine = 0; engine < this.engines.size(); engine++) {
-			for (BackendLoad[] entry : this.loads) {
-				entry[engine].recordReport(this.engines.get(engine).requestCount(), 1, nowMs);
+			long offsetMs = (this.regions == 1) ? 0 : engine * this.reportIntervalMs / this.engines.size();
+			for (int entry = 0; entry < this.loads.length; entry++) {
+				boolean remote = region(entry) != region(engine);
+				long intervalMs = remote ? this.remoteReportIntervalMs : this.reportIntervalMs;
+				if ((nowMs + offsetMs) % intervalMs == 0) {
+					BackendLoad load = this.loads[entry][engine];
+					this.reports.receive(entry, engine, requestsAt(engine), nowMs)
+						.ifPresent((requests) -> load.recordReport(requests, 1, nowMs));
+				}
 			}
 		}
 	}
@@ -110,22 +179,23 @@
 		for (int engine = 0; engine < this.engines.size(); engine++) {
 			if (!this.engines.get(engine).isUnavailable(nowMs)) {
 				int estimate = this.loads[arrival.entry()][engine].estimatedRequests(nowMs, this.loads.length);
-				candidates.add(new BackendCandidate(Integer.toString(engine), 0, estimate, 1, 0));
+				int distance = (region(engine) == region(arrival.entry())) ? 0 : 2;
+				candidates.add(new BackendCandidate(Integer.toString(engine), distance, estimate, 1, 0));
 			}
 		}
-		double elapsedMs = nowMs - arrival.firstAttemptMs();
-		EngineRequest request = EngineRequest.of(arrival.promptTokens(), TARGET_MS - elapsedMs, DEADLINE_MS - elapsedMs,
-				1);
+		Outcome outcome = arrival.outcome();
+		double elapsedMs = nowMs - outcome.atMs;
+		EngineRequest request = EngineRequest.of(outcome.promptTokens, outcome.kind.targetMs() - elapsedMs,
+				DEADLINE_MS - elapsedMs, outcome.kind.rank());
 		PlacementDecision decision = candidates.isEmpty() ? new PlacementDecision.Reject(200, 0, 0)
-				: this.strategy.decide(request, candidates);
+				: this.strategy.decide(arrival.entry(), nowMs, request, candidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
-			double retryAtMs = nowMs + Math.min(rejection.retryAfterMs(), (DEADLINE_MS - elapsedMs) / 3);
+			double delayMs = this.retryAtOnce ? 1 : Math.min(rejection.retryAfterMs(), (DEADLINE_MS - elapsedMs) / 3);
 			if (arrival.retries() == 0) {
-				this.arrivals.add(new Arrival(retryAtMs, arrival.firstAttemptMs(), arrival.entry(),
-						arrival.promptTokens(), arrival.answerTokens(), 1));
+				this.arrivals.add(new Arrival(nowMs + delayMs, arrival.entry(), arrival.answerTokens(), 1, outcome));
 			}
 			else {
-				this.rejected++;
+				outcome.end = End.REJECTED;
 			}
 			return;
 		}
@@ -142,6 +212,65 @@
 
 	}
 
+	/** Strategy of which each entry has its own state. */
+	interface EntryStrategy {
+
+		PlacementDecision decide(int entry, long nowMs, EngineRequest request, List<BackendCandidate> candidates);
+
+	}
+
+	/** Chooses the entry that receives a request. */
+	interface EntryChoice {
+
+		int choose(Random random, double atMs);
+
+	}
+
+	/** What an entry receives of a report; nothing if the report is lost. */
+	interface LoadReports {
+
+		OptionalInt receive(int entry, int engine, int load, long nowMs);
+
+	}
+
+	/**
+	 * Requests of one kind; the numbers of tokens are means.
+	 *
+	 * @param rank priority, 0 is the highest
+	 * @param targetMs target for the first event
+	 * @param promptTokens tokens of the prompt
+	 * @param answerTokens tokens of the answer
+	 */
+	record StreamKind(int rank, double targetMs, int promptTokens, int answerTokens) {
+
+	}
+
+	/** How a request ended. */
+	enum End {
+
+		NONE, ON_TIME, LATE, REJECTED
+
+	}
+
+	/** One request and how it ended. */
+	static final class Outcome {
+
+		final StreamKind kind;
+
+		final double atMs;
+
+		final int promptTokens;
+
+		private End end = End.NONE;
+
+		private Outcome(StreamKind kind, double atMs, int promptTokens) {
+			this.kind = kind;
+			this.atMs = atMs;
+			this.promptTokens = promptTokens;
+		}
+
+	}
+
 	/**
 	 * Result of a simulation.
 	 *
@@ -152,6 +281,10 @@
 	 */
 	record Result(int requests, int onTime, int late, int rejected) {
 
+		double servedShare() {
+			return (double) (this.onTime + this.late) / this.requests;
+		}
+
 		double onTimeShare() {
 			return (double) this.onTime / this.requests;
 		}
@@ -165,8 +298,7 @@
 
 	}
 
-	private record Arrival(double atMs, double firstAttemptMs, int entry, int promptTokens, int answerTokens,
-			int retries) {
+	private record Arrival(double atMs, int entry, int answerTokens, int retries, Outcome outcome) {
 
 	}
 
@@ -188,7 +320,7 @@
 			this.arrival = arrival;
 			this.enginePriority = enginePriority;
 			this.readyMs = readyMs;
-			this.promptTokensLeft = arrival.promptTokens();
+			this.promptTokensLeft = arrival.outcome().promptTokens;
 			this.answerTokensLeft = arrival.answerTokens();
 		}
 
@@ -222,7 +354,7 @@
 			}
 			List<EngineJob> ready = new ArrayList<>(this.queue.stream().filter((job) -> job.readyMs <= nowMs).toList());
 			ready.sort(Comparator.comparingInt((EngineJob job) -> job.enginePriority));
-			while (this.batch.size() < PROFILE.batchSlots() && !ready.isEmpty()) {
+			while (this.batch.size() < PlacementSimulation.this.profile.batchSlots() && !ready.isEmpty()) {
 				EngineJob next = ready.remove(0);
 				this.queue.remove(next);
 				this.batch.add(next);
@@ -235,23 +367,23 @@
 
 		private void runPass(double nowMs, int number) {
 			double lengthMs = 0;
-			double prefillTokenBudget = PREFILL_TOKENS_PER_STEP * PROFILE.stepsPerPass();
+			double prefillTokenBudget = PREFILL_TOKENS_PER_STEP * PlacementSimulation.this.profile.stepsPerPass();
 			for (EngineJob job : this.batch) {
 				if (job.promptTokensLeft > 0 && prefillTokenBudget > 0) {
 					double prefilledTokens = Math.min(prefillTokenBudget, job.promptTokensLeft);
 					job.promptTokensLeft -= prefilledTokens;
 					prefillTokenBudget -= prefilledTokens;
-					lengthMs += PROFILE.prefillMs((int) prefilledTokens);
+					lengthMs += PlacementSimulation.this.profile.prefillMs((int) prefilledTokens);
 				}
 			}
 			// A request whose prompt is completely read starts to decode in the same
 			// pass.
 			List<EngineJob> decoding = new ArrayList<>(
 					this.batch.stream().filter((job) -> job.promptTokensLeft <= 0).toList());
-			lengthMs += decoding.isEmpty() ? 0 : PROFILE.passMs(decoding.size());
+			lengthMs += decoding.isEmpty() ? 0 : PlacementSimulation.this.profile.passMs(decoding.size());
 			this.busyUntilMs = nowMs + Math.max(1, lengthMs);
 			for (EngineJob job : decoding) {
-				job.answerTokensLeft -= PROFILE.stepsPerPass();
+				job.answerTokensLeft -= PlacementSimulation.this.profile.stepsPerPass();
 				if (!job.firstEventSent) {
 					job.firstEventSent = true;
 					recordFirstEvent(job, this.busyUntilMs + NETWORK_MS);
@@ -264,12 +396,8 @@
 		}
 
 		private void recordFirstEvent(EngineJob job, double firstEventMs) {
-			if (firstEventMs - job.arrival.firstAttemptMs() <= TARGET_MS) {
-				PlacementSimulation.this.onTime++;
-			}
-			else {
-				PlacementSimulation.this.late++;
-			}
+			Outcome outcome = job.arrival.outcome();
+			outcome.end = (firstEventMs - outcome.atMs <= outcome.kind.targetMs()) ? End.ON_TIME : End.LATE;
 		}
 
 	}
