Entries reserve slots by rank for ranked services

Cause: RequestPlacer passed no reserved slots, so the reservation had no effect.

Change: RankReservations holds the demand of each ranked service; RequestPlacer asks it for the rank of each request, with the priority of the organisation before that of the route. A request counts once, when it arrives, and once when it gets its first slot, however often its placement is tried. Services whose streams have one priority have no state and are placed as before. Reserved slots and refusals by rank are metrics; a change of a reservation is logged at most once in 250 ms and rank.

Result: RankReservationGatewayTests, an entry with one engine of 16 slots: the slot that ends goes to the urgent route after the urgent one was refused. RequestRelayTests, EntryFaultTests, ServerLimitTests, EventLogTests, FailingHandlerTests and PlannedStopTests pass.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -52,6 +52,8 @@
 	BACKEND_LIMIT(RateLimit.SOME),
 	/** Permits for a limited backend server could not be acquired. */
 	PERMITS_FAILED(RateLimit.SOME),
+	/** Another number of slots is kept from the requests of a rank. */
+	RANK_RESERVATION(RateLimit.SOME),
 	/** A request was sent to a backend server. */
 	REQUEST_PLACED(RateLimit.REQUESTS),
 	/** No backend server was found for a request; the fields show why. */
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -65,6 +65,8 @@
 
 	private final Map<EngineProfile, EnginePlacement> enginePlacements = new HashMap<>();
 
+	private final RankReservations rankReservations = new RankReservations(this);
+
 	private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
 
 	private final Map<String, RejectedRequests> rejectedByLimits = new HashMap<>();
@@ -158,6 +160,10 @@
 		return this.enginePlacements.computeIfAbsent(engine, (key) -> EnginePlacement.of(key, this.random));
 	}
 
+	RankReservations rankReservations() {
+		return this.rankReservations;
+	}
+
 	RetryBudgetShare retryBudget(String service) {
 		HostBounds bounds = this.settings.getBounds();
 		return this.retryBudgets
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -335,6 +335,7 @@
 		fleet.setEntryCount(knownEntries);
 		fleet.setOtherEntries(this.entries.recentEntries(this.context.nowMs()));
 		this.context.metrics().setState(fleet.configurationVersion(), this.context.inFlight(), knownEntries);
+		this.context.rankReservations().publish();
 		this.context.metrics().setLimitedBackends(this.context.limits().countLimited());
 		this.context.metrics().setStoreAge(StoreTopic.OPERATOR.name(), this.operatorFollower.ageMs());
 		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -95,6 +95,18 @@
 		.labelNames("named")
 		.register(this.registry);
 
+	private final Gauge reservedSlots = Gauge.builder()
+		.name("wigeontally_reserved_slots")
+		.help("Slots of each engine that are kept from requests of a rank, by service and rank")
+		.labelNames("service", "rank")
+		.register(this.registry);
+
+	private final Counter rankedRefusals = Counter.builder()
+		.name("wigeontally_ranked_refusals_total")
+		.help("Requests for engines of ranked services that were refused, by service, rank and reason")
+		.labelNames("service", "rank", "reason")
+		.register(this.registry);
+
 	private final Counter overdueRequests = Counter.builder()
 		.name("wigeontally_requests_overdue_total")
 		.help("Requests without an answer a second after their callers' timeouts")
@@ -146,6 +158,14 @@
 		}
 	}
 
+	void setReservedSlots(String service, int rank, int slots) {
+		this.reservedSlots.labelValues(service, Integer.toString(rank)).set(slots);
+	}
+
+	void recordRankedRefusal(String service, int rank, String reason) {
+		this.rankedRefusals.labelValues(service, Integer.toString(rank), reason).inc();
+	}
+
 	void setState(long configurationVersion, int requestsInFlight, int knownEntries) {
 		this.configurationVersion.set(configurationVersion);
 		this.inFlight.set(requestsInFlight);
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -54,7 +54,11 @@
 						triedBackendIds.size());
 			return withoutCandidate(request.service(), nowMs);
 		}
-		return choose(request, service, candidates, targetLeftMs, deadlineLeftMs, nowMs);
+		Placement placement = choose(request, service, candidates, targetLeftMs, deadlineLeftMs, nowMs);
+		if (triedBackendIds.isEmpty()) {
+			this.context.rankReservations().recordPlacement(request, placement);
+		}
+		return placement;
 	}
 
 	/**
@@ -95,8 +99,9 @@
 			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE);
 		}
 		EngineProfile profile = service.engine().get();
+		int reservedSlots = this.context.rankReservations().reservedSlots(request, profile, placementCandidates);
 		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()),
-				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), 0);
+				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), reservedSlots);
 		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
 			logRejection(request, engineRequest, rejection, candidates.size());
@@ -113,7 +118,8 @@
 		this.context.log()
 			.write(LogEvent.REQUEST_NOT_PLACED, "id", request.attemptId(), "service", request.service(), "candidates",
 					candidates, "best-load", rejection.engineLoad(), "first-event-ms",
-					Math.round(rejection.firstEventMs()), "target-left-ms", Math.round(engineRequest.targetLeftMs()),
+					Math.round(rejection.firstEventMs()), "rank", engineRequest.priority(), "reserved-slots",
+					engineRequest.reservedSlots(), "target-left-ms", Math.round(engineRequest.targetLeftMs()),
 					"deadline-left-ms", Math.round(engineRequest.deadlineLeftMs()));
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -194,6 +194,7 @@
 						this.request.unreadableParts());
 		}
 		this.context.retryBudget(this.request.service()).recordRequest(this.request.receivedAtMs());
+		this.context.rankReservations().recordRequest(this.request);
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
 		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> guard(this::timedOut));
 		placeRequest();
@@ -552,6 +553,7 @@
 					refusal.reason(), "return-s", refusal.retryAfterSeconds(), "sends", this.sentAttempts, "after-ms",
 					elapsedMs(), "configuration", this.context.fleet().configuration().version());
 		CallerRequestHandler.writeResponse(this.request.http().response(), refusal, this.context.isDraining());
+		this.context.rankReservations().recordRefusal(this.request, refusal.reason());
 		finish(refusal.reason());
 	}
 
--- a/library/src/main/java/org/wigeontally/placement/Reservation.java
+++ b/library/src/main/java/org/wigeontally/placement/Reservation.java
@@ -8,7 +8,8 @@
  */
 public record Reservation(int slots, Cause cause) {
 
-	static final Reservation NONE = new Reservation(0, Cause.NONE);
+	/** Nothing is kept. */
+	public static final Reservation NONE = new Reservation(0, Cause.NONE);
 
 	/** Cause of a reservation. */
 	public enum Cause {
