An entry spreads its requests evenly over engines without reports

Each entry drew engines at random with weights that hardly depend on its own requests there.

Change: BackendCandidate carries the entry's own requests at an engine of which nothing else is known, and UnreportedSpread prefers the engines with the fewest of them. Engines with a recent report, a refusal, or remembered requests of other entries are drawn as before.

--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -159,7 +159,7 @@
 				request.route().targetMs());
 		return new BackendCandidate(backend.record().id(), distance,
 				backend.load().estimatedRequests(nowMs, this.fleet.entryCount()), backend.load().slowdownFactor(),
-				avoided ? 1 : backend.health().failureRate(nowMs));
+				avoided ? 1 : backend.health().failureRate(nowMs), backend.load().blindRequests(nowMs));
 	}
 
 	private int distance(String zone) {
--- a/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
@@ -8,7 +8,22 @@
  * @param load estimated number of requests at the backend server
  * @param slowdownFactor 1 at normal speed, more if the backend server is slower
  * @param failureRate rate of recent requests that failed there, from 0 to 1
+ * @param blindRequests requests of this entry there if nothing is known of those of the
+ * other entries; -1 if something is known
  */
-public record BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate) {
+public record BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate,
+		int blindRequests) {
+
+	/**
+	 * Creates a candidate about whose load something is known.
+	 * @param id id of the backend server
+	 * @param distance 0 in the entry's availability zone, 1 in its region, 2 elsewhere
+	 * @param load estimated number of requests at the backend server
+	 * @param slowdownFactor 1 at normal speed, more if the backend server is slower
+	 * @param failureRate rate of recent requests that failed there, from 0 to 1
+	 */
+	public BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate) {
+		this(id, distance, load, slowdownFactor, failureRate, -1);
+	}
 
 }
--- a/library/src/main/java/org/wigeontally/placement/BackendLoad.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendLoad.java
@@ -133,6 +133,17 @@
 		return (nowMs <= refusalEndsAtMs()) ? Math.max(requests, this.places) : requests;
 	}
 
+	/**
+	 * Returns the requests of this entry at an engine of which nothing else is known.
+	 * @param nowMs current time in milliseconds
+	 * @return number of requests; -1 if a report or a refusal is recent, or requests of
+	 * other entries at the last one still count
+	 */
+	public int blindRequests(long nowMs) {
+		boolean known = this.places <= 0 || isReportRecent(nowMs) || nowMs <= refusalEndsAtMs();
+		return (known || rememberedRequests(nowMs) > 0) ? -1 : this.inFlight;
+	}
+
 	private long refusalEndsAtMs() {
 		return this.refusedAtMs + REFUSAL_LIFETIME_MS;
 	}
@@ -149,9 +160,13 @@
 		if (this.places <= 0) {
 			return this.inFlight * Math.max(1, entries);
 		}
+		return this.inFlight + UnreportedLoad.ofOthers(rememberedRequests(nowMs), this.inFlight,
+				Math.max(0, entries - 1), this.places);
+	}
+
+	private int rememberedRequests(long nowMs) {
 		long overdueMs = nowMs - Math.max(this.reportedAtMs + MAX_REPORT_AGE_MS, refusalEndsAtMs());
-		return this.inFlight + UnreportedLoad.ofOthers(requestsSinceReport() - this.inFlight, Math.max(0, overdueMs),
-				this.inFlight, Math.max(0, entries - 1), this.places);
+		return UnreportedLoad.remembered(requestsSinceReport() - this.inFlight, Math.max(0, overdueMs));
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
@@ -120,7 +120,8 @@
 			// The first of independent exponential times is each one's with a probability
 			// proportional to its weight.
 			double raceTime = -Math.log(1 - this.random.nextDouble())
-					/ weight(candidate, firstEventMs[i] - firstEventMs[fastest]);
+					/ (weight(candidate, firstEventMs[i] - firstEventMs[fastest])
+							* UnreportedSpread.weight(candidate, candidates));
 			if (drawn < 0 || raceTime < shortestRaceTime) {
 				drawn = i;
 				shortestRaceTime = raceTime;
--- a/library/src/main/java/org/wigeontally/placement/UnreportedLoad.java
+++ b/library/src/main/java/org/wigeontally/placement/UnreportedLoad.java
@@ -31,16 +31,24 @@
 	}
 
 	/**
-	 * Estimates the requests of the other entries.
+	 * Estimates what is left of the requests of the other entries at the last report.
 	 * @param reported their requests at the last report
 	 * @param overdueMs time since that report became too old
+	 * @return number of requests
+	 */
+	static int remembered(int reported, long overdueMs) {
+		return (int) (reported * Math.pow(0.5, overdueMs / HALF_LIFE_MS));
+	}
+
+	/**
+	 * Estimates the requests of the other entries.
+	 * @param remembered what is left of their requests at the last report
 	 * @param ownRequests requests of this entry
 	 * @param otherEntries number of the other entries
 	 * @param places requests that the backend server processes at the same time
 	 * @return number of requests
 	 */
-	static int ofOthers(int reported, long overdueMs, int ownRequests, int otherEntries, int places) {
-		int remembered = (int) (reported * Math.pow(0.5, overdueMs / HALF_LIFE_MS));
+	static int ofOthers(int remembered, int ownRequests, int otherEntries, int places) {
 		int remainingPlaces = Math.max(0, places - EnginePlacement.RESERVED_SLOTS - ownRequests);
 		int maxGuessed = remainingPlaces * ownRequests / (ownRequests + 1);
 		int guessed = (int) Math.min((long) ownRequests * otherEntries, maxGuessed);
--- a/testsuite/src/test/java/org/wigeontally/placement/UnreportedEngineTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/UnreportedEngineTests.java
@@ -230,7 +230,10 @@
 			List<BackendCandidate> candidates = new ArrayList<>();
 			for (int engine = 0; engine < ENGINES; engine++) {
 				if (!tried.contains(engine)) {
-					candidates.add(new BackendCandidate(Integer.toString(engine), 0, estimate(entry, engine), 1, 0));
+					int blindRequests = this.multiplied ? -1
+							: this.loads[entry][engine].blindRequests((long) this.nowMs);
+					candidates.add(new BackendCandidate(Integer.toString(engine), 0, estimate(entry, engine), 1, 0,
+							blindRequests));
 				}
 			}
 			PlacementDecision decision = this.placement.decide(EngineRequest.of(600, 450, 6_000, 1), candidates);
