--- a/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
+++ b/library/src/main/java/org/wigeontally/placement/EnginePlacement.java
@@ -120,7 +120,8 @@
 			// The first of independent exponential times is each one's with a probability
 			// proportional to its weight.
 			double raceTime = -Math.log(1 - this.random.nextDouble())
-					/ weight(candidate, firstEventMs[i] - firstEventMs[fastest]);
+					/ (weight(candidate, firstEventMs[i] - firstEventMs[fastest])
+							* UnreportedSpread.weight(candidate, candidates));
 			if (drawn < 0 || raceTime < shortestRaceTime) {
 				drawn = i;
 				shortestRaceTime = raceTime;
@@ -144,7 +145,7 @@
 	}
 
 	private boolean hasSlot(EngineRequest request, BackendCandidate candidate, double firstEventMs) {
-		int reservedSlots = isOnTime(request, firstEventMs) ? 0 : RESERVED_SLOTS;
+		int reservedSlots = Math.max(request.reservedSlots(), isOnTime(request, firstEventMs) ? 0 : RESERVED_SLOTS);
 		boolean remote = candidate.distance() == DISTANCE_WEIGHTS.length - 1;
 		int remoteSlots = remote ? (int) Math.ceil(this.profile.batchSlots() * REMOTE_FREE_FRACTION) : 0;
 		int loadLimit = this.profile.batchSlots() - Math.max(reservedSlots, remoteSlots);
