Replay in virtual time of two versions on limited links

`bin/measure weight-spread` prints it. The limit of concurrent uploads moves from ChunkServer to UploadSlots in the library, so that the replay uses it.

--- a/daemons/src/main/java/org/wigeontally/spread/ChunkServer.java
+++ b/daemons/src/main/java/org/wigeontally/spread/ChunkServer.java
@@ -1,12 +1,13 @@
 package org.wigeontally.spread;
 
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 
+import org.wigeontally.weights.UploadSlots;
+
 /**
  * Serves chunks, chunk maps and manifests to peers. The number of concurrent chunk
  * uploads is limited, and a chunk request above the limit is answered with status 503.
@@ -16,10 +17,6 @@
  */
 final class ChunkServer {
 
-	private static final int MAX_REGION_UPLOADS = 4;
-
-	private static final int MAX_CROSS_REGION_UPLOADS = 6;
-
 	private static final long MANIFEST_TIMEOUT_MS = 1000;
 
 	private final NodeResources resources;
@@ -28,9 +25,7 @@
 
 	private final Function<String, VersionReplica> findReplica;
 
-	private final AtomicInteger regionUploads = new AtomicInteger();
-
-	private final AtomicInteger crossRegionUploads = new AtomicInteger();
+	private final UploadSlots slots = new UploadSlots();
 
 	private ChunkServer(NodeResources resources, PacedUpload upload, Function<String, VersionReplica> findReplica) {
 		this.resources = resources;
@@ -56,14 +51,12 @@
 		}
 		String region = context.request().getHeader(ByteFetcher.REGION_HEADER);
 		boolean crossRegion = region != null && !region.equals(this.resources.settings().self().getRegion());
-		AtomicInteger activeUploads = crossRegion ? this.crossRegionUploads : this.regionUploads;
-		if (activeUploads.incrementAndGet() > (crossRegion ? MAX_CROSS_REGION_UPLOADS : MAX_REGION_UPLOADS)) {
-			activeUploads.decrementAndGet();
+		if (!this.slots.tryAcquire(crossRegion)) {
 			context.response().setStatusCode(503).end();
 			return;
 		}
 		this.upload.send(context.response(), receiverHost(context.request()), crossRegion, bytes)
-			.onComplete((ended) -> activeUploads.decrementAndGet());
+			.onComplete((ended) -> this.slots.release(crossRegion));
 	}
 
 	private void handleMap(RoutingContext context) {
--- a/daemons/src/main/java/org/wigeontally/spread/PacedUpload.java
+++ b/daemons/src/main/java/org/wigeontally/spread/PacedUpload.java
@@ -61,11 +61,19 @@
 		response.exceptionHandler(sent::tryFail);
 		response.closeHandler((closed) -> sent.tryFail("closed"));
 		response.putHeader("Content-Length", Integer.toString(bytes.length));
-		int segmentBytes = Math.max(MIN_SEGMENT_BYTES, bytes.length / TARGET_SEGMENTS);
-		sendNextSegment(response, receiver, urgent, bytes, 0, segmentBytes, sent);
+		sendNextSegment(response, receiver, urgent, bytes, 0, segmentBytes(bytes.length), sent);
 		return sent.future();
 	}
 
+	/**
+	 * Returns the size of the segments of a body.
+	 * @param bodyBytes size of the body
+	 * @return number of bytes
+	 */
+	public static int segmentBytes(int bodyBytes) {
+		return Math.max(MIN_SEGMENT_BYTES, bodyBytes / TARGET_SEGMENTS);
+	}
+
 	private void sendNextSegment(HttpServerResponse response, String receiver, boolean urgent, byte[] bytes, int offset,
 			int segmentBytes, Promise<Void> sent) {
 		if (sent.future().isComplete()) {
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -14,7 +14,7 @@
 		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ConfigurationSpreadMeasurement(),
 				new ControlMeasurement(), new FaultsMeasurement(), new HarmfulPartsMeasurement(),
 				new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(), new BackendLimitMeasurement(),
-				new SoakMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
+				new SoakMeasurement(), new WeightSpreadMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
@@ -82,6 +82,12 @@
 	@Parameter(names = "--border-kbps", description = "Link between two regions, each way")
 	private int borderKbps = 1500;
 
+	@Parameter(names = "--link-share", description = "Share of a machine's link that uploads of weights may use")
+	private double linkShare = 1;
+
+	@Parameter(names = "--seeds-across-regions", description = "Hosts of all regions fetch from the origin")
+	private boolean seedsAcrossRegions;
+
 	private final Closer closer = Closer.create();
 
 	private final List<String> hostRegions = new ArrayList<>();
@@ -174,7 +180,7 @@
 		Address address = Address.newBuilder().setIp("127.0.0.1").setPort(server.actualPort()).build();
 		int memoryMb = this.sizeKb / 512 + 1;
 		this.fleet = new WeightFleet(vertx, new WeightFleet.Setup(Clock.system(), address, "region-0", memoryMb,
-				this.machineKbps, Map.of(), this.links));
+				(int) (this.machineKbps * this.linkShare), Map.of(), this.links, this.seedsAcrossRegions));
 		for (int host = 0; host < this.hosts; host++) {
 			this.fleet.add("host-" + host, this.hostRegions.get(host), "zone-" + host % this.zones, random.nextLong());
 		}
--- a/emulator/src/main/java/org/wigeontally/emulator/platform/WeightFleet.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/platform/WeightFleet.java
@@ -168,9 +168,10 @@
 	 * @param kbps budget of each for uploads
 	 * @param publishers keys of publishers
 	 * @param wire the network
+	 * @param seedsAcrossRegions true if hosts of all regions fetch from the origin
 	 */
 	public record Setup(Clock clock, Address origin, String originRegion, int memoryMb, int kbps,
-			Map<String, String> publishers, UploadTransport wire) {
+			Map<String, String> publishers, UploadTransport wire, boolean seedsAcrossRegions) {
 
 	}
 
@@ -203,7 +204,7 @@
 		public Future<?> start() {
 			Setup common = WeightFleet.this.setup;
 			WeightSettings settings = new WeightSettings(this.identity, common.originRegion(), common.memoryMb(),
-					common.kbps(), common.publishers(), common.wire());
+					common.kbps(), common.publishers(), common.wire(), common.seedsAcrossRegions());
 			HttpOriginClient origin = HttpOriginClient.create(ByteFetcher.create(this.vertx, this.identity),
 					List.of(common.origin()));
 			this.node = WeightNode.start(this.vertx, settings, () -> WeightFleet.this.table, origin, common.clock(),
--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Replay in virtual time of how weights spread over limited links.
+ */
+package org.wigeontally.emulator.spreading;
--- a/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/spread/WeightNodeTests.java
@@ -76,7 +76,7 @@
 
 	private WeightFleet fleet(int kbps) {
 		return new WeightFleet(this.vertx,
-				new WeightFleet.Setup(Clock.system(), this.originAddress, "r0", 2, kbps, Map.of(), this.links));
+				new WeightFleet.Setup(Clock.system(), this.originAddress, "r0", 2, kbps, Map.of(), this.links, false));
 	}
 
 	@AfterMethod
