Three chunks at a time, each from another peer

Cause: a host fetched two chunks at a time, one while it had an assigned fetch, and both could come from the same peer, which divided its link among up to four uploads. So a host received 3.3 Mbit/s of 6.58 while other uplinks stood idle. Ruled out in the replay with these limits changed: busy pauses of 20 ms for 80, map updates each 10 ms for 50, more followed peers, calls without delay, no live traffic, hosts that learn of a version at once, and a number of fetches that follows from the link's rate and the duration of fetches.

Change: three fetches at a time, one per peer, and three uploads within the region.

--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadSimulation.java
@@ -20,8 +20,8 @@
  * <p>
  * A host learns of a version 50 to 350 ms after its announcement. A call takes 1 ms
  * within a region and 15 ms between regions, and up to 6 ms more on a busy machine. Live
- * requests take a tenth of each link into a host and a twentieth of each out of it. A
- * host that dies stays in the table for 1.5 s. Used by one thread.
+ * requests and reports take a tenth of each link into and out of a host. A host that dies
+ * stays in the table for 1.5 s. Used by one thread.
  */
 public final class SpreadSimulation {
 
@@ -43,7 +43,7 @@
 
 	private static final double LIVE_SHARE_IN = 0.1;
 
-	private static final double LIVE_SHARE_OUT = 0.05;
+	private static final double LIVE_SHARE_OUT = 0.1;
 
 	private static final double SUSPECT_MS = 1_500;
 
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -40,13 +40,15 @@
  */
 public final class ChunkScheduler {
 
-	/** More concurrent fetches fill the queue of this host's link and delay requests. */
-	private static final int MAX_PEER_FETCHES = 2;
+	/**
+	 * As many as a host uploads at once, see {@link UploadSlots}: with fewer, some hosts
+	 * are asked for several chunks while others are idle. More fill the queue of this
+	 * host's link and delay requests.
+	 */
+	private static final int MAX_PEER_FETCHES = 3;
 
 	private static final int MAX_FETCHES_PER_STRIPE = 1;
 
-	private static final int MAX_FETCHES_PER_PEER = 2;
-
 	private static final long BUSY_PAUSE_MS = 80;
 
 	/** Largest fraction by which a stall period is extended at random. */
@@ -75,7 +77,7 @@
 
 	private final BitSet seenOutsideRegion = new BitSet();
 
-	private final Map<String, PeerState> peers = new HashMap<>();
+	private final ChunkSources sources;
 
 	/** Time since which no known host of the region holds a chunk, by chunk. */
 	private final Map<Integer, Long> lostSinceMs = new HashMap<>();
@@ -96,6 +98,7 @@
 		this.chunkCount = chunkCount;
 		this.self = self;
 		this.random = random;
+		this.sources = new ChunkSources(self, random);
 		this.peerSelector = new PeerSelector(self, random);
 		for (int stripe = 0; stripe < this.stripes.length; stripe++) {
 			this.stripes[stripe] = new StripeState(nowMs, 1 + TAKEOVER_JITTER * random.nextDouble());
@@ -122,16 +125,7 @@
 	 */
 	public void updateHosts(Map<String, HostLocation> locations, FetchAssignment newAssignment, long nowMs) {
 		this.assignment = newAssignment;
-		for (String removed : List.copyOf(this.peers.keySet())) {
-			if (!locations.containsKey(removed)) {
-				recordLost(this.peers.remove(removed).chunks, nowMs);
-			}
-		}
-		for (HostLocation location : locations.values()) {
-			if (!location.host().equals(this.self.host())) {
-				this.peers.computeIfAbsent(location.host(), (host) -> new PeerState(location));
-			}
-		}
+		this.sources.updateHosts(locations).forEach((removed) -> recordLost(removed.chunks, nowMs));
 		for (int stripe = 0; stripe < this.stripes.length; stripe++) {
 			this.stripes[stripe].rank = newAssignment.rankedHosts(this.self.region(), stripe).indexOf(this.self.host());
 		}
@@ -164,11 +158,11 @@
 	 * @param nowMs current time
 	 */
 	public void addPeerChunks(String host, Iterable<Integer> chunks, long nowMs) {
-		PeerState peer = this.peers.get(host);
+		PeerState peer = this.sources.peer(host);
 		if (peer == null) {
 			return;
 		}
-		boolean inRegion = peer.location.region().equals(this.self.region());
+		boolean inRegion = this.sources.isInRegion(peer);
 		for (int chunk : chunks) {
 			if (chunk >= 0 && chunk < this.chunkCount) {
 				peer.chunks.set(chunk);
@@ -202,7 +196,7 @@
 	 * @param nowMs current time
 	 */
 	public void clearPeerChunks(String host, long nowMs) {
-		PeerState peer = this.peers.get(host);
+		PeerState peer = this.sources.peer(host);
 		if (peer != null) {
 			BitSet lost = (BitSet) peer.chunks.clone();
 			peer.chunks.clear();
@@ -267,7 +261,7 @@
 
 	private Fetch startFetch(Fetch fetch) {
 		this.inFlight.set(fetch.chunk());
-		PeerState peer = this.peers.get(fetch.source());
+		PeerState peer = this.sources.peer(fetch.source());
 		if (peer != null) {
 			peer.activeFetches++;
 		}
@@ -285,7 +279,7 @@
 			if (this.seenInRegion.get(chunk) || this.inFlight.get(chunk)) {
 				continue;
 			}
-			PeerState source = seedsFromOrigin ? null : chooseSource(chunk, false, nowMs);
+			PeerState source = seedsFromOrigin ? null : this.sources.choose(chunk, false, nowMs);
 			if (source != null) {
 				return new Fetch(chunk, source.location.host(), true);
 			}
@@ -310,7 +304,7 @@
 			if (FetchAssignment.stripe(chunk) != stripeIndex || !due || this.inFlight.get(chunk)) {
 				continue;
 			}
-			PeerState outside = chooseSource(chunk, false, nowMs);
+			PeerState outside = this.sources.choose(chunk, false, nowMs);
 			if (outside != null) {
 				return new Fetch(chunk, outside.location.host(), true);
 			}
@@ -323,21 +317,13 @@
 
 	private void recordLost(BitSet chunks, long nowMs) {
 		for (int chunk = chunks.nextSetBit(0); chunk >= 0; chunk = chunks.nextSetBit(chunk + 1)) {
-			if (this.seenInRegion.get(chunk) && !this.heldChunks.get(chunk) && !isHeldInRegion(chunk, nowMs)) {
+			if (this.seenInRegion.get(chunk) && !this.heldChunks.get(chunk)
+					&& !this.sources.isHeldInRegion(chunk, nowMs)) {
 				this.lostSinceMs.putIfAbsent(chunk, nowMs);
 			}
 		}
 	}
 
-	private boolean isHeldInRegion(int chunk, long nowMs) {
-		for (PeerState peer : this.peers.values()) {
-			if (isInRegion(peer) && peer.chunks.get(chunk) && peer.isReliable(nowMs)) {
-				return true;
-			}
-		}
-		return false;
-	}
-
 	// Returns whether this host fetches the stripe, and records a takeover that is due.
 	private boolean isResponsibleFor(StripeState stripe, long nowMs) {
 		if (this.heldInRegion && !stripe.isStalledFor(nowMs, 1 + stripe.takeoverPeriods())) {
@@ -350,62 +336,13 @@
 	}
 
 	private Fetch nextPeerFetch(long nowMs) {
-		BitSet candidates = new BitSet(this.chunkCount);
-		List<PeerState> usablePeers = new ArrayList<>();
-		for (PeerState peer : this.peers.values()) {
-			if (isInRegion(peer) && peer.activeFetches < MAX_FETCHES_PER_PEER && !peer.chunks.isEmpty()
-					&& peer.isUsable(nowMs)) {
-				usablePeers.add(peer);
-				candidates.or(peer.chunks);
-			}
-		}
-		candidates.andNot(this.heldChunks);
-		candidates.andNot(this.inFlight);
-		int chunk = rarestChunk(candidates, usablePeers);
+		BitSet excluded = (BitSet) this.heldChunks.clone();
+		excluded.or(this.inFlight);
+		int chunk = this.sources.rarestChunk(excluded, nowMs);
 		if (chunk < 0) {
 			return null;
 		}
-		return new Fetch(chunk, chooseSource(chunk, true, nowMs).location.host(), false);
-	}
-
-	private int rarestChunk(BitSet candidates, List<PeerState> usablePeers) {
-		int rarest = -1;
-		int fewestHolders = Integer.MAX_VALUE;
-		int ties = 0;
-		for (int chunk = candidates.nextSetBit(0); chunk >= 0; chunk = candidates.nextSetBit(chunk + 1)) {
-			int holders = 0;
-			for (PeerState peer : usablePeers) {
-				holders += peer.chunks.get(chunk) ? 1 : 0;
-			}
-			ties = (holders == fewestHolders) ? ties + 1 : 1;
-			if (holders < fewestHolders || holders == fewestHolders && this.random.nextInt(ties) == 0) {
-				rarest = chunk;
-				fewestHolders = holders;
-			}
-		}
-		return rarest;
-	}
-
-	private PeerState chooseSource(int chunk, boolean inRegion, long nowMs) {
-		PeerState best = null;
-		double lowestScore = Double.MAX_VALUE;
-		for (PeerState peer : this.peers.values()) {
-			if (isInRegion(peer) != inRegion || !peer.chunks.get(chunk) || peer.activeFetches >= MAX_FETCHES_PER_PEER
-					|| !peer.isUsable(nowMs)) {
-				continue;
-			}
-			double score = peer.activeFetches + this.random.nextDouble() / 2
-					+ (peer.location.zone().equals(this.self.zone()) ? 0 : MAX_FETCHES_PER_PEER);
-			if (score < lowestScore) {
-				best = peer;
-				lowestScore = score;
-			}
-		}
-		return best;
-	}
-
-	private boolean isInRegion(PeerState peer) {
-		return peer.location.region().equals(this.self.region());
+		return new Fetch(chunk, this.sources.choose(chunk, true, nowMs).location.host(), false);
 	}
 
 	/**
@@ -419,7 +356,7 @@
 		if (fetch.fromOrigin()) {
 			this.originBackoff.reset();
 		}
-		PeerState peer = this.peers.get(fetch.source());
+		PeerState peer = this.sources.peer(fetch.source());
 		if (peer != null) {
 			peer.retryBackoff.reset();
 			peer.consecutiveFailures = 0;
@@ -434,7 +371,7 @@
 	 */
 	public void fetchFailed(Fetch fetch, Fetch.Failure failure, long nowMs) {
 		endFetch(fetch);
-		PeerState peer = this.peers.get(fetch.source());
+		PeerState peer = this.sources.peer(fetch.source());
 		if (fetch.fromOrigin()) {
 			this.originBackoff.recordFailure(nowMs, this.random);
 		}
@@ -463,7 +400,7 @@
 
 	private void endFetch(Fetch fetch) {
 		this.inFlight.clear(fetch.chunk());
-		PeerState peer = this.peers.get(fetch.source());
+		PeerState peer = this.sources.peer(fetch.source());
 		if (peer != null && peer.activeFetches > 0) {
 			peer.activeFetches--;
 		}
@@ -482,7 +419,7 @@
 	 * @return false if the peer is unknown or backing off
 	 */
 	public boolean isUsable(String host, long nowMs) {
-		PeerState peer = this.peers.get(host);
+		PeerState peer = this.sources.peer(host);
 		return peer != null && peer.isUsable(nowMs);
 	}
 
--- a/library/src/main/java/org/wigeontally/weights/UploadSlots.java
+++ b/library/src/main/java/org/wigeontally/weights/UploadSlots.java
@@ -8,7 +8,11 @@
  */
 public final class UploadSlots {
 
-	private static final int MAX_REGION_UPLOADS = 4;
+	/**
+	 * As many as a host fetches at once from peers of its region. With more, one host
+	 * serves many receivers slowly while the links of others are idle.
+	 */
+	private static final int MAX_REGION_UPLOADS = 3;
 
 	private static final int MAX_CROSS_REGION_UPLOADS = 6;
 
