An older version is finished only if the newer one would be late for it

Cause: a version was finished if half of its chunks were held when the next one was announced. With 3 s between announcements and links that take about 4 s for a version, most hosts held more than half, finished it, and delayed the newer one, which alone meets both deadlines.

Change: VersionFetchPolicy extrapolates the duration of a version from the chunks held and compares how late the hosts would be for the two load deadlines if the older version is dropped or finished. A whole version is kept. The load deadline moves from SidecarDaemon to FleetView, and the log line `abandoned` tells what was decided from.

Changed test: VersionFetchPolicyTests passes the durations that the policy now takes; its assertions are the same, two are new.

--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -1,6 +1,7 @@
 package org.wigeontally.sidecar;
 
 import org.wigeontally.fleet.AnnouncedVersions;
+import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.schema.generated.AgentBriefing;
 import org.wigeontally.weights.PeerDiscovery;
 
@@ -10,6 +11,9 @@
  */
 final class FleetView {
 
+	/** Bound used while the briefing contains none. */
+	private static final long DEFAULT_VERSION_BOUND_MS = 8_000;
+
 	private AgentBriefing briefing = AgentBriefing.getDefaultInstance();
 
 	private final AnnouncedVersions announcedVersions = AnnouncedVersions.create();
@@ -100,6 +104,19 @@
 		return AnnouncedVersions.targetVersion(this.briefing.getVersion());
 	}
 
+	/**
+	 * Returns the time until engines with an older version than a given one may all load
+	 * at once.
+	 * @param version the version
+	 * @param nowMs current monotonic time
+	 * @return milliseconds; not positive if the time has passed
+	 */
+	long loadDeadlineInMs(long version, long nowMs) {
+		long boundMs = this.briefing.getVersionBoundMs();
+		VersionSchedule schedule = VersionSchedule.of((boundMs > 0) ? boundMs : DEFAULT_VERSION_BOUND_MS);
+		return this.announcedVersions.endOfUseMs(version - 1, schedule.loadDeadlineMs()) - nowMs;
+	}
+
 	/**
 	 * Returns the versions that this process has learned of, each with the time when it
 	 * did.
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -13,7 +13,6 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.ReportSchedule;
-import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.misc.Closer;
 import org.wigeontally.platform.wire.EngineClient;
@@ -65,9 +64,6 @@
 
 	private static final long DRAIN_NOTICE_MS = 300;
 
-	/** Bound used while the briefing contains none. */
-	private static final long DEFAULT_VERSION_BOUND_MS = 8_000;
-
 	/**
 	 * Time without an answer after which the engine is considered gone for good, as when
 	 * its replica was removed. A crashed engine is back sooner.
@@ -154,7 +150,8 @@
 		this.client = EngineClient.create(vertx);
 		this.ownAddress = Address.newBuilder().setIp(settings.getIp()).setPort(settings.getInternalPort()).build();
 		this.entryReporter = new EntryReporter(vertx, clock, log, this.view, this.ownAddress, settings.getRegion());
-		this.collector = new WeightCollector(vertx, clock, log, settings, this.ownAddress, this.view, this.client);
+		this.collector = new WeightCollector(vertx, clock, log, settings, this.ownAddress, this.view, this.client,
+				this::remainingServiceMs);
 		this.loader = new EngineLoader(vertx, clock, log, this.client, settings.getBackend());
 		this.store = StoreClient.create(vertx, settings.getStore());
 	}
@@ -453,13 +450,7 @@
 	// Returns the time until all engines with the loaded version may load at once; not
 	// positive if the engine serves no requests anyway.
 	private long remainingServiceMs() {
-		if (servableVersion() <= 0) {
-			return 0;
-		}
-		long boundMs = this.view.briefing().getVersionBoundMs();
-		VersionSchedule schedule = VersionSchedule.of((boundMs > 0) ? boundMs : DEFAULT_VERSION_BOUND_MS);
-		long deadlineMs = this.view.announcedVersions().endOfUseMs(loadedVersion(), schedule.loadDeadlineMs());
-		return deadlineMs - this.clock.monotonicMs();
+		return (servableVersion() > 0) ? this.view.loadDeadlineInMs(loadedVersion() + 1, this.clock.monotonicMs()) : 0;
 	}
 
 	// Returns whether the other agents' states are known as they are now, and asks for
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -79,6 +80,9 @@
 
 	private final Vertx vertx;
 
+	/** Time until the engine has to load another version; 0 if it serves no requests. */
+	private final LongSupplier remainingServiceMs;
+
 	// Null until the region of the origin is known, because that region determines which
 	// hosts fetch from the origin.
 	private WeightNode weightNode;
@@ -92,7 +96,8 @@
 	private long nextDigestRequestMs = Long.MIN_VALUE;
 
 	WeightCollector(Vertx vertx, Clock clock, EventLog log, HostSettings settings, Address ownAddress, FleetView view,
-			EngineClient engine) {
+			EngineClient engine, LongSupplier remainingServiceMs) {
+		this.remainingServiceMs = remainingServiceMs;
 		this.clock = clock;
 		this.log = log;
 		this.settings = settings;
@@ -270,7 +275,7 @@
 		if (version != this.view.targetVersion()) {
 			return;
 		}
-		abandonIncompleteVersions();
+		abandonIncompleteVersions(version);
 		VersionDownload download = VersionDownload.create(version, this.view.model(), chunkDigests,
 				this.view.briefing().getChunkBytes(), this.clock.monotonicMs());
 		this.downloads.put(version, download);
@@ -289,16 +294,19 @@
 		});
 	}
 
-	// A version of which most chunks are held is finished, because its deadline is
-	// earlier than that of the newer one, which the origin may be unable to provide for
-	// some time.
-	private void abandonIncompleteVersions() {
+	private void abandonIncompleteVersions(long newer) {
+		long nowMs = this.clock.monotonicMs();
+		long remainingMs = this.remainingServiceMs.getAsLong();
+		long newerRemainingMs = this.view.loadDeadlineInMs(newer, nowMs);
 		this.downloads.values().removeIf((older) -> {
-			boolean abandon = !VersionFetchPolicy.shouldFinish(verifiedChunkCount(older.version()), older.chunkCount());
+			boolean abandon = older.verifiedWeights().isEmpty()
+					&& !VersionFetchPolicy.shouldFinish(verifiedChunkCount(older.version()), older.chunkCount(),
+							older.ageMs(nowMs), remainingMs, newerRemainingMs);
 			if (abandon) {
 				this.weightNode.dropVersion(this.view.model(), Long.toString(older.version()));
 				this.log.write(LogEvent.WEIGHTS, "phase", "abandoned", "version", older.version(), "held",
-						verifiedChunkCount(older.version()));
+						verifiedChunkCount(older.version()), "pieces", older.chunkCount(), "fetched-for-ms",
+						older.ageMs(nowMs), "remaining-ms", remainingMs, "newer-remaining-ms", newerRemainingMs);
 			}
 			return abandon;
 		});
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/WeightSpreadMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/WeightSpreadMeasurement.java
@@ -38,6 +38,8 @@
 		double median = 0;
 		double last = 0;
 		double older = 0;
+		double olderInTime = 0;
+		double newestInTime = 0;
 		double origin = 0;
 		double border = 0;
 		double live = 0;
@@ -47,6 +49,8 @@
 			median += result.medianMs() / setting.leastMs() / this.seeds;
 			last = Math.max(last, result.lastMs() / setting.leastMs());
 			older += (double) result.olderMs().size() / setting.hosts() / this.seeds;
+			olderInTime += result.olderInTime() / this.seeds;
+			newestInTime += result.newestInTime() / this.seeds;
 			origin = Math.max(origin, result.originCopies());
 			border = Math.max(border, result.borderCopies());
 			live = Math.max(live, result.liveDelayMs());
@@ -55,6 +59,8 @@
 		figures.put(name + " medianRatio", median)
 			.put(name + " lastRatio", last)
 			.put(name + " olderWhole", older)
+			.put(name + " olderInTime", olderInTime)
+			.put(name + " newestInTime", newestInTime)
 			.put(name + " originCopies", origin)
 			.put(name + " borderCopies", border)
 			.put(name + " liveDelayMs", live)
--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadHost.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadHost.java
@@ -43,7 +43,8 @@
 
 	void learn(int version) {
 		for (SpreadReplica older : this.replicas.values()) {
-			if (!older.isWhole() && !VersionFetchPolicy.shouldFinish(older.heldCount(), chunks())) {
+			if (!older.isWhole() && !VersionFetchPolicy.shouldFinish(older.heldCount(), chunks(),
+					(long) (nowMs() - older.startedMs()), remainingMs(version - 1), remainingMs(version))) {
 				older.close();
 			}
 		}
@@ -63,6 +64,10 @@
 		replica.start();
 	}
 
+	private long remainingMs(int version) {
+		return (long) (this.simulation.loadDeadlineMs(version) - nowMs());
+	}
+
 	SpreadReplica replica(int version) {
 		SpreadReplica replica = this.replicas.get(version);
 		return (replica == null || replica.isClosed()) ? null : replica;
--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
@@ -45,6 +45,8 @@
 
 	private final Map<String, Double> nextFollowMs = new HashMap<>();
 
+	private final double startedMs;
+
 	private boolean flushScheduled;
 
 	private boolean closed;
@@ -59,6 +61,7 @@
 		this.owner = owner;
 		this.simulation = owner.simulation;
 		this.version = version;
+		this.startedMs = nowMs();
 		this.scheduler = ChunkScheduler.create(owner.chunks(), owner.location,
 				new Random(this.simulation.random.nextLong()), (long) nowMs());
 	}
@@ -186,6 +189,10 @@
 		return Double.isFinite(this.wholeMs);
 	}
 
+	double startedMs() {
+		return this.startedMs;
+	}
+
 	double wholeMs() {
 		return this.wholeMs;
 	}
--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadSimulation.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 
 import org.wigeontally.emulator.traffic.VirtualTime;
+import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.weights.FetchAssignment;
 import org.wigeontally.weights.HostLocation;
 
@@ -114,8 +115,9 @@
 		List<SpreadHost> surviving = first.stream().filter((host) -> isAlive(host.location)).toList();
 		long border = Collections.max(this.borderBytes.values());
 		double versionBytes = (double) this.setting.chunks() * this.setting.chunkBytes();
-		return new SpreadResult(wholeTimes(surviving, newest()), wholeTimes(surviving, 0),
-				this.originBytes[newest()] / versionBytes, border / versionBytes, this.network.liveDelayMs());
+		return new SpreadResult(wholeTimes(surviving, newest()), wholeTimes(surviving, 0), shareInTime(surviving, 0),
+				shareInTime(surviving, newest()), this.originBytes[newest()] / versionBytes, border / versionBytes,
+				this.network.liveDelayMs());
 	}
 
 	private List<Double> wholeTimes(Collection<SpreadHost> surviving, int version) {
@@ -130,6 +132,17 @@
 		return (double) version * this.setting.gapMs();
 	}
 
+	// Returns when engines may load the version or a newer one at once.
+	double loadDeadlineMs(int version) {
+		return announcedMs(version) + VersionSchedule.of(this.setting.boundMs()).loadDeadlineMs();
+	}
+
+	private double shareInTime(Collection<SpreadHost> surviving, int version) {
+		return (double) surviving.stream()
+			.filter((host) -> Math.min(host.wholeMs(version), host.wholeMs(newest())) <= loadDeadlineMs(version))
+			.count() / surviving.size();
+	}
+
 	private int newest() {
 		return (this.setting.gapMs() > 0) ? 1 : 0;
 	}
--- a/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
@@ -4,17 +4,25 @@
  * Decides whether an incomplete version is still fetched after a newer one was announced.
  *
  * <p>
- * Versions are announced some seconds apart, and each has a deadline after which no
- * request may run on an older one. Two versions that are fetched at once share the hosts'
- * links, and both arrive after their deadlines. So a version of which few chunks are held
- * is dropped, and one that is nearly complete is finished before the newer one is
- * started. The wait is short because a version may also get stuck: its origin sends only
- * the two newest versions.
+ * Load pattern: versions are announced some seconds apart, on links that take some
+ * seconds for each. Each version has a deadline, after which engines are of no use until
+ * they have loaded it or a newer one. So the older version is dropped if the newer one
+ * can be complete before the deadline of the older one; its chunks would only delay the
+ * newer one. Otherwise it is finished first, unless that makes the newer one later than
+ * the older one would have been. The time that a version takes is extrapolated from the
+ * chunks that are held of the older one.
+ *
+ * <p>
+ * The newer version waits only for a short time, because the older one may also get
+ * stuck: its origin sends only the two newest versions.
  */
 public final class VersionFetchPolicy {
 
-	/** Fraction of the chunks that must be held for a version to be finished first. */
-	private static final double MIN_FINISH_FRACTION = 0.5;
+	/**
+	 * Time until the links of all hosts are in use, in which the origin sends the first
+	 * chunk of each stripe. It is not extrapolated.
+	 */
+	private static final long START_MS = 600;
 
 	/**
 	 * Longest wait of the newer version. It is shorter than the time after which other
@@ -28,11 +36,24 @@
 	/**
 	 * Returns whether a version is finished although a newer one was announced.
 	 * @param heldChunks number of chunks that are held
-	 * @param totalChunks number of chunks of the version
+	 * @param totalChunks number of chunks of each version
+	 * @param fetchingMs time since the fetch of the version started
+	 * @param remainingMs time until the version or a newer one has to be loaded
+	 * @param newerRemainingMs time until the newer version has to be loaded
 	 * @return false if the version is dropped
 	 */
-	public static boolean shouldFinish(int heldChunks, int totalChunks) {
-		return heldChunks >= totalChunks * MIN_FINISH_FRACTION;
+	public static boolean shouldFinish(int heldChunks, int totalChunks, long fetchingMs, long remainingMs,
+			long newerRemainingMs) {
+		if (heldChunks <= 0 || heldChunks >= totalChunks) {
+			return heldChunks > 0;
+		}
+		double startMs = Math.min(START_MS, fetchingMs);
+		double versionMs = startMs + (fetchingMs - startMs) * totalChunks / heldChunks;
+		double finishMs = versionMs - fetchingMs;
+		double lateIfDropped = Math.max(0, versionMs - remainingMs);
+		double lateIfFinished = Math.max(0, finishMs - remainingMs)
+				+ Math.max(0, finishMs + versionMs - newerRemainingMs);
+		return lateIfFinished < lateIfDropped;
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/weights/VersionFetchPolicyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/VersionFetchPolicyTests.java
@@ -40,6 +40,24 @@
 		assertThat(completionTimesMs[1]).isEqualTo(2_000 + FETCH_MS);
 	}
 
+	/**
+	 * A version takes 4.3 s, two are announced 3 s apart, and each has to be loaded 8.2 s
+	 * after its announcement. The newer one, fetched alone, is complete in time for both,
+	 * and engines load once. Guards against finishing a version of which most chunks are
+	 * held: both were then complete at their deadlines and loaded by all engines at once.
+	 */
+	@Test
+	public void dropsAnOlderVersionWhoseDeadlineTheNewerMeets() {
+		assertThat(VersionFetchPolicy.shouldFinish(65, CHUNKS, 3_000, 5_200, 8_200)).isFalse();
+		assertThat(VersionFetchPolicy.shouldFinish(CHUNKS, CHUNKS, 3_000, 5_200, 8_200)).isTrue();
+	}
+
+	/** As above, but the newer one would arrive a second after the older deadline. */
+	@Test
+	public void finishesAnOlderVersionWhoseDeadlineTheNewerMisses() {
+		assertThat(VersionFetchPolicy.shouldFinish(65, CHUNKS, 3_000, 3_200, 6_500)).isTrue();
+	}
+
 	// Returns when the older and the newer version are complete. Versions that are
 	// fetched at the same time share the link evenly.
 	private static long[] completionTimesMs(long gapMs) {
@@ -50,7 +68,8 @@
 		long[] completedMs = { Long.MAX_VALUE, Long.MAX_VALUE };
 		for (long nowMs = 1; newerChunks < CHUNKS; nowMs++) {
 			if (nowMs == gapMs) {
-				dropped = !VersionFetchPolicy.shouldFinish((int) olderChunks, CHUNKS);
+				dropped = !VersionFetchPolicy.shouldFinish((int) olderChunks, CHUNKS, gapMs, DEADLINE_MS - gapMs,
+						DEADLINE_MS);
 			}
 			boolean olderInProgress = !dropped && olderChunks < CHUNKS;
 			boolean newerInProgress = nowMs >= gapMs
