The work of own requests at an engine is known

Cause: an entry knows how many requests an engine has, but not which of its own prompts are unread there and how much of its answers is left.

Change: EngineBacklog holds the own requests of each engine: the prompt until the first event, then the tokens that are expected to remain. Others are counted from the report. X-Length-Hint and the second figure of X-Token-Usage are read; what is no whole number counts as missing. Only requests of services with isScheduled() are recorded, others are placed as before.

--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -12,6 +12,7 @@
 import org.wigeontally.limits.PermitIssuer;
 import org.wigeontally.limits.PermitQueue;
 import org.wigeontally.placement.BackendLoad;
+import org.wigeontally.placement.EngineBacklog;
 
 /**
  * A registered backend server with the load, health and connections that this entry
@@ -21,6 +22,8 @@
 
 	private final BackendLoad load = BackendLoad.create();
 
+	private final EngineBacklog backlog = EngineBacklog.create();
+
 	private final BackendHealth health = BackendHealth.create();
 
 	private final BackendConnectionPool pool;
@@ -76,6 +79,10 @@
 		return this.load;
 	}
 
+	EngineBacklog backlog() {
+		return this.backlog;
+	}
+
 	BackendHealth health() {
 		return this.health;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -40,9 +40,6 @@
 	/** Fraction of the keep-alive time that applies to all other requests. */
 	private static final double MAX_IDLE_FRACTION = 0.95;
 
-	/** Load age that is logged if the load was never reported. */
-	private static final long MAX_LOGGED_AGE_MS = 999_999;
-
 	/**
 	 * Events after which an answer has begun without a crash. A backend server that
 	 * crashes as it begins may still send the first one.
@@ -70,6 +67,8 @@
 
 	private final VersionRequirement version;
 
+	private final AttemptWork work;
+
 	private final AttemptListener listener;
 
 	private final MemoryBudget.Holder memory;
@@ -116,6 +115,7 @@
 		this.permit = permit;
 		this.enginePriority = placed.enginePriority();
 		this.version = placed.version();
+		this.work = new AttemptWork(context, request, placed);
 		this.listener = listener;
 		this.memory = context.memory().open(() -> listener.guard(() -> abandon("no memory left for the response")));
 		this.startMs = context.nowMs();
@@ -123,7 +123,7 @@
 	}
 
 	void start() {
-		this.backend.load().recordSent();
+		this.work.begin();
 		this.backend.warmupLimiter().reserve();
 		double idleFraction = (this.request.route().kind() == RequestKind.AT_MOST_ONCE) ? AT_MOST_ONCE_IDLE_FRACTION
 				: MAX_IDLE_FRACTION;
@@ -298,7 +298,7 @@
 		this.context.harmfulParts().trialStarted(this.triedParts);
 		String lastEventId = this.listener.lastEventId();
 		long remainingMs = this.listener.remainingMs();
-		logSend(nowMs, remainingMs, lastEventId);
+		this.work.sent(remainingMs, lastEventId, this.listener.hasForwardedEvents());
 		BackendRequest backendRequest = this.request.toBackendRequest(backendId(), remainingMs, this.enginePriority,
 				this.version.requiredVersion(nowMs), lastEventId);
 		backendConnection.send(backendRequest, this, () -> this.backend.pool().release(backendConnection));
@@ -328,21 +328,6 @@
 		return this.backend.limit().isNamed() && (this.permit == null || !this.permit.holds(this.context.clock()));
 	}
 
-	private void logSend(long nowMs, long remainingMs, String lastEventId) {
-		if (this.listener.hasForwardedEvents()) {
-			this.context.log()
-				.write(LogEvent.STREAM_RESUMED, "id", this.request.attemptId(), "backend", backendId(), "last-event",
-						lastEventId);
-		}
-		this.context.log()
-			.write(LogEvent.REQUEST_PLACED, "id", this.request.attemptId(), "backend", backendId(), "zone",
-					this.backend.record().zone(), "load",
-					this.backend.load().estimatedRequests(nowMs, this.context.fleet().entryCount()), "load-age-ms",
-					Math.min(this.backend.load().reportAgeMs(nowMs), MAX_LOGGED_AGE_MS), "limit",
-					this.backend.limit().perSecond(), "rank", this.enginePriority, "left-ms", remainingMs,
-					"configuration", this.context.fleet().configuration().version());
-	}
-
 	private void checkProgress() {
 		if (this.ended) {
 			return;
@@ -402,7 +387,7 @@
 	private void markEnded() {
 		this.ended = true;
 		this.memory.close();
-		this.backend.load().recordEnd();
+		this.work.end();
 		if (this.sent) {
 			this.backend.attemptEnded(this);
 		}
@@ -449,6 +434,7 @@
 				abandon("events do not follow those before");
 				return;
 			}
+			this.work.eventsReceived(this.reader.takenEvents(), this.lastReceivedMs);
 			if (this.reader.takenEvents() >= MIN_SOUND_EVENTS) {
 				recordAnswerBegun();
 			}
@@ -508,6 +494,7 @@
 			this.context.tellOtherEntries();
 		}
 		if (this.reader.isEventStream()) {
+			this.work.completed();
 			this.listener.streamEnded(this, this.reader);
 		}
 		else {
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import io.vertx.core.MultiMap;
@@ -36,6 +37,8 @@
 			WireNames.EXPECTED_VERSION.toLowerCase(Locale.ROOT), WireNames.ENGINE_PRIORITY.toLowerCase(Locale.ROOT),
 			WireNames.ENGINE_PATH.toLowerCase(Locale.ROOT), WireNames.LAST_EVENT_ID.toLowerCase(Locale.ROOT));
 
+	private static final Pattern WHOLE_NUMBER = Pattern.compile("\\d{1,9}");
+
 	private final HttpServerRequest http;
 
 	private final Route route;
@@ -123,6 +126,28 @@
 		}
 	}
 
+	/**
+	 * Returns the caller's estimate of the answer's length.
+	 * @return number of tokens; 0 if there is no usable one
+	 */
+	long lengthHint() {
+		return wholeNumber(this.http.getHeader(WireNames.LENGTH_HINT), 0);
+	}
+
+	/**
+	 * Returns how long the answer may be.
+	 * @return number of tokens; 0 if unknown
+	 */
+	long maxAnswerTokens() {
+		return wholeNumber(this.http.getHeader(WireNames.TOKENS), 1);
+	}
+
+	private static long wholeNumber(String value, int index) {
+		String[] figures = (value != null) ? value.split(",", index + 2) : new String[0];
+		String figure = (index < figures.length) ? figures[index].strip() : "";
+		return WHOLE_NUMBER.matcher(figure).matches() ? Long.parseLong(figure) : 0;
+	}
+
 	String lastEventId() {
 		return this.http.getHeader(WireNames.LAST_EVENT_ID);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -21,6 +21,7 @@
 import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.RejectedRequests;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.placement.AnswerLengthEstimator;
 import org.wigeontally.placement.EnginePlacement;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.LeastLoadedPlacement;
@@ -67,6 +68,8 @@
 
 	private final LeastLoadedPlacement plainPlacement = LeastLoadedPlacement.create(this.random);
 
+	private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
+
 	private final Map<EngineProfile, EnginePlacement> enginePlacements = new HashMap<>();
 
 	private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
@@ -172,6 +175,10 @@
 		return this.random;
 	}
 
+	AnswerLengthEstimator answerLengths() {
+		return this.answerLengths;
+	}
+
 	LeastLoadedPlacement plainPlacement() {
 		return this.plainPlacement;
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/Placement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Placement.java
@@ -1,7 +1,10 @@
 package org.wigeontally.gateway;
 
+import java.util.Optional;
 import java.util.function.DoubleUnaryOperator;
 
+import org.wigeontally.placement.ExpectedWork;
+
 /**
  * Where a request is sent, or why it is not sent anywhere now. Immutable.
  */
@@ -13,8 +16,10 @@
 	 * @param backend the backend server
 	 * @param enginePriority scheduling priority at the engine; negative for none
 	 * @param version version of the weights that may run it
+	 * @param work expected work; empty if the service is not placed by work
 	 */
-	record Placed(Backend backend, int enginePriority, VersionRequirement version) implements Placement {
+	record Placed(Backend backend, int enginePriority, VersionRequirement version,
+			Optional<ExpectedWork> work) implements Placement {
 
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -9,9 +9,11 @@
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.SilencePolicy;
+import org.wigeontally.placement.AnswerLength;
 import org.wigeontally.placement.BackendCandidate;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.EngineRequest;
+import org.wigeontally.placement.ExpectedWork;
 import org.wigeontally.placement.PlacementDecision;
 import org.wigeontally.placement.ServiceTraits;
 
@@ -94,11 +96,15 @@
 			.toList();
 		if (service.engine().isEmpty()) {
 			String id = this.context.plainPlacement().chooseBackend(placementCandidates);
-			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE);
+			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE, Optional.empty());
 		}
 		EngineProfile profile = service.engine().get();
-		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()),
-				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), 0);
+		int promptTokens = request.promptTokens(profile.meanPromptTokens());
+		Optional<AnswerLength> answer = traits.isScheduled() ? Optional.of(estimateAnswer(request, profile))
+				: Optional.empty();
+		EngineRequest engineRequest = new EngineRequest(promptTokens,
+				answer.map(AnswerLength::expectedTokens).orElse((double) profile.meanAnswerTokens()), targetLeftMs,
+				deadlineLeftMs, request.priority(), 0);
 		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
 			logRejection(request, engineRequest, rejection, candidates.size());
@@ -107,7 +113,14 @@
 		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
 		Backend chosen = findById(candidates, placement.id());
 		return new Placement.Placed(chosen, placement.enginePriority(),
-				VersionRequirement.of(this.selector, profile, chosen));
+				VersionRequirement.of(this.selector, profile, chosen),
+				answer.map((length) -> new ExpectedWork(profile, promptTokens, length, placement.firstEventMs())));
+	}
+
+	private AnswerLength estimateAnswer(CallerRequest request, EngineProfile profile) {
+		return this.context.answerLengths()
+			.estimate(request.route().name(), request.organisationName(), request.lengthHint(),
+					request.maxAnswerTokens(), profile.meanAnswerTokens());
 	}
 
 	private void logRejection(CallerRequest request, EngineRequest engineRequest, PlacementDecision.Reject rejection,
--- a/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
@@ -8,7 +8,30 @@
  * @param load estimated number of requests at the backend server
  * @param slowdownFactor 1 at normal speed, more if the backend server is slower
  * @param failureRate rate of recent requests that failed there, from 0 to 1
+ * @param work what is known of the work of these requests
  */
-public record BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate) {
+public record BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate,
+		EngineWork work) {
+
+	/**
+	 * Creates a candidate of whose load only the number of requests is known.
+	 * @param id id of the backend server
+	 * @param distance 0 in the entry's availability zone, 1 in its region, 2 elsewhere
+	 * @param load estimated number of requests at the backend server
+	 * @param slowdownFactor 1 at normal speed, more if the backend server is slower
+	 * @param failureRate rate of recent requests that failed there, from 0 to 1
+	 */
+	public BackendCandidate(String id, int distance, int load, double slowdownFactor, double failureRate) {
+		this(id, distance, load, slowdownFactor, failureRate, EngineWork.UNKNOWN);
+	}
+
+	/**
+	 * Returns this candidate with what is known of its work.
+	 * @param known the work
+	 * @return the candidate
+	 */
+	public BackendCandidate withWork(EngineWork known) {
+		return new BackendCandidate(this.id, this.distance, this.load, this.slowdownFactor, this.failureRate, known);
+	}
 
 }
