--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.fleet.ConfigurationLag;
 import org.wigeontally.fleet.DrainSchedule;
+import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.InitialTimeout;
 import org.wigeontally.fleet.RetryBudgetShare;
 import org.wigeontally.harmful.HarmfulPartTracker;
@@ -20,9 +21,13 @@
 import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.RejectedRequests;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.placement.AnswerLengthEstimator;
 import org.wigeontally.placement.EnginePlacement;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.LeastLoadedPlacement;
+import org.wigeontally.placement.PlacementStrategy;
+import org.wigeontally.placement.ServiceTraits;
+import org.wigeontally.placement.WorkAwarePlacement;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
@@ -61,12 +66,18 @@
 
 	private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
 
+	private final LoadHeader loadHeader;
+
 	private final LeastLoadedPlacement plainPlacement = LeastLoadedPlacement.create(this.random);
 
+	private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
+
 	private final Map<EngineProfile, EnginePlacement> enginePlacements = new HashMap<>();
 
 	private final RankReservations rankReservations = new RankReservations(this);
 
+	private final Map<ScheduledEngines, WorkAwarePlacement> scheduledPlacements = new HashMap<>();
+
 	private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
 
 	private final Map<String, RejectedRequests> rejectedByLimits = new HashMap<>();
@@ -88,6 +99,7 @@
 		this.clock = clock;
 		this.settings = settings;
 		this.log = log;
+		this.loadHeader = new LoadHeader(log);
 		this.fleet = fleet;
 		this.limits = new BackendLimits(fleet, clock, log);
 		this.metrics = metrics;
@@ -148,15 +160,46 @@
 		return this.crashDetector;
 	}
 
+	LoadHeader loadHeader() {
+		return this.loadHeader;
+	}
+
+	/**
+	 * Returns what decides how requests of a service are placed.
+	 * @param service name of the service
+	 * @return its traits by the configuration in force and by what its backend servers
+	 * told lately
+	 */
+	ServiceTraits traits(String service) {
+		FleetConfiguration configuration = this.fleet.configuration();
+		boolean ranked = configuration != null && configuration.isRanked(service);
+		boolean variableSpeed = this.loadHeader.speedReports().isVariable(service, nowMs());
+		return (ranked || variableSpeed) ? new ServiceTraits(ranked, variableSpeed) : ServiceTraits.UNIFORM;
+	}
+
 	RandomGenerator random() {
 		return this.random;
 	}
 
+	AnswerLengthEstimator answerLengths() {
+		return this.answerLengths;
+	}
+
 	LeastLoadedPlacement plainPlacement() {
 		return this.plainPlacement;
 	}
 
-	EnginePlacement enginePlacement(EngineProfile engine) {
+	/**
+	 * Returns the placement for the engines of a service.
+	 * @param engine performance profile of its engines
+	 * @param traits traits of the service
+	 * @return placement by work if the traits ask for it, or else by load
+	 */
+	PlacementStrategy enginePlacement(EngineProfile engine, ServiceTraits traits) {
+		if (traits.isScheduled()) {
+			return this.scheduledPlacements.computeIfAbsent(new ScheduledEngines(engine, traits.ranked()),
+					(key) -> WorkAwarePlacement.of(key.engine(), key.ranked(), this.random));
+		}
 		return this.enginePlacements.computeIfAbsent(engine, (key) -> EnginePlacement.of(key, this.random));
 	}
 
@@ -268,4 +311,8 @@
 		return this.configurationLag.isOutdated(nowMs());
 	}
 
+	private record ScheduledEngines(EngineProfile engine, boolean ranked) {
+
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -1,5 +1,6 @@
 package org.wigeontally.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,10 +10,13 @@
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.fleet.Service;
 import org.wigeontally.fleet.SilencePolicy;
+import org.wigeontally.placement.AnswerLength;
 import org.wigeontally.placement.BackendCandidate;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.EngineRequest;
+import org.wigeontally.placement.ExpectedWork;
 import org.wigeontally.placement.PlacementDecision;
+import org.wigeontally.placement.ServiceTraits;
 
 /**
  * Chooses the backend server for each sending of a request, and the time to return for
@@ -91,18 +95,25 @@
 
 	private Placement choose(CallerRequest request, Service service, List<Backend> candidates, long targetLeftMs,
 			long deadlineLeftMs, long nowMs) {
+		ServiceTraits traits = this.context.traits(service.name());
 		List<BackendCandidate> placementCandidates = candidates.stream()
-			.map((backend) -> this.selector.toPlacementCandidate(request, backend, nowMs))
+			.map((backend) -> this.selector.toPlacementCandidate(request, backend, traits, nowMs))
 			.toList();
 		if (service.engine().isEmpty()) {
 			String id = this.context.plainPlacement().chooseBackend(placementCandidates);
-			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE);
+			return new Placement.Placed(findById(candidates, id), -1, VersionRequirement.NONE, Optional.empty());
 		}
 		EngineProfile profile = service.engine().get();
 		int reservedSlots = this.context.rankReservations().reservedSlots(request, profile, placementCandidates);
-		EngineRequest engineRequest = new EngineRequest(request.promptTokens(profile.meanPromptTokens()),
-				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), reservedSlots);
-		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
+		int promptTokens = request.promptTokens(profile.meanPromptTokens());
+		Optional<AnswerLength> answer = traits.isScheduled() ? Optional.of(estimateAnswer(request, profile))
+				: Optional.empty();
+		EngineRequest engineRequest = new EngineRequest(promptTokens,
+				answer.map(AnswerLength::expectedTokens).orElse((double) profile.meanAnswerTokens()), targetLeftMs,
+				deadlineLeftMs, request.priority(), reservedSlots);
+		PlacementDecision decision = this.context.enginePlacement(profile, traits)
+			.decide(engineRequest,
+					traits.isScheduled() ? withWork(placementCandidates, candidates, nowMs) : placementCandidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
 			logRejection(request, engineRequest, rejection, candidates.size());
 			return notPlaced("engines-full", rejection.retryAfterMs());
@@ -110,7 +121,25 @@
 		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
 		Backend chosen = findById(candidates, placement.id());
 		return new Placement.Placed(chosen, placement.enginePriority(),
-				VersionRequirement.of(this.selector, profile, chosen));
+				VersionRequirement.of(this.selector, profile, chosen),
+				answer.map((length) -> new ExpectedWork(profile, promptTokens, length, placement.firstEventMs())));
+	}
+
+	private List<BackendCandidate> withWork(List<BackendCandidate> placementCandidates, List<Backend> backends,
+			long nowMs) {
+		List<BackendCandidate> known = new ArrayList<>();
+		for (int i = 0; i < backends.size(); i++) {
+			Backend backend = backends.get(i);
+			known.add(placementCandidates.get(i)
+				.withWork(backend.backlog().work(this.context.answerLengths(), backend.load().reportAgeMs(nowMs))));
+		}
+		return known;
+	}
+
+	private AnswerLength estimateAnswer(CallerRequest request, EngineProfile profile) {
+		return this.context.answerLengths()
+			.estimate(request.route().name(), request.organisationName(), request.lengthHint(),
+					request.maxAnswerTokens(), profile.meanAnswerTokens());
 	}
 
 	private void logRejection(CallerRequest request, EngineRequest engineRequest, PlacementDecision.Reject rejection,
