Idle hosts take over stalled stripes early, and the origin is tried when it answers

Change: a host without an assigned fetch takes over a stripe that its region gets from the origin after 1.5 progress intervals, 0.4 s at least, in the order of the ranks. An answer of the origin to the request for digests ends the pause between fetches, up to a second, for the other versions too.

--- a/daemons/src/main/java/org/wigeontally/spread/VersionReplica.java
+++ b/daemons/src/main/java/org/wigeontally/spread/VersionReplica.java
@@ -338,6 +338,13 @@
 			.build();
 	}
 
+	void originAnswered() {
+		if (this.scheduler != null) {
+			this.scheduler.originAnswered();
+			startFetches();
+		}
+	}
+
 	void close() {
 		this.closed = true;
 		this.manifestFetcher.close();
--- a/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
+++ b/daemons/src/main/java/org/wigeontally/spread/WeightNode.java
@@ -147,6 +147,14 @@
 				(replica) -> !replica.model().getName().equals(model) || !replica.model().getVersion().equals(version));
 	}
 
+	/**
+	 * Ends the pauses between fetches from the origin, because it has just answered.
+	 */
+	public void originAnswered() {
+		this.resources.controlContext()
+			.runOnContext((v) -> this.replicas.values().forEach(VersionReplica::originAnswered));
+	}
+
 	/**
 	 * Adds a chunk that is already on this host, such as one that the engine has staged.
 	 * @param digest expected hexadecimal digest of the chunk
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -33,6 +33,12 @@
  * to the origin.
  *
  * <p>
+ * Help: a version may become unavailable at the origin at any time, and one missing chunk
+ * keeps it from all engines. So a host that has brought the chunks of its own stripes
+ * into the region does not wait for a takeover: in the order of the ranks such hosts
+ * fetch from the origin the chunks of a stripe without progress.
+ *
+ * <p>
  * Invariants: a chunk is fetched at most once at a time per host; a host has at most one
  * assigned fetch per stripe; a source that is backing off or does not hold the chunk is
  * never chosen. Peers are not trusted: {@link ChunkStore} verifies all bytes. Not
@@ -270,10 +276,11 @@
 
 	private Fetch nextAssignedFetch(int stripeIndex, long nowMs) {
 		StripeState stripe = this.stripes[stripeIndex];
-		if (stripe.rank < 0 || stripe.activeFetches >= MAX_FETCHES_PER_STRIPE || !isResponsibleFor(stripe, nowMs)) {
+		boolean seedsFromOrigin = this.self.region().equals(this.assignment.seedRegion(stripeIndex));
+		if (stripe.rank < 0 || stripe.activeFetches >= MAX_FETCHES_PER_STRIPE
+				|| !isResponsibleFor(stripe, seedsFromOrigin, nowMs)) {
 			return null;
 		}
-		boolean seedsFromOrigin = this.self.region().equals(this.assignment.seedRegion(stripeIndex));
 		boolean originFallback = stripe.isStalledFor(nowMs, stripe.takeoverPeriods() + ORIGIN_FALLBACK_PERIODS);
 		for (int chunk = stripeIndex; chunk < this.chunkCount; chunk += FetchAssignment.STRIPES) {
 			if (this.seenInRegion.get(chunk) || this.inFlight.get(chunk)) {
@@ -290,6 +297,15 @@
 		return null;
 	}
 
+	private boolean hasAssignedFetch() {
+		for (StripeState stripe : this.stripes) {
+			if (stripe.activeFetches > 0) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	// Fetches a chunk that was seen in the region but whose holders there left, failed or
 	// are backed off.
 	private Fetch nextLostChunkFetch(int stripeIndex, long nowMs) {
@@ -325,12 +341,13 @@
 	}
 
 	// Returns whether this host fetches the stripe, and records a takeover that is due.
-	private boolean isResponsibleFor(StripeState stripe, long nowMs) {
+	private boolean isResponsibleFor(StripeState stripe, boolean fromOrigin, long nowMs) {
 		if (this.heldInRegion && !stripe.isStalledFor(nowMs, 1 + stripe.takeoverPeriods())) {
 			return false;
 		}
 		if (stripe.rank > 0 && !stripe.takenOver) {
-			stripe.takenOver = stripe.isStalledFor(nowMs, stripe.takeoverPeriods());
+			stripe.takenOver = stripe.isStalledFor(nowMs, stripe.takeoverPeriods())
+					|| (fromOrigin && stripe.isStalledForIdleHost(nowMs) && !hasAssignedFetch());
 		}
 		return stripe.rank == 0 || stripe.takenOver;
 	}
@@ -412,6 +429,11 @@
 		}
 	}
 
+	/** Allows the next fetch from the origin at once, because it is known to answer. */
+	public void originAnswered() {
+		this.originBackoff.reset();
+	}
+
 	/**
 	 * Returns whether a fetch from a peer may start now.
 	 * @param host name of the peer
--- a/library/src/main/java/org/wigeontally/weights/StripeState.java
+++ b/library/src/main/java/org/wigeontally/weights/StripeState.java
@@ -10,6 +10,15 @@
 	/** Shortest stall period, and the cap of a progress interval in the average. */
 	static final long MIN_STALL_PERIOD_MS = 1200;
 
+	/**
+	 * Shortest time without progress after which other hosts help: that of one chunk
+	 * while all stripes share the link of the origin, with its way to the other hosts.
+	 */
+	private static final long MIN_IDLE_STALL_PERIOD_MS = 400;
+
+	/** Stall period for such a host as a multiple of the average progress interval. */
+	private static final double IDLE_STALL_PERIOD_INTERVALS = 1.5;
+
 	/** Stall period as a multiple of the average progress interval. */
 	private static final int STALL_PERIOD_INTERVALS = 5;
 
@@ -76,4 +85,12 @@
 		return nowMs - this.stalledSinceMs >= periodMs * periods * this.jitter;
 	}
 
+	// Returns whether the stripe made no progress for so long that this host takes it
+	// over
+	// if it has no other assigned fetch.
+	boolean isStalledForIdleHost(long nowMs) {
+		double periodMs = Math.max(MIN_IDLE_STALL_PERIOD_MS, IDLE_STALL_PERIOD_INTERVALS * this.averageIntervalMs);
+		return this.rank > 0 && nowMs - this.stalledSinceMs >= periodMs * this.rank;
+	}
+
 }
--- a/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
@@ -57,6 +57,24 @@
 		assertThat(fleet.originFetches).isLessThanOrEqualTo(CHUNKS + CHUNKS / 2);
 	}
 
+	/**
+	 * Guards against versions that miss the chunks of one stripe for the length of an
+	 * outage of the origin: the host that fetched them was killed, and the origin went
+	 * away before another one took over.
+	 */
+	@Test
+	public void hostsThatAreDoneHelpBeforeAStripeIsTakenOver() {
+		for (int seed = 0; seed < 20; seed++) {
+			SimulatedFleet undisturbed = new SimulatedFleet(24, seed);
+			undisturbed.runUntilComplete();
+			SimulatedFleet fleet = new SimulatedFleet(24, seed);
+			fleet.stalledHost = fleet.assignment().rankedHosts("r0", seed % FetchAssignment.STRIPES).get(0);
+			fleet.runUntilComplete();
+			assertThat((fleet.steps - undisturbed.steps) * STEP_MS).isLessThanOrEqualTo(1_000);
+			assertThat(fleet.originFetches).isLessThanOrEqualTo(CHUNKS * 5 / 4);
+		}
+	}
+
 	@Test
 	public void takesOverFromAStalledAssignedHostThatStaysLive() {
 		SimulatedFleet fleet = new SimulatedFleet(12, 5);
