The floor of a rank is relative to the more urgent ranks

The floor of 0.4 compared a rank with all requests of the entry, and sank with the rank's own share there. With a quarter of the reports lost, 67 entries reserved hardly anything: engines without a report look nearly idle and lowered the mean load.

Change: a rank is compared with the more urgent ranks, and its floor is 0.35 of them. The mean load leaves out engines of which nothing is known.

--- a/library/src/main/java/org/wigeontally/placement/RankDemand.java
+++ b/library/src/main/java/org/wigeontally/placement/RankDemand.java
@@ -116,12 +116,12 @@
 		return nowMs - newestMs;
 	}
 
-	// How often a rank was served, relative to all requests. One request more is counted
-	// as served on both sides, so that a rank without requests is not below its floor.
+	// How often a rank was served, relative to the requests of more urgent ranks. One
+	// request more is counted as served on both sides, so that a rank without requests is
+	// not below its floor.
 	double relativeShare(int rank, long nowMs) {
 		double share = (this.placements[rank].count(nowMs) + 1.0) / (this.requests[rank].count(nowMs) + 1.0);
-		int end = LAST_RANK + 1;
-		return share * (sum(this.requests, end, nowMs) + 1.0) / (sum(this.placements, end, nowMs) + 1.0);
+		return share * (sum(this.requests, rank, nowMs) + 1.0) / (sum(this.placements, rank, nowMs) + 1.0);
 	}
 
 	private static int sum(SlidingWindowCounter[] counters, int endRank, long nowMs) {
--- a/library/src/main/java/org/wigeontally/placement/RankReservation.java
+++ b/library/src/main/java/org/wigeontally/placement/RankReservation.java
@@ -23,20 +23,24 @@
  * <p>
  * Nothing is kept unless a more urgent request was refused lately while the engines are
  * nearly full, or the engines have more requests than slots, which the entries see before
- * each of them has refused a request. A rank that is served too seldom compared with all
- * requests gets slots like the most urgent one until it no longer is.
+ * each of them has refused a request. A rank that is served too seldom compared with more
+ * urgent ones gets slots like the most urgent one until it no longer is.
  */
 public final class RankReservation {
 
 	/**
 	 * Time until the load by a request that is placed now is known to all entries: the
 	 * interval of reports to other regions, 400 ms, and two passes of an engine, after
-	 * which it has been admitted and the next requests are placed. With 200 ms, the
-	 * replay serves the most urgent rank a tenth less often.
+	 * which it has been admitted and the next requests are placed. With 200 ms and 44
+	 * entries, the replay serves the most urgent rank a tenth less often.
 	 */
 	static final double REPORT_DELAY_MS = 600;
 
-	/** Time for which a refused request shows that its rank lacks slots. */
+	/**
+	 * Time for which a refused request shows that its rank lacks slots. With 67 entries
+	 * each receives about five of the more urgent requests a second; at 300 ms, refusals
+	 * alone keep slots too seldom.
+	 */
 	static final long REFUSAL_LIFETIME_MS = 1_000;
 
 	/**
@@ -52,11 +56,12 @@
 	static final double FULL_EXCESS = 1;
 
 	/**
-	 * How often a rank is served, relative to all requests, below which nothing is kept
-	 * from it. Callers need a quarter; the rest is for entries that see different
-	 * requests.
+	 * How often a rank is served, relative to the more urgent ones, below which nothing
+	 * is kept from it. In the replay each rank is then served at least 0.4 as often as
+	 * all requests; callers need a quarter. A comparison with all requests would sink
+	 * with the rank's own share where an entry receives little else.
 	 */
-	static final double MIN_RELATIVE_SHARE = 0.4;
+	static final double MIN_RELATIVE_SHARE = 0.35;
 
 	/**
 	 * Largest reservation, as a fraction of the slots. A request must not be refused
@@ -99,7 +104,12 @@
 		if (urgentRequests == 0 || candidates.isEmpty()) {
 			return Reservation.NONE;
 		}
-		double meanLoad = candidates.stream().mapToInt(BackendCandidate::load).average().orElse(0);
+		// Engines of which nothing is known look nearly idle.
+		double meanLoad = candidates.stream()
+			.filter((candidate) -> candidate.blindRequests() < 0)
+			.mapToInt(BackendCandidate::load)
+			.average()
+			.orElse(0);
 		boolean refused = meanLoad >= NEARLY_FULL * this.profile.batchSlots()
 				&& this.demand.sinceRefusalAboveMs(rank, nowMs) <= REFUSAL_LIFETIME_MS;
 		double excess = (meanLoad - this.profile.batchSlots()) / FULL_EXCESS;
