An agent does not ask others for a manifest that it has

Cause: agents on the platform build the manifest from the origin's digests. Yet each asked its ancestors in the region's tree first, and waited for answers of hosts that had not learned of the version.

Change: OriginClient tells whether it knows a manifest without a call; ManifestFetcher then takes it from there. PlatformOriginClient does.

--- a/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/PlatformOriginClient.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.NavigableMap;
+import java.util.Optional;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -51,14 +52,22 @@
 		this.downloads = downloads;
 	}
 
+	@Override
+	public boolean knowsManifest(String digest) {
+		return findDownload(digest).isPresent();
+	}
+
 	@Override
 	public Future<byte[]> fetchManifest(String digest) {
-		for (VersionDownload download : this.downloads.values()) {
-			if (download.model().getManifest().equals(digest)) {
-				return Future.succeededFuture(download.manifest().toByteArray());
-			}
-		}
-		return Future.failedFuture("the manifest belongs to no version being fetched");
+		return findDownload(digest).map((download) -> Future.succeededFuture(download.manifest().toByteArray()))
+			.orElseGet(() -> Future.failedFuture("the manifest belongs to no version being fetched"));
+	}
+
+	private Optional<VersionDownload> findDownload(String manifestDigest) {
+		return this.downloads.values()
+			.stream()
+			.filter((download) -> download.model().getManifest().equals(manifestDigest))
+			.findFirst();
 	}
 
 	@Override
--- a/daemons/src/main/java/org/wigeontally/spread/ManifestFetcher.java
+++ b/daemons/src/main/java/org/wigeontally/spread/ManifestFetcher.java
@@ -19,7 +19,9 @@
  * first. The root asks the origin, or the root of the origin's region if it is in another
  * region. If all sources fail, the host retries after a jittered exponential backoff, and
  * from the second round also asks the root of the origin's region, a random host of its
- * own region and the origin. Used on the control context.
+ * own region and the origin. A manifest that the client of the origin knows is taken from
+ * there: peers that learn of the version later would answer that they do not know it.
+ * Used on the control context.
  */
 final class ManifestFetcher {
 
@@ -64,6 +66,9 @@
 	}
 
 	private List<String> sources() {
+		if (this.resources.origin().knowsManifest(this.digest)) {
+			return List.of(ORIGIN);
+		}
 		HostLocation location = this.resources.location();
 		FetchAssignment currentAssignment = this.assignment.get();
 		List<String> rankedHosts = currentAssignment.rankedHosts(location.region(), 0);
--- a/daemons/src/main/java/org/wigeontally/spread/OriginClient.java
+++ b/daemons/src/main/java/org/wigeontally/spread/OriginClient.java
@@ -15,6 +15,16 @@
 	 */
 	Future<byte[]> fetchManifest(String digest);
 
+	/**
+	 * Returns whether a manifest is known without a call, so that no peer has to be asked
+	 * for it.
+	 * @param digest hexadecimal digest of the manifest
+	 * @return true if {@link #fetchManifest} answers from memory
+	 */
+	default boolean knowsManifest(String digest) {
+		return false;
+	}
+
 	/**
 	 * Fetches a chunk.
 	 * @param digest hexadecimal digest of the chunk
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/WeightsMeasurement.java
@@ -88,6 +88,9 @@
 	@Parameter(names = "--seeds-across-regions", description = "Hosts of all regions fetch from the origin")
 	private boolean seedsAcrossRegions;
 
+	@Parameter(names = "--learning-ms", description = "Longest time until a host learns of the version")
+	private long learningMs;
+
 	private final Closer closer = Closer.create();
 
 	private final List<String> hostRegions = new ArrayList<>();
@@ -248,7 +251,7 @@
 
 	private void spread(Model wanted, Map<String, Double> readyMs) throws Exception {
 		long startNs = System.nanoTime();
-		this.fleet.want(wanted);
+		this.fleet.want(wanted, this.learningMs, new Random(wanted.hashCode()));
 		while (true) {
 			double nowMs = (System.nanoTime() - startNs) / 1e6;
 			int waiting = 0;
--- a/emulator/src/main/java/org/wigeontally/emulator/platform/WeightFleet.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/platform/WeightFleet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.vertx.core.Context;
@@ -113,6 +114,18 @@
 		this.members.values().forEach((member) -> member.node.fetchVersion(model));
 	}
 
+	/**
+	 * Lets all hosts want a version, each after a time of its own.
+	 * @param model name, version and manifest
+	 * @param withinMs longest time
+	 * @param random source of the times
+	 */
+	public void want(Model model, long withinMs, Random random) {
+		for (Member member : this.members.values()) {
+			this.vertx.setTimer(1 + (long) (withinMs * random.nextDouble()), (id) -> member.node.fetchVersion(model));
+		}
+	}
+
 	/**
 	 * Returns the live hosts.
 	 * @return their names
