--- a/daemons/src/main/java/org/wigeontally/spread/ChunkMapPublisher.java
+++ b/daemons/src/main/java/org/wigeontally/spread/ChunkMapPublisher.java
@@ -19,7 +19,11 @@
  */
 final class ChunkMapPublisher {
 
-	private static final long MIN_FLUSH_INTERVAL_MS = 50;
+	/**
+	 * Less than the time in which a link of some Mbit/s carries a chunk, because a chunk
+	 * that nobody knows of leaves links idle.
+	 */
+	private static final long MIN_FLUSH_INTERVAL_MS = 20;
 
 	private final Vertx vertx;
 
--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
@@ -27,7 +27,7 @@
 
 	private static final double REFRESH_MS = 300;
 
-	private static final double FLUSH_MS = 50;
+	private static final double FLUSH_MS = 20;
 
 	private final SpreadHost owner;
 
