Measurement of one entry beside many

bin/measure entry runs one entry with the command of deploy/system.toml. The store, the other entries, the agents, the backend servers and the callers are stand-ins; one of the other entries is real and reads the store for the region. It prints processor time until the entry listens, in the first and the second half of the run, by thread, and messages and bytes by kind.

--- /dev/null
+++ b/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
@@ -0,0 +1,146 @@
+package org.wigeontally.emulator.entries;
+
+import java.util.List;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.grpc.server.GrpcServer;
+
+import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.rpc.PeerClient;
+import org.wigeontally.rpc.PeerServerOptions;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EntryNews;
+import org.wigeontally.schema.generated.FleetGrpcClient;
+import org.wigeontally.schema.generated.FleetGrpcService;
+import org.wigeontally.schema.generated.FleetService;
+
+/**
+ * Stands in for another entry. It exchanges news with the measured entry at the intervals
+ * of {@link EntryTable} and knows what that entry knows, so that no records pass between
+ * them.
+ */
+final class PeerEntry {
+
+	private static final long EXCHANGE_INTERVAL_MS = 500;
+
+	private static final long RECENT_CONTACT_MS = 350;
+
+	private static final long AGE_MS = 300;
+
+	private static final long START_MS = System.currentTimeMillis();
+
+	private final Vertx vertx;
+
+	private final String name;
+
+	private final String region;
+
+	private final Address control;
+
+	private final List<Address> fleet;
+
+	private final PeerClient client;
+
+	private final Traffic traffic;
+
+	private final EntryTable table;
+
+	private EntryNews measured = EntryNews.getDefaultInstance();
+
+	private PeerEntry(Vertx vertx, String name, String region, Address control, List<Address> fleet, PeerClient client,
+			Traffic traffic) {
+		this.vertx = vertx;
+		this.name = name;
+		this.region = region;
+		this.control = control;
+		this.fleet = fleet;
+		this.client = client;
+		this.traffic = traffic;
+		this.table = EntryTable.create(region);
+	}
+
+	/**
+	 * Starts a stand-in.
+	 * @param vertx the Vert.x instance to run on, with one event loop
+	 * @param name name of its host
+	 * @param region its region
+	 * @param control its control address
+	 * @param fleet control addresses of all entries, the measured one last
+	 * @param client calls the measured entry
+	 * @param traffic counts the messages
+	 * @return completes when it listens
+	 */
+	static Future<?> start(Vertx vertx, String name, String region, Address control, List<Address> fleet,
+			PeerClient client, Traffic traffic) {
+		PeerEntry peer = new PeerEntry(vertx, name, region, control, fleet, client, traffic);
+		peer.table.addAddress(fleet.get(fleet.size() - 1));
+		GrpcServer grpc = GrpcServer.server(vertx);
+		grpc.addService(FleetGrpcService.of(peer.new Service()));
+		return vertx.createHttpServer(PeerServerOptions.create())
+			.requestHandler(grpc)
+			.listen(control.getPort(), control.getIp())
+			.onSuccess((server) -> peer.scheduleFirstExchange());
+	}
+
+	// Processes start at different times, so their exchanges are spread over the
+	// interval.
+	private void scheduleFirstExchange() {
+		this.vertx.setTimer(1 + Math.floorMod(this.name.hashCode(), EXCHANGE_INTERVAL_MS),
+				(id) -> this.vertx.setPeriodic(0, EXCHANGE_INTERVAL_MS, (tick) -> exchangeIfDue()));
+	}
+
+	private static long nowMs() {
+		return System.nanoTime() / 1_000_000;
+	}
+
+	private void exchangeIfDue() {
+		for (Address address : this.table.dueForExchange(nowMs(), RECENT_CONTACT_MS)) {
+			EntryNews news = news().build();
+			this.traffic.add("exchange-in", news.getSerializedSize());
+			this.client.call(address, FleetGrpcClient.Exchange, news, () -> false)
+				.onSuccess((reply) -> this.traffic.add("exchange-reply-out", reply.getSerializedSize()))
+				.onSuccess(this::record)
+				.onFailure((failure) -> this.table.recordFailure(address, nowMs()));
+		}
+	}
+
+	private void record(EntryNews news) {
+		this.measured = news.toBuilder().clearOperatorUpdate().clearBackendUpdate().build();
+		this.table.recordMessage(news, nowMs());
+	}
+
+	private EntryNews.Builder news() {
+		return EntryNews.newBuilder()
+			.setHost(this.name)
+			.setFront(this.control)
+			.setControl(this.control)
+			.setZone("zone-a")
+			.setRegion(this.region)
+			.setIncarnation(START_MS)
+			.setReady(true)
+			.setOperatorEnd(this.measured.getOperatorEnd())
+			.setBackendEnd(this.measured.getBackendEnd())
+			.setConfigurationVersion(this.measured.getConfigurationVersion())
+			.setOperatorAgeMs(AGE_MS)
+			.setBackendAgeMs(AGE_MS)
+			.setReadsContent(true);
+	}
+
+	/**
+	 * Answers the measured entry.
+	 */
+	private final class Service extends FleetService {
+
+		@Override
+		public Future<EntryNews> exchange(EntryNews request) {
+			record(request);
+			EntryNews reply = news().addAllEntries(PeerEntry.this.fleet).build();
+			PeerEntry.this.traffic.add("exchange-out", request.getSerializedSize());
+			PeerEntry.this.traffic.add("exchange-reply-in", reply.getSerializedSize());
+			return Future.succeededFuture(reply);
+		}
+
+	}
+
+}
--- a/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/measure/Measurements.java
@@ -12,9 +12,9 @@
 
 	static List<Measurement> all() {
 		return List.of(new CapacityMeasurement(), new ClaimsMeasurement(), new ConfigurationSpreadMeasurement(),
-				new ControlMeasurement(), new FaultsMeasurement(), new HarmfulPartsMeasurement(),
-				new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(), new BackendLimitMeasurement(),
-				new SoakMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
+				new ControlMeasurement(), new EntryCostMeasurement(), new FaultsMeasurement(),
+				new HarmfulPartsMeasurement(), new OverheadMeasurement(), new PathMeasurement(), new RouteMeasurement(),
+				new BackendLimitMeasurement(), new SoakMeasurement(), new WeightsMeasurement(), new ZonesMeasurement());
 	}
 
 }
