Heartbeats between entries with nothing to tell each other

Cause: each entry called every other one in each round, twice a second in the region and 0.4 times a second elsewhere, and each message repeated the same facts and, in replies, the addresses of all entries.

Change: EntryNews carries digests of the known entries and of the facts. While they agree, the state of an entry is sent as a datagram; a call follows if they differ, if the other side is silent, and at least every 5 s (15 s to other regions). Replies name entries only if the digests of entries differ. Entries of the previous release name no port for heartbeats and are called as before; the new fields are additive.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -10,6 +10,7 @@
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.CompactedTopic;
+import org.wigeontally.fleet.DueContacts;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.StoreReadPlan;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
@@ -21,8 +22,6 @@
 import org.wigeontally.schema.generated.HostSettings;
 import org.wigeontally.schema.generated.RecordUpdate;
 import org.wigeontally.schema.generated.StoreRecord;
-import org.wigeontally.schema.generated.SuspectSummary;
-import org.wigeontally.schema.generated.VersionAge;
 import org.wigeontally.settings.Addresses;
 
 /**
@@ -40,8 +39,8 @@
 	static final long INTERVAL_MS = 500;
 
 	/**
-	 * Time after a message from an entry during which it is not called. Shorter than the
-	 * interval, so that one side of each pair calls once per interval.
+	 * Time after which an entry is contacted again. Shorter than the interval, so that it
+	 * is contacted in each one.
 	 */
 	private static final long RECENT_CONTACT_MS = 350;
 
@@ -76,12 +75,20 @@
 
 	private final long incarnation;
 
+	private final SharedFacts facts;
+
+	private final EntryHeartbeats heartbeats;
+
+	private long sequence;
+
 	private StoreFollower operatorFollower;
 
 	private StoreFollower backendFollower;
 
-	EntryExchange(GatewayContext context, EntryTable table, long incarnation) {
+	EntryExchange(GatewayContext context, EntryTable table, EntryHeartbeats heartbeats, long incarnation) {
 		this.context = context;
+		this.facts = new SharedFacts(context);
+		this.heartbeats = heartbeats;
 		this.table = table;
 		this.incarnation = incarnation;
 		this.client = PeerClient.create(context.vertx(), "", TIMEOUT_MS, MESSAGE_LIMIT_BYTES);
@@ -137,12 +144,27 @@
 	}
 
 	/**
-	 * Exchanges with the entry that reads the store for this region, and with the entries
-	 * that sent no message lately.
+	 * Exchanges with the entry that reads the store for this region, and contacts the
+	 * entries that were not told the state of this one lately.
 	 */
-	void exchangeWithDueEntries() {
+	void contactDueEntries() {
 		exchange(storeReader(), true);
-		this.table.dueForExchange(this.context.nowMs(), RECENT_CONTACT_MS).forEach((entry) -> exchange(entry, false));
+		EntryNews own = newsFor(null).build();
+		boolean supplied = this.operatorFollower.ageMs() <= StoreReadPlan.MAX_AGE_MS;
+		DueContacts due = this.table.dueContacts(own, RECENT_CONTACT_MS, supplied, this.context.nowMs());
+		due.calls().forEach((entry) -> exchange(entry, false));
+		this.heartbeats.send(ownNews().setEntriesDigest(own.getEntriesDigest())
+			.setFactsDigest(own.getFactsDigest())
+			.setSequence(++this.sequence)
+			.build(), due.heartbeats());
+	}
+
+	/**
+	 * Applies a heartbeat of another entry.
+	 * @param heartbeat its state
+	 */
+	void handleHeartbeat(EntryNews heartbeat) {
+		this.heartbeats.receive(heartbeat).ifPresent(this::fetchIfBehind);
 	}
 
 	/**
@@ -287,21 +309,9 @@
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
 		EntryNews.Builder news = ownNews().setLapseGraceMs(fleet.remainingLapseGraceMs())
-			.addAllLeavingBackends(fleet.leavingBackends())
-			.addAllLimitedBackends(this.context.limits().news());
-		SuspectSummary suspects = this.context.harmfulRequests().summary();
-		if (suspects.getContentsCount() > 0) {
-			news.setSuspects(suspects);
-		}
-		SuspectSummary suspectParts = this.context.harmfulParts().summary();
-		if (suspectParts.getContentsCount() > 0) {
-			news.setSuspectParts(suspectParts);
-		}
-		long nowMs = this.context.nowMs();
-		fleet.announcedVersionsByModel()
-			.forEach((model, announced) -> announced.announcementTimes()
-				.forEach((version, atMs) -> news
-					.addVersions(VersionAge.newBuilder().setModel(model).setVersion(version).setAgeMs(nowMs - atMs))));
+			.setEntriesDigest(this.table.digest(settings.getControl(), this.context.nowMs()))
+			.setSequence(++this.sequence);
+		this.facts.addTo(news);
 		if (peerNews == null) {
 			// The calling side sends no records; a peer that lacks some asks for them.
 			return news;
@@ -309,10 +319,8 @@
 		if (peerNews.getWantsRecords()) {
 			addRecords(news, peerNews);
 		}
-		for (EntryNews known : this.table.liveEntries(this.context.nowMs())) {
-			if (!known.getControl().equals(settings.getControl())) {
-				news.addEntries(known.getControl());
-			}
+		if (peerNews.getEntriesDigest() != news.getEntriesDigest()) {
+			this.table.liveEntries(this.context.nowMs()).forEach((known) -> news.addEntries(known.getControl()));
 		}
 		return news;
 	}
@@ -352,6 +360,7 @@
 			.setOperatorAgeMs(this.operatorFollower.toldAgeMs())
 			.setBackendAgeMs(this.backendFollower.toldAgeMs())
 			.setReadsContent(true)
+			.setHeartbeatPort(settings.getInternalPort())
 			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
 	}
 
@@ -402,18 +411,8 @@
 		if (peerNews.hasBackendUpdate()) {
 			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source);
 		}
-		long nowMs = this.context.nowMs();
-		peerNews.getVersionsList()
-			.forEach((announced) -> fleet.announcedVersions(announced.getModel())
-				.updateAnnouncementTime(announced.getVersion(), nowMs - announced.getAgeMs()));
-		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
-		if (peerNews.hasSuspects()) {
-			this.context.harmfulRequests().merge(peerNews.getSuspects());
-		}
-		if (peerNews.hasSuspectParts()) {
-			this.context.harmfulParts().merge(peerNews.getSuspectParts(), source);
-		}
-		List<EntryNews> others = this.table.liveEntries(nowMs);
+		this.facts.apply(peerNews, source);
+		List<EntryNews> others = this.table.liveEntries(this.context.nowMs());
 		fleet.setEntryCount(others.size() + 1);
 		this.context.updateConfigurationLag(others);
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -5,13 +5,11 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -147,9 +145,10 @@
 		this.callerConnections = new CallerConnections(this.context);
 		this.callerHandler = new CallerRequestHandler(this.context, this.callerConnections, placer,
 				new PermitClient(this.context, this.permitServer));
-		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
-		this.briefings = new AgentBriefings(this.context, this.entries);
 		this.datagrams = vertx.createDatagramSocket();
+		this.exchange = new EntryExchange(this.context, this.entries,
+				new EntryHeartbeats(this.context, this.entries, this.datagrams), clock.wallMs());
+		this.briefings = new AgentBriefings(this.context, this.entries);
 		this.store = StoreClient.create(vertx, settings.getStore());
 		this.harmfulPartStore = new HarmfulPartStore(this.context, clock, this.store);
 		this.context.harmfulParts().onHarmfulPartsFound(this::keepHarmfulParts);
@@ -212,7 +211,7 @@
 				MetricsApi.writeMetrics(this.context.metrics().registry(), request.response());
 			}
 		}));
-		this.datagrams.handler(this::handleReportDatagram);
+		this.datagrams.handler(new EntryDatagrams(this.briefings, this.exchange, this.log)::handle);
 		this.closer.add(this.datagrams::close);
 		listening.add(this.datagrams.listen(this.settings.getInternalPort(), this.settings.getIp()));
 		return Future.all(listening).compose((all) -> listenForCallers()).onSuccess((server) -> startTasks()).map(this);
@@ -248,7 +247,7 @@
 		registerSelf();
 		this.harmfulPartStore.restore();
 		readEntries();
-		this.vertx.setPeriodic(0, EntryExchange.INTERVAL_MS, (id) -> this.exchange.exchangeWithDueEntries());
+		this.vertx.setPeriodic(0, EntryExchange.INTERVAL_MS, (id) -> this.exchange.contactDueEntries());
 		this.vertx.setPeriodic(ENTRY_READ_INTERVAL_MS, (id) -> readEntriesIfDue());
 		this.vertx.setPeriodic(HOUSEKEEPING_INTERVAL_MS, (id) -> housekeeping());
 	}
@@ -340,15 +339,6 @@
 		this.context.metrics().setStoreAge(StoreTopic.BACKENDS.name(), this.backendFollower.ageMs());
 	}
 
-	private void handleReportDatagram(DatagramPacket packet) {
-		try {
-			this.briefings.recordReport(EngineStatus.parseFrom(packet.data().getBytes()));
-		}
-		catch (InvalidProtocolBufferException ex) {
-			this.log.write(LogEvent.FAULT, "datagram-from", packet.sender(), "reason", ex.getMessage());
-		}
-	}
-
 	/**
 	 * Drains the process: deregisters it from the store, notifies the other entries,
 	 * serves requests that end in time, closes the port and the connections of callers,
--- a/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
@@ -1,19 +1,28 @@
 package org.wigeontally.emulator.entries;
 
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.grpc.server.GrpcServer;
 
+import org.wigeontally.fleet.DueContacts;
 import org.wigeontally.fleet.EntryTable;
+import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.rpc.PeerClient;
 import org.wigeontally.rpc.PeerServerOptions;
 import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.FleetGrpcClient;
 import org.wigeontally.schema.generated.FleetGrpcService;
 import org.wigeontally.schema.generated.FleetService;
+import org.wigeontally.settings.Addresses;
 
 /**
  * Stands in for another entry. It exchanges news with the measured entry at the intervals
@@ -46,6 +55,12 @@
 
 	private final EntryTable table;
 
+	private final DatagramSocket datagrams;
+
+	private final long fleetDigest;
+
+	private long sequence;
+
 	private EntryNews measured = EntryNews.getDefaultInstance();
 
 	private PeerEntry(Vertx vertx, String name, String region, Address control, List<Address> fleet, PeerClient client,
@@ -58,6 +73,8 @@
 		this.client = client;
 		this.traffic = traffic;
 		this.table = EntryTable.create(region);
+		this.datagrams = vertx.createDatagramSocket();
+		this.fleetDigest = fleet.stream().mapToLong((entry) -> RendezvousHash.of(Addresses.format(entry))).sum();
 	}
 
 	/**
@@ -77,16 +94,18 @@
 		peer.table.addAddress(fleet.get(fleet.size() - 1));
 		GrpcServer grpc = GrpcServer.server(vertx);
 		grpc.addService(FleetGrpcService.of(peer.new Service()));
-		return vertx.createHttpServer(PeerServerOptions.create())
-			.requestHandler(grpc)
-			.listen(control.getPort(), control.getIp())
+		peer.datagrams.handler(peer::recordHeartbeat);
+		return peer.datagrams.listen(control.getPort(), control.getIp())
+			.compose((bound) -> vertx.createHttpServer(PeerServerOptions.create())
+				.requestHandler(grpc)
+				.listen(control.getPort(), control.getIp()))
 			.onSuccess((server) -> peer.scheduleFirstExchange());
 	}
 
 	// Processes start at different times, so their exchanges are spread over the
 	// interval.
 	private void scheduleFirstExchange() {
-		this.vertx.setTimer(1 + Math.floorMod(this.name.hashCode(), EXCHANGE_INTERVAL_MS),
+		this.vertx.setTimer(1 + ThreadLocalRandom.current().nextLong(EXCHANGE_INTERVAL_MS),
 				(id) -> this.vertx.setPeriodic(0, EXCHANGE_INTERVAL_MS, (tick) -> exchangeIfDue()));
 	}
 
@@ -95,16 +114,39 @@
 	}
 
 	private void exchangeIfDue() {
-		for (Address address : this.table.dueForExchange(nowMs(), RECENT_CONTACT_MS)) {
-			EntryNews news = news().build();
-			this.traffic.add("exchange-in", news.getSerializedSize());
+		EntryNews news = news().setSequence(++this.sequence).build();
+		DueContacts due = this.table.dueContacts(news, RECENT_CONTACT_MS, true, nowMs());
+		for (EntryNews receiver : due.heartbeats()) {
+			byte[] heartbeat = EngineStatus.newBuilder().setHeartbeat(news).build().toByteArray();
+			this.traffic.add(kind("heartbeat-in"), heartbeat.length);
+			this.datagrams.send(Buffer.buffer(heartbeat), receiver.getHeartbeatPort(), receiver.getControl().getIp());
+		}
+		for (Address address : due.calls()) {
+			this.traffic.add(kind("exchange-in"), news.getSerializedSize());
 			this.client.call(address, FleetGrpcClient.Exchange, news, () -> false)
-				.onSuccess((reply) -> this.traffic.add("exchange-reply-out", reply.getSerializedSize()))
+				.onSuccess((reply) -> this.traffic.add(kind("exchange-reply-out"), reply.getSerializedSize()))
 				.onSuccess(this::record)
 				.onFailure((failure) -> this.table.recordFailure(address, nowMs()));
 		}
 	}
 
+	private String kind(String direction) {
+		return direction + (this.region.equals(this.measured.getRegion()) ? "-near" : "-remote");
+	}
+
+	private void recordHeartbeat(DatagramPacket packet) {
+		this.traffic.add(kind("heartbeat-out"), packet.data().length());
+		try {
+			EntryNews news = EngineStatus.parseFrom(packet.data().getBytes()).getHeartbeat();
+			if (this.table.recordHeartbeat(news, nowMs())) {
+				this.measured = news;
+			}
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private void record(EntryNews news) {
 		this.measured = news.toBuilder().clearOperatorUpdate().clearBackendUpdate().build();
 		this.table.recordMessage(news, nowMs());
@@ -124,7 +166,10 @@
 			.setConfigurationVersion(this.measured.getConfigurationVersion())
 			.setOperatorAgeMs(AGE_MS)
 			.setBackendAgeMs(AGE_MS)
-			.setReadsContent(true);
+			.setReadsContent(true)
+			.setEntriesDigest(this.fleetDigest)
+			.setFactsDigest(this.measured.getFactsDigest())
+			.setHeartbeatPort(this.control.getPort());
 	}
 
 	/**
@@ -135,9 +180,11 @@
 		@Override
 		public Future<EntryNews> exchange(EntryNews request) {
 			record(request);
-			EntryNews reply = news().addAllEntries(PeerEntry.this.fleet).build();
-			PeerEntry.this.traffic.add("exchange-out", request.getSerializedSize());
-			PeerEntry.this.traffic.add("exchange-reply-in", reply.getSerializedSize());
+			EntryNews.Builder news = news().setSequence(++PeerEntry.this.sequence);
+			boolean known = request.getEntriesDigest() == PeerEntry.this.fleetDigest;
+			EntryNews reply = (known ? news : news.addAllEntries(PeerEntry.this.fleet)).build();
+			PeerEntry.this.traffic.add(kind("exchange-out"), request.getSerializedSize());
+			PeerEntry.this.traffic.add(kind("exchange-reply-in"), reply.getSerializedSize());
 			return Future.succeededFuture(reply);
 		}
 
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 
+import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.schema.generated.Address;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.settings.Addresses;
@@ -22,6 +23,8 @@
  * <p>
  * Entries of other regions exchange messages less often, since the number of pairs grows
  * with the square of the number of entries. News is sent to them at once all the same.
+ * Which entries are called and which get a heartbeat is decided by
+ * {@link ContactSchedule}.
  */
 public final class EntryTable {
 
@@ -43,9 +46,6 @@
 	/** Time for which an entry that is not heard of may still run. */
 	private static final long RECENT_MS = 30_000;
 
-	/** Interval of the exchanges with entries of other regions. */
-	private static final long REMOTE_EXCHANGE_INTERVAL_MS = 2_500;
-
 	private static final long MAX_BACKOFF_MS = 4_000;
 
 	private static final long INITIAL_BACKOFF_MS = 500;
@@ -88,12 +88,74 @@
 		addAddress(message.getControl());
 		Row row = this.rows.get(Addresses.format(message.getControl()));
 		boolean newlyLive = !isLive(row, nowMs);
-		row.lastMessage = message;
-		row.lastMessageMs = nowMs;
-		row.failures = 0;
+		row.lastCallMs = nowMs;
+		row.lastToldMs = nowMs;
+		row.record(message, nowMs);
 		return newlyLive;
 	}
 
+	/**
+	 * Records a heartbeat of an entry. Ignores one that was overtaken by a later message,
+	 * since it may name an entry ready that is shutting down.
+	 * @param message the state of the entry
+	 * @param nowMs time of arrival in milliseconds
+	 * @return true if it was recorded
+	 */
+	public boolean recordHeartbeat(EntryNews message, long nowMs) {
+		Row row = this.rows.get(Addresses.format(message.getControl()));
+		if (row == null || row.lastMessage == null || row.lastMessage.getIncarnation() != message.getIncarnation()
+				|| row.lastMessage.getSequence() >= message.getSequence()) {
+			return false;
+		}
+		row.record(message, nowMs);
+		return true;
+	}
+
+	/**
+	 * Returns the entries to contact in a regular round, and takes for granted that they
+	 * are told.
+	 * @param own state of this entry with its digests
+	 * @param intervalMs interval of contacts with entries of this region
+	 * @param supplied true if this entry's knowledge of the store is as fresh as it
+	 * should be
+	 * @param nowMs current time in milliseconds
+	 * @return the contacts
+	 */
+	public DueContacts dueContacts(EntryNews own, long intervalMs, boolean supplied, long nowMs) {
+		DueContacts due = new DueContacts(new ArrayList<>(), new ArrayList<>());
+		for (Row row : this.rows.values()) {
+			switch (ContactSchedule.dueContact(own, row.asPeer(isRemote(row)), intervalMs, supplied, nowMs)) {
+				case CALL -> {
+					if (nowMs >= row.nextAttemptMs) {
+						due.calls().add(row.control);
+					}
+				}
+				case HEARTBEAT -> {
+					row.lastToldMs = nowMs;
+					due.heartbeats().add(row.lastMessage);
+				}
+				default -> {
+				}
+			}
+		}
+		return due;
+	}
+
+	/**
+	 * Returns a digest of the live entries, which is the same at all entries that know
+	 * the same ones.
+	 * @param own control address of this entry
+	 * @param nowMs current time in milliseconds
+	 * @return the digest
+	 */
+	public long digest(Address own, long nowMs) {
+		long digest = RendezvousHash.of(Addresses.format(own));
+		for (Row row : this.rows.values()) {
+			digest += isLive(row, nowMs) ? row.hash : 0;
+		}
+		return digest;
+	}
+
 	/**
 	 * Records that an entry did not answer.
 	 * @param control its control address
@@ -126,7 +188,7 @@
 	public List<Address> dueForExchange(long nowMs, long minSilenceMs) {
 		List<Address> due = new ArrayList<>();
 		for (Row row : this.rows.values()) {
-			long rowSilenceMs = (minSilenceMs > 0 && isRemote(row)) ? REMOTE_EXCHANGE_INTERVAL_MS : minSilenceMs;
+			long rowSilenceMs = (minSilenceMs > 0 && isRemote(row)) ? ContactSchedule.REMOTE_INTERVAL_MS : minSilenceMs;
 			boolean silent = row.lastMessage == null || nowMs - row.lastMessageMs >= rowSilenceMs;
 			if (silent && nowMs >= row.nextAttemptMs) {
 				due.add(row.control);
@@ -204,16 +266,34 @@
 
 		private final Address control;
 
+		private final long hash;
+
 		private EntryNews lastMessage;
 
 		private long lastMessageMs;
 
+		private long lastCallMs;
+
+		private long lastToldMs;
+
 		private int failures;
 
 		private long nextAttemptMs;
 
 		private Row(Address control) {
 			this.control = control;
+			this.hash = RendezvousHash.of(Addresses.format(control));
+		}
+
+		private void record(EntryNews message, long nowMs) {
+			this.lastMessage = message;
+			this.lastMessageMs = nowMs;
+			this.failures = 0;
+		}
+
+		private ContactSchedule.Peer asPeer(boolean remote) {
+			return new ContactSchedule.Peer(this.lastMessage, this.lastMessageMs, this.lastCallMs, this.lastToldMs,
+					remote);
 		}
 
 	}
