The class archive covers an entry that serves and exchanges

Cause: the training run had neither store nor other entries nor backend servers, so an entry loaded 467 classes outside the archive in its first seconds (-Xlog:class+load, 20 entries, 20 agents, 12 s).

Change: the training run starts a store with a configuration, two entries, an agent with an engine and two backend servers, sends requests and drains one entry.

--- a/tool/src/main/java/org/wigeontally/tool/ClassArchiveTrainer.java
+++ b/tool/src/main/java/org/wigeontally/tool/ClassArchiveTrainer.java
@@ -2,28 +2,35 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
 
 import org.wigeontally.errors.InputException;
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.gateway.GatewayDaemon;
 import org.wigeontally.misc.Clock;
+import org.wigeontally.platform.standin.FakeBackend;
+import org.wigeontally.platform.standin.FakeConfiguration;
+import org.wigeontally.platform.standin.FakeEngine;
+import org.wigeontally.platform.standin.FakeStore;
+import org.wigeontally.platform.standin.TestCaller;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.settings.HostSettingsValidator;
-import org.wigeontally.settings.SettingsReader;
 import org.wigeontally.sidecar.SidecarDaemon;
 
 /**
- * Training run for the class data sharing (CDS) archive. During the build it runs an
- * entry and an agent for a short time, so that the Java runtime writes the classes that
- * they load into the archive at exit. Processes that start with the archive need about
- * half of the processor time until they listen, which matters when many restart at once.
- * The archive is optional: without it processes only start more slowly.
+ * Training run for the class data sharing (CDS) archive. During the build it runs two
+ * entries and an agent for a short time with a store, backend servers, an engine and
+ * requests, so that the Java runtime writes the classes that they load into the archive
+ * at exit. Each class that is missing is read, parsed and verified in every process that
+ * starts, which costs more than the first hundred requests. The archive is optional:
+ * without it processes only start more slowly.
  */
 final class ClassArchiveTrainer {
 
@@ -32,7 +39,16 @@
 
 	private static final String LOOPBACK = "127.0.0.1";
 
-	private static final long RUN_DURATION_MS = 2_500;
+	private static final long START_TIMEOUT_MS = 5_000;
+
+	/** Time for several rounds of exchanges, heartbeats and reports. */
+	private static final long RUN_DURATION_MS = 4_000;
+
+	private static final long REQUEST_INTERVAL_MS = 100;
+
+	private static final long DRAIN_TIMEOUT_MS = 3_000;
+
+	private static final int EVENTS = 3;
 
 	private static final String SETTINGS = """
 			host: "%1$s"
@@ -62,16 +78,27 @@
 	static int run() {
 		Vertx vertx = HostProcess.createVertx();
 		try {
-			HostSettings entrySettings = createSettings("entry", freePort(), true);
-			EventLog log = EventLog.create(Clock.system(), entrySettings.getHost());
-			GatewayDaemon gateway = await(GatewayDaemon.start(vertx, entrySettings, Clock.system(), log));
-			HostSettings agentSettings = createSettings("agent", entrySettings.getControl().getPort(), false);
-			await(SidecarDaemon.start(vertx, agentSettings, Clock.system(), log));
-			HttpClient client = vertx.createHttpClient();
-			client.request(HttpMethod.POST, entrySettings.getFront().getPort(), LOOPBACK, "/archive/x")
-				.compose((request) -> request.send("body"));
+			FakeStore store = await(FakeStore.start(vertx));
+			FakeBackend desk = await(FakeBackend.start(vertx, "desk",
+					(arrival, socket) -> socket.write(Buffer.buffer(FakeBackend.signedResponse(arrival, "ok")))));
+			FakeBackend events = await(FakeBackend.start(vertx, "events", (arrival, socket) -> socket
+				.write(FakeBackend.partialEventStream(arrival, "s", 1, 1 + EVENTS) + FakeBackend.LAST_CHUNK)));
+			store.write("op", "config", FakeConfiguration.create(1, List.of()));
+			store.write("servers", "desk", desk.registration("desk", "zone", "ready", 0));
+			store.write("servers", "events", events.registration("engines", "zone", "ready", 1));
+			HostSettings settings = createSettings("entry-1", true, freePort(), store.port(), freePort());
+			EventLog log = EventLog.create(Clock.system(), settings.getHost());
+			GatewayDaemon entry = await(GatewayDaemon.start(vertx, settings, Clock.system(), log));
+			int seed = settings.getControl().getPort();
+			await(GatewayDaemon.start(vertx, createSettings("entry-2", true, seed, store.port(), freePort()),
+					Clock.system(), log));
+			FakeEngine engine = await(FakeEngine.start(vertx, 1));
+			await(SidecarDaemon.start(vertx, createSettings("agent", false, seed, store.port(), engine.port()),
+					Clock.system(), log));
+			sendRequests(vertx, settings);
 			Thread.sleep(RUN_DURATION_MS);
-			gateway.close();
+			entry.drain();
+			Thread.sleep(DRAIN_TIMEOUT_MS);
 			return ExitCode.SUCCESS;
 		}
 		catch (Exception ex) {
@@ -80,17 +107,35 @@
 		}
 	}
 
+	// The first requests are refused, since the entry has no configuration yet.
+	private static void sendRequests(Vertx vertx, HostSettings settings) {
+		HttpClient client = vertx.createHttpClient();
+		vertx.setPeriodic(REQUEST_INTERVAL_MS,
+				(id) -> List.of("plain", "once", "events", "unknown")
+					.forEach((route) -> TestCaller.sendRequest(client, settings.getFront(), "/" + route + "/x",
+							route + System.nanoTime(), FakeConfiguration.API_KEY, "body")));
+	}
+
 	private static <T> T await(Future<T> future) throws Exception {
-		return future.toCompletionStage().toCompletableFuture().get(RUN_DURATION_MS, TimeUnit.MILLISECONDS);
+		return future.toCompletionStage().toCompletableFuture().get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	// Uses the settings reader of the processes, so that its classes are in the archive.
-	private static HostSettings createSettings(String host, int seedPort, boolean isEntry)
-			throws IOException, InputException {
-		String text = String.format(SETTINGS, host, freePort(), freePort(), freePort(), freePort(), freePort(),
-				freePort(), seedPort, freePort(), freePort());
-		return SettingsReader.read("archive", text, HostSettings.newBuilder(), HostSettingsValidator.create(isEntry))
-			.build();
+	// Uses the settings file of the processes, so that its classes are in the archive.
+	private static HostSettings createSettings(String host, boolean isEntry, int seedPort, int storePort,
+			int backendPort) throws IOException, InputException {
+		Path path = Files.createTempFile("wigeontally-archive", ".yaml");
+		try {
+			Files.writeString(path, String.format(SETTINGS, host, freePort(), freePort(), freePort(), freePort(),
+					freePort(), freePort(), seedPort, storePort, backendPort));
+			SettingsFile file = SettingsFile.of(path, isEntry);
+			HostSettings settings = file.read();
+			SettingsReload.of(file, (changed) -> {
+			}, EventLog.create(Clock.system(), host)).watch();
+			return settings;
+		}
+		finally {
+			Files.delete(path);
+		}
 	}
 
 	private static int freePort() throws IOException {
