Entries and agents register no flight recorder events at start

Cause: the buffer allocator defines flight recorder events when it is first used, for which the runtime generates some 40 classes and proxies (-Xlog:class+load).

Change: HostProcess switches them off before anything loads the allocator.

--- a/tool/src/main/java/org/wigeontally/tool/HostProcess.java
+++ b/tool/src/main/java/org/wigeontally/tool/HostProcess.java
@@ -32,6 +32,12 @@
 
 	private static final long READING_INTERVAL_MS = 200;
 
+	/**
+	 * Switches off the flight recorder events of the buffer allocator. Registering them
+	 * generates classes at each start, 90 ms of processor time, and nobody records them.
+	 */
+	private static final String ALLOCATOR_EVENTS_PROPERTY = "io.netty.jfr.enabled";
+
 	private HostProcess() {
 	}
 
@@ -40,6 +46,7 @@
 	 * @param args the role, entry or agent, or the command of {@link ClassArchiveTrainer}
 	 */
 	public static void main(String[] args) {
+		System.setProperty(ALLOCATOR_EVENTS_PROPERTY, "false");
 		ProcessSignals signals = ProcessSignals.install();
 		if (args.length == 1 && args[0].equals(ClassArchiveTrainer.COMMAND)) {
 			System.exit(ClassArchiveTrainer.run());
