--- a/library/src/main/java/org/wigeontally/placement/EngineProfile.java
+++ b/library/src/main/java/org/wigeontally/placement/EngineProfile.java
@@ -49,6 +49,16 @@
 				+ this.stepMsPerThousandContextTokens * thousandContextTokens);
 	}
 
+	/**
+	 * Returns the time to the first event of a request that takes the last slot of a
+	 * batch: half of the current pass, the prompt, and the pass that writes the event.
+	 * @param promptTokens tokens of its prompt
+	 * @return milliseconds
+	 */
+	public double admittedFirstEventMs(int promptTokens) {
+		return 1.5 * passMs(this.batchSlots) + prefillMs(promptTokens);
+	}
+
 	/**
 	 * Returns the mean time between two completed requests of a full batch.
 	 * @return milliseconds
--- /dev/null
+++ b/testsuite/src/test/java/org/wigeontally/queueing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of requests that wait for a slot.
+ */
+package org.wigeontally.queueing;
