Requests for ranked engines wait at the entry

Cause: a request that found no slot was refused in the same event, although the entry learns of free slots some milliseconds later, from its own attempts that end and from reports.

Change: QueuedPlacement stands between a request and RequestPlacer and lets requests wait at services with ServiceTraits.isScheduled() that have engines, unless they were sent before; all others are placed as before. ServiceQueue holds those of one service and tries them when an attempt ends, a report shows a slot, a backend server registers, or the time of one is over. A request that waits goes through all checks again before it is sent: the drain of the entry, the parts of its prompt, its placement, a permit. GatewayContext.traits(service) is minimal: it knows ranked services only.

Result: QueuedPlacementTests: placed when a slot frees or an engine appears, refused in time otherwise, not sent after its caller left or while the entry drains, answered after a fault of the entry, and no wait at a service that is not ranked.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -56,6 +56,10 @@
 	REQUEST_PLACED(RateLimit.REQUESTS),
 	/** No backend server was found for a request; the fields show why. */
 	REQUEST_NOT_PLACED(RateLimit.REQUESTS),
+	/** A request found no slot and waits for one. */
+	REQUEST_WAITS(RateLimit.REQUESTS),
+	/** A request no longer waits for a slot; the fields show how that ended. */
+	REQUEST_WOKEN(RateLimit.REQUESTS),
 	/** An attempt at a backend server failed to return a usable response. */
 	ATTEMPT_FAILED(RateLimit.REQUESTS),
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -403,6 +403,7 @@
 		this.ended = true;
 		this.memory.close();
 		this.backend.load().recordEnd();
+		this.context.slotFreed(this.request.service());
 		if (this.sent) {
 			this.backend.attemptEnded(this);
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequest.java
@@ -109,6 +109,14 @@
 		return this.route.regions().contains(region) && organisationRegions.contains(region);
 	}
 
+	/**
+	 * Returns what decides which engines of its service the request may use.
+	 * @return equal for requests that may use the same ones
+	 */
+	Object engineSet() {
+		return List.of(this.route.regions(), this.organisation.map(Organisation::regions).orElse(AllowedRegions.all()));
+	}
+
 	int promptTokens(int defaultTokens) {
 		String value = this.http.getHeader(WireNames.TOKENS);
 		if (value == null) {
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestHandler.java
@@ -46,17 +46,17 @@
 
 	private final GatewayContext context;
 
-	private final RequestPlacer placer;
+	private final QueuedPlacement placement;
 
 	private final PermitClient permits;
 
 	private final CallerConnections connections;
 
-	CallerRequestHandler(GatewayContext context, CallerConnections connections, RequestPlacer placer,
+	CallerRequestHandler(GatewayContext context, CallerConnections connections, QueuedPlacement placement,
 			PermitClient permits) {
 		this.context = context;
 		this.connections = connections;
-		this.placer = placer;
+		this.placement = placement;
 		this.permits = permits;
 	}
 
@@ -142,7 +142,7 @@
 		}
 		CallerRequest callerRequest = new CallerRequest(request, route.get(), organisation, service.get(), body,
 				receivedAtMs, callerTimeoutMs(request));
-		new RequestRelay(this.context, this.placer, this.permits, callerRequest).start();
+		new RequestRelay(this.context, this.placement, this.permits, callerRequest).start();
 	}
 
 	private static long callerTimeoutMs(HttpServerRequest request) {
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import io.vertx.core.net.NetClient;
@@ -99,6 +100,9 @@
 
 	private LapseGrace lapseGrace = LapseGrace.none();
 
+	private Consumer<Backend> backendListener = (backend) -> {
+	};
+
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
 		settings.getZonesList().forEach((place) -> this.regions.putIfAbsent(place.getZone(), place.getRegion()));
@@ -111,6 +115,14 @@
 		this.log = log;
 	}
 
+	/**
+	 * Sets who is told of registrations and of reports on backend servers.
+	 * @param listener receives the backend server
+	 */
+	void onBackendNews(Consumer<Backend> listener) {
+		this.backendListener = listener;
+	}
+
 	FleetConfiguration configuration() {
 		return this.configuration;
 	}
@@ -385,6 +397,7 @@
 						StorePosition.format(topicRecord.position()), "source", source);
 			}
 			known.setRecord(record);
+			this.backendListener.accept(known);
 			return;
 		}
 		Address address = Addresses.parse(record.address()).orElse(null);
@@ -403,6 +416,7 @@
 		this.log.write(LogEvent.BACKEND, "backend", id, "service", record.service(), "address", record.address(),
 				"zone", record.zone(), "draining", record.draining(), "cold-ms", record.remainingColdMs(), "position",
 				StorePosition.format(topicRecord.position()), "source", source);
+		this.backendListener.accept(backend);
 	}
 
 	private void applyLimits(Backend backend) {
@@ -562,6 +576,7 @@
 		long nowMs = this.clock.monotonicMs();
 		backend.recordReport(status.getLoadedVersion(), status.getLoading(), nowMs);
 		backend.load().recordReport(status.getActive() + status.getQueued(), status.getPace(), nowMs);
+		this.backendListener.accept(backend);
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
@@ -13,6 +14,7 @@
 import org.wigeontally.eventlog.EventLog;
 import org.wigeontally.fleet.ConfigurationLag;
 import org.wigeontally.fleet.DrainSchedule;
+import org.wigeontally.fleet.FleetConfiguration;
 import org.wigeontally.fleet.InitialTimeout;
 import org.wigeontally.fleet.RetryBudgetShare;
 import org.wigeontally.harmful.HarmfulPartTracker;
@@ -23,6 +25,7 @@
 import org.wigeontally.placement.EnginePlacement;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.LeastLoadedPlacement;
+import org.wigeontally.placement.ServiceTraits;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.HostBounds;
 import org.wigeontally.schema.generated.HostSettings;
@@ -74,6 +77,9 @@
 	private Runnable urgentNews = () -> {
 	};
 
+	private Consumer<String> slotListener = (service) -> {
+	};
+
 	private final ConfigurationLag configurationLag;
 
 	private final Set<RequestRelay> requestsInFlight = new LinkedHashSet<>();
@@ -158,6 +164,16 @@
 		return this.enginePlacements.computeIfAbsent(engine, (key) -> EnginePlacement.of(key, this.random));
 	}
 
+	/**
+	 * Returns what the configuration says about the load of a service.
+	 * @param service name of the service
+	 * @return its traits
+	 */
+	ServiceTraits traits(String service) {
+		FleetConfiguration configuration = this.fleet.configuration();
+		return new ServiceTraits(configuration != null && configuration.isRanked(service), false);
+	}
+
 	RetryBudgetShare retryBudget(String service) {
 		HostBounds bounds = this.settings.getBounds();
 		return this.retryBudgets
@@ -199,6 +215,18 @@
 		this.urgentNews.run();
 	}
 
+	/**
+	 * Sets who is told that an attempt of this entry has ended.
+	 * @param listener receives the name of the service
+	 */
+	void onSlotFreed(Consumer<String> listener) {
+		this.slotListener = listener;
+	}
+
+	void slotFreed(String service) {
+		this.slotListener.accept(service);
+	}
+
 	int inFlight() {
 		return this.requestsInFlight.size();
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -142,10 +142,11 @@
 			.setTcpNoDelay(true);
 		FleetState fleet = new FleetState(settings, vertx.createNetClient(clientOptions), clock, log);
 		this.context = new GatewayContext(vertx, clock, settings, log, fleet, new GatewayMetrics());
-		RequestPlacer placer = new RequestPlacer(this.context, new CandidateSelector(fleet, settings));
+		QueuedPlacement placement = new QueuedPlacement(this.context,
+				new RequestPlacer(this.context, new CandidateSelector(fleet, settings)));
 		this.permitServer = new PermitServer(this.context, this.entries);
 		this.callerConnections = new CallerConnections(this.context);
-		this.callerHandler = new CallerRequestHandler(this.context, this.callerConnections, placer,
+		this.callerHandler = new CallerRequestHandler(this.context, this.callerConnections, placement,
 				new PermitClient(this.context, this.permitServer));
 		this.exchange = new EntryExchange(this.context, this.entries, clock.wallMs());
 		this.briefings = new AgentBriefings(this.context, this.entries);
--- a/daemons/src/main/java/org/wigeontally/gateway/Placement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Placement.java
@@ -29,4 +29,12 @@
 
 	}
 
+	/**
+	 * The request waits at the entry for a slot of an engine, and is placed or refused
+	 * later.
+	 */
+	record Waits() implements Placement {
+
+	}
+
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestPlacer.java
@@ -26,6 +26,9 @@
 	 */
 	static final double NO_BACKEND_RETRY_AFTER_MS = 1_200;
 
+	/** Refusal reason if there are engines, but no slot for the request. */
+	static final String ENGINES_FULL = "engines-full";
+
 	private final GatewayContext context;
 
 	private final CandidateSelector selector;
@@ -57,6 +60,27 @@
 		return choose(request, service, candidates, targetLeftMs, deadlineLeftMs, nowMs);
 	}
 
+	/**
+	 * Tries to place a request that waits. Reasons against a placement are not logged,
+	 * since it is tried many times.
+	 * @param request the request
+	 * @param triedBackendIds ids of backend servers that were tried before
+	 * @param targetLeftMs time left to meet its target
+	 * @param deadlineLeftMs time left until its deadline
+	 * @return where it is sent; empty if it goes on waiting
+	 */
+	Optional<Placement.Placed> placeWaiting(CallerRequest request, Set<String> triedBackendIds, long targetLeftMs,
+			long deadlineLeftMs) {
+		long nowMs = this.context.nowMs();
+		Service service = this.context.fleet().service(request.service());
+		List<Backend> candidates = candidates(request, service, triedBackendIds, nowMs);
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		Placement placement = choose(request, service, candidates, targetLeftMs, deadlineLeftMs, nowMs, false);
+		return (placement instanceof Placement.Placed placed) ? Optional.of(placed) : Optional.empty();
+	}
+
 	/**
 	 * Places a request a second time while its first attempt is silent. Limited backend
 	 * servers are left to requests that have no attempt yet.
@@ -87,6 +111,11 @@
 
 	private Placement choose(CallerRequest request, Service service, List<Backend> candidates, long targetLeftMs,
 			long deadlineLeftMs, long nowMs) {
+		return choose(request, service, candidates, targetLeftMs, deadlineLeftMs, nowMs, true);
+	}
+
+	private Placement choose(CallerRequest request, Service service, List<Backend> candidates, long targetLeftMs,
+			long deadlineLeftMs, long nowMs, boolean logged) {
 		List<BackendCandidate> placementCandidates = candidates.stream()
 			.map((backend) -> this.selector.toPlacementCandidate(request, backend, nowMs))
 			.toList();
@@ -99,8 +128,10 @@
 				profile.meanAnswerTokens(), targetLeftMs, deadlineLeftMs, request.priority(), 0);
 		PlacementDecision decision = this.context.enginePlacement(profile).decide(engineRequest, placementCandidates);
 		if (decision instanceof PlacementDecision.Reject rejection) {
-			logRejection(request, engineRequest, rejection, candidates.size());
-			return notPlaced("engines-full", rejection.retryAfterMs());
+			if (logged) {
+				logRejection(request, engineRequest, rejection, candidates.size());
+			}
+			return notPlaced(ENGINES_FULL, rejection.retryAfterMs());
 		}
 		PlacementDecision.Place placement = (PlacementDecision.Place) decision;
 		Backend chosen = findById(candidates, placement.id());
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -1,8 +1,6 @@
 package org.wigeontally.gateway;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 
 import io.vertx.core.http.HttpServerResponse;
@@ -11,12 +9,9 @@
 import org.wigeontally.fleet.NotRunPromise;
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.harmful.Fingerprint;
-import org.wigeontally.harmful.PartAdmission;
-import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.Suspicion;
 import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.Permit;
-import org.wigeontally.limits.PermitQueue;
 
 /**
  * Forwards one request of a caller to backend servers and returns the response.
@@ -36,7 +31,7 @@
  * cannot be mistaken for a complete one. When the caller disconnects, the connection to
  * the backend server is closed, which cancels the request there. Runs on the event loop.
  */
-final class RequestRelay implements AttemptListener {
+final class RequestRelay implements AttemptListener, RequestDispatch.Listener {
 
 	/** Minimum remaining time for which another attempt is started. */
 	private static final long MIN_REMAINING_MS = 30;
@@ -49,26 +44,12 @@
 	/** Number of failed connects after which the request fails. */
 	private static final int MAX_CONNECT_FAILURES = 4;
 
-	/**
-	 * Target of a stream that is resumed. The events that the caller has received would
-	 * be lost, so it is placed like a request that can meet its target.
-	 */
-	private static final long RESUME_TARGET_MS = 1_000;
-
-	/** Refusal reason of an entry that is shutting down. */
-	private static final String LEAVING = "leaving";
-
 	/** Refusal reason of an entry that failed while it handled the request. */
 	private static final String ENTRY_FAILED = "failure";
 
-	/** Callers that a shutting-down entry refuses can use another one immediately. */
-	private static final double LEAVING_RETRY_AFTER_S = 0;
-
 	private final GatewayContext context;
 
-	private final RequestPlacer placer;
-
-	private final PermitClient permits;
+	private final RequestDispatch dispatch;
 
 	private final CallerRequest request;
 
@@ -76,14 +57,10 @@
 
 	private final long expiresAtMs;
 
-	private final long elapsedBeforeMs;
-
 	private final CallerWriter writer;
 
 	private final MemoryBudget.Holder memory;
 
-	private final Set<String> triedBackendIds = new HashSet<>();
-
 	private final RunningAttempts attempts = new RunningAttempts();
 
 	private EventStreamWriter streamWriter;
@@ -97,11 +74,6 @@
 
 	private boolean mayHaveRun;
 
-	// Parts of the prompt for which the request is on trial.
-	private Set<PromptPart> triedParts = Set.of();
-
-	private boolean answerBegan;
-
 	private boolean finished;
 
 	// Time from the request to the first event of a stream; -1 if there was none.
@@ -113,16 +85,14 @@
 
 	private long timeoutTimer = -1;
 
-	RequestRelay(GatewayContext context, RequestPlacer placer, PermitClient permits, CallerRequest request) {
+	RequestRelay(GatewayContext context, QueuedPlacement placement, PermitClient permits, CallerRequest request) {
 		this.context = context;
-		this.placer = placer;
-		this.permits = permits;
 		this.request = request;
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
 		this.memory = context.memory().open(() -> guard(this::endForMemory));
-		this.elapsedBeforeMs = context.elapsedBeforeMs(request.route().name(), request.callerTimeoutMs());
+		this.dispatch = new RequestDispatch(context, placement, permits, request, this);
 	}
 
 	void start() {
@@ -196,86 +166,30 @@
 		this.context.retryBudget(this.request.service()).recordRequest(this.request.receivedAtMs());
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
 		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> guard(this::timedOut));
-		placeRequest();
-	}
-
-	private void placeRequest() {
-		// A stream that has begun is resumed in any case; its events would be lost.
-		if (this.streamWriter == null && !this.context.outlasts(this.expiresAtMs)) {
-			failRequest(LEAVING, (remainingMs) -> LEAVING_RETRY_AFTER_S);
-			return;
-		}
-		if (!this.answerBegan && !admitParts()) {
-			return;
-		}
-		Placement placement = this.placer.place(this.request, this.triedBackendIds, targetLeftMs(),
-				this.expiresAtMs - this.context.nowMs());
-		if (placement instanceof Placement.Placed placed) {
-			acquirePermitAndSend(placed);
-			return;
-		}
-		Placement.NotPlaced notPlaced = (Placement.NotPlaced) placement;
-		failRequest(notPlaced.reason(), notPlaced.retryAfterSeconds());
+		this.dispatch.dispatch();
 	}
 
-	private void acquirePermitAndSend(Placement.Placed placed) {
-		Backend backend = placed.backend();
-		if (!backend.limit().isNamed()) {
-			send(placed, null);
-			return;
-		}
-		Permit permit = Permit.askedNow(this.context.clock());
-		this.permits.acquire(backend, new PermitQueue.Waiter() {
-
-			@Override
-			public boolean permitted() {
-				if (RequestRelay.this.finished) {
-					return false;
-				}
-				guard(() -> send(placed, permit));
-				return true;
-			}
-
-			@Override
-			public void denied() {
-				if (!RequestRelay.this.finished) {
-					RequestRelay.this.triedBackendIds.add(backend.record().id());
-					guard(RequestRelay.this::placeRequest);
-				}
-			}
-
-		});
+	@Override
+	public void send(Placement.Placed placed, Permit permit) {
+		BackendAttempt attempt = new BackendAttempt(this.context, this.request, this.fingerprint,
+				this.dispatch.triedParts(), placed, permit, this);
+		this.attempts.add(attempt);
+		attempt.start();
 	}
 
-	// An answer that has begun shows that the prompt is harmless, so it is not judged
-	// again when the stream is resumed.
-	private boolean admitParts() {
-		PartAdmission admission = this.context.harmfulParts().admit(this.request.sharedParts());
-		if (admission.isAllowed()) {
-			this.triedParts = admission.parts();
-			return true;
-		}
-		this.context.log()
-			.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
-					"parts", HarmfulPartGuard.ids(admission.parts()), "losses", admission.lossCount());
-		failRequest((admission.action() == PartAdmission.Action.REFUSE) ? "harmful-part" : "part-on-trial",
-				admission.retryAfterMs());
-		return false;
+	@Override
+	public void notDispatched(String reason, DoubleUnaryOperator retryAfterSeconds) {
+		endWithoutSuccess(LocalResponse.unknownOutcome(reason), retryAfterSeconds);
 	}
 
-	private long targetLeftMs() {
-		if (this.streamWriter != null) {
-			return RESUME_TARGET_MS;
-		}
-		return this.request.route().targetMs() - this.elapsedBeforeMs - elapsedMs();
+	@Override
+	public boolean isFinished() {
+		return this.finished;
 	}
 
-	private void send(Placement.Placed placed, Permit permit) {
-		this.triedBackendIds.add(placed.backend().record().id());
-		BackendAttempt attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts,
-				placed, permit, this);
-		this.attempts.add(attempt);
-		attempt.start();
+	@Override
+	public boolean isSentBefore() {
+		return this.sentAttempts > 0 || hasForwardedEvents();
 	}
 
 	@Override
@@ -299,10 +213,9 @@
 		if (this.finished || !this.attempts.isNewest(attempt) || !mayHaveSuccessor()) {
 			return;
 		}
-		Optional<Placement.Placed> placed = this.placer.placeSuccessor(this.request, this.triedBackendIds,
-				targetLeftMs(), remainingMs());
+		Optional<Placement.Placed> placed = this.dispatch.placeSuccessor();
 		if (placed.isPresent() && mayRetry()) {
-			send(placed.get(), null);
+			this.dispatch.sendSuccessor(placed.get());
 		}
 	}
 
@@ -312,9 +225,7 @@
 				|| this.connectFailures >= MAX_CONNECT_FAILURES) {
 			return false;
 		}
-		// A prompt on trial runs at one engine at a time.
-		return this.answerBegan || (this.triedParts.isEmpty()
-				&& this.context.harmfulParts().admit(this.request.sharedParts()).isUnsuspected());
+		return this.dispatch.mayRunTwice();
 	}
 
 	private boolean isResumable() {
@@ -328,8 +239,7 @@
 
 	@Override
 	public void answerBegun() {
-		this.answerBegan = true;
-		this.triedParts = Set.of();
+		this.dispatch.answerBegun();
 	}
 
 	@Override
@@ -427,7 +337,7 @@
 		}
 		this.mayHaveRun |= outcome == AttemptFailure.MAY_HAVE_RUN || outcome == AttemptFailure.FAILED;
 		if (outcome == AttemptFailure.NOT_SENT && failedAttempt.lacksPermit()) {
-			this.triedBackendIds.remove(failedAttempt.backendId());
+			this.dispatch.allowAgain(failedAttempt.backendId());
 		}
 		this.connectFailures += (outcome == AttemptFailure.NOT_SENT) ? 1 : 0;
 		this.attempts.remove(failedAttempt);
@@ -438,14 +348,16 @@
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
 			case NOT_RUN -> mayRetry();
 			// A trial that ends in a loss is not repeated before its result is known.
-			case MAY_HAVE_RUN -> this.triedParts.isEmpty() && this.request.route().isRetryable() && mayRetry();
+			case MAY_HAVE_RUN ->
+				this.dispatch.triedParts().isEmpty() && this.request.route().isRetryable() && mayRetry();
 			case FAILED -> this.request.route().isRetryable() && mayRetry();
 		};
 		if (!retryAllowed || remainingMs() < MIN_REMAINING_MS) {
-			failRequest(ATTEMPT_FAILED, RequestPlacer.NO_BACKEND_RETRY_AFTER_MS);
+			notDispatched(ATTEMPT_FAILED, (remainingMs) -> RetryAfter.seconds(RequestPlacer.NO_BACKEND_RETRY_AFTER_MS,
+					remainingMs, this.context.random()));
 			return;
 		}
-		placeRequest();
+		this.dispatch.dispatch();
 	}
 
 	private boolean mayRetry() {
@@ -453,14 +365,6 @@
 				&& this.context.retryBudget(this.request.service()).tryAcquireRetry(this.context.nowMs());
 	}
 
-	private void failRequest(String reason, double retryAfterMs) {
-		failRequest(reason, (remainingMs) -> RetryAfter.seconds(retryAfterMs, remainingMs, this.context.random()));
-	}
-
-	private void failRequest(String reason, DoubleUnaryOperator retryAfterSeconds) {
-		endWithoutSuccess(LocalResponse.unknownOutcome(reason), retryAfterSeconds);
-	}
-
 	// Aborts a stream that has begun, returns a stored server error, or sends a response
 	// of the entry itself.
 	private void endWithoutSuccess(LocalResponse answerIfRun, DoubleUnaryOperator retryAfterSeconds) {
@@ -490,7 +394,7 @@
 	 * Ends the request with what is known of it, because the process ends.
 	 */
 	void endForShutdown() {
-		guard(() -> endUnfinished(LocalResponse.unknownOutcome(LEAVING)));
+		guard(() -> endUnfinished(LocalResponse.unknownOutcome(RequestDispatch.LEAVING)));
 	}
 
 	// Closing the connection shows the caller that the response is incomplete.
@@ -605,6 +509,7 @@
 		cancelAttempts();
 		this.failureResponse = null;
 		updateMemory();
+		this.dispatch.end();
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
@@ -1,6 +1,7 @@
 package org.wigeontally.fleet;
 
 import java.util.HashSet;
+import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -68,4 +69,15 @@
 		return only(both);
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof AllowedRegions that && this.unrestricted == that.unrestricted
+				&& this.regions.equals(that.regions);
+	}
+
+	@Override
+	public int hashCode() {
+		return Objects.hash(this.unrestricted, this.regions);
+	}
+
 }
--- a/library/src/main/java/org/wigeontally/queueing/RequestQueue.java
+++ b/library/src/main/java/org/wigeontally/queueing/RequestQueue.java
@@ -143,7 +143,7 @@
 				this.policy.recordWait(entry.request.rank(), entry.decision.chance(), true, nowMs);
 				this.shares.recordSlot(entry.request.organisation(), nowMs);
 			}
-			else {
+			else if (this.waiting.contains(entry)) {
 				fullEngineSets.add(entry.request.engineSet());
 			}
 		}
