Load of the queue in variants

Cause: the queue was shown at one load only.

Change: RequestQueueLoadTests replays the burst also with callers that retry at once, with half of the callers at 15 of 44 entries, and at 9 and 67 entries.

--- a/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/PlacementSimulation.java
@@ -41,6 +41,10 @@
 
 	private double[] organisationWeights = { 1 };
 
+	private int crowdedEntries;
+
+	private boolean retryAtOnce;
+
 	private boolean perfectReports;
 
 	private boolean staggeredReports;
@@ -94,6 +98,18 @@
 		return this;
 	}
 
+	/** Half of all requests come to the first entries. */
+	PlacementSimulation crowdEntries(int entries) {
+		this.crowdedEntries = entries;
+		return this;
+	}
+
+	/** Callers ignore when they are told to return. */
+	PlacementSimulation retryAtOnce() {
+		this.retryAtOnce = true;
+		return this;
+	}
+
 	PlacementSimulation weighOrganisations(double... weights) {
 		this.organisationWeights = weights;
 		return this;
@@ -111,13 +127,17 @@
 					Math.min(3_900, stream.meanPrompt() * Math.exp(this.random.nextGaussian() * 0.7 - 0.25)));
 			int answer = (int) Math.max(5,
 					Math.min(250, stream.meanAnswer() * Math.exp(this.random.nextGaussian() * 0.6 - 0.18)));
-			Arrival arrival = new Arrival(stream, drawOrganisation(), atMs, atMs,
-					this.random.nextInt(this.loads.length), prompt, answer, 0);
+			Arrival arrival = new Arrival(stream, drawOrganisation(), atMs, atMs, drawEntry(), prompt, answer, 0);
 			this.arrivals.add(arrival);
 			countsOf(arrival).forEach((counts) -> counts.requests++);
 		}
 	}
 
+	private int drawEntry() {
+		boolean crowded = this.crowdedEntries > 0 && this.random.nextBoolean();
+		return this.random.nextInt(crowded ? this.crowdedEntries : this.loads.length);
+	}
+
 	// Draws nothing if there is only one.
 	private int drawOrganisation() {
 		int organisation = this.organisationWeights.length - 1;
@@ -228,7 +248,8 @@
 
 	/** Rejects a request; its caller retries once. */
 	void reject(Arrival arrival, double retryAfterMs, long nowMs) {
-		double retryAtMs = nowMs + Math.min(retryAfterMs, (arrival.deadlineAtMs() - nowMs) / 3);
+		double retryAtMs = nowMs
+				+ (this.retryAtOnce ? 0 : Math.min(retryAfterMs, (arrival.deadlineAtMs() - nowMs) / 3));
 		if (arrival.retries() == 0) {
 			this.arrivals.add(new Arrival(arrival.stream(), arrival.organisation(), retryAtMs, arrival.firstAttemptMs(),
 					arrival.entry(), arrival.promptTokens(), arrival.answerTokens(), 1));
--- a/testsuite/src/test/java/org/wigeontally/placement/RequestQueueLoadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/RequestQueueLoadTests.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 
 import org.testng.Reporter;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -60,16 +62,42 @@
 
 	@BeforeClass
 	public void run() {
-		this.withoutQueue = run("no queue, 1.7 s", false, false);
-		this.withQueue = run("queue", true, false);
-		this.withKnowledge = run("queue, perfect knowledge", true, true);
+		Load load = new Load("44 entries", ENTRIES, UnaryOperator.identity());
+		this.withoutQueue = run("no queue, 1.7 s", load, false);
+		this.withQueue = run("queue", load, true);
+		this.withKnowledge = run("queue", new Load("perfect knowledge", ENTRIES, PlacementSimulation::reportPerfectly),
+				true);
+	}
+
+	@DataProvider
+	public Object[][] variants() {
+		return new Object[][] { { new Load("callers retry at once", ENTRIES, PlacementSimulation::retryAtOnce) },
+				{ new Load("half of the callers at 15 of 44", ENTRIES, (simulation) -> simulation.crowdEntries(15)) },
+				{ new Load("9 entries", 9, UnaryOperator.identity()) },
+				{ new Load("67 entries", 67, UnaryOperator.identity()) } };
+	}
+
+	/**
+	 * Guards against a queue that helps only at the number of entries, or with the
+	 * callers, that it was built for.
+	 */
+	@Test(dataProvider = "variants")
+	public void variantsOfTheLoadAreServedBetterToo(Load load) {
+		Outcome without = run("no queue, 1.7 s", load, false);
+		Outcome with = run("queue", load, true);
+		assertThat(with.value).isGreaterThan(without.value);
+		assertThat(with.inTime[0]).isGreaterThan(without.inTime[0]);
+		for (int rank = 0; rank < STREAMS.size(); rank++) {
+			assertThat(with.failedLong[rank]).isLessThan(with.placed[rank]);
+		}
 	}
 
 	/** Guards against a load that is not the one that the queue is meant for. */
 	@Test
 	public void enginesAreNearlyFullBeforeTheBurst() {
 		double requests = IntStream.rangeClosed(1, 3 * SEEDS).parallel().map((seed) -> {
-			PlacementSimulation simulation = createLoad(seed);
+			PlacementSimulation simulation = createSimulation(ENTRIES, seed);
+			addLoad(simulation);
 			simulation.run(3_900);
 			return simulation.requestsAtEngines();
 		}).average().getAsDouble();
@@ -111,40 +139,52 @@
 		assertThat(this.withQueue.inTimeOfLarge).isGreaterThan(this.withQueue.inTimeOfSmall / 2);
 	}
 
-	private static PlacementSimulation createLoad(int seed) {
-		PlacementSimulation simulation = new PlacementSimulation(PROFILE, ENTRIES, ENGINES, seed,
+	private static PlacementSimulation createSimulation(int entries, int seed) {
+		return new PlacementSimulation(PROFILE, entries, ENGINES, seed,
 				EnginePlacement.of(PROFILE, new Random(seed))::decide)
 			.reportEveryMs(300)
 			.staggerReports()
 			.weighOrganisations(IntStream.range(0, ORGANISATIONS)
 				.mapToDouble((organisation) -> (organisation < LARGE_ORGANISATIONS) ? LARGE_WEIGHT : 1)
 				.toArray());
+	}
+
+	private static void addLoad(PlacementSimulation simulation) {
 		for (int rank = 0; rank < STREAMS.size(); rank++) {
 			simulation.addArrivals(STREAMS.get(rank), 0, 16_000, RATES[rank]);
 		}
 		simulation.addArrivals(STREAMS.get(2), 4_000, 10_000, 1.6 * RATES[2]);
 		simulation.addArrivals(STREAMS.get(0), 5_000, 8_500, 0.7 * RATES[0]);
-		return simulation;
 	}
 
-	private static Outcome run(String name, boolean queued, boolean perfectReports) {
+	private static Outcome run(String name, Load load, boolean queued) {
 		Outcome outcome = new Outcome();
 		IntStream.rangeClosed(1, SEEDS).parallel().forEach((seed) -> {
-			PlacementSimulation simulation = createLoad(seed);
-			QueuedEntries entries = new QueuedEntries(simulation, PROFILE, ENTRIES, seed);
+			PlacementSimulation simulation = load.change().apply(createSimulation(load.entries(), seed));
+			addLoad(simulation);
+			QueuedEntries entries = new QueuedEntries(simulation, PROFILE, load.entries(), seed);
 			if (queued) {
 				simulation.behave(entries);
 			}
-			if (perfectReports) {
-				simulation.reportPerfectly();
-			}
 			simulation.run(22_000);
 			outcome.add(simulation, entries);
 		});
-		Reporter.log(name + ": " + outcome, true);
+		Reporter.log(load + ", " + name + ": " + outcome, true);
 		return outcome;
 	}
 
+	/**
+	 * A variant of the load.
+	 */
+	private record Load(String name, int entries, UnaryOperator<PlacementSimulation> change) {
+
+		@Override
+		public String toString() {
+			return this.name;
+		}
+
+	}
+
 	/**
 	 * Means over all seeds, by rank.
 	 */
