--- a/testsuite/src/test/java/org/wigeontally/gateway/QueuedPlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/QueuedPlacementTests.java
@@ -17,6 +17,8 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -57,6 +59,12 @@
 	}
 
 	private void startWithFullEngine(boolean ranked, double graceS) throws Exception {
+		startWithIdleEngine(ranked, graceS);
+		send("held");
+		GatewayFixture.awaitTrue(() -> this.heldAnswers.size() == 1);
+	}
+
+	private void startWithIdleEngine(boolean ranked, double graceS) throws Exception {
 		this.fixture.store().write("op", "config", createConfiguration(ranked));
 		this.engine = this.fixture.startBackend("engine-1", "engines", "zone-a", this::respond);
 		this.fixture.startEntryWithGrace(graceS);
@@ -65,8 +73,6 @@
 		for (int i = 0; i < 10; i++) {
 			assertThat(call("quick-" + i).status()).isEqualTo(200);
 		}
-		send("held");
-		GatewayFixture.awaitTrue(() -> this.heldAnswers.size() == 1);
 	}
 
 	private static JsonObject createConfiguration(boolean ranked) {
@@ -128,6 +134,39 @@
 		assertThat(countWaits("placed")).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a slot that a request of another entry leaves, and that an agent's
+	 * report shows.
+	 */
+	@Test
+	public void requestThatWaitsIsPlacedWhenAReportShowsASlot() throws Exception {
+		startWithIdleEngine(true, 8);
+		sendReport(1, 1);
+		Thread.sleep(ARRIVAL_MS);
+		Future<TestCaller.Response> waiting = send("waiting");
+		Thread.sleep(ARRIVAL_MS);
+		assertThat(hasArrived("waiting")).isFalse();
+		long reportedAtNs = System.nanoTime();
+		sendReport(2, 0);
+		assertThat(GatewayFixture.await(waiting).status()).isEqualTo(200);
+		assertThat((System.nanoTime() - reportedAtNs) / 1_000_000).isLessThan(AT_ONCE_MS);
+	}
+
+	private void sendReport(long sequence, int active) throws Exception {
+		EngineStatus status = EngineStatus.newBuilder()
+			.setAgent(GatewayFixture.freeAddress())
+			.setBackend(Address.newBuilder().setIp("127.0.0.1").setPort(this.engine.port()))
+			.setIncarnation(1)
+			.setSequence(sequence)
+			.setReachable(true)
+			.setLoadedVersion(1)
+			.setActive(active)
+			.build();
+		GatewayFixture.await(this.fixture.vertx()
+			.createDatagramSocket()
+			.send(Buffer.buffer(status.toByteArray()), this.fixture.settings(0).getInternalPort(), "127.0.0.1"));
+	}
+
 	/** Guards against engines that start while requests wait and get none of them. */
 	@Test
 	public void requestThatWaitsIsPlacedAtAnEngineThatAppears() throws Exception {
