--- a/testsuite/src/test/java/org/wigeontally/gateway/QueuedPlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/QueuedPlacementTests.java
@@ -1,6 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -233,22 +232,31 @@
 		GatewayFixture.await(ended);
 	}
 
-	/** Guards against requests without an answer after a fault of the queue. */
+	/** Guards against a fault in the placement of one request that stops the others. */
 	@Test
-	public void requestsThatWaitAreAnsweredIfTheEntryFails() throws Exception {
+	public void oneRequestThatWaitsFailsIfItsPlacementFails() throws Exception {
 		startWithFullEngine(true, 8);
-		List<Future<TestCaller.Response>> waiting = new ArrayList<>();
-		waiting.add(send("first"));
-		waiting.add(send("second"));
+		List<Future<TestCaller.Response>> waiting = List.of(send("first"), send("second"));
 		Thread.sleep(ARRIVAL_MS);
 		this.clock.failIn(RequestPlacer.class, "placeWaiting");
+		GatewayFixture.awaitTrue(this.clock::hasFailed);
 		this.heldAnswers.get(0).run();
-		int answered = 0;
-		for (Future<TestCaller.Response> response : waiting) {
-			answered += (GatewayFixture.await(response).status() == 200) ? 1 : 0;
-		}
-		assertThat(this.clock.hasFailed()).isTrue();
-		assertThat(answered).isEqualTo(1);
+		assertThat(
+				List.of(GatewayFixture.await(waiting.get(0)).status(), GatewayFixture.await(waiting.get(1)).status()))
+			.containsExactlyInAnyOrder(200, 503);
+	}
+
+	/** Guards against requests without an answer after a fault of the queue itself. */
+	@Test
+	public void requestsThatWaitAreRefusedIfTheQueueFails() throws Exception {
+		startWithFullEngine(true, 8);
+		List<Future<TestCaller.Response>> waiting = List.of(send("first"), send("second"));
+		Thread.sleep(ARRIVAL_MS);
+		long failedAtNs = System.nanoTime();
+		this.clock.failIn(ServiceQueue.class, "wake");
+		assertThat(GatewayFixture.await(waiting.get(0)).status()).isEqualTo(503);
+		assertThat(GatewayFixture.await(waiting.get(1)).status()).isEqualTo(503);
+		assertThat((System.nanoTime() - failedAtNs) / 1_000_000).isLessThan(AT_ONCE_MS);
 	}
 
 	/** Guards against waits at services whose streams all have the same priority. */
