Log lines and stream times of a request have classes of their own

Change: RequestEndLog writes the lines about the end of a request, StreamTimes keeps when the events of a stream were passed on. No change of behaviour or of a line's fields.

--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -57,12 +57,16 @@
 
 	private final long expiresAtMs;
 
+	private final RequestEndLog endLog;
+
 	private final CallerWriter writer;
 
 	private final MemoryBudget.Holder memory;
 
 	private final RunningAttempts attempts = new RunningAttempts();
 
+	private final StreamTimes streamTimes = new StreamTimes();
+
 	private EventStreamWriter streamWriter;
 
 	// Returned if no attempt brings a better one.
@@ -76,13 +80,6 @@
 
 	private boolean finished;
 
-	// Time from the request to the first event of a stream; -1 if there was none.
-	private long firstEventMs = -1;
-
-	private long lastEventsMs;
-
-	private long longestPauseMs;
-
 	private long timeoutTimer = -1;
 
 	RequestRelay(GatewayContext context, QueuedPlacement placement, PermitClient permits, CallerRequest request) {
@@ -90,6 +87,7 @@
 		this.request = request;
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
+		this.endLog = new RequestEndLog(context, request);
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
 		this.memory = context.memory().open(() -> guard(this::endForMemory));
 		this.dispatch = new RequestDispatch(context, placement, permits, request, this);
@@ -111,14 +109,14 @@
 	}
 
 	private void entryFailed(Throwable failure) {
-		logFault(failure);
+		this.endLog.fault(failure, this.sentAttempts);
 		HttpServerResponse response = this.request.http().response();
 		clearUnsentHead(response);
 		try {
 			endUnfinished(LocalResponse.unknownOutcome(ENTRY_FAILED));
 		}
 		catch (RuntimeException | VirtualMachineError ex) {
-			logFault(ex);
+			this.endLog.fault(ex, this.sentAttempts);
 			clearUnsentHead(response);
 		}
 		if (!response.ended() && response.headWritten()) {
@@ -139,12 +137,6 @@
 		}
 	}
 
-	private void logFault(Throwable failure) {
-		this.context.log()
-			.write(LogEvent.FAULT, "id", this.request.attemptId(), "sends", this.sentAttempts, "reason",
-					failure.toString());
-	}
-
 	private void begin() {
 		this.context.requestStarted(this);
 		this.request.http().response().closeHandler((v) -> guard(this::callerDisconnected));
@@ -250,19 +242,18 @@
 		long nowMs = this.context.nowMs();
 		if (this.streamWriter == null) {
 			startStream(reader);
-			this.lastEventsMs = nowMs;
-			this.firstEventMs = elapsedMs();
-			this.context.metrics().recordFirstByteTime(this.request.service(), this.firstEventMs);
+			this.streamTimes.recordFirst(elapsedMs(), nowMs);
+			this.context.metrics().recordFirstByteTime(this.request.service(), this.streamTimes.firstEventMs());
 		}
 		else {
-			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsMs);
+			this.streamTimes.recordArrival(nowMs);
 		}
 		long writtenBefore = this.streamWriter.writtenEvents();
 		boolean follows = this.streamWriter.writeEvents(reader);
 		// Events that a resumed stream repeats do not show that it goes on.
 		long written = this.streamWriter.writtenEvents() - writtenBefore;
 		if (written > 0) {
-			this.lastEventsMs = nowMs;
+			this.streamTimes.recordProgress(nowMs);
 			attempt.eventsForwarded(written);
 			if (attempt.isSound()) {
 				keepOnly(attempt);
@@ -328,10 +319,7 @@
 		if (outcome != AttemptFailure.FAILED) {
 			this.context.metrics().recordAttempt(this.request.service(), outcome.label());
 		}
-		this.context.log()
-			.write(LogEvent.ATTEMPT_FAILED, "id", this.request.attemptId(), "backend", failedAttempt.backendId(),
-					"outcome", outcome.label(), "reason", reason, "after-ms", failedAttempt.elapsedMs(), "sends",
-					this.sentAttempts);
+		this.endLog.attemptFailed(failedAttempt, outcome, reason, this.sentAttempts);
 		if (this.finished) {
 			return;
 		}
@@ -400,10 +388,7 @@
 	// Closing the connection shows the caller that the response is incomplete.
 	private void endForMemory() {
 		if (this.finished) {
-			this.context.log()
-				.write(LogEvent.ANSWER_GIVEN_UP, "id", this.request.attemptId(), "route", this.request.route().name(),
-						"unsent-bytes", this.writer.pendingBytes(), "after-ms", elapsedMs(), "configuration",
-						this.context.fleet().configurationVersion());
+			this.endLog.answerGivenUp(this.writer.pendingBytes());
 			this.request.http().connection().close();
 			return;
 		}
@@ -432,9 +417,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.context.log()
-			.write(LogEvent.CALLER_LEFT, "id", this.request.attemptId(), "after-ms", elapsedMs(), "begun",
-					this.streamWriter != null);
+		this.endLog.callerLeft(this.streamWriter != null);
 		cancelAttempts();
 		finish("caller-left");
 	}
@@ -450,21 +433,13 @@
 		}
 		boolean kept = NotRunPromise.isKept(response.status(), this.mayHaveRun, this.request.route().isRetryable());
 		LocalResponse refusal = kept ? response : LocalResponse.unknownOutcome(response.reason());
-		this.context.log()
-			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"organisation", this.request.organisationName(), "status", refusal.status(), "reason",
-					refusal.reason(), "return-s", refusal.retryAfterSeconds(), "sends", this.sentAttempts, "after-ms",
-					elapsedMs(), "configuration", this.context.fleet().configuration().version());
+		this.endLog.refused(refusal, this.sentAttempts);
 		CallerRequestHandler.writeResponse(this.request.http().response(), refusal, this.context.isDraining());
 		finish(refusal.reason());
 	}
 
 	private void abortStream(String reason) {
-		this.context.log()
-			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"reason", reason, "begun", true, "last-event", this.streamWriter.lastEventId(), "silent-ms",
-					this.context.nowMs() - this.lastEventsMs, "sends", this.sentAttempts, "after-ms", elapsedMs(),
-					"configuration", this.context.fleet().configuration().version());
+		this.endLog.streamCut(reason, this.streamWriter.lastEventId(), this.streamTimes, this.sentAttempts);
 		finish("stream-cut");
 		// Closing the connection omits the last chunk of the body, so the caller detects
 		// that the response is incomplete.
@@ -484,12 +459,8 @@
 	}
 
 	private void recordCompletion(int status) {
-		long durationMs = elapsedMs();
-		this.context.metrics().recordAnswerTime(this.request.service(), durationMs);
-		this.context.log()
-			.write(LogEvent.REQUEST_DONE, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"status", status, "sends", this.sentAttempts, "after-ms", durationMs, "first-event-ms",
-					this.firstEventMs, "longest-pause-ms", this.longestPauseMs);
+		this.context.metrics().recordAnswerTime(this.request.service(), elapsedMs());
+		this.endLog.done(status, this.streamTimes, this.sentAttempts);
 		finish((status < 400) ? "done" : "failed-by-backend");
 	}
 
