A waiting request without a usable slot does not hold up others

Cause: a request with little time left can find no slot although one is free, at an engine that is slow at the moment, and held up all requests behind it and those that arrived.

Change: a try ends after two requests without a slot instead of one, and a request that arrives is tried itself after those that wait.

Result: RequestQueueLoadTests is unchanged to the third digit (all its engines are equally fast); RequestQueueTests.requestThatFindsNoSlotDoesNotHoldUpOthers covers the case.

--- a/daemons/src/main/java/org/wigeontally/gateway/ServiceQueue.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/ServiceQueue.java
@@ -90,19 +90,16 @@
 		long nowMs = this.context.nowMs();
 		CallerRequest request = inquiry.request();
 		this.returnTime.recordArrival(request.priority(), nowMs);
-		// Free slots go to those that wait.
+		// Free slots go to those that wait, unless they cannot use them.
 		wake();
 		WaitingRequest facts = WaitingRequest.of(request.organisationName(), request.priority(), request.engineSet(),
 				request.receivedAtMs(), request.route().targetMs(), nowMs + inquiry.targetLeftMs(),
 				engine.admittedFirstEventMs(request.promptTokens(engine.meanPromptTokens())));
-		if (facts.latestPlacementMs() <= nowMs || !this.queue.isBehind(facts)) {
-			Placement placement = placeNow(inquiry);
-			if (!(placement instanceof Placement.NotPlaced refusal)
-					|| !refusal.reason().equals(RequestPlacer.ENGINES_FULL)) {
-				return placement;
-			}
+		Placement placement = placeNow(inquiry);
+		if (placement instanceof Placement.NotPlaced refusal && refusal.reason().equals(RequestPlacer.ENGINES_FULL)) {
+			return offer(new Wait(inquiry, facts, nowMs));
 		}
-		return offer(new Wait(inquiry, facts, nowMs));
+		return placement;
 	}
 
 	private Placement placeNow(PlacementInquiry inquiry) {
--- a/library/src/main/java/org/wigeontally/queueing/RequestQueue.java
+++ b/library/src/main/java/org/wigeontally/queueing/RequestQueue.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import org.wigeontally.queueing.WaitDecision.Reason;
 
@@ -42,6 +40,12 @@
 	 */
 	private static final double SLOTS_PER_TURN = 2;
 
+	/**
+	 * Requests that may find no slot before the try ends. A second one is tried because
+	 * the first one may only have too little time left for the engines that have a slot.
+	 */
+	private static final int MAX_FAILED_TRIES = 2;
+
 	private static final Comparator<Entry> ORDER = Comparator.comparingInt((Entry entry) -> entry.request.rank())
 		.thenComparingInt((entry) -> entry.turn)
 		.thenComparingLong((entry) -> entry.request.latestPlacementMs());
@@ -74,20 +78,6 @@
 		return this.waiting.size();
 	}
 
-	/**
-	 * Returns whether a request that arrives has to leave free slots to those that wait.
-	 * @param request the request
-	 * @return true if a request for the same engines waits that is at least as urgent
-	 */
-	public boolean isBehind(WaitingRequest request) {
-		for (Entry entry : this.waiting) {
-			if (entry.request.rank() <= request.rank() && entry.competesWith(request)) {
-				return true;
-			}
-		}
-		return false;
-	}
-
 	/**
 	 * Adds a request if it may wait.
 	 * @param request the request
@@ -127,15 +117,17 @@
 
 	/**
 	 * Tries to place the requests in their order, because a slot may have become free or
-	 * the time of one is over. Stops for each set of engines at the first request that
-	 * finds no slot, and refuses those that can no longer be placed in time.
+	 * the time of one is over. Stops for each set of engines after
+	 * {@link #MAX_FAILED_TRIES} requests that find no slot, and refuses those that can no
+	 * longer be placed in time.
 	 * @param nowMs current time in milliseconds
 	 */
 	public void wake(long nowMs) {
 		sort(nowMs);
-		Set<Object> fullEngineSets = new HashSet<>();
+		Map<Object, Integer> failedTries = new HashMap<>();
 		for (Entry entry : List.copyOf(this.waiting)) {
-			if (!this.waiting.contains(entry) || fullEngineSets.contains(entry.request.engineSet())) {
+			Object engines = entry.request.engineSet();
+			if (!this.waiting.contains(entry) || failedTries.getOrDefault(engines, 0) >= MAX_FAILED_TRIES) {
 				continue;
 			}
 			if (entry.waiter.place()) {
@@ -144,7 +136,7 @@
 				this.shares.recordSlot(entry.request.organisation(), nowMs);
 			}
 			else if (this.waiting.contains(entry)) {
-				fullEngineSets.add(entry.request.engineSet());
+				failedTries.merge(engines, 1, Integer::sum);
 			}
 		}
 		refuseHopeless(nowMs);
