--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -389,6 +389,7 @@
 		this.ended = true;
 		this.memory.close();
 		this.work.end();
+		this.context.slotFreed(this.request.service());
 		if (this.sent) {
 			this.backend.attemptEnded(this);
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
@@ -87,6 +88,9 @@
 	private Runnable urgentNews = () -> {
 	};
 
+	private Consumer<String> slotListener = (service) -> {
+	};
+
 	private final ConfigurationLag configurationLag;
 
 	private final Set<RequestRelay> requestsInFlight = new LinkedHashSet<>();
@@ -248,6 +252,18 @@
 		this.urgentNews.run();
 	}
 
+	/**
+	 * Sets who is told that an attempt of this entry has ended.
+	 * @param listener receives the name of the service
+	 */
+	void onSlotFreed(Consumer<String> listener) {
+		this.slotListener = listener;
+	}
+
+	void slotFreed(String service) {
+		this.slotListener.accept(service);
+	}
+
 	int inFlight() {
 		return this.requestsInFlight.size();
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -1,8 +1,6 @@
 package org.wigeontally.gateway;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 
 import io.vertx.core.http.HttpServerResponse;
@@ -11,12 +9,9 @@
 import org.wigeontally.fleet.NotRunPromise;
 import org.wigeontally.fleet.RetryAfter;
 import org.wigeontally.harmful.Fingerprint;
-import org.wigeontally.harmful.PartAdmission;
-import org.wigeontally.harmful.PromptPart;
 import org.wigeontally.harmful.Suspicion;
 import org.wigeontally.limits.MemoryBudget;
 import org.wigeontally.limits.Permit;
-import org.wigeontally.limits.PermitQueue;
 
 /**
  * Forwards one request of a caller to backend servers and returns the response.
@@ -36,7 +31,7 @@
  * cannot be mistaken for a complete one. When the caller disconnects, the connection to
  * the backend server is closed, which cancels the request there. Runs on the event loop.
  */
-final class RequestRelay implements AttemptListener {
+final class RequestRelay implements AttemptListener, RequestDispatch.Listener {
 
 	/** Minimum remaining time for which another attempt is started. */
 	private static final long MIN_REMAINING_MS = 30;
@@ -49,26 +44,12 @@
 	/** Number of failed connects after which the request fails. */
 	private static final int MAX_CONNECT_FAILURES = 4;
 
-	/**
-	 * Target of a stream that is resumed. The events that the caller has received would
-	 * be lost, so it is placed like a request that can meet its target.
-	 */
-	private static final long RESUME_TARGET_MS = 1_000;
-
-	/** Refusal reason of an entry that is shutting down. */
-	private static final String LEAVING = "leaving";
-
 	/** Refusal reason of an entry that failed while it handled the request. */
 	private static final String ENTRY_FAILED = "failure";
 
-	/** Callers that a shutting-down entry refuses can use another one immediately. */
-	private static final double LEAVING_RETRY_AFTER_S = 0;
-
 	private final GatewayContext context;
 
-	private final RequestPlacer placer;
-
-	private final PermitClient permits;
+	private final RequestDispatch dispatch;
 
 	private final CallerRequest request;
 
@@ -76,16 +57,16 @@
 
 	private final long expiresAtMs;
 
-	private final long elapsedBeforeMs;
+	private final RequestEndLog endLog;
 
 	private final CallerWriter writer;
 
 	private final MemoryBudget.Holder memory;
 
-	private final Set<String> triedBackendIds = new HashSet<>();
-
 	private final RunningAttempts attempts = new RunningAttempts();
 
+	private final StreamTimes streamTimes = new StreamTimes();
+
 	private EventStreamWriter streamWriter;
 
 	// Returned if no attempt brings a better one.
@@ -97,32 +78,19 @@
 
 	private boolean mayHaveRun;
 
-	// Parts of the prompt for which the request is on trial.
-	private Set<PromptPart> triedParts = Set.of();
-
-	private boolean answerBegan;
-
 	private boolean finished;
 
-	// Time from the request to the first event of a stream; -1 if there was none.
-	private long firstEventMs = -1;
-
-	private long lastEventsMs;
-
-	private long longestPauseMs;
-
 	private long timeoutTimer = -1;
 
-	RequestRelay(GatewayContext context, RequestPlacer placer, PermitClient permits, CallerRequest request) {
+	RequestRelay(GatewayContext context, QueuedPlacement placement, PermitClient permits, CallerRequest request) {
 		this.context = context;
-		this.placer = placer;
-		this.permits = permits;
 		this.request = request;
 		this.fingerprint = request.fingerprint();
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
+		this.endLog = new RequestEndLog(context, request);
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
 		this.memory = context.memory().open(request.memoryOwner(), () -> guard(this::endForMemory));
-		this.elapsedBeforeMs = context.elapsedBeforeMs(request.route().name(), request.callerTimeoutMs());
+		this.dispatch = new RequestDispatch(context, placement, permits, request, this);
 	}
 
 	void start() {
@@ -141,14 +109,14 @@
 	}
 
 	private void entryFailed(Throwable failure) {
-		logFault(failure);
+		this.endLog.fault(failure, this.sentAttempts);
 		HttpServerResponse response = this.request.http().response();
 		clearUnsentHead(response);
 		try {
 			endUnfinished(LocalResponse.unknownOutcome(ENTRY_FAILED));
 		}
 		catch (RuntimeException | VirtualMachineError ex) {
-			logFault(ex);
+			this.endLog.fault(ex, this.sentAttempts);
 			clearUnsentHead(response);
 		}
 		if (!response.ended() && response.headWritten()) {
@@ -169,12 +137,6 @@
 		}
 	}
 
-	private void logFault(Throwable failure) {
-		this.context.log()
-			.write(LogEvent.FAULT, "id", this.request.attemptId(), "sends", this.sentAttempts, "reason",
-					failure.toString());
-	}
-
 	private void begin() {
 		this.context.requestStarted(this);
 		this.request.http().response().closeHandler((v) -> guard(this::callerDisconnected));
@@ -197,86 +159,30 @@
 		this.context.rankReservations().recordRequest(this.request);
 		long remainingMs = this.expiresAtMs - this.context.nowMs();
 		this.timeoutTimer = this.context.vertx().setTimer(Math.max(1, remainingMs), (id) -> guard(this::timedOut));
-		placeRequest();
-	}
-
-	private void placeRequest() {
-		// A stream that has begun is resumed in any case; its events would be lost.
-		if (this.streamWriter == null && !this.context.outlasts(this.expiresAtMs)) {
-			failRequest(LEAVING, (remainingMs) -> LEAVING_RETRY_AFTER_S);
-			return;
-		}
-		if (!this.answerBegan && !admitParts()) {
-			return;
-		}
-		Placement placement = this.placer.place(this.request, this.triedBackendIds, targetLeftMs(),
-				this.expiresAtMs - this.context.nowMs());
-		if (placement instanceof Placement.Placed placed) {
-			acquirePermitAndSend(placed);
-			return;
-		}
-		Placement.NotPlaced notPlaced = (Placement.NotPlaced) placement;
-		failRequest(notPlaced.reason(), notPlaced.retryAfterSeconds());
+		this.dispatch.dispatch();
 	}
 
-	private void acquirePermitAndSend(Placement.Placed placed) {
-		Backend backend = placed.backend();
-		if (!backend.limit().isNamed()) {
-			send(placed, null);
-			return;
-		}
-		Permit permit = Permit.askedNow(this.context.clock());
-		this.permits.acquire(backend, new PermitQueue.Waiter() {
-
-			@Override
-			public boolean permitted() {
-				if (RequestRelay.this.finished) {
-					return false;
-				}
-				guard(() -> send(placed, permit));
-				return true;
-			}
-
-			@Override
-			public void denied() {
-				if (!RequestRelay.this.finished) {
-					RequestRelay.this.triedBackendIds.add(backend.record().id());
-					guard(RequestRelay.this::placeRequest);
-				}
-			}
-
-		});
+	@Override
+	public void send(Placement.Placed placed, Permit permit) {
+		BackendAttempt attempt = new BackendAttempt(this.context, this.request, this.fingerprint,
+				this.dispatch.triedParts(), placed, permit, this);
+		this.attempts.add(attempt);
+		attempt.start();
 	}
 
-	// An answer that has begun shows that the prompt is harmless, so it is not judged
-	// again when the stream is resumed.
-	private boolean admitParts() {
-		PartAdmission admission = this.context.harmfulParts().admit(this.request.sharedParts());
-		if (admission.isAllowed()) {
-			this.triedParts = admission.parts();
-			return true;
-		}
-		this.context.log()
-			.write(LogEvent.REQUEST_NOT_PLACED, "id", this.request.attemptId(), "service", this.request.service(),
-					"parts", HarmfulPartGuard.ids(admission.parts()), "losses", admission.lossCount());
-		failRequest((admission.action() == PartAdmission.Action.REFUSE) ? "harmful-part" : "part-on-trial",
-				admission.retryAfterMs());
-		return false;
+	@Override
+	public void notDispatched(String reason, DoubleUnaryOperator retryAfterSeconds) {
+		endWithoutSuccess(LocalResponse.unknownOutcome(reason), retryAfterSeconds);
 	}
 
-	private long targetLeftMs() {
-		if (this.streamWriter != null) {
-			return RESUME_TARGET_MS;
-		}
-		return this.request.route().targetMs() - this.elapsedBeforeMs - elapsedMs();
+	@Override
+	public boolean isFinished() {
+		return this.finished;
 	}
 
-	private void send(Placement.Placed placed, Permit permit) {
-		this.triedBackendIds.add(placed.backend().record().id());
-		BackendAttempt attempt = new BackendAttempt(this.context, this.request, this.fingerprint, this.triedParts,
-				placed, permit, this);
-		this.attempts.add(attempt);
-		attempt.start();
+	@Override
+	public boolean isSentBefore() {
+		return this.sentAttempts > 0 || hasForwardedEvents();
 	}
 
 	@Override
@@ -300,10 +206,9 @@
 		if (this.finished || !this.attempts.isNewest(attempt) || !mayHaveSuccessor()) {
 			return;
 		}
-		Optional<Placement.Placed> placed = this.placer.placeSuccessor(this.request, this.triedBackendIds,
-				targetLeftMs(), remainingMs());
+		Optional<Placement.Placed> placed = this.dispatch.placeSuccessor();
 		if (placed.isPresent() && mayRetry()) {
-			send(placed.get(), null);
+			this.dispatch.sendSuccessor(placed.get());
 		}
 	}
 
@@ -313,9 +218,7 @@
 				|| this.connectFailures >= MAX_CONNECT_FAILURES) {
 			return false;
 		}
-		// A prompt on trial runs at one engine at a time.
-		return this.answerBegan || (this.triedParts.isEmpty()
-				&& this.context.harmfulParts().admit(this.request.sharedParts()).isUnsuspected());
+		return this.dispatch.mayRunTwice();
 	}
 
 	private boolean isResumable() {
@@ -329,8 +232,7 @@
 
 	@Override
 	public void answerBegun() {
-		this.answerBegan = true;
-		this.triedParts = Set.of();
+		this.dispatch.answerBegun();
 	}
 
 	@Override
@@ -341,19 +243,18 @@
 		long nowMs = this.context.nowMs();
 		if (this.streamWriter == null) {
 			startStream(reader);
-			this.lastEventsMs = nowMs;
-			this.firstEventMs = elapsedMs();
-			this.context.metrics().recordFirstByteTime(this.request.service(), this.firstEventMs);
+			this.streamTimes.recordFirst(elapsedMs(), nowMs);
+			this.context.metrics().recordFirstByteTime(this.request.service(), this.streamTimes.firstEventMs());
 		}
 		else {
-			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsMs);
+			this.streamTimes.recordArrival(nowMs);
 		}
 		long writtenBefore = this.streamWriter.writtenEvents();
 		boolean follows = this.streamWriter.writeEvents(reader);
 		// Events that a resumed stream repeats do not show that it goes on.
 		long written = this.streamWriter.writtenEvents() - writtenBefore;
 		if (written > 0) {
-			this.lastEventsMs = nowMs;
+			this.streamTimes.recordProgress(nowMs);
 			attempt.eventsForwarded(written);
 			if (attempt.isSound()) {
 				keepOnly(attempt);
@@ -419,16 +320,13 @@
 		if (outcome != AttemptFailure.FAILED) {
 			this.context.metrics().recordAttempt(this.request.service(), outcome.label());
 		}
-		this.context.log()
-			.write(LogEvent.ATTEMPT_FAILED, "id", this.request.attemptId(), "backend", failedAttempt.backendId(),
-					"outcome", outcome.label(), "reason", reason, "after-ms", failedAttempt.elapsedMs(), "sends",
-					this.sentAttempts);
+		this.endLog.attemptFailed(failedAttempt, outcome, reason, this.sentAttempts);
 		if (this.finished) {
 			return;
 		}
 		this.mayHaveRun |= outcome == AttemptFailure.MAY_HAVE_RUN || outcome == AttemptFailure.FAILED;
 		if (outcome == AttemptFailure.NOT_SENT && failedAttempt.lacksPermit()) {
-			this.triedBackendIds.remove(failedAttempt.backendId());
+			this.dispatch.allowAgain(failedAttempt.backendId());
 		}
 		this.connectFailures += (outcome == AttemptFailure.NOT_SENT) ? 1 : 0;
 		this.attempts.remove(failedAttempt);
@@ -439,14 +337,16 @@
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
 			case NOT_RUN -> mayRetry();
 			// A trial that ends in a loss is not repeated before its result is known.
-			case MAY_HAVE_RUN -> this.triedParts.isEmpty() && this.request.route().isRetryable() && mayRetry();
+			case MAY_HAVE_RUN ->
+				this.dispatch.triedParts().isEmpty() && this.request.route().isRetryable() && mayRetry();
 			case FAILED -> this.request.route().isRetryable() && mayRetry();
 		};
 		if (!retryAllowed || remainingMs() < MIN_REMAINING_MS) {
-			failRequest(ATTEMPT_FAILED, RequestPlacer.NO_BACKEND_RETRY_AFTER_MS);
+			notDispatched(ATTEMPT_FAILED, (remainingMs) -> RetryAfter.seconds(RequestPlacer.NO_BACKEND_RETRY_AFTER_MS,
+					remainingMs, this.context.random()));
 			return;
 		}
-		placeRequest();
+		this.dispatch.dispatch();
 	}
 
 	private boolean mayRetry() {
@@ -454,14 +354,6 @@
 				&& this.context.retryBudget(this.request.service()).tryAcquireRetry(this.context.nowMs());
 	}
 
-	private void failRequest(String reason, double retryAfterMs) {
-		failRequest(reason, (remainingMs) -> RetryAfter.seconds(retryAfterMs, remainingMs, this.context.random()));
-	}
-
-	private void failRequest(String reason, DoubleUnaryOperator retryAfterSeconds) {
-		endWithoutSuccess(LocalResponse.unknownOutcome(reason), retryAfterSeconds);
-	}
-
 	// Aborts a stream that has begun, returns a stored server error, or sends a response
 	// of the entry itself.
 	private void endWithoutSuccess(LocalResponse answerIfRun, DoubleUnaryOperator retryAfterSeconds) {
@@ -491,16 +383,13 @@
 	 * Ends the request with what is known of it, because the process ends.
 	 */
 	void endForShutdown() {
-		guard(() -> endUnfinished(LocalResponse.unknownOutcome(LEAVING)));
+		guard(() -> endUnfinished(LocalResponse.unknownOutcome(RequestDispatch.LEAVING)));
 	}
 
 	// Closing the connection shows the caller that the response is incomplete.
 	private void endForMemory() {
 		if (this.finished) {
-			this.context.log()
-				.write(LogEvent.ANSWER_GIVEN_UP, "id", this.request.attemptId(), "route", this.request.route().name(),
-						"unsent-bytes", this.writer.pendingBytes(), "after-ms", elapsedMs(), "configuration",
-						this.context.fleet().configurationVersion());
+			this.endLog.answerGivenUp(this.writer.pendingBytes());
 			this.request.http().connection().close();
 			return;
 		}
@@ -529,9 +418,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.context.log()
-			.write(LogEvent.CALLER_LEFT, "id", this.request.attemptId(), "after-ms", elapsedMs(), "begun",
-					this.streamWriter != null);
+		this.endLog.callerLeft(this.streamWriter != null);
 		cancelAttempts();
 		finish("caller-left");
 	}
@@ -547,22 +434,14 @@
 		}
 		boolean kept = NotRunPromise.isKept(response.status(), this.mayHaveRun, this.request.route().isRetryable());
 		LocalResponse refusal = kept ? response : LocalResponse.unknownOutcome(response.reason());
-		this.context.log()
-			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"organisation", this.request.organisationName(), "status", refusal.status(), "reason",
-					refusal.reason(), "return-s", refusal.retryAfterSeconds(), "sends", this.sentAttempts, "after-ms",
-					elapsedMs(), "configuration", this.context.fleet().configuration().version());
+		this.endLog.refused(refusal, this.sentAttempts);
 		CallerRequestHandler.writeResponse(this.request.http().response(), refusal, this.context.isDraining());
 		this.context.rankReservations().recordRefusal(this.request, refusal.reason());
 		finish(refusal.reason());
 	}
 
 	private void abortStream(String reason) {
-		this.context.log()
-			.write(LogEvent.REQUEST_REFUSED, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"reason", reason, "begun", true, "last-event", this.streamWriter.lastEventId(), "silent-ms",
-					this.context.nowMs() - this.lastEventsMs, "sends", this.sentAttempts, "after-ms", elapsedMs(),
-					"configuration", this.context.fleet().configuration().version());
+		this.endLog.streamCut(reason, this.streamWriter.lastEventId(), this.streamTimes, this.sentAttempts);
 		finish("stream-cut");
 		// Closing the connection omits the last chunk of the body, so the caller detects
 		// that the response is incomplete.
@@ -582,12 +461,8 @@
 	}
 
 	private void recordCompletion(int status) {
-		long durationMs = elapsedMs();
-		this.context.metrics().recordAnswerTime(this.request.service(), durationMs);
-		this.context.log()
-			.write(LogEvent.REQUEST_DONE, "id", this.request.attemptId(), "route", this.request.route().name(),
-					"status", status, "sends", this.sentAttempts, "after-ms", durationMs, "first-event-ms",
-					this.firstEventMs, "longest-pause-ms", this.longestPauseMs);
+		this.context.metrics().recordAnswerTime(this.request.service(), elapsedMs());
+		this.endLog.done(status, this.streamTimes, this.sentAttempts);
 		finish((status < 400) ? "done" : "failed-by-backend");
 	}
 
@@ -607,6 +482,7 @@
 		cancelAttempts();
 		this.failureResponse = null;
 		updateMemory();
+		this.dispatch.end();
 	}
 
 }
