The duration of the last fetch tells when a newer version arrives

Cause: an engine that holds an older version when the newest is announced held no chunk of the latter, so the older one was always loaded, and the first chunks of a fetch come slowly, so an extrapolation from them is too long for about a second. Such engines loaded twice.

Change: VersionLoadPolicy.newerArrivesInTime also expects the duration of the last fetch, which counts less the longer the present one lasts. The agent takes it from its last fetch that read no chunks from the engine.

Changed test: VersionLoadPolicyTests passes 0 for an unknown duration; its assertions are the same, two tests are new.

--- a/daemons/src/main/java/org/wigeontally/sidecar/VersionDownload.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/VersionDownload.java
@@ -42,6 +42,8 @@
 
 	private boolean fetchStarted;
 
+	private boolean fetchedCompletely;
+
 	private VersionDownload(long version, Manifest manifest, List<String> digests, long startedAtMs) {
 		this.version = version;
 		this.manifest = manifest;
@@ -133,6 +135,18 @@
 		this.stagedReadAtMs = nowMs;
 	}
 
+	/**
+	 * Records that all chunks that this version does not share with others have to be
+	 * fetched from other hosts.
+	 */
+	void markFetchedCompletely() {
+		this.fetchedCompletely = true;
+	}
+
+	boolean isFetchedCompletely() {
+		return this.fetchedCompletely;
+	}
+
 	/**
 	 * Starts the fetch if the staged chunks were read and an older version does not have
 	 * to be finished first. Returns true only once.
--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -90,6 +90,9 @@
 
 	private final TreeMap<Long, VersionDownload> downloads = new TreeMap<>();
 
+	/** Duration of the last fetch that read no chunks from the engine; 0 if none. */
+	private long usualFetchMs;
+
 	private boolean digestRequestInProgress;
 
 	private int digestRequestFailures;
@@ -178,6 +181,9 @@
 	private void checkVerified(VersionDownload download) {
 		this.weightNode.verifiedWeights(this.view.model(), Long.toString(download.version())).ifPresent((verified) -> {
 			download.setVerifiedWeights(verified);
+			if (download.isFetchedCompletely()) {
+				this.usualFetchMs = download.ageMs(this.clock.monotonicMs());
+			}
 			this.log.write(LogEvent.WEIGHTS, "phase", "whole", "version", download.version(), "after-ms",
 					download.ageMs(this.clock.monotonicMs()), "from-origin", download.originRequestCount(), "pieces",
 					download.chunkCount());
@@ -232,7 +238,7 @@
 	boolean arrivesInTime(long version, long remainingMs) {
 		VersionDownload download = this.downloads.get(version);
 		return download != null && VersionLoadPolicy.newerArrivesInTime(remainingMs, verifiedChunkCount(version),
-				download.chunkCount(), download.ageMs(this.clock.monotonicMs()));
+				download.chunkCount(), download.ageMs(this.clock.monotonicMs()), this.usualFetchMs);
 	}
 
 	int verifiedChunkCount() {
@@ -286,6 +292,9 @@
 				this.engine.openConnections(this.view.briefing().getOrigin()));
 		// Of what an agent has staged itself it holds the verified chunks in memory.
 		boolean holdsOther = newestVerifiedVersion() > 0;
+		if (holdsOther) {
+			download.markFetchedCompletely();
+		}
 		Future<Void> read = holdsOther ? Future.succeededFuture() : readStagedChunks(version, chunkDigests);
 		read.onComplete((result) -> {
 			download.markStagedChunksRead(this.clock.monotonicMs());
--- a/emulator/src/main/java/org/wigeontally/emulator/loads/LoadSimulation.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/loads/LoadSimulation.java
@@ -294,7 +294,8 @@
 			long startMs = LoadSimulation.this.announcedMs[version];
 			long fetchingMs = nowMs() - startMs;
 			int held = (int) (TOTAL_CHUNKS * fetchingMs / (this.heldAtMs[version] - startMs));
-			return VersionLoadPolicy.newerArrivesInTime(remainingMs, held, TOTAL_CHUNKS, fetchingMs);
+			return VersionLoadPolicy.newerArrivesInTime(remainingMs, held, TOTAL_CHUNKS, fetchingMs,
+					this.heldAtMs[version - 1] - LoadSimulation.this.announcedMs[version - 1]);
 		}
 
 		private void load(int version, boolean forced) {
--- a/library/src/main/java/org/wigeontally/weights/VersionLoadPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionLoadPolicy.java
@@ -43,6 +43,9 @@
 	/** Usual time until a report has reached all entries, also in other regions. */
 	private static final long REPORT_SPREAD_MS = 100;
 
+	/** Weight of an earlier fetch relative to all chunks of the present one. */
+	private static final double USUAL_FETCH_WEIGHT = 0.5;
+
 	private VersionLoadPolicy() {
 	}
 
@@ -123,7 +126,9 @@
 	/**
 	 * Returns whether the newest version is expected to be complete before an older one
 	 * has to be loaded, so that the older one can be skipped. The remaining time is
-	 * extrapolated from the chunks fetched so far.
+	 * extrapolated from the chunks fetched so far, or from the duration of an earlier
+	 * fetch if that is sooner: the first chunks come slowly, and none are held when the
+	 * older version becomes complete just as the newest is announced.
 	 *
 	 * <p>
 	 * Versions are announced some seconds apart, so an older one is complete while the
@@ -134,14 +139,18 @@
 	 * @param heldChunks number of chunks of the newest version that are held
 	 * @param totalChunks number of chunks of the newest version
 	 * @param fetchingMs time since the fetch of the newest version started
+	 * @param usualFetchMs duration of the last fetch of a version; 0 if unknown
 	 * @return true if the older version can be skipped
 	 */
-	public static boolean newerArrivesInTime(long remainingMs, int heldChunks, int totalChunks, long fetchingMs) {
-		if (heldChunks <= 0) {
-			return false;
-		}
-		double estimatedMs = (double) fetchingMs * (totalChunks - heldChunks) / heldChunks;
-		return estimatedMs < remainingMs;
+	public static boolean newerArrivesInTime(long remainingMs, int heldChunks, int totalChunks, long fetchingMs,
+			long usualFetchMs) {
+		double held = (double) heldChunks / totalChunks;
+		double extrapolatedMs = (heldChunks > 0) ? fetchingMs * (1 - held) / held : Double.POSITIVE_INFINITY;
+		// A fetch that falls behind the usual one counts more the longer it lasts.
+		double expectedMs = (usualFetchMs > 0)
+				? (fetchingMs + usualFetchMs * USUAL_FETCH_WEIGHT) / (held + USUAL_FETCH_WEIGHT) * (1 - held)
+				: Double.POSITIVE_INFINITY;
+		return Math.min(extrapolatedMs, expectedMs) < remainingMs;
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/weights/VersionLoadPolicyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/VersionLoadPolicyTests.java
@@ -97,8 +97,8 @@
 		int totalChunks = 96;
 		long fetchingMs = 1_000;
 		int heldChunks = (int) (totalChunks * fetchingMs / versionFetchMs);
-		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, heldChunks, totalChunks, fetchingMs)).isFalse();
-		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 0, totalChunks, fetchingMs)).isFalse();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, heldChunks, totalChunks, fetchingMs, 0)).isFalse();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 0, totalChunks, fetchingMs, 0)).isFalse();
 	}
 
 	/**
@@ -107,8 +107,25 @@
 	 */
 	@Test
 	public void skipsOlderVersionWhenTheNewerArrivesInTime() {
-		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 80, 96, 4_000)).isTrue();
-		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 96, 96, 5_000)).isTrue();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 80, 96, 4_000, 0)).isTrue();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(1_500, 96, 96, 5_000, 0)).isTrue();
+	}
+
+	/**
+	 * The older version is complete when the newest is announced, and versions take 4 s.
+	 * Guards against engines that load both, which takes each out of service twice.
+	 */
+	@Test
+	public void skipsOlderVersionBeforeTheFirstChunkOfTheNewer() {
+		assertThat(VersionLoadPolicy.newerArrivesInTime(5_000, 0, 96, 100, 4_000)).isTrue();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(3_000, 0, 96, 100, 4_000)).isFalse();
+	}
+
+	/** A fetch that is stuck must not keep an engine from loading the older version. */
+	@Test
+	public void loadsOlderVersionWhenTheNewerIsStuck() {
+		assertThat(VersionLoadPolicy.newerArrivesInTime(4_000, 0, 96, 1_000, 4_000)).isFalse();
+		assertThat(VersionLoadPolicy.newerArrivesInTime(4_000, 24, 96, 3_000, 4_000)).isFalse();
 	}
 
 }
