An entry that starts is told and tells by heartbeats

Cause: an entry that started called each of the others, and each called it, over a connection of its own and with code that is still interpreted. When it became ready it called all again, and pairs with nothing to tell called every 5 s (15 s).

Change: replies name the heartbeat ports of the entries, so that the first contact is a heartbeat, followed by a call if two of them stay unanswered; readiness is told by heartbeats, twice. Pairs whose digests agree call every 20 s (60 s). Digests of entries must differ for 2.5 s (7.5 s) before they lead to a call, since they differ whenever an entry starts. Announcement times are in each heartbeat, because the earliest one decides from when on a version is required. An entry no longer keeps itself in its own table.

The stand-ins learn of the measured entry when it contacts them; they called it first before.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -87,7 +87,7 @@
 
 	EntryExchange(GatewayContext context, EntryTable table, EntryHeartbeats heartbeats, long incarnation) {
 		this.context = context;
-		this.facts = new SharedFacts(context);
+		this.facts = new SharedFacts(context, table);
 		this.heartbeats = heartbeats;
 		this.table = table;
 		this.incarnation = incarnation;
@@ -151,10 +151,23 @@
 		exchange(storeReader(), true);
 		EntryNews own = newsFor(null).build();
 		boolean supplied = this.operatorFollower.ageMs() <= StoreReadPlan.MAX_AGE_MS;
-		DueContacts due = this.table.dueContacts(own, RECENT_CONTACT_MS, supplied, this.context.nowMs());
+		contact(this.table.dueContacts(own, RECENT_CONTACT_MS, supplied, this.context.nowMs()), own);
+	}
+
+	/**
+	 * Tells all entries at once that this one takes callers. Unlike other urgent news it
+	 * is in every heartbeat.
+	 */
+	void tellReadiness() {
+		EntryNews own = newsFor(null).build();
+		contact(this.table.contactsWithAll(own, this.context.nowMs()), own);
+	}
+
+	private void contact(DueContacts due, EntryNews own) {
 		due.calls().forEach((entry) -> exchange(entry, false));
 		this.heartbeats.send(ownNews().setEntriesDigest(own.getEntriesDigest())
 			.setFactsDigest(own.getFactsDigest())
+			.addAllVersions(own.getVersionsList())
 			.setSequence(++this.sequence)
 			.build(), due.heartbeats());
 	}
@@ -164,7 +177,10 @@
 	 * @param heartbeat its state
 	 */
 	void handleHeartbeat(EntryNews heartbeat) {
-		this.heartbeats.receive(heartbeat).ifPresent(this::fetchIfBehind);
+		if (this.heartbeats.receive(heartbeat)) {
+			this.facts.applyVersions(heartbeat);
+			fetchIfBehind(heartbeat);
+		}
 	}
 
 	/**
@@ -319,9 +335,7 @@
 		if (peerNews.getWantsRecords()) {
 			addRecords(news, peerNews);
 		}
-		if (peerNews.getEntriesDigest() != news.getEntriesDigest()) {
-			this.table.liveEntries(this.context.nowMs()).forEach((known) -> news.addEntries(known.getControl()));
-		}
+		this.facts.addEntries(news, peerNews);
 		return news;
 	}
 
@@ -387,11 +401,9 @@
 	private void applyNews(EntryNews peerNews) {
 		boolean regained = this.table.recordMessage(peerNews, this.context.nowMs());
 		if (regained) {
-			this.context.log()
-				.write(LogEvent.PEER, "entry", peerNews.getHost(), "zone", peerNews.getZone(), "ready",
-						peerNews.getReady(), "incarnation", peerNews.getIncarnation());
+			EntryHeartbeats.logRegained(this.context, peerNews);
 		}
-		peerNews.getEntriesList().forEach(this.table::addAddress);
+		this.facts.applyEntries(peerNews);
 		FleetState fleet = this.context.fleet();
 		String source = source(peerNews);
 		if (peerNews.hasOperatorUpdate()) {
@@ -466,20 +478,4 @@
 			});
 	}
 
-	/**
-	 * What an entry was asked for.
-	 *
-	 * @param operatorEnd position up to which records were known to exist
-	 * @param configurationVersion newest version that was known to exist
-	 * @param atMs time of the request
-	 */
-	private record RecordRequest(long operatorEnd, long configurationVersion, long atMs) {
-
-		boolean isRepeatedBy(RecordRequest next) {
-			return this.operatorEnd == next.operatorEnd && this.configurationVersion == next.configurationVersion
-					&& next.atMs - this.atMs < INTERVAL_MS;
-		}
-
-	}
-
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryHeartbeats.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryHeartbeats.java
@@ -1,11 +1,12 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
-import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
 
+import org.wigeontally.eventlog.LogEvent;
+import org.wigeontally.fleet.DueContacts;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.EntryNews;
@@ -31,33 +32,43 @@
 	/**
 	 * Sends a heartbeat.
 	 * @param own state of this entry, without lists
-	 * @param receivers last messages of the entries that it is for
+	 * @param receivers the entries that it is for
 	 */
-	void send(EntryNews own, List<EntryNews> receivers) {
+	void send(EntryNews own, List<DueContacts.Receiver> receivers) {
 		if (receivers.isEmpty()) {
 			return;
 		}
 		Buffer heartbeat = Buffer.buffer(EngineStatus.newBuilder().setHeartbeat(own).build().toByteArray());
-		for (EntryNews receiver : receivers) {
-			this.datagrams.send(heartbeat, receiver.getHeartbeatPort(), receiver.getControl().getIp());
+		for (DueContacts.Receiver receiver : receivers) {
+			this.datagrams.send(heartbeat, receiver.port(), receiver.control().getIp());
 		}
 	}
 
 	/**
 	 * Records a heartbeat.
 	 * @param heartbeat state of the sender
-	 * @return the state if it is new; empty if the entry is not known yet or the
-	 * heartbeat was overtaken by a later message
+	 * @return true if the state is new; false if the heartbeat was overtaken by a later
+	 * message
 	 */
-	Optional<EntryNews> receive(EntryNews heartbeat) {
-		if (!this.table.recordHeartbeat(heartbeat, this.context.nowMs())) {
-			return Optional.empty();
+	boolean receive(EntryNews heartbeat) {
+		EntryTable.HeartbeatResult result = this.table.recordHeartbeat(heartbeat, this.context.nowMs());
+		if (result == EntryTable.HeartbeatResult.OVERTAKEN) {
+			return false;
+		}
+		if (result == EntryTable.HeartbeatResult.REGAINED) {
+			logRegained(this.context, heartbeat);
 		}
 		// Housekeeping compares versions too, but rarely; other state has no part in it.
 		if (heartbeat.getConfigurationVersion() != this.context.fleet().configurationVersion()) {
 			this.context.updateConfigurationLag(this.table.liveEntries(this.context.nowMs()));
 		}
-		return Optional.of(heartbeat);
+		return true;
+	}
+
+	static void logRegained(GatewayContext context, EntryNews news) {
+		context.log()
+			.write(LogEvent.PEER, "entry", news.getHost(), "zone", news.getZone(), "ready", news.getReady(),
+					"incarnation", news.getIncarnation());
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -317,7 +317,7 @@
 		boolean wasReady = this.ready;
 		this.ready = this.context.isReady();
 		if (this.ready && !wasReady) {
-			this.exchange.exchangeWithAllEntries();
+			this.exchange.tellReadiness();
 		}
 	}
 
--- a/emulator/src/main/java/org/wigeontally/emulator/entries/EntryFleet.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/entries/EntryFleet.java
@@ -47,6 +47,9 @@
 
 	private static final int DESKS = 8;
 
+	/** Entries in the settings of the measured one; these name the others. */
+	private static final int SEEDS = 3;
+
 	private static final long TIMEOUT_MS = 1_000;
 
 	private static final long MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024;
@@ -160,8 +163,8 @@
 	 * @throws IOException if it cannot be written
 	 */
 	public void writeSettings(Path file) throws IOException {
-		Files.writeString(file, this.measured.settings("measured", this.controls.subList(0, this.controls.size() - 1),
-				this.store.port()));
+		List<Address> seeds = this.controls.subList(0, Math.min(SEEDS, this.controls.size() - 1));
+		Files.writeString(file, this.measured.settings("measured", seeds, this.store.port()));
 	}
 
 	/**
--- a/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
@@ -25,9 +25,9 @@
 import org.wigeontally.settings.Addresses;
 
 /**
- * Stands in for another entry. It exchanges news with the measured entry at the intervals
- * of {@link EntryTable} and knows what that entry knows, so that no records pass between
- * them.
+ * Stands in for another entry. It learns of the measured entry when that one contacts it,
+ * exchanges news with the measured entry at the intervals of {@link EntryTable} and knows
+ * what that entry knows, so that no records pass between them.
  */
 final class PeerEntry {
 
@@ -91,7 +91,6 @@
 	static Future<?> start(Vertx vertx, String name, String region, Address control, List<Address> fleet,
 			PeerClient client, Traffic traffic) {
 		PeerEntry peer = new PeerEntry(vertx, name, region, control, fleet, client, traffic);
-		peer.table.addAddress(fleet.get(fleet.size() - 1));
 		GrpcServer grpc = GrpcServer.server(vertx);
 		grpc.addService(FleetGrpcService.of(peer.new Service()));
 		peer.datagrams.handler(peer::recordHeartbeat);
@@ -116,10 +115,10 @@
 	private void exchangeIfDue() {
 		EntryNews news = news().setSequence(++this.sequence).build();
 		DueContacts due = this.table.dueContacts(news, RECENT_CONTACT_MS, true, nowMs());
-		for (EntryNews receiver : due.heartbeats()) {
+		for (DueContacts.Receiver receiver : due.heartbeats()) {
 			byte[] heartbeat = EngineStatus.newBuilder().setHeartbeat(news).build().toByteArray();
 			this.traffic.add(kind("heartbeat-in"), heartbeat.length);
-			this.datagrams.send(Buffer.buffer(heartbeat), receiver.getHeartbeatPort(), receiver.getControl().getIp());
+			this.datagrams.send(Buffer.buffer(heartbeat), receiver.port(), receiver.control().getIp());
 		}
 		for (Address address : due.calls()) {
 			this.traffic.add(kind("exchange-in"), news.getSerializedSize());
@@ -138,7 +137,7 @@
 		this.traffic.add(kind("heartbeat-out"), packet.data().length());
 		try {
 			EntryNews news = EngineStatus.parseFrom(packet.data().getBytes()).getHeartbeat();
-			if (this.table.recordHeartbeat(news, nowMs())) {
+			if (this.table.recordHeartbeat(news, nowMs()) != EntryTable.HeartbeatResult.OVERTAKEN) {
 				this.measured = news;
 			}
 		}
@@ -177,12 +176,17 @@
 	 */
 	private final class Service extends FleetService {
 
+		private EntryNews.Builder addEntries(EntryNews.Builder news) {
+			PeerEntry.this.fleet.forEach((entry) -> news.addEntries(entry).addEntryHeartbeatPorts(entry.getPort()));
+			return news;
+		}
+
 		@Override
 		public Future<EntryNews> exchange(EntryNews request) {
 			record(request);
 			EntryNews.Builder news = news().setSequence(++PeerEntry.this.sequence);
 			boolean known = request.getEntriesDigest() == PeerEntry.this.fleetDigest;
-			EntryNews reply = (known ? news : news.addAllEntries(PeerEntry.this.fleet)).build();
+			EntryNews reply = (known ? news : addEntries(news)).build();
 			PeerEntry.this.traffic.add(kind("exchange-out"), request.getSerializedSize());
 			PeerEntry.this.traffic.add(kind("exchange-reply-in"), reply.getSerializedSize());
 			return Future.succeededFuture(reply);
--- a/library/src/main/java/org/wigeontally/fleet/ContactSchedule.java
+++ b/library/src/main/java/org/wigeontally/fleet/ContactSchedule.java
@@ -16,9 +16,15 @@
  * A heartbeat is sufficient while the digests of both sides agree, so nobody has to
  * remember what the other one acknowledged. A call follows if the digests differ, if the
  * other entry was silent for longer than two heartbeats take, if it is of an earlier
- * release or has just started, and at times without any reason, which bounds the damage
- * of what the digests do not cover. Lost heartbeats therefore delay news by one interval,
- * and an entry is called before it counts as dead. Urgent news never waits for a round.
+ * release, and at times without any reason, which bounds the damage of what the digests
+ * do not cover. Lost heartbeats therefore delay news by one interval, and an entry is
+ * called before it counts as dead. Urgent news never waits for a round.
+ *
+ * <p>
+ * Load pattern: an entry that starts beside 66 others. It opened a connection to each of
+ * them and each opened one to it, when all its code is still interpreted. Heartbeats make
+ * the first contact instead, with the addresses that the first called entry named; a call
+ * follows if no heartbeat comes back.
  */
 final class ContactSchedule {
 
@@ -37,21 +43,30 @@
 	 */
 	static final long REMOTE_SILENCE_MS = 3_200;
 
-	/** Longest time between two calls of a pair, whatever the digests say. */
-	static final long NEAR_CALL_INTERVAL_MS = 5_000;
-
 	/**
-	 * Longest time between two calls of a pair in different regions. Shorter than the
-	 * time after which servers close idle connections.
+	 * Longest time between two calls of a pair, whatever the digests say. Shorter than
+	 * the time after which servers close idle connections.
 	 */
-	static final long REMOTE_CALL_INTERVAL_MS = 15_000;
+	static final long NEAR_CALL_INTERVAL_MS = 20_000;
+
+	/** Longest time between two calls of a pair in different regions. */
+	static final long REMOTE_CALL_INTERVAL_MS = 60_000;
 
 	/**
-	 * Time between two calls because the sides know different entries. They differ for a
+	 * Time for which the sides know different entries until they call. They differ for a
 	 * moment whenever an entry starts or ends, and an entry that starts contacts all
 	 * others by itself.
 	 */
-	static final long ENTRIES_CALL_INTERVAL_MS = 2_500;
+	static final long ENTRIES_DIFFER_MS = 2_500;
+
+	/** The same for pairs in different regions; three heartbeats. */
+	static final long REMOTE_ENTRIES_DIFFER_MS = 7_500;
+
+	/**
+	 * Heartbeats as the first contact after which an entry is called. An entry answers in
+	 * its next round, so one round is left for the answer to each of them.
+	 */
+	static final int MAX_UNANSWERED = 2;
 
 	private ContactSchedule() {
 	}
@@ -68,28 +83,34 @@
 	 */
 	static Contact dueContact(EntryNews own, Peer peer, long intervalMs, boolean supplied, long nowMs) {
 		EntryNews news = peer.lastMessage();
+		if (news == null) {
+			return (peer.unanswered() < MAX_UNANSWERED) ? Contact.HEARTBEAT : Contact.CALL;
+		}
 		long pauseMs = peer.remote() ? REMOTE_INTERVAL_MS : intervalMs;
-		long sinceCallMs = nowMs - peer.lastCallMs();
-		if (news == null || news.getHeartbeatPort() == 0) {
-			return (news == null || nowMs - peer.lastMessageMs() >= pauseMs) ? Contact.CALL : Contact.NONE;
+		if (news.getHeartbeatPort() == 0) {
+			return (nowMs - peer.lastMessageMs() >= pauseMs) ? Contact.CALL : Contact.NONE;
 		}
-		if (sinceCallMs >= pauseMs && isCallNeeded(own, peer, supplied, nowMs)) {
+		// An entry that nobody has named the others to asks the first one that it hears
+		// of.
+		long callPauseMs = peer.othersNamed() ? pauseMs : intervalMs;
+		if (nowMs - peer.lastCallMs() >= callPauseMs && isCallNeeded(own, peer, supplied, nowMs)) {
 			return Contact.CALL;
 		}
 		return (nowMs - peer.lastToldMs() >= pauseMs) ? Contact.HEARTBEAT : Contact.NONE;
 	}
 
 	private static boolean isCallNeeded(EntryNews own, Peer peer, boolean supplied, long nowMs) {
-		EntryNews news = peer.lastMessage();
-		long sinceCallMs = nowMs - peer.lastCallMs();
-		if (news.getFactsDigest() != own.getFactsDigest() || !supplied && !peer.remote()) {
+		if (peer.lastMessage().getFactsDigest() != own.getFactsDigest() || !supplied && !peer.remote()) {
 			return true;
 		}
-		if (news.getEntriesDigest() != own.getEntriesDigest() && sinceCallMs >= ENTRIES_CALL_INTERVAL_MS) {
-			return true;
+		long silenceMs = nowMs - peer.lastMessageMs();
+		long sinceCallMs = nowMs - peer.lastCallMs();
+		long differMs = nowMs - peer.differSinceMs();
+		if (peer.remote()) {
+			return silenceMs >= REMOTE_SILENCE_MS || sinceCallMs >= REMOTE_CALL_INTERVAL_MS
+					|| differMs >= REMOTE_ENTRIES_DIFFER_MS;
 		}
-		return nowMs - peer.lastMessageMs() >= (peer.remote() ? REMOTE_SILENCE_MS : NEAR_SILENCE_MS)
-				|| sinceCallMs >= (peer.remote() ? REMOTE_CALL_INTERVAL_MS : NEAR_CALL_INTERVAL_MS);
+		return silenceMs >= NEAR_SILENCE_MS || sinceCallMs >= NEAR_CALL_INTERVAL_MS || differMs >= ENTRIES_DIFFER_MS;
 	}
 
 	/**
@@ -113,9 +134,14 @@
 	 * @param lastMessageMs time of that message
 	 * @param lastCallMs time of the last call in either direction that succeeded
 	 * @param lastToldMs time at which it was last told the state of this entry
+	 * @param differSinceMs time since which both may have known different entries
+	 * @param unanswered heartbeats to it as the first contact; {@link #MAX_UNANSWERED} if
+	 * its port for heartbeats is not known
+	 * @param othersNamed true if any entry has named others
 	 * @param remote true if it is in another region
 	 */
-	record Peer(EntryNews lastMessage, long lastMessageMs, long lastCallMs, long lastToldMs, boolean remote) {
+	record Peer(EntryNews lastMessage, long lastMessageMs, long lastCallMs, long lastToldMs, long differSinceMs,
+			int unanswered, boolean othersNamed, boolean remote) {
 
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -57,6 +57,9 @@
 
 	private final String ownRegion;
 
+	// Whether any entry has named others; until then the first known ones are asked.
+	private boolean othersNamed;
+
 	private EntryTable(String ownRegion) {
 		this.ownRegion = ownRegion;
 	}
@@ -75,7 +78,24 @@
 	 * @param control control address
 	 */
 	public void addAddress(Address control) {
-		this.rows.computeIfAbsent(Addresses.format(control), (key) -> new Row(control));
+		row(control);
+	}
+
+	private Row row(Address control) {
+		return this.rows.computeIfAbsent(Addresses.format(control), (key) -> new Row(control));
+	}
+
+	/**
+	 * Adds an entry that another one named.
+	 * @param control control address
+	 * @param heartbeatPort its port for heartbeats; 0 if it takes none
+	 */
+	public void addEntry(Address control, int heartbeatPort) {
+		this.othersNamed = true;
+		Row row = row(control);
+		if (row.lastMessage == null && heartbeatPort > 0) {
+			row.heartbeatPort = heartbeatPort;
+		}
 	}
 
 	/**
@@ -85,8 +105,7 @@
 	 * @return true if the entry was not live before
 	 */
 	public boolean recordMessage(EntryNews message, long nowMs) {
-		addAddress(message.getControl());
-		Row row = this.rows.get(Addresses.format(message.getControl()));
+		Row row = row(message.getControl());
 		boolean newlyLive = !isLive(row, nowMs);
 		row.lastCallMs = nowMs;
 		row.lastToldMs = nowMs;
@@ -99,16 +118,22 @@
 	 * since it may name an entry ready that is shutting down.
 	 * @param message the state of the entry
 	 * @param nowMs time of arrival in milliseconds
-	 * @return true if it was recorded
+	 * @return what it means
 	 */
-	public boolean recordHeartbeat(EntryNews message, long nowMs) {
-		Row row = this.rows.get(Addresses.format(message.getControl()));
-		if (row == null || row.lastMessage == null || row.lastMessage.getIncarnation() != message.getIncarnation()
-				|| row.lastMessage.getSequence() >= message.getSequence()) {
-			return false;
+	public HeartbeatResult recordHeartbeat(EntryNews message, long nowMs) {
+		Row row = row(message.getControl());
+		EntryNews last = row.lastMessage;
+		if (last != null && (last.getIncarnation() > message.getIncarnation()
+				|| last.getIncarnation() == message.getIncarnation() && last.getSequence() >= message.getSequence())) {
+			return HeartbeatResult.OVERTAKEN;
+		}
+		boolean newlyLive = !isLive(row, nowMs);
+		if (last == null || last.getIncarnation() != message.getIncarnation()) {
+			// The digests show whether there is anything to call for.
+			row.lastCallMs = nowMs;
 		}
 		row.record(message, nowMs);
-		return true;
+		return newlyLive ? HeartbeatResult.REGAINED : HeartbeatResult.CURRENT;
 	}
 
 	/**
@@ -123,8 +148,14 @@
 	 */
 	public DueContacts dueContacts(EntryNews own, long intervalMs, boolean supplied, long nowMs) {
 		DueContacts due = new DueContacts(new ArrayList<>(), new ArrayList<>());
+		// Others name this entry too.
+		this.rows.remove(Addresses.format(own.getControl()));
 		for (Row row : this.rows.values()) {
-			switch (ContactSchedule.dueContact(own, row.asPeer(isRemote(row)), intervalMs, supplied, nowMs)) {
+			if (row.lastMessage != null && row.lastMessage.getEntriesDigest() == own.getEntriesDigest()) {
+				row.lastAgreedMs = nowMs;
+			}
+			switch (ContactSchedule.dueContact(own, row.asPeer(isRemote(row), this.othersNamed), intervalMs, supplied,
+					nowMs)) {
 				case CALL -> {
 					if (nowMs >= row.nextAttemptMs) {
 						due.calls().add(row.control);
@@ -132,7 +163,7 @@
 				}
 				case HEARTBEAT -> {
 					row.lastToldMs = nowMs;
-					due.heartbeats().add(row.lastMessage);
+					due.heartbeats().add(row.receiver());
 				}
 				default -> {
 				}
@@ -141,6 +172,28 @@
 		return due;
 	}
 
+	/**
+	 * Returns the contacts by which all entries are told the state of this one at once.
+	 * Those that get a heartbeat are due again in the next round, in case it is lost.
+	 * @param own state of this entry
+	 * @param nowMs current time in milliseconds
+	 * @return the contacts
+	 */
+	public DueContacts contactsWithAll(EntryNews own, long nowMs) {
+		DueContacts contacts = new DueContacts(new ArrayList<>(), new ArrayList<>());
+		this.rows.remove(Addresses.format(own.getControl()));
+		for (Row row : this.rows.values()) {
+			if (row.heartbeatPort > 0) {
+				row.lastToldMs = nowMs - ContactSchedule.REMOTE_INTERVAL_MS;
+				contacts.heartbeats().add(row.receiver());
+			}
+			else if (nowMs >= row.nextAttemptMs) {
+				contacts.calls().add(row.control);
+			}
+		}
+		return contacts;
+	}
+
 	/**
 	 * Returns a digest of the live entries, which is the same at all entries that know
 	 * the same ones.
@@ -262,6 +315,20 @@
 		return row.lastMessage != null && nowMs - row.lastMessageMs <= timeoutMs;
 	}
 
+	/**
+	 * What a heartbeat means.
+	 */
+	public enum HeartbeatResult {
+
+		/** A later message of the entry arrived before. */
+		OVERTAKEN,
+		/** The entry is live, as before. */
+		CURRENT,
+		/** The entry was not live before. */
+		REGAINED
+
+	}
+
 	private static final class Row {
 
 		private final Address control;
@@ -276,6 +343,12 @@
 
 		private long lastToldMs;
 
+		private long lastAgreedMs;
+
+		private int heartbeatPort;
+
+		private int unanswered;
+
 		private int failures;
 
 		private long nextAttemptMs;
@@ -288,11 +361,19 @@
 		private void record(EntryNews message, long nowMs) {
 			this.lastMessage = message;
 			this.lastMessageMs = nowMs;
+			this.heartbeatPort = message.getHeartbeatPort();
 			this.failures = 0;
 		}
 
-		private ContactSchedule.Peer asPeer(boolean remote) {
+		private DueContacts.Receiver receiver() {
+			this.unanswered++;
+			return new DueContacts.Receiver(this.control, this.heartbeatPort);
+		}
+
+		private ContactSchedule.Peer asPeer(boolean remote, boolean named) {
+			long differSinceMs = named ? Math.max(this.lastAgreedMs, this.lastCallMs) : this.lastAgreedMs;
 			return new ContactSchedule.Peer(this.lastMessage, this.lastMessageMs, this.lastCallMs, this.lastToldMs,
+					differSinceMs, (this.heartbeatPort > 0) ? this.unanswered : ContactSchedule.MAX_UNANSWERED, named,
 					remote);
 		}
 
