--- a/library/src/main/java/org/wigeontally/settings/Addresses.java
+++ b/library/src/main/java/org/wigeontally/settings/Addresses.java
@@ -40,6 +40,11 @@
 	 * @return the IP address and port as text
 	 */
 	public static String format(Address address) {
+		// Every message between hosts needs this; only IPv6 addresses have to be
+		// examined.
+		if (address.getIp().indexOf(':') < 0) {
+			return address.getIp() + ':' + address.getPort();
+		}
 		return HostAndPort.fromParts(address.getIp(), address.getPort()).toString();
 	}
 
