Log and metrics of placement by work

Cause: nothing showed by what a request of a scheduled service was placed, or how good the estimates are.

Change: request-placed of such a service tells the slowdown with its age, the expected tokens and the predicted time to the first event. Two histograms for each service compare the first event and the tokens with their estimates.

--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptWork.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptWork.java
@@ -1,11 +1,14 @@
 package org.wigeontally.gateway;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import org.wigeontally.eventlog.LogEvent;
 import org.wigeontally.placement.EngineBacklog;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.placement.ExpectedWork;
+import org.wigeontally.placement.SpeedEstimate;
 
 /**
  * The work that one attempt causes at its backend server. Tells the load, the backlog and
@@ -31,6 +34,8 @@
 
 	private boolean resumed;
 
+	private long sentAtMs;
+
 	private int events;
 
 	private long lastEventsMs;
@@ -64,14 +69,28 @@
 				.write(LogEvent.STREAM_RESUMED, "id", this.request.attemptId(), "backend", backendId, "last-event",
 						lastEventId);
 		}
-		long nowMs = this.context.nowMs();
-		this.context.log()
-			.write(LogEvent.REQUEST_PLACED, "id", this.request.attemptId(), "backend", backendId, "zone",
-					this.backend.record().zone(), "load",
-					this.backend.load().estimatedRequests(nowMs, this.context.fleet().entryCount()), "load-age-ms",
-					Math.min(this.backend.load().reportAgeMs(nowMs), MAX_LOGGED_AGE_MS), "limit",
-					this.backend.limit().perSecond(), "rank", this.enginePriority, "left-ms", remainingMs,
-					"configuration", this.context.fleet().configuration().version());
+		this.sentAtMs = this.context.nowMs();
+		List<Object> fields = new ArrayList<>(List.of("id", this.request.attemptId(), "backend", backendId, "zone",
+				this.backend.record().zone(), "load", estimatedRequests(this.sentAtMs), "load-age-ms",
+				Math.min(this.backend.load().reportAgeMs(this.sentAtMs), MAX_LOGGED_AGE_MS), "limit",
+				this.backend.limit().perSecond(), "rank", this.enginePriority, "left-ms", remainingMs));
+		if (this.context.traits(this.request.service()).isScheduled()) {
+			addWork(fields);
+		}
+		fields.addAll(List.of("configuration", this.context.fleet().configuration().version()));
+		this.context.log().write(LogEvent.REQUEST_PLACED, fields.toArray());
+	}
+
+	private void addWork(List<Object> fields) {
+		SpeedEstimate speed = this.backend.load().speed();
+		fields.addAll(List.of("slowdown", Math.round(speed.slowdownFactor(this.sentAtMs) * 100) / 100.0,
+				"slowdown-age-ms", Math.min(speed.ageMs(this.sentAtMs), MAX_LOGGED_AGE_MS)));
+		this.expected.ifPresent((work) -> fields.addAll(List.of("expected-tokens",
+				Math.round(work.answer().expectedTokens()), "predicted-ms", Math.round(work.firstEventMs()))));
+	}
+
+	private int estimatedRequests(long nowMs) {
+		return this.backend.load().estimatedRequests(nowMs, this.context.fleet().entryCount());
 	}
 
 	/**
@@ -85,11 +104,15 @@
 		}
 		EngineProfile profile = this.expected.get().profile();
 		if (this.events > 0) {
-			int batchSize = Math.max(1, Math.min(profile.batchSlots(),
-					this.backend.load().estimatedRequests(nowMs, this.context.fleet().entryCount())));
+			int batchSize = Math.max(1, Math.min(profile.batchSlots(), estimatedRequests(nowMs)));
 			double pauseMs = (double) (nowMs - this.lastEventsMs) / (takenEvents - this.events);
 			this.backend.load().speed().recordPause(pauseMs / Math.max(1, profile.passMs(batchSize)), nowMs);
 		}
+		else if (!this.resumed) {
+			this.context.metrics()
+				.recordFirstEventRatio(this.request.service(),
+						(nowMs - this.sentAtMs) / Math.max(1, this.expected.get().firstEventMs()));
+		}
 		this.events = takenEvents;
 		this.lastEventsMs = nowMs;
 		this.ownRequest.setWrittenTokens(takenEvents * Math.max(1, profile.stepsPerPass()));
@@ -99,7 +122,11 @@
 	void completed() {
 		// Of a resumed stream, only the rest was received.
 		if (this.ownRequest != null && !this.resumed && this.events > 0) {
-			this.context.answerLengths().record(this.ownRequest.answer(), this.ownRequest.writtenTokens());
+			int tokens = this.ownRequest.writtenTokens();
+			this.context.answerLengths().record(this.ownRequest.answer(), tokens);
+			this.context.metrics()
+				.recordAnswerTokensRatio(this.request.service(),
+						tokens / Math.max(1, this.ownRequest.answer().expectedTokens()));
 		}
 	}
 
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayMetrics.java
@@ -14,6 +14,8 @@
 	private static final double[] BUCKET_BOUNDS_SECONDS = { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2,
 			3, 6 };
 
+	private static final double[] RATIO_BOUNDS = { 0.25, 0.5, 0.75, 0.9, 1.1, 1.35, 2, 4, 8 };
+
 	private static final double MS_PER_SECOND = 1000.0;
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -46,6 +48,22 @@
 		.classicUpperBounds(BUCKET_BOUNDS_SECONDS)
 		.register(this.registry);
 
+	private final Histogram firstEventRatio = Histogram.builder()
+		.name("wigeontally_first_event_ratio")
+		.help("Time to the first event of a stream, relative to its prediction; only services placed by work")
+		.labelNames("service")
+		.classicOnly()
+		.classicUpperBounds(RATIO_BOUNDS)
+		.register(this.registry);
+
+	private final Histogram answerTokensRatio = Histogram.builder()
+		.name("wigeontally_answer_tokens_ratio")
+		.help("Tokens of a stream, relative to their estimate; only services placed by work")
+		.labelNames("service")
+		.classicOnly()
+		.classicUpperBounds(RATIO_BOUNDS)
+		.register(this.registry);
+
 	private final Gauge configurationVersion = Gauge.builder()
 		.name("wigeontally_configuration_version")
 		.help("Version of the configuration in force")
@@ -128,6 +146,14 @@
 		this.answerSeconds.labelValues(service).observe(ms / MS_PER_SECOND);
 	}
 
+	void recordFirstEventRatio(String service, double ratio) {
+		this.firstEventRatio.labelValues(service).observe(ratio);
+	}
+
+	void recordAnswerTokensRatio(String service, double ratio) {
+		this.answerTokensRatio.labelValues(service).observe(ratio);
+	}
+
 	void setHarmfulParts(int count) {
 		this.harmfulParts.set(count);
 	}
