--- a/testsuite/src/test/java/org/wigeontally/placement/WorkAwarePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/WorkAwarePlacementTests.java
@@ -55,19 +55,37 @@
 		Shares least = run("least reported load", UNEVEN, entries, rate, false, UnaryOperator.identity(),
 				(random) -> leastLoad());
 		Shares perfect = run("exact knowledge", UNEVEN, entries, rate, true, UnaryOperator.identity(), byLoad(UNEVEN));
-		assertThat(work.onTime()).isGreaterThan(engine.onTime());
-		assertThat(work.onTime()).isGreaterThan(before.onTime());
+		assertThat(work.onTime()).isGreaterThan(engine.onTime() + 0.01);
+		assertThat(work.onTime()).isGreaterThan(before.onTime() + 0.01);
 		assertThat(work.onTime()).isGreaterThan(least.onTime());
 		assertThat(work.onTime()).isGreaterThan(perfect.onTime() - 0.1);
 	}
 
-	/** Guards against a use of old reports that is worse than that of the load alone. */
+	/**
+	 * Half of the callers of the other regions move to one, so that it gets two thirds of
+	 * the requests. Guards against a region that is filled while others have room.
+	 */
+	@Test
+	public void callersThatMoveToOneRegionAreServedByAll() {
+		UnaryOperator<WorkSimulation> moved = (simulation) -> simulation.withMovedCallers(0.5);
+		Shares work = run("work, callers moved", UNEVEN, 44, UNEVEN_RATE, false, moved, work(UNEVEN));
+		Shares engine = run("load, callers moved", UNEVEN, 44, UNEVEN_RATE, false, moved, byLoad(UNEVEN));
+		assertThat(work.onTime()).isGreaterThan(engine.onTime());
+		work = run("work, callers moved", RANKED, 44, RANKED_RATE, false, moved, work(RANKED));
+		engine = run("load, callers moved", RANKED, 44, RANKED_RATE, false, moved, byLoad(RANKED));
+		assertThat(work.onTime()).isGreaterThan(engine.onTime());
+	}
+
+	/**
+	 * Guards against engines that look empty because their agents are silent and are
+	 * crowded by all entries.
+	 */
 	@Test
 	public void silentAgentsDoNoMoreHarmThanBefore() {
 		UnaryOperator<WorkSimulation> silent = (simulation) -> simulation.withSilentAgents(10);
 		Shares work = run("work, silent", UNEVEN, 44, UNEVEN_RATE, false, silent, work(UNEVEN));
 		Shares engine = run("load, silent", UNEVEN, 44, UNEVEN_RATE, false, silent, byLoad(UNEVEN));
-		assertThat(work.onTime()).isGreaterThan(engine.onTime());
+		assertThat(work.onTime()).isGreaterThan(engine.onTime() + 0.03);
 	}
 
 	/** Three ranks at 360 of 384 slots, at steady speed. */
@@ -102,6 +120,19 @@
 			.isInstanceOf(PlacementDecision.Place.class);
 	}
 
+	/**
+	 * Guards against a late request that is refused although unreported engines are idle.
+	 */
+	@Test
+	public void unreportedEngineIsNotCalledFull() {
+		BackendCandidate full = new BackendCandidate("a", 0, 12, 1, 0);
+		BackendCandidate unreported = new BackendCandidate("b", 0, 0, 1, 0)
+			.withWork(new EngineWork(0, 0, 0, 0, BackendLoad.MAX_REPORT_AGE_MS + 1));
+		WorkAwarePlacement placement = WorkAwarePlacement.of(RANKED.engine(), true, new Random(1));
+		assertThat(placement.decide(request(2, -100, 0), List.of(full, unreported)))
+			.isInstanceOfSatisfying(PlacementDecision.Place.class, (place) -> assertThat(place.id()).isEqualTo("b"));
+	}
+
 	@Test
 	public void onlyMostUrgentRequestsInTimeWaitAtEngines() {
 		List<BackendCandidate> full = List.of(new BackendCandidate("a", 0, 12, 1, 0));
