Configurations can be checked before they are written

Cause: a configuration of the platform was only checked by the entries that decode it. A malformed one stays out of force, and entries that have no effect, such as a route behind another one with the same prefix, were found by nobody.

Change: `wigeontally check-configuration FILE [--in-force FILE] [--json]`. Findings are printed with their severity, which also applies to warnings that an entry host returns to the command line. AllowedRegions has equals, without which each restricted route would count as changed.

--- a/library/src/main/java/org/wigeontally/errors/ErrorType.java
+++ b/library/src/main/java/org/wigeontally/errors/ErrorType.java
@@ -59,6 +59,41 @@
 	UNKNOWN_SUBJECT(111, Severity.ERROR, "the change has no known subject"),
 	/** The list of confirming hosts changes again before its last change is settled. */
 	LIST_UNSETTLED(112, Severity.ERROR, "the last change of the confirming hosts is not settled yet"),
+	/** A configuration of the platform cannot be decoded. */
+	MALFORMED_CONFIGURATION(120, Severity.ERROR, "%s"),
+	/** An earlier route has the same host and path prefix. */
+	HIDDEN_ROUTE(121, Severity.ERROR,
+			"route \"%s\" never matches: route \"%s\" before it has the same host and path prefix"),
+	/** Hosts of requests are compared in lower case. */
+	UNMATCHED_HOST(122, Severity.ERROR, "route \"%s\" never matches: host \"%s\" has upper-case letters"),
+	/** Every path of a request begins with a slash. */
+	UNMATCHED_PREFIX(123, Severity.ERROR, "route \"%s\" never matches: path prefix \"%s\" does not begin with a slash"),
+	/** A path prefix matches within a segment of a path. */
+	OPEN_PREFIX(124, Severity.WARNING,
+			"path prefix of route \"%s\" does not end with a slash, so it also matches \"%sx\""),
+	/** A route has no service with a weight above zero. */
+	NO_WEIGHT(125, Severity.ERROR, "route \"%s\" refuses all requests: its weights are zero"),
+	/** A route leads to a service that does not exist. */
+	MISSING_SERVICE(126, Severity.ERROR, "route \"%s\" leads to service \"%s\", which does not exist"),
+	/** No route leads to a service. */
+	UNUSED_SERVICE(127, Severity.WARNING, "no route leads to service \"%s\""),
+	/** An organisation has no API key. */
+	NO_API_KEY(128, Severity.WARNING, "organisation \"%s\" has no key, so it has no requests"),
+	/** Two organisations have the same API key; the later one gets the requests. */
+	SHARED_API_KEY(129, Severity.ERROR, "organisation \"%s\" has a key that organisation \"%s\" also has"),
+	/** No region may serve requests of an organisation on a route. */
+	NO_COMMON_REGION(130, Severity.WARNING, "route \"%s\" has no allowed region in common with: %s"),
+	/** The target of a route is over its timeout. */
+	TARGET_OVER_TIMEOUT(131, Severity.ERROR, "target of route \"%s\" (%s ms) is over its timeout (%s ms)"),
+	/** A route permits attempts that its kind of requests seldom uses. */
+	UNUSED_ATTEMPTS(132, Severity.WARNING,
+			"route \"%s\" permits %s attempts, but repeats a request only if it certainly did not run"),
+	/** A limit on callers is zero. */
+	ZERO_LIMIT(133, Severity.ERROR, "%s is zero"),
+	/** The engines of a service have no slots. */
+	NO_SLOTS(134, Severity.ERROR, "engines of service \"%s\" have no slots"),
+	/** Entries ignore a configuration that is not newer than theirs. */
+	VERSION_NOT_NEWER(135, Severity.ERROR, "version %s is ignored: version %s is in force"),
 
 	/** The caller's credential is missing or wrong. */
 	BAD_CREDENTIAL(200, Severity.ERROR, "credential is missing or wrong"),
@@ -146,6 +181,20 @@
 		return this.severity;
 	}
 
+	/**
+	 * Returns the severity of the error with a number.
+	 * @param number the number
+	 * @return the severity; that of an error if the number is not known to this version
+	 */
+	public static Severity severity(int number) {
+		for (ErrorType type : values()) {
+			if (type.number == number) {
+				return type.severity;
+			}
+		}
+		return Severity.ERROR;
+	}
+
 	/**
 	 * Formats the message.
 	 * @param arguments one value for each placeholder
--- a/library/src/main/java/org/wigeontally/errors/Findings.java
+++ b/library/src/main/java/org/wigeontally/errors/Findings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Collectors;
 
 import org.wigeontally.schema.generated.Finding;
@@ -75,7 +76,8 @@
 	}
 
 	/**
-	 * Formats findings, one per line, as "location: error 2: message".
+	 * Formats findings, one per line, as "location: error 2: message"; warnings as
+	 * "location: warning 2: message".
 	 * @param findings the findings
 	 * @return the lines
 	 */
@@ -85,7 +87,8 @@
 
 	private static String format(Finding finding) {
 		String location = finding.getPlace().isEmpty() ? "" : finding.getPlace() + ": ";
-		return location + "error " + finding.getNumber() + ": " + finding.getMessage();
+		String severity = ErrorType.severity(finding.getNumber()).name().toLowerCase(Locale.ROOT);
+		return location + severity + " " + finding.getNumber() + ": " + finding.getMessage();
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
@@ -1,6 +1,8 @@
 package org.wigeontally.fleet;
 
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -54,6 +56,26 @@
 		return this.unrestricted || this.regions.contains(region);
 	}
 
+	/**
+	 * Returns whether a region is allowed by both values.
+	 * @param other the other value
+	 * @return true if there is one
+	 */
+	public boolean intersects(AllowedRegions other) {
+		return this.unrestricted || other.unrestricted || !Collections.disjoint(this.regions, other.regions);
+	}
+
+	@Override
+	public boolean equals(Object object) {
+		return object instanceof AllowedRegions other && this.unrestricted == other.unrestricted
+				&& this.regions.equals(other.regions);
+	}
+
+	@Override
+	public int hashCode() {
+		return Objects.hash(this.unrestricted, this.regions);
+	}
+
 	/**
 	 * Combines the regions of several routes.
 	 * @param other regions of another route
--- a/tool/src/main/java/org/wigeontally/tool/CommandTree.java
+++ b/tool/src/main/java/org/wigeontally/tool/CommandTree.java
@@ -85,7 +85,7 @@
 				appendCommands(entry.getValue(), prefix + entry.getKey() + " ", text);
 			}
 			else {
-				text.append(String.format("  %-18s %s%n", prefix + entry.getKey(), command.description()));
+				text.append(String.format("  %-20s %s%n", prefix + entry.getKey(), command.description()));
 			}
 		}
 	}
--- a/tool/src/main/java/org/wigeontally/tool/ExitCode.java
+++ b/tool/src/main/java/org/wigeontally/tool/ExitCode.java
@@ -11,6 +11,9 @@
 	/** The command failed, or the change was refused. */
 	static final int FAILURE = 1;
 
+	/** A check has warnings and no errors. */
+	static final int WARNINGS_ONLY = 1;
+
 	/** Options, settings or files are invalid. */
 	static final int BAD_INPUT = 2;
 
--- a/tool/src/main/java/org/wigeontally/tool/Wigeontally.java
+++ b/tool/src/main/java/org/wigeontally/tool/Wigeontally.java
@@ -47,8 +47,8 @@
 	 * @param out receives results
 	 * @param err receives errors and hints
 	 * @param args name of the command and its options
-	 * @return exit code: 0 done or accepted, 1 refused or failed, 2 invalid input, 3
-	 * pending or unknown at the timeout, 4 no entry host reached
+	 * @return exit code: 0 done or accepted, 1 refused, failed or warnings, 2 invalid
+	 * input, 3 pending or unknown at the timeout, 4 no entry host reached
 	 */
 	public static int run(PrintStream out, PrintStream err, String... args) {
 		return new Wigeontally(out, err).run(args);
