--- a/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
+++ b/library/src/main/java/org/wigeontally/fleet/AllowedRegions.java
@@ -65,17 +65,6 @@
 		return this.unrestricted || other.unrestricted || !Collections.disjoint(this.regions, other.regions);
 	}
 
-	@Override
-	public boolean equals(Object object) {
-		return object instanceof AllowedRegions other && this.unrestricted == other.unrestricted
-				&& this.regions.equals(other.regions);
-	}
-
-	@Override
-	public int hashCode() {
-		return Objects.hash(this.unrestricted, this.regions);
-	}
-
 	/**
 	 * Combines the regions of several routes.
 	 * @param other regions of another route
--- a/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
+++ b/library/src/main/java/org/wigeontally/placement/BackendCandidate.java
@@ -59,7 +59,8 @@
 	 * @return the candidate
 	 */
 	public BackendCandidate withLoad(int estimate) {
-		return new BackendCandidate(this.id, this.distance, estimate, this.slowdownFactor, this.failureRate, this.work);
+		return new BackendCandidate(this.id, this.distance, estimate, this.slowdownFactor, this.failureRate,
+				this.blindRequests, this.work);
 	}
 
 }
