--- a/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/entries/PeerEntry.java
@@ -117,26 +117,29 @@
 		DueContacts due = this.table.dueContacts(news, RECENT_CONTACT_MS, true, nowMs());
 		for (DueContacts.Receiver receiver : due.heartbeats()) {
 			byte[] heartbeat = EngineStatus.newBuilder().setHeartbeat(news).build().toByteArray();
-			this.traffic.add(kind("heartbeat-in"), heartbeat.length);
+			count(receiver.control(), "heartbeat-in", heartbeat.length);
 			this.datagrams.send(Buffer.buffer(heartbeat), receiver.port(), receiver.control().getIp());
 		}
 		for (Address address : due.calls()) {
-			this.traffic.add(kind("exchange-in"), news.getSerializedSize());
+			count(address, "exchange-in", news.getSerializedSize());
 			this.client.call(address, FleetGrpcClient.Exchange, news, () -> false)
-				.onSuccess((reply) -> this.traffic.add(kind("exchange-reply-out"), reply.getSerializedSize()))
+				.onSuccess((reply) -> count(address, "exchange-reply-out", reply.getSerializedSize()))
 				.onSuccess(this::record)
 				.onFailure((failure) -> this.table.recordFailure(address, nowMs()));
 		}
 	}
 
-	private String kind(String direction) {
-		return direction + (this.region.equals(this.measured.getRegion()) ? "-near" : "-remote");
+	// The entry that reads the store exchanges with the stand-ins too.
+	private void count(Address other, String kind, long bytes) {
+		if (other.equals(this.fleet.get(this.fleet.size() - 1))) {
+			this.traffic.add(kind + (this.region.equals(this.measured.getRegion()) ? "-near" : "-remote"), bytes);
+		}
 	}
 
 	private void recordHeartbeat(DatagramPacket packet) {
-		this.traffic.add(kind("heartbeat-out"), packet.data().length());
 		try {
 			EntryNews news = EngineStatus.parseFrom(packet.data().getBytes()).getHeartbeat();
+			count(news.getControl(), "heartbeat-out", packet.data().length());
 			if (this.table.recordHeartbeat(news, nowMs()) != EntryTable.HeartbeatResult.OVERTAKEN) {
 				this.measured = news;
 			}
@@ -187,8 +190,8 @@
 			EntryNews.Builder news = news().setSequence(++PeerEntry.this.sequence);
 			boolean known = request.getEntriesDigest() == PeerEntry.this.fleetDigest;
 			EntryNews reply = (known ? news : addEntries(news)).build();
-			PeerEntry.this.traffic.add(kind("exchange-out"), request.getSerializedSize());
-			PeerEntry.this.traffic.add(kind("exchange-reply-in"), reply.getSerializedSize());
+			count(request.getControl(), "exchange-out", request.getSerializedSize());
+			count(request.getControl(), "exchange-reply-in", reply.getSerializedSize());
 			return Future.succeededFuture(reply);
 		}
 
