Placement tests: one simulation instead of three

Cause: PlacementSimulation, EngineSimulation and QueueSimulation were copies of one simulation that were extended separately, so a correction of the engine model had to be made three times.

Change: PlacementSimulation has the hooks of EngineSimulation (speed, reports, candidates, progress), which WorkSimulation overrides, and the entries' behaviour, organisations and staggered reports of QueueSimulation. SimulatedEngine is the one model of an engine. Two differences that affect figures became settings: hidePlaces(), as the queue's entries did not know the places of engines, and the delay of callers that retry at once (0 or 1 ms).

--- a/testsuite/src/test/java/org/wigeontally/placement/QueuedEntries.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/QueuedEntries.java
@@ -14,12 +14,12 @@
 import org.wigeontally.queueing.WaitingRequest;
 
 /**
- * Entries of a {@link QueueSimulation} at which requests wait, and the record of their
- * waits by rank.
+ * Entries of a {@link PlacementSimulation} at which requests wait, and the record of
+ * their waits by rank.
  */
-final class QueuedEntries implements QueueSimulation.EntryBehaviour {
+final class QueuedEntries implements PlacementSimulation.EntryBehaviour {
 
-	private final QueueSimulation simulation;
+	private final PlacementSimulation simulation;
 
 	private final EngineProfile profile;
 
@@ -27,7 +27,7 @@
 
 	private final Map<Integer, Waits> waitsByRank = new HashMap<>();
 
-	QueuedEntries(QueueSimulation simulation, EngineProfile profile, int entryCount, long seed) {
+	QueuedEntries(PlacementSimulation simulation, EngineProfile profile, int entryCount, long seed) {
 		this.simulation = simulation;
 		this.profile = profile;
 		Random random = new Random(seed);
@@ -41,7 +41,7 @@
 	}
 
 	@Override
-	public void arrived(QueueSimulation.Arrival arrival, long nowMs) {
+	public void arrived(PlacementSimulation.Arrival arrival, long nowMs) {
 		this.entries.get(arrival.entry()).arrived(arrival, nowMs);
 	}
 
@@ -103,12 +103,12 @@
 			}
 		}
 
-		private void arrived(QueueSimulation.Arrival arrival, long atMs) {
+		private void arrived(PlacementSimulation.Arrival arrival, long atMs) {
 			wake(atMs);
 			this.nowMs = atMs;
-			this.returnTime.recordArrival(arrival.stream().rank(), atMs);
-			WaitingRequest request = WaitingRequest.of("org-" + arrival.organisation(), arrival.stream().rank(), "all",
-					atMs, (long) arrival.stream().targetMs(), (long) arrival.targetAtMs(),
+			this.returnTime.recordArrival(arrival.kind().rank(), atMs);
+			WaitingRequest request = WaitingRequest.of("org-" + arrival.outcome().organisation, arrival.kind().rank(),
+					"all", atMs, (long) arrival.kind().targetMs(), (long) arrival.targetAtMs(),
 					QueuedEntries.this.profile.admittedFirstEventMs(arrival.promptTokens()));
 			if (tryPlace(arrival)) {
 				return;
@@ -140,17 +140,17 @@
 			}
 		}
 
-		private boolean tryPlace(QueueSimulation.Arrival arrival) {
+		private boolean tryPlace(PlacementSimulation.Arrival arrival) {
 			PlacementDecision decision = QueuedEntries.this.simulation.decide(arrival, this.nowMs);
 			if (!(decision instanceof PlacementDecision.Place place)) {
 				return false;
 			}
-			this.policy.recordPlacement(arrival.stream().rank(), this.nowMs);
+			this.policy.recordPlacement(arrival.kind().rank(), this.nowMs);
 			QueuedEntries.this.simulation.send(arrival, place, this.nowMs);
 			return true;
 		}
 
-		private void reject(QueueSimulation.Arrival arrival, WaitingRequest request) {
+		private void reject(PlacementSimulation.Arrival arrival, WaitingRequest request) {
 			double remainingMs = arrival.deadlineAtMs() - this.nowMs;
 			double seconds = this.returnTime.seconds(request, remainingMs, this.nowMs);
 			QueuedEntries.this.simulation.reject(arrival, seconds * 1_000, this.nowMs);
--- a/testsuite/src/test/java/org/wigeontally/placement/RankedReplay.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/RankedReplay.java
@@ -100,7 +100,7 @@
 	}
 
 	RankedReplay retryAtOnce() {
-		this.simulation.retryAtOnce();
+		this.simulation.retryAfterMs(1);
 		return this;
 	}
 
--- a/testsuite/src/test/java/org/wigeontally/placement/RequestQueueLoadTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/RequestQueueLoadTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 
@@ -40,8 +41,9 @@
 
 	private static final double LARGE_WEIGHT = 10;
 
-	private static final List<QueueSimulation.Stream> STREAMS = List.of(new QueueSimulation.Stream(0, 402, 1_290, 126),
-			new QueueSimulation.Stream(1, 402, 787, 126), new QueueSimulation.Stream(2, 802, 607, 70));
+	private static final List<PlacementSimulation.StreamKind> STREAMS = List.of(
+			new PlacementSimulation.StreamKind(0, 402, 1_290, 126),
+			new PlacementSimulation.StreamKind(1, 402, 787, 126), new PlacementSimulation.StreamKind(2, 802, 607, 70));
 
 	/**
 	 * About three quarters of the real rates: the simulated engines read prompts between
@@ -64,13 +66,14 @@
 		Load load = new Load("44 entries", ENTRIES, UnaryOperator.identity());
 		this.withoutQueue = run("no queue, 1.7 s", load, false);
 		this.withQueue = run("queue", load, true);
-		this.withKnowledge = run("queue", new Load("perfect knowledge", ENTRIES, QueueSimulation::reportPerfectly),
+		this.withKnowledge = run("queue", new Load("perfect knowledge", ENTRIES, PlacementSimulation::reportPerfectly),
 				true);
 	}
 
 	@DataProvider
 	public Object[][] variants() {
-		return new Object[][] { { new Load("callers retry at once", ENTRIES, QueueSimulation::retryAtOnce) },
+		return new Object[][] {
+				{ new Load("callers retry at once", ENTRIES, (simulation) -> simulation.retryAfterMs(0)) },
 				{ new Load("half of the callers at 15 of 44", ENTRIES, (simulation) -> simulation.crowdEntries(15)) },
 				{ new Load("9 entries", 9, UnaryOperator.identity()) },
 				{ new Load("67 entries", 67, UnaryOperator.identity()) } };
@@ -95,7 +98,7 @@
 	@Test
 	public void enginesAreNearlyFullBeforeTheBurst() {
 		double requests = IntStream.rangeClosed(1, 3 * SEEDS).parallel().map((seed) -> {
-			QueueSimulation simulation = createSimulation(ENTRIES, seed);
+			PlacementSimulation simulation = createSimulation(ENTRIES, seed);
 			addLoad(simulation);
 			simulation.run(3_900);
 			return simulation.requestsAtEngines();
@@ -138,9 +141,10 @@
 		assertThat(this.withQueue.inTimeOfLarge).isGreaterThan(this.withQueue.inTimeOfSmall / 2);
 	}
 
-	private static QueueSimulation createSimulation(int entries, int seed) {
-		return new QueueSimulation(PROFILE, entries, ENGINES, seed,
-				EnginePlacement.of(PROFILE, new Random(seed))::decide)
+	private static PlacementSimulation createSimulation(int entries, int seed) {
+		return new PlacementSimulation(entries, ENGINES, seed, EnginePlacement.of(PROFILE, new Random(seed))::decide)
+			.profile(PROFILE)
+			.hidePlaces()
 			.reportEveryMs(300)
 			.staggerReports()
 			.weighOrganisations(IntStream.range(0, ORGANISATIONS)
@@ -148,7 +152,7 @@
 				.toArray());
 	}
 
-	private static void addLoad(QueueSimulation simulation) {
+	private static void addLoad(PlacementSimulation simulation) {
 		for (int rank = 0; rank < STREAMS.size(); rank++) {
 			simulation.addArrivals(STREAMS.get(rank), 0, 16_000, RATES[rank]);
 		}
@@ -159,7 +163,7 @@
 	private static Outcome run(String name, Load load, boolean queued) {
 		Outcome outcome = new Outcome();
 		IntStream.rangeClosed(1, SEEDS).parallel().forEach((seed) -> {
-			QueueSimulation simulation = load.change().apply(createSimulation(load.entries(), seed));
+			PlacementSimulation simulation = load.change().apply(createSimulation(load.entries(), seed));
 			addLoad(simulation);
 			QueuedEntries entries = new QueuedEntries(simulation, PROFILE, load.entries(), seed);
 			if (queued) {
@@ -175,7 +179,7 @@
 	/**
 	 * A variant of the load.
 	 */
-	private record Load(String name, int entries, UnaryOperator<QueueSimulation> change) {
+	private record Load(String name, int entries, UnaryOperator<PlacementSimulation> change) {
 
 		@Override
 		public String toString() {
@@ -205,11 +209,11 @@
 
 		private double inTimeOfSmall;
 
-		private synchronized void add(QueueSimulation simulation, QueuedEntries entries) {
+		private synchronized void add(PlacementSimulation simulation, QueuedEntries entries) {
 			double attained = 0;
 			double attainable = 0;
 			for (int rank = 0; rank < STREAMS.size(); rank++) {
-				QueueSimulation.Result result = simulation.result(STREAMS.get(rank));
+				PlacementSimulation.Result result = simulation.result(ofKind(STREAMS.get(rank)));
 				attained += result.onTime() * VALUES_IN_TIME[rank] + result.late() * VALUES_LATE[rank];
 				attainable += result.requests() * VALUES_IN_TIME[rank];
 				this.served[rank] += (double) (result.onTime() + result.late()) / result.requests() / SEEDS;
@@ -223,9 +227,14 @@
 			this.inTimeOfSmall += inTimeShare(simulation, LARGE_ORGANISATIONS, ORGANISATIONS) / SEEDS;
 		}
 
-		private static double inTimeShare(QueueSimulation simulation, int from, int until) {
+		private static Predicate<PlacementSimulation.Outcome> ofKind(PlacementSimulation.StreamKind kind) {
+			return (outcome) -> outcome.kind.equals(kind);
+		}
+
+		private static double inTimeShare(PlacementSimulation simulation, int from, int until) {
 			return IntStream.range(from, until)
-				.mapToDouble((organisation) -> simulation.organisationResult(organisation).onTimeShare())
+				.mapToDouble((organisation) -> simulation.result((outcome) -> outcome.organisation == organisation)
+					.onTimeShare())
 				.average()
 				.getAsDouble();
 		}
--- a/testsuite/src/test/java/org/wigeontally/placement/WorkAwarePlacementTests.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/WorkAwarePlacementTests.java
@@ -166,15 +166,15 @@
 		return new EngineRequest(600, 111, targetLeftMs, 5_000, rank, reservedSlots);
 	}
 
-	private static Function<Random, EngineSimulation.PlacementStrategy> work(WorkSimulation.Load load) {
+	private static Function<Random, PlacementSimulation.PlacementStrategy> work(WorkSimulation.Load load) {
 		return (random) -> WorkAwarePlacement.of(load.engine(), load == RANKED, random)::decide;
 	}
 
-	private static Function<Random, EngineSimulation.PlacementStrategy> byLoad(WorkSimulation.Load load) {
+	private static Function<Random, PlacementSimulation.PlacementStrategy> byLoad(WorkSimulation.Load load) {
 		return (random) -> EnginePlacement.of(load.engine(), random)::decide;
 	}
 
-	private static EngineSimulation.PlacementStrategy leastLoad() {
+	private static PlacementSimulation.PlacementStrategy leastLoad() {
 		return (request, candidates) -> {
 			BackendCandidate least = candidates.get(0);
 			for (BackendCandidate candidate : candidates) {
@@ -185,13 +185,13 @@
 	}
 
 	private static Shares run(String name, WorkSimulation.Load load, int entries, double rate, boolean perfect,
-			UnaryOperator<WorkSimulation> variant, Function<Random, EngineSimulation.PlacementStrategy> strategy) {
+			UnaryOperator<WorkSimulation> variant, Function<Random, PlacementSimulation.PlacementStrategy> strategy) {
 		double[] sums = new double[6];
 		IntStream.range(0, SEEDS).forEach((seed) -> {
 			WorkSimulation simulation = variant
 				.apply(new WorkSimulation(load, entries, perfect, 500 + seed, strategy.apply(new Random(seed))));
 			simulation.addArrivals(0, 12_000, rate);
-			EngineSimulation.Result result = simulation.run(18_000);
+			PlacementSimulation.Result result = simulation.run(18_000);
 			sums[0] += result.onTimeShare() / SEEDS;
 			for (int rank = 0; rank < 3; rank++) {
 				sums[1 + rank] += simulation.onTimeShare(rank) / SEEDS;
--- a/testsuite/src/test/java/org/wigeontally/placement/WorkSimulation.java
+++ b/testsuite/src/test/java/org/wigeontally/placement/WorkSimulation.java
@@ -11,14 +11,12 @@
  * Each entry knows the engines by their reports, by its own requests and by the answers'
  * headers.
  */
-final class WorkSimulation extends EngineSimulation {
+final class WorkSimulation extends PlacementSimulation {
 
 	static final int ENGINES = 32;
 
 	static final double SLOW = 2.5;
 
-	private static final int RANKS = 3;
-
 	private static final int REGIONS = 3;
 
 	private static final long NEAR_INTERVAL_MS = 150;
@@ -44,10 +42,6 @@
 
 	private final Map<Arrival, Sent> sent = new HashMap<>();
 
-	private final int[] arrivedByRank = new int[RANKS];
-
-	private final int[] onTimeByRank = new int[RANKS];
-
 	private boolean reportedSpeed;
 
 	private int silentEngines;
@@ -67,7 +61,8 @@
 	 * @param strategy strategy of all entries
 	 */
 	WorkSimulation(Load traffic, int entries, boolean perfect, long seed, PlacementStrategy strategy) {
-		super(traffic.engine(), entries, ENGINES, seed, strategy);
+		super(entries, ENGINES, seed, strategy);
+		profile(traffic.engine());
 		this.random = new Random(seed);
 		this.entries = entries;
 		this.traffic = traffic;
@@ -111,8 +106,7 @@
 				int answer = (int) Math.max(5, Math.min(ALLOWED_TOKENS,
 						stream.answerTokens() * Math.exp(this.random.nextGaussian() * sigma - sigma * sigma / 2)));
 				long hint = AnswerLengthEstimatorTests.hint(this.random, answer);
-				addArrival(new Arrival(atMs, atMs, entry(), prompt, answer, 0, hint, stream.targetMs(), stream.rank()));
-				this.arrivedByRank[stream.rank()]++;
+				addArrival(new Outcome(stream.kind(), 0, atMs, prompt), entry(), answer, hint);
 				atMs -= Math.log(1 - this.random.nextDouble()) / perMs;
 			}
 		}
@@ -124,14 +118,8 @@
 		return moved ? entry - entry % REGIONS : entry;
 	}
 
-	@Override
-	void countOnTime(Arrival arrival, int change) {
-		super.countOnTime(arrival, change);
-		this.onTimeByRank[arrival.rank()] += change;
-	}
-
 	double onTimeShare(int rank) {
-		return (double) this.onTimeByRank[rank] / this.arrivedByRank[rank];
+		return result((outcome) -> outcome.kind.rank() == rank).onTimeShare();
 	}
 
 	@Override
@@ -170,14 +158,14 @@
 	}
 
 	private AnswerLength estimate(Arrival arrival) {
-		return this.lengths[arrival.entry()].estimate(arrival.rank() + "/" + arrival.targetMs(), "a", arrival.hint(),
-				ALLOWED_TOKENS, this.traffic.engine().meanAnswerTokens());
+		return this.lengths[arrival.entry()].estimate(arrival.kind().rank() + "/" + arrival.kind().targetMs(), "a",
+				arrival.hint(), ALLOWED_TOKENS, this.traffic.engine().meanAnswerTokens());
 	}
 
 	@Override
 	BackendCandidate candidate(int entry, int engine, long nowMs) {
 		BackendLoad load = load(entry, engine);
-		int requests = this.perfect ? requestCount(engine) : load.estimatedRequests(nowMs, this.entries);
+		int requests = this.perfect ? requestsAt(engine) : load.estimatedRequests(nowMs, this.entries);
 		double known = this.reportedSpeed ? load.slowdownFactor() : load.speed().slowdownFactor(nowMs);
 		double slowdown = this.perfect ? slowdown(engine, nowMs) : known;
 		return new BackendCandidate(Integer.toString(engine), isNear(entry, engine) ? 1 : 2, requests, slowdown, 0)
@@ -255,6 +243,10 @@
 	 */
 	record Stream(int rank, double perSecond, double targetMs, int promptTokens, int answerTokens, double spread) {
 
+		private StreamKind kind() {
+			return new StreamKind(this.rank, this.targetMs, this.promptTokens, this.answerTokens);
+		}
+
 	}
 
 	private static final class Sent {
