Idle hosts take over stalled stripes later; older versions are finished as planned

SpreadSimulationTests: a version that is expected to be whole within a second was always finished, which delays the newer one that arrives in time for both deadlines, and idle hosts took over after 1.5 progress intervals, so that the origin sent more than 1.1 copies. The first rule is gone; idle hosts wait 2.5 intervals, 0.7 s at least.

--- a/library/src/main/java/org/wigeontally/weights/StripeState.java
+++ b/library/src/main/java/org/wigeontally/weights/StripeState.java
@@ -14,10 +14,10 @@
 	 * Shortest time without progress after which other hosts help: that of one chunk
 	 * while all stripes share the link of the origin, with its way to the other hosts.
 	 */
-	private static final long MIN_IDLE_STALL_PERIOD_MS = 400;
+	private static final long MIN_IDLE_STALL_PERIOD_MS = 700;
 
 	/** Stall period for such a host as a multiple of the average progress interval. */
-	private static final double IDLE_STALL_PERIOD_INTERVALS = 1.5;
+	private static final double IDLE_STALL_PERIOD_INTERVALS = 2.5;
 
 	/** Stall period as a multiple of the average progress interval. */
 	private static final int STALL_PERIOD_INTERVALS = 5;
--- a/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
@@ -50,10 +50,6 @@
 		double startMs = Math.min(START_MS, fetchingMs);
 		double versionMs = startMs + (fetchingMs - startMs) * totalChunks / heldChunks;
 		double finishMs = versionMs - fetchingMs;
-		// The origin may go away before it has sent the newer version.
-		if (finishMs <= MAX_WAIT_MS) {
-			return true;
-		}
 		double lateIfDropped = Math.max(0, versionMs - remainingMs);
 		double lateIfFinished = Math.max(0, finishMs - remainingMs)
 				+ Math.max(0, finishMs + versionMs - newerRemainingMs);
