An almost whole version is finished when its deadline has passed

On the shifted site the origin was away from 2.5 to 8.5 s after the older of two versions was announced. Afterwards no engine ever had that version, and none had the newer one for 8 s: both estimates contained the outage, and their sum favoured dropping. Where the older deadline has passed, the version that is whole first is now fetched. VersionFetchPolicyTests: the new test fails without the rule.

--- a/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
@@ -50,6 +50,12 @@
 		double startMs = Math.min(START_MS, fetchingMs);
 		double versionMs = startMs + (fetchingMs - startMs) * totalChunks / heldChunks;
 		double finishMs = versionMs - fetchingMs;
+		// Engines serve nothing until some version is whole. After an outage of the
+		// origin
+		// both estimates are too long, and their sum would favour dropping.
+		if (remainingMs <= 0) {
+			return finishMs <= versionMs / 2;
+		}
 		double lateIfDropped = Math.max(0, versionMs - remainingMs);
 		double lateIfFinished = Math.max(0, finishMs - remainingMs)
 				+ Math.max(0, finishMs + versionMs - newerRemainingMs);
--- a/testsuite/src/test/java/org/wigeontally/weights/VersionFetchPolicyTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/VersionFetchPolicyTests.java
@@ -58,6 +58,17 @@
 		assertThat(VersionFetchPolicy.shouldFinish(65, CHUNKS, 3_000, 3_200, 6_500)).isTrue();
 	}
 
+	/**
+	 * Guards against dropping the version that would be whole first when the origin is
+	 * back after an outage of 6 s: no engine had a usable version for 8 s.
+	 */
+	@Test
+	public void finishesAnAlmostWholeVersionWhoseDeadlineHasPassed() {
+		int total = 96;
+		assertThat(VersionFetchPolicy.shouldFinish(80, total, 8_500, -100, 2_900)).isTrue();
+		assertThat(VersionFetchPolicy.shouldFinish(10, total, 8_500, -100, 2_900)).isFalse();
+	}
+
 	// Returns when the older and the newer version are complete. Versions that are
 	// fetched at the same time share the link evenly.
 	private static long[] completionTimesMs(long gapMs) {
