ChunkScheduler asks for assigned fetches in one way

The count of slots that assigned fetches take and the new check for an assigned fetch were the same loop. One method serves both. A comment of FleetConfiguration that the formatter had torn apart is whole again. No change of behaviour; ChunkSchedulerTests, SpreadSimulationTests, VersionFetchPolicyTests and RankReservationTests are green.

--- a/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
+++ b/library/src/main/java/org/wigeontally/fleet/FleetConfiguration.java
@@ -63,8 +63,7 @@
 		return new FleetConfiguration(version, byHost, byName, origin, apiKeys, limits);
 	}
 
-	// Other requests do not take slots of engines for long, so their priority is no
-	// reason
+	// Requests other than streams take no slots for long, so their priority is no reason
 	// to keep slots free.
 	private static Set<String> findRankedServices(Map<String, List<Route>> routesByHost,
 			Map<String, Service> services) {
--- a/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
+++ b/library/src/main/java/org/wigeontally/weights/ChunkScheduler.java
@@ -245,7 +245,9 @@
 				this.stripes[stripe].activeFetches++;
 			}
 		}
-		while (this.activePeerFetches < MAX_PEER_FETCHES - peerSlotsUsedByAssignedFetches()) {
+		// Assigned fetches together take one slot of the peer fetches.
+		int peerSlots = MAX_PEER_FETCHES - (hasAssignedFetch() ? 1 : 0);
+		while (this.activePeerFetches < peerSlots) {
 			Fetch fetch = nextPeerFetch(nowMs);
 			if (fetch == null) {
 				break;
@@ -256,15 +258,6 @@
 		return fetches;
 	}
 
-	// Assigned fetches together take at most one slot of the peer fetches.
-	private int peerSlotsUsedByAssignedFetches() {
-		int fetches = 0;
-		for (StripeState stripe : this.stripes) {
-			fetches += stripe.activeFetches;
-		}
-		return Math.min(fetches, 1);
-	}
-
 	private Fetch startFetch(Fetch fetch) {
 		this.inFlight.set(fetch.chunk());
 		PeerState peer = this.sources.peer(fetch.source());
