--- a/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/WeightCollector.java
@@ -264,9 +264,8 @@
 			.onComplete((result) -> {
 				this.digestRequestInProgress = false;
 				if (result.succeeded() && result.result().size() == briefing.getChunks()) {
-					// Without this, an incomplete older version waits for up to a second
-					// after
-					// an outage of the origin.
+					// Without this, an incomplete older version waits for up to a
+					// second after an outage of the origin.
 					this.weightNode.originAnswered();
 					this.digestRequestFailures = 0;
 					startDownload(version, result.result());
--- a/library/src/main/java/org/wigeontally/weights/StripeState.java
+++ b/library/src/main/java/org/wigeontally/weights/StripeState.java
@@ -86,8 +86,7 @@
 	}
 
 	// Returns whether the stripe made no progress for so long that this host takes it
-	// over
-	// if it has no other assigned fetch.
+	// over if it has no other assigned fetch.
 	boolean isStalledForIdleHost(long nowMs) {
 		double periodMs = Math.max(MIN_IDLE_STALL_PERIOD_MS, IDLE_STALL_PERIOD_INTERVALS * this.averageIntervalMs);
 		return this.rank > 0 && nowMs - this.stalledSinceMs >= periodMs * this.rank;
--- a/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
+++ b/library/src/main/java/org/wigeontally/weights/VersionFetchPolicy.java
@@ -51,8 +51,7 @@
 		double versionMs = startMs + (fetchingMs - startMs) * totalChunks / heldChunks;
 		double finishMs = versionMs - fetchingMs;
 		// Engines serve nothing until some version is whole. After an outage of the
-		// origin
-		// both estimates are too long, and their sum would favour dropping.
+		// origin both estimates are too long, and their sum would favour dropping.
 		if (remainingMs <= 0) {
 			return finishMs <= versionMs / 2;
 		}
