--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -406,7 +406,7 @@
 		recordReceived();
 		this.context.loadHeader().record(headers, this.backend, this.lastReceivedMs);
 		BackendNotice notice = BackendNotice.decode(status, headers::getAll);
-		this.context.fleet().recordNotice(this.backend, notice);
+		this.context.fleet().leaving().recordNotice(this.backend, notice);
 		if (this.context.limits().record(this.backend, notice.limitPerSecond(), this.sentAtMs)) {
 			this.context.tellOtherEntries();
 		}
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -1,6 +1,5 @@
 package org.wigeontally.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,7 +24,6 @@
 import org.wigeontally.misc.Clock;
 import org.wigeontally.placement.EngineProfile;
 import org.wigeontally.platform.wire.BackendDecoder;
-import org.wigeontally.platform.wire.BackendNotice;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.rpc.PeerClient;
@@ -33,7 +31,6 @@
 import org.wigeontally.schema.generated.EngineStatus;
 import org.wigeontally.schema.generated.EntryNews;
 import org.wigeontally.schema.generated.HostSettings;
-import org.wigeontally.schema.generated.LeavingBackend;
 import org.wigeontally.settings.Addresses;
 
 /**
@@ -78,6 +75,8 @@
 
 	private final Map<String, AnnouncedVersions> announcedVersions = new HashMap<>();
 
+	private final LeavingBackends leaving;
+
 	private final LapsedRegistrations lapsed;
 
 	// Why records were unreadable, by their key, to report each once.
@@ -110,6 +109,11 @@
 		this.client = client;
 		this.clock = clock;
 		this.log = log;
+		this.leaving = new LeavingBackends(this, clock, log);
+	}
+
+	LeavingBackends leaving() {
+		return this.leaving;
 	}
 
 	/**
@@ -464,28 +468,6 @@
 				"reason", reason);
 	}
 
-	/**
-	 * Records what a backend server said about itself in a response.
-	 * @param backend the backend server
-	 * @param notice the notice
-	 */
-	void recordNotice(Backend backend, BackendNotice notice) {
-		if (notice == BackendNotice.NONE || notice == BackendNotice.FOREIGN) {
-			return;
-		}
-		String id = backend.record().id();
-		if (notice.unreadable() != null) {
-			this.log.write(LogEvent.HEADER_UNREADABLE, "backend", id, "header", notice.unreadable());
-		}
-		if (notice.pauseMs() > 0) {
-			backend.health().recordPause(this.clock.monotonicMs(), notice.pauseMs());
-			this.log.write(LogEvent.BACKEND, "backend", id, "pause-ms", notice.pauseMs());
-		}
-		if (notice.leaving()) {
-			recordLeaving(backend, "response");
-		}
-	}
-
 	/**
 	 * Returns a process of a backend server.
 	 * @param id id of the backend server
@@ -497,41 +479,6 @@
 		return (backend != null && backend.record().processStartMs() == processStartMs) ? backend : null;
 	}
 
-	private void recordLeaving(Backend backend, String source) {
-		if (backend.recordLeaving()) {
-			this.log.write(LogEvent.BACKEND, "backend", backend.record().id(), "leaving", true, "source", source);
-		}
-	}
-
-	/**
-	 * Records that another process was told by a backend server that it stops soon.
-	 * @param leaving the process of the backend server
-	 * @param source the entry that says so, for the log
-	 */
-	void recordLeaving(LeavingBackend leaving, String source) {
-		Backend backend = backend(leaving.getId(), leaving.getProcessStartMs());
-		if (backend != null) {
-			recordLeaving(backend, source);
-		}
-	}
-
-	/**
-	 * Returns the backend servers that said in a response that they stop soon.
-	 * @return their processes
-	 */
-	List<LeavingBackend> leavingBackends() {
-		List<LeavingBackend> leaving = new ArrayList<>();
-		for (Backend backend : this.backends.values()) {
-			if (backend.hasSaidLeaving()) {
-				leaving.add(LeavingBackend.newBuilder()
-					.setId(backend.record().id())
-					.setProcessStartMs(backend.record().processStartMs())
-					.build());
-			}
-		}
-		return leaving;
-	}
-
 	/**
 	 * Returns the region of an availability zone.
 	 * @param zone name of the zone
@@ -560,7 +507,7 @@
 			return;
 		}
 		if (status.getEngineLeaving()) {
-			recordLeaving(backend, "agent");
+			this.leaving.record(backend, "agent");
 		}
 		long nowMs = this.clock.monotonicMs();
 		backend.recordReport(status.getLoadedVersion(), status.getLoading(), nowMs);
--- a/daemons/src/main/java/org/wigeontally/gateway/SharedFacts.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/SharedFacts.java
@@ -53,7 +53,7 @@
 	 */
 	void addTo(EntryNews.Builder news) {
 		FleetState fleet = this.context.fleet();
-		news.addAllLeavingBackends(fleet.leavingBackends()).addAllLimitedBackends(this.context.limits().news());
+		news.addAllLeavingBackends(fleet.leaving().list()).addAllLimitedBackends(this.context.limits().news());
 		SuspectSummary suspects = this.context.harmfulRequests().summary();
 		if (suspects.getContentsCount() > 0) {
 			news.setSuspects(suspects);
@@ -79,7 +79,7 @@
 	void apply(EntryNews peerNews, String source) {
 		applyVersions(peerNews);
 		FleetState fleet = this.context.fleet();
-		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.recordLeaving(leaving, source));
+		peerNews.getLeavingBackendsList().forEach((leaving) -> fleet.leaving().record(leaving, source));
 		if (peerNews.hasSuspects()) {
 			this.context.harmfulRequests().merge(peerNews.getSuspects());
 		}
