Logs tell why registrations are kept and how old a removal is

Removals and changes to draining name the longest time for which they may have been unknown, and removals whether the entry knew that the backend server was leaving. The grace of an entry and its log lines are a class of their own, which leaves FleetState shorter. No decision changes.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -38,6 +38,11 @@
 	VERSION(RateLimit.SOME),
 	/** A backend server was registered, changed its state or was removed. */
 	BACKEND(RateLimit.MANY),
+	/**
+	 * The end of the period changed in which removed registrations are kept after an
+	 * outage of the store.
+	 */
+	LAPSE_GRACE(RateLimit.SOME),
 	/** An entry or agent is reachable again, is leaving, or no longer sends messages. */
 	PEER(RateLimit.SOME),
 	/** The directory names no entry to a caller. */
--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -287,7 +287,7 @@
 	// Registrations may lapse while the store is away; the reader knows that it was.
 	private void recordLapseGrace(EntryNews reply, long sentAtMs) {
 		if (reply.hasBackendUpdate()) {
-			this.context.fleet().lapseGraceTold(reply.getLapseGraceMs(), sentAtMs, this.backendFollower.knowledge());
+			this.context.fleet().grace().told(reply.getLapseGraceMs(), sentAtMs, this.backendFollower.knowledge());
 		}
 	}
 
@@ -295,7 +295,7 @@
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
 		FleetState fleet = this.context.fleet();
-		fleet.storeAnswered(sentAtMs - reply.getBackendAgeMs());
+		fleet.grace().storeAnswered(sentAtMs - reply.getBackendAgeMs());
 		if (fleet.operatorRecords().endPosition() >= reply.getOperatorEnd()) {
 			this.operatorFollower.recordKnownAsOf(sentAtMs - reply.getOperatorAgeMs());
 		}
@@ -324,7 +324,7 @@
 	private EntryNews.Builder newsFor(EntryNews peerNews) {
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
-		EntryNews.Builder news = ownNews().setLapseGraceMs(fleet.remainingLapseGraceMs())
+		EntryNews.Builder news = ownNews().setLapseGraceMs(fleet.grace().remainingMs())
 			.setEntriesDigest(this.table.digest(settings.getControl(), this.context.nowMs()))
 			.setSequence(++this.sequence);
 		this.facts.addTo(news);
@@ -421,7 +421,8 @@
 				.forEach((topicRecord) -> fleet.applyConfigurationRecord(topicRecord, source));
 		}
 		if (peerNews.hasBackendUpdate()) {
-			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source);
+			fleet.applyBackendRecords(applyRecordUpdate(fleet.backendRecords(), peerNews.getBackendUpdate()), source,
+					this.backendFollower.knowledge().asOfMs());
 		}
 		this.facts.apply(peerNews, source);
 		List<EntryNews> others = this.table.liveEntries(this.context.nowMs());
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -16,9 +16,7 @@
 import org.wigeontally.fleet.BackendRecord;
 import org.wigeontally.fleet.CompactedTopic;
 import org.wigeontally.fleet.FleetConfiguration;
-import org.wigeontally.fleet.LapsedRegistrations;
 import org.wigeontally.fleet.Service;
-import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.WarmupShare;
 import org.wigeontally.misc.Clock;
@@ -77,7 +75,7 @@
 
 	private final LeavingBackends leaving;
 
-	private final LapsedRegistrations lapsed;
+	private final RegistrationGrace grace;
 
 	// Why records were unreadable, by their key, to report each once.
 	private final Map<String, String> unreadableRecords = new HashMap<>();
@@ -100,7 +98,7 @@
 
 	FleetState(HostSettings settings, NetClient client, Clock clock, EventLog log) {
 		this.settings = settings;
-		this.lapsed = LapsedRegistrations.create(settings.getBounds().getDrainMs());
+		this.grace = new RegistrationGrace(settings.getBounds().getDrainMs(), clock, log);
 		settings.getZonesList().forEach((place) -> this.regions.putIfAbsent(place.getZone(), place.getRegion()));
 		this.ownEntry = EntryNews.newBuilder()
 			.setControl(settings.getControl())
@@ -116,6 +114,10 @@
 		return this.leaving;
 	}
 
+	RegistrationGrace grace() {
+		return this.grace;
+	}
+
 	/**
 	 * Sets who is told of registrations and of reports on backend servers.
 	 * @param listener receives the backend server
@@ -302,12 +304,12 @@
 	 * Applies changed registrations of backend servers.
 	 * @param keys ids of the changed backend servers
 	 * @param source the store or entry that sent them, for the log
+	 * @param knownBeforeMs time as of which all earlier changes were known
 	 */
-	void applyBackendRecords(List<String> keys, String source) {
-		long nowMs = this.clock.monotonicMs();
+	void applyBackendRecords(List<String> keys, String source, long knownBeforeMs) {
 		for (String id : keys) {
 			try {
-				applyBackendRecord(id, source, nowMs);
+				applyBackendRecord(id, source, knownBeforeMs);
 			}
 			catch (RuntimeException | StackOverflowError ex) {
 				logFault(id, source, ex);
@@ -315,69 +317,35 @@
 		}
 	}
 
-	private void applyBackendRecord(String id, String source, long nowMs) {
+	private void applyBackendRecord(String id, String source, long knownBeforeMs) {
 		CompactedTopic.TopicRecord topicRecord = this.backendRecords.record(id);
 		if (!topicRecord.removed()) {
-			this.lapsed.renewed(id);
-			registerBackend(id, topicRecord, source);
+			this.grace.renewed(id);
+			registerBackend(id, topicRecord, source, knownBeforeMs);
 			return;
 		}
-		if (!this.lapsed.keep(id, nowMs)) {
-			removeBackend(id, topicRecord.position(), source);
+		if (!this.grace.keep(id, knownBeforeMs)) {
+			removeBackend(id, topicRecord.position(), source, knownBeforeMs);
 		}
 	}
 
-	/**
-	 * Keeps registrations that lapsed while the store was away for a grace period after
-	 * its return, which is now.
-	 * @param lostAtMs start of the last call to the store that failed
-	 */
-	void storeReturned(long lostAtMs) {
-		this.lapsed.setGrace(this.lapsed.grace().storeReturned(lostAtMs, this.clock.monotonicMs()));
-	}
-
-	/**
-	 * Records that the store answered some entry, perhaps before it answered this one.
-	 * @param asOfMs start of the call that it answered
-	 */
-	void storeAnswered(long asOfMs) {
-		this.lapsed.setGrace(this.lapsed.grace().storeAnswered(asOfMs));
-	}
-
-	/**
-	 * Records the grace period of another entry.
-	 * @param restMs what was left of it when the entry replied
-	 * @param askedAtMs when this entry asked
-	 * @param knowledge what this entry knows of the store
-	 */
-	void lapseGraceTold(long restMs, long askedAtMs, StoreKnowledge knowledge) {
-		this.lapsed.setGrace(this.lapsed.grace().told(restMs, askedAtMs, knowledge, this.clock.monotonicMs()));
-	}
-
-	/**
-	 * Returns the rest of the grace period for registrations that lapsed.
-	 * @return milliseconds; 0 if there is none
-	 */
-	long remainingLapseGraceMs() {
-		return this.lapsed.grace().restMs(this.clock.monotonicMs());
-	}
-
 	/**
 	 * Removes backend servers whose registration lapsed and was not renewed in time.
 	 */
 	void removeLapsedBackends() {
-		this.lapsed.takeDue(this.clock.monotonicMs())
-			.forEach((id) -> removeBackend(id, this.backendRecords.endPosition(), "lapsed"));
+		this.grace.takeDue()
+			.forEach((removal) -> removeBackend(removal.id(), this.backendRecords.endPosition(), "lapsed",
+					removal.knownBeforeMs()));
 	}
 
-	private void registerBackend(String id, CompactedTopic.TopicRecord topicRecord, String source) {
+	private void registerBackend(String id, CompactedTopic.TopicRecord topicRecord, String source, long knownBeforeMs) {
 		BackendRecord record;
 		try {
 			record = BackendDecoder.decode(id, topicRecord.value());
 		}
 		catch (PlatformException ex) {
 			logUnreadable(topicRecord, source, ex.getMessage());
-			removeBackend(id, topicRecord.position(), "unreadable");
+			removeBackend(id, topicRecord.position(), "unreadable", knownBeforeMs);
 			return;
 		}
 		this.unreadableRecords.remove(id);
@@ -387,7 +355,8 @@
 				&& known.record().service().equals(record.service())) {
 			if (known.record().draining() != record.draining()) {
 				this.log.write(LogEvent.BACKEND, "backend", id, "draining", record.draining(), "position",
-						StorePosition.format(topicRecord.position()), "source", source);
+						StorePosition.format(topicRecord.position()), "source", source, "max-age-ms",
+						this.clock.monotonicMs() - knownBeforeMs);
 			}
 			known.setRecord(record);
 			this.backendListener.accept(known);
@@ -396,10 +365,10 @@
 		Address address = Addresses.parse(record.address()).orElse(null);
 		if (address == null) {
 			logUnreadable(topicRecord, source, "invalid address \"" + record.address() + "\"");
-			removeBackend(id, topicRecord.position(), "unreadable");
+			removeBackend(id, topicRecord.position(), "unreadable", knownBeforeMs);
 			return;
 		}
-		removeBackend(id, topicRecord.position(), "restarted");
+		removeBackend(id, topicRecord.position(), "restarted", knownBeforeMs);
 		BackendConnectionPool pool = new BackendConnectionPool(this.client, PeerClient.socketAddress(address),
 				this.clock);
 		Backend backend = new Backend(record, pool);
@@ -456,7 +425,7 @@
 			.count();
 	}
 
-	private void removeBackend(String id, long position, String reason) {
+	private void removeBackend(String id, long position, String reason, long knownBeforeMs) {
 		Backend backend = this.backends.remove(id);
 		if (backend == null) {
 			return;
@@ -465,7 +434,8 @@
 		backend.pool().closeIdle();
 		this.backendsByAddress.remove(backend.record().address(), backend);
 		this.log.write(LogEvent.BACKEND, "backend", id, "gone", true, "position", StorePosition.format(position),
-				"reason", reason);
+				"reason", reason, "draining", backend.isLeaving(), "max-age-ms",
+				this.clock.monotonicMs() - knownBeforeMs);
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -159,11 +159,11 @@
 						this::writeOwnRecords),
 				this::operatorRecordsChanged, () -> {
 				});
-		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
-				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
-				new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS, new BackendRestorePolicy(log),
-						this::storeRestored),
-				(keys, source, sinceMs) -> fleet.applyBackendRecords(keys, source), this::storeReturned);
+		this.backendFollower = new StoreFollower(
+				vertx, clock, log, this.store, StoreTopic.BACKENDS, fleet.backendRecords(), BACKEND_READ_PAUSE_MS,
+				this.exchange.backendSupply(), new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS,
+						new BackendRestorePolicy(log), this::storeRestored),
+				this::backendRecordsChanged, this::storeReturned);
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
@@ -271,13 +271,13 @@
 	}
 
 	private void storeReturned() {
-		this.context.fleet().storeReturned(this.backendFollower.lastFailedCallAtMs());
+		this.context.fleet().grace().storeReturned(this.backendFollower.lastFailedCallAtMs());
 	}
 
 	// The registrations that are written again come after the restore, however long ago
 	// the store answered.
 	private void storeRestored() {
-		this.context.fleet().storeReturned(this.context.nowMs());
+		this.context.fleet().grace().storeReturned(this.context.nowMs());
 	}
 
 	private void writeOwnRecords() {
@@ -312,6 +312,10 @@
 		this.exchange.exchangeWithRegion();
 	}
 
+	private void backendRecordsChanged(List<String> keys, String source, long sinceMs) {
+		this.context.fleet().applyBackendRecords(keys, source, this.backendFollower.knownBeforeMs());
+	}
+
 	// Entries of other regions would learn it from the next regular exchange only, and
 	// their directories might name nobody until then.
 	private void tellReadiness() {
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -93,6 +93,8 @@
 
 	private StoreKnowledge knowledge;
 
+	private long knownBeforeMs;
+
 	// Whether the last call was a successful long poll, so that the next one starts
 	// where it ended.
 	private boolean polling;
@@ -134,6 +136,7 @@
 		this.lastResponseAtMs = this.startedAtMs;
 		this.lastFailedCallAtMs = this.lastResponseAtMs;
 		this.knowledge = StoreKnowledge.startedAt(this.lastResponseAtMs);
+		this.knownBeforeMs = this.lastResponseAtMs;
 	}
 
 	void start() {
@@ -170,6 +173,15 @@
 		return this.knowledge;
 	}
 
+	/**
+	 * Returns the time as of which all records were known before the last successful
+	 * call.
+	 * @return the time; the start of this process if there is none
+	 */
+	long knownBeforeMs() {
+		return this.knownBeforeMs;
+	}
+
 	/**
 	 * Returns when the last failed call to the store was made.
 	 * @return start of the call; start of this process if none failed
@@ -352,6 +364,7 @@
 		}
 		this.failures = 0;
 		this.polling = true;
+		this.knownBeforeMs = this.knowledge.asOfMs();
 		recordKnownAsOf(asOfMs);
 		this.hasAnswered = true;
 		this.lastResponseAtMs = this.clock.monotonicMs();
--- a/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
@@ -26,8 +26,7 @@
 
 	private final long maxKeptMs;
 
-	// When each removal was seen, by the id of the backend server.
-	private final Map<String, Long> removedAtMs = new LinkedHashMap<>();
+	private final Map<String, Removal> removals = new LinkedHashMap<>();
 
 	private LapseGrace grace = LapseGrace.none();
 
@@ -64,14 +63,15 @@
 	/**
 	 * Records that a registration was removed.
 	 * @param id id of the backend server
+	 * @param knownBeforeMs time as of which it was still registered
 	 * @param nowMs current time in milliseconds
 	 * @return true if it stays in use for now
 	 */
-	public boolean keep(String id, long nowMs) {
+	public boolean keep(String id, long knownBeforeMs, long nowMs) {
 		if (this.grace.isOver(nowMs)) {
 			return false;
 		}
-		this.removedAtMs.putIfAbsent(id, nowMs);
+		this.removals.putIfAbsent(id, new Removal(id, knownBeforeMs, nowMs));
 		return true;
 	}
 
@@ -80,24 +80,43 @@
 	 * @param id id of the backend server
 	 */
 	public void renewed(String id) {
-		this.removedAtMs.remove(id);
+		this.removals.remove(id);
 	}
 
 	/**
 	 * Takes out the registrations that are no longer to be used.
 	 * @param nowMs current time in milliseconds
-	 * @return ids of their backend servers
+	 * @return the removals
 	 */
-	public List<String> takeDue(long nowMs) {
-		List<String> due = new ArrayList<>();
+	public List<Removal> takeDue(long nowMs) {
+		List<Removal> due = new ArrayList<>();
 		boolean isOver = this.grace.isOver(nowMs);
-		this.removedAtMs.forEach((id, atMs) -> {
-			if (isOver || nowMs - atMs >= this.maxKeptMs) {
-				due.add(id);
+		for (Removal removal : this.removals.values()) {
+			if (isOver || nowMs - removal.seenAtMs() >= this.maxKeptMs) {
+				due.add(removal);
 			}
-		});
-		due.forEach(this.removedAtMs::remove);
+		}
+		due.forEach((removal) -> this.removals.remove(removal.id()));
 		return due;
 	}
 
+	/**
+	 * Returns the number of registrations that stay in use for now.
+	 * @return the number
+	 */
+	public int count() {
+		return this.removals.size();
+	}
+
+	/**
+	 * The removal of a registration.
+	 *
+	 * @param id id of the backend server
+	 * @param knownBeforeMs time as of which it was still registered
+	 * @param seenAtMs when its removal became known here
+	 */
+	public record Removal(String id, long knownBeforeMs, long seenAtMs) {
+
+	}
+
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -55,7 +55,8 @@
 	}
 
 	private static void apply(FleetState fleet, TopicRecord topicRecord) {
-		fleet.applyBackendRecords(fleet.backendRecords().applySingleRecords(List.of(topicRecord)), "store");
+		fleet.applyBackendRecords(fleet.backendRecords().applySingleRecords(List.of(topicRecord)), "store",
+				RETURNED_AT_MS);
 	}
 
 	@DataProvider
@@ -66,22 +67,22 @@
 	/** The delays are those of the question and of the reply, with pauses. */
 	@Test(dataProvider = "delays")
 	public void graceThatEntriesTellEachOtherEndsOnTime(int questionMs, int replyMs) {
-		this.first.storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
 		FleetState teller = this.first;
 		FleetState asker = this.second;
 		while (this.clock.monotonicMs() < ENDS_AT_MS) {
 			long askedAtMs = this.clock.monotonicMs();
 			this.clock.advance(questionMs);
-			long restMs = teller.remainingLapseGraceMs();
+			long restMs = teller.grace().remainingMs();
 			this.clock.advance(replyMs);
-			asker.lapseGraceTold(restMs, askedAtMs, StoreKnowledge.startedAt(askedAtMs));
+			asker.grace().told(restMs, askedAtMs, StoreKnowledge.startedAt(askedAtMs));
 			apply(asker, new TopicRecord(ID, 2, new byte[0], true));
 			FleetState next = teller;
 			teller = asker;
 			asker = next;
 		}
 		for (FleetState fleet : List.of(this.first, this.second)) {
-			assertThat(fleet.remainingLapseGraceMs()).isZero();
+			assertThat(fleet.grace().remainingMs()).isZero();
 			fleet.removeLapsedBackends();
 			assertThat(fleet.backends()).isEmpty();
 		}
@@ -89,10 +90,10 @@
 
 	@Test
 	public void lapsedRegistrationIsKeptUntilTheGraceEnds() {
-		this.first.storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
 		this.clock.advance(50);
-		this.second.lapseGraceTold(this.first.remainingLapseGraceMs(), this.clock.monotonicMs(),
-				StoreKnowledge.startedAt(RETURNED_AT_MS));
+		this.second.grace()
+			.told(this.first.grace().remainingMs(), this.clock.monotonicMs(), StoreKnowledge.startedAt(RETURNED_AT_MS));
 		List<FleetState> fleets = List.of(this.first, this.second);
 		fleets.forEach((fleet) -> apply(fleet, new TopicRecord(ID, 2, new byte[0], true)));
 		this.clock.advance(LapseGrace.LENGTH_MS - 51);
@@ -108,11 +109,11 @@
 	public void graceIsBoundByTheFirstAnswerOfTheStoreToAnyEntry() {
 		long longestGraceMs = MAX_CALL_MS + LapseGrace.LENGTH_MS;
 		this.clock.advance(3_000);
-		this.first.storeReturned(RETURNED_AT_MS - 1_000);
-		this.first.storeAnswered(RETURNED_AT_MS - 1_000);
-		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(LapseGrace.LENGTH_MS);
-		this.first.storeAnswered(RETURNED_AT_MS);
-		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(longestGraceMs - 3_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeAnswered(RETURNED_AT_MS - 1_000);
+		assertThat(this.first.grace().remainingMs()).isEqualTo(LapseGrace.LENGTH_MS);
+		this.first.grace().storeAnswered(RETURNED_AT_MS);
+		assertThat(this.first.grace().remainingMs()).isEqualTo(longestGraceMs - 3_000);
 	}
 
 	/** Live backend servers need the whole grace after a call that hung in the outage. */
@@ -134,7 +135,7 @@
 	@Test(dataProvider = "heldBackMs")
 	public void lapsedRegistrationIsKeptAfterAnAnswerThatTheStoreHeldBack(long heldBackMs) {
 		this.clock.advance(heldBackMs);
-		this.first.storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
 		apply(this.first, new TopicRecord(ID, 2, new byte[0], true));
 		this.clock.advance(HEARTBEAT_MS);
 		this.first.removeLapsedBackends();
@@ -153,7 +154,7 @@
 		FleetState fleet = fleet(
 				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
 		long acknowledgedAtMs = RETURNED_AT_MS - 50;
-		fleet.storeReturned(RETURNED_AT_MS - 1_000);
+		fleet.grace().storeReturned(RETURNED_AT_MS - 1_000);
 		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
 		this.clock.advance(HEARTBEAT_MS);
 		fleet.removeLapsedBackends();
@@ -175,8 +176,8 @@
 		for (long asOfMs = RETURNED_AT_MS - 20_000; asOfMs <= RETURNED_AT_MS; asOfMs += gapMs) {
 			knowledge = knowledge.knownAsOf(asOfMs);
 		}
-		this.first.lapseGraceTold(2_000, RETURNED_AT_MS, knowledge);
-		assertThat(this.first.remainingLapseGraceMs()).isEqualTo(keptMs);
+		this.first.grace().told(2_000, RETURNED_AT_MS, knowledge);
+		assertThat(this.first.grace().remainingMs()).isEqualTo(keptMs);
 	}
 
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/OddRecordTests.java
@@ -151,7 +151,7 @@
 			.applyUpdate(0, List.of(new CompactedTopic.TopicRecord("desk-1", 0, registration, false)), 1);
 		fleet.operatorRecords()
 			.applyUpdate(0, List.of(new CompactedTopic.TopicRecord("evacuate/zone-a", 0, new byte[] { 1 }, false)), 1);
-		fleet.applyBackendRecords(List.of("unknown", "desk-1"), "store");
+		fleet.applyBackendRecords(List.of("unknown", "desk-1"), "store", 0);
 		fleet.applyOperatorRecords(List.of("unknown", "evacuate/zone-a"), "store", 0);
 		assertThat(fleet.backends()).extracting((backend) -> backend.record().id()).containsExactly("desk-1");
 		assertThat(fleet.isZoneEvacuated("zone-a")).isTrue();
