Failing test: a server that left while one entry was cut off gets requests

Two entries with a store each; one of them is refused by its store for 4 s, in which a backend server says that it leaves, and leaves. Callers: 1.9 s after the store is back, all of 20 requests at that entry reach the backend server that has left.

--- a/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/GatewayFixture.java
@@ -117,6 +117,13 @@
 			.build());
 	}
 
+	/** Starts an entry that knows no others and reads a given store. */
+	void startEntryWithStore(FakeStore otherStore, HostBounds otherBounds) throws Exception {
+		startEntry(createSettings(List.of(), otherBounds)
+			.setStore(Address.newBuilder().setIp("127.0.0.1").setPort(otherStore.port()))
+			.build());
+	}
+
 	/** Starts an entry with a given address for callers and port for datagrams. */
 	void startEntryAt(Address front, int internalPort) throws Exception {
 		startEntry(createSettings(List.of(), HostBounds.getDefaultInstance()).setFront(front)
