Grace of removed registrations counts from the store's return for any entry

Cause: an entry that could not read the store, because it was cut off or rejected, took its own gap for an outage of the store. After its return it kept removed registrations for 2.2 s although the others had read all the time and backend servers could renew theirs. Its record was the one from before the gap, "ready", since a removal replaces the one that said "draining". Whether others had supplied it was asked of the age of their knowledge, which is nearly always newer than its last failed call, or nearly never: so an entry that was supplied by one that had just seen an outage end also kept nothing.

Change: entries tell each other since when the store is up, by its answers to them and to others (StoreUptime). A grace period counts from then, whichever entry the store answered first, so that it is over at once for an entry that was away alone. Entries that return ask two of each region at once; until one has answered, or told while the store was away that it was away there too, the period is 1 s. What is removed in it is kept until drain-ms less 0.4 s after it was last known to be registered, and not after its removal was seen. A backend server that is known to leave is not kept at all.

Ruled out: counting the end from what was known before the gap. After an outage for all it is over at once, and live servers would be left out for up to 2 s.

--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -13,6 +13,7 @@
 import org.wigeontally.fleet.DueContacts;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.StoreReadPlan;
+import org.wigeontally.fleet.StoreUptime;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.rpc.ConsecutiveFailures;
 import org.wigeontally.rpc.PeerClient;
@@ -54,6 +55,9 @@
 	 */
 	private static final long MAX_STORE_AGE_MS = 2_600;
 
+	/** Entries of each region that are asked at once; one of them may be gone. */
+	private static final int ENTRIES_ASKED_PER_REGION = 2;
+
 	private final GatewayContext context;
 
 	private final EntryTable table;
@@ -81,6 +85,9 @@
 
 	private long sequence;
 
+	// When the newest question was asked that another entry has answered.
+	private long lastAnsweredAskedAtMs = Long.MIN_VALUE / 2;
+
 	private StoreFollower operatorFollower;
 
 	private StoreFollower backendFollower;
@@ -234,6 +241,7 @@
 				}
 				if (result.succeeded()) {
 					recordLapseGrace(result.result(), sentAtMs);
+					recordStoreUptime(result.result(), sentAtMs);
 					applyNews(result.result());
 					recordLimits(result.result(), sentAtMs);
 					recordAges(result.result(), sentAtMs);
@@ -291,6 +299,38 @@
 		}
 	}
 
+	// An entry that was cut off learns from the reply whether the store was away for the
+	// others too. After a restore of the store removals wait, however long it was up.
+	private void recordStoreUptime(EntryNews reply, long sentAtMs) {
+		this.lastAnsweredAskedAtMs = Math.max(this.lastAnsweredAskedAtMs, sentAtMs);
+		this.backendFollower.recordUptimeTold(reply.getStoreUptimeMs(), reply.getBackendAgeMs(), sentAtMs);
+		FleetState fleet = this.context.fleet();
+		if (this.backendFollower.uptime().isKnown() && !fleet.backendRecords().isSettlementNeeded()) {
+			fleet.grace().storeUpSince(this.backendFollower.uptime().sinceMs());
+			fleet.removeLapsedBackends();
+		}
+	}
+
+	/**
+	 * Returns whether the store was away for other entries too, as far as they told while
+	 * it was away.
+	 * @param beganAtMs when the outage may have begun
+	 * @return true also if there is no other entry
+	 */
+	boolean isOutageConfirmed(long beganAtMs) {
+		boolean alone = !this.table.hasOtherThan(this.context.settings().getControl());
+		return alone || this.lastAnsweredAskedAtMs >= beganAtMs + StoreUptime.LAPSE_MS;
+	}
+
+	/**
+	 * Asks some entries of each region at once what they know of the store, also those
+	 * that did not answer lately.
+	 */
+	void askAboutStore() {
+		StoreReadPlan.firstReaders(this.table.recentEntries(this.context.nowMs()), ENTRIES_ASKED_PER_REGION)
+			.forEach((entry) -> exchange(entry, false));
+	}
+
 	// The reply holds all records that its sender knew when it was asked, so they are
 	// known as of the time of the question, less the age that they had there.
 	private void recordAges(EntryNews reply, long sentAtMs) {
@@ -373,6 +413,7 @@
 			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
 			.setOperatorAgeMs(this.operatorFollower.toldAgeMs())
 			.setBackendAgeMs(this.backendFollower.toldAgeMs())
+			.setStoreUptimeMs(this.backendFollower.uptime().durationMs(this.context.nowMs()))
 			.setReadsContent(true)
 			.setHeartbeatPort(settings.getInternalPort())
 			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -324,7 +324,9 @@
 			registerBackend(id, topicRecord, source, knownBeforeMs);
 			return;
 		}
-		if (!this.grace.keep(id, knownBeforeMs)) {
+		Backend backend = this.backends.get(id);
+		boolean leaving = backend != null && backend.isLeaving();
+		if (leaving || !this.grace.keep(id, knownBeforeMs)) {
 			removeBackend(id, topicRecord.position(), source, knownBeforeMs);
 		}
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -271,13 +271,18 @@
 	}
 
 	private void storeReturned() {
-		this.context.fleet().grace().storeReturned(this.backendFollower.lastFailedCallAtMs());
+		this.context.fleet()
+			.grace()
+			.storeReturned(this.backendFollower.lastFailedCallAtMs(), this.backendFollower.uptime().sinceMs(),
+					this.exchange.isOutageConfirmed(this.backendFollower.outageBeganAtMs()));
+		this.exchange.askAboutStore();
 	}
 
 	// The registrations that are written again come after the restore, however long ago
 	// the store answered.
 	private void storeRestored() {
-		this.context.fleet().grace().storeReturned(this.context.nowMs());
+		long nowMs = this.context.nowMs();
+		this.context.fleet().grace().storeReturned(nowMs, nowMs, true);
 	}
 
 	private void writeOwnRecords() {
--- a/daemons/src/main/java/org/wigeontally/gateway/RegistrationGrace.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RegistrationGrace.java
@@ -32,12 +32,22 @@
 
 	/**
 	 * Keeps registrations that lapsed while the store was away for a grace period after
-	 * its return, which is now.
+	 * its return.
 	 * @param lostAtMs start of the last call to the store that failed
+	 * @param answeredAtMs when the store answered again
+	 * @param confirmed false if it may have been away for this entry only
 	 */
-	void storeReturned(long lostAtMs) {
-		long nowMs = this.clock.monotonicMs();
-		set(this.lapsed.grace().storeReturned(lostAtMs, nowMs), "store-returned", nowMs);
+	void storeReturned(long lostAtMs, long answeredAtMs, boolean confirmed) {
+		set(this.lapsed.grace().storeReturned(lostAtMs, answeredAtMs, confirmed),
+				confirmed ? "store-returned" : "store-returned-here", this.clock.monotonicMs());
+	}
+
+	/**
+	 * Records that another entry has told what it knows of the store.
+	 * @param upSinceMs a time at which the store was up after its last outage
+	 */
+	void storeUpSince(long upSinceMs) {
+		set(this.lapsed.grace().storeUpSince(upSinceMs), "store-up", this.clock.monotonicMs());
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -13,6 +13,7 @@
 import org.wigeontally.fleet.StoreKnowledge;
 import org.wigeontally.fleet.StorePosition;
 import org.wigeontally.fleet.StoreReadPlan;
+import org.wigeontally.fleet.StoreUptime;
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.wire.PlatformException;
 import org.wigeontally.platform.wire.RecordPage;
@@ -93,6 +94,10 @@
 
 	private StoreKnowledge knowledge;
 
+	private StoreUptime uptime = StoreUptime.unknown();
+
+	private long outageBeganAtMs;
+
 	private long knownBeforeMs;
 
 	// Whether the last call was a successful long poll, so that the next one starts
@@ -162,6 +167,49 @@
 	 */
 	void recordKnownAsOf(long asOfMs) {
 		this.knowledge = this.knowledge.knownAsOf(asOfMs);
+		updateUptime(this.uptime.answered(asOfMs, this.clock.monotonicMs()));
+	}
+
+	/**
+	 * Records since when another entry knows the store to be up. Entries of the previous
+	 * release do not tell it; an outage that they saw is told by their grace period.
+	 * @param durationMs time since the begin of the period that it knows; 0 if not told
+	 * @param ageMs age of the newest answer of the store that it knows
+	 * @param askedAtMs when this entry asked it
+	 */
+	void recordUptimeTold(long durationMs, long ageMs, long askedAtMs) {
+		StoreUptime newest = this.uptime.told(durationMs, ageMs, askedAtMs, this.clock.monotonicMs());
+		if (durationMs > 0) {
+			updateUptime(newest);
+		}
+		else {
+			this.uptime = newest;
+		}
+	}
+
+	private void updateUptime(StoreUptime newest) {
+		StoreUptime before = this.uptime;
+		this.uptime = newest;
+		if (newest.isAfterOutage(before)) {
+			this.outageBeganAtMs = before.lastMs();
+			this.storeRegained.run();
+		}
+	}
+
+	/**
+	 * Returns since when the store is up, by its answers to this entry and to others.
+	 * @return the period
+	 */
+	StoreUptime uptime() {
+		return this.uptime;
+	}
+
+	/**
+	 * Returns when the last outage of the store may have begun.
+	 * @return the last time before it at which the store was up
+	 */
+	long outageBeganAtMs() {
+		return this.outageBeganAtMs;
 	}
 
 	/**
@@ -358,9 +406,6 @@
 		if (this.failures > 1) {
 			this.log.write(LogEvent.STORE_REGAINED, "topic", this.topic, "away-ms",
 					this.clock.monotonicMs() - this.lastResponseAtMs);
-			if (!isSuppliedSinceFailure()) {
-				this.storeRegained.run();
-			}
 		}
 		this.failures = 0;
 		this.polling = true;
@@ -370,11 +415,6 @@
 		this.lastResponseAtMs = this.clock.monotonicMs();
 	}
 
-	// Another entry has read the store since, so it was away for this entry only.
-	private boolean isSuppliedSinceFailure() {
-		return this.knowledge.asOfMs() > this.lastFailedCallAtMs;
-	}
-
 	private void recordFailure(Throwable failure) {
 		this.announcedBytes = 0;
 		if (failure instanceof PlatformException platform && platform.areRecordsGone()) {
--- a/library/src/main/java/org/wigeontally/fleet/EntryTable.java
+++ b/library/src/main/java/org/wigeontally/fleet/EntryTable.java
@@ -136,6 +136,15 @@
 		return newlyLive ? HeartbeatResult.REGAINED : HeartbeatResult.CURRENT;
 	}
 
+	/**
+	 * Returns whether any other entry was ever heard of.
+	 * @param own control address of this entry
+	 * @return true if a message of one arrived
+	 */
+	public boolean hasOtherThan(Address own) {
+		return this.rows.values().stream().anyMatch((row) -> row.lastMessage != null && !row.control.equals(own));
+	}
+
 	/**
 	 * Returns the entries to contact in a regular round, and takes for granted that they
 	 * are told.
--- a/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapseGrace.java
@@ -11,6 +11,10 @@
  * period longer, however many entries pass it on.
  *
  * <p>
+ * An entry that was cut off alone has not seen an outage. The others tell it since when
+ * the store is up; until one of them has, the period is shorter.
+ *
+ * <p>
  * A call that hangs in the outage is answered when the store returns, so the start of a
  * call does not show since when it was back, and the period must not count from there.
  */
@@ -25,16 +29,25 @@
 	/** Duration of the longest call to the store: a long poll and its timeout. */
 	static final long MAX_CALL_MS = 2_200;
 
-	private static final LapseGrace NONE = new LapseGrace(Long.MAX_VALUE, Long.MIN_VALUE / 2);
+	/**
+	 * Length as long as no other entry has told what it knows of the store. An entry that
+	 * was cut off alone reaches the others about when it reaches the store.
+	 */
+	static final long UNCONFIRMED_LENGTH_MS = 1_000;
+
+	private static final LapseGrace NONE = new LapseGrace(Long.MAX_VALUE, Long.MIN_VALUE / 2, true);
 
 	// Later answers of the store are from after its return.
 	private final long lostAtMs;
 
 	private final long endsAtMs;
 
-	private LapseGrace(long lostAtMs, long endsAtMs) {
+	private final boolean confirmed;
+
+	private LapseGrace(long lostAtMs, long endsAtMs, boolean confirmed) {
 		this.lostAtMs = lostAtMs;
 		this.endsAtMs = endsAtMs;
+		this.confirmed = confirmed;
 	}
 
 	/**
@@ -46,13 +59,24 @@
 	}
 
 	/**
-	 * Returns the period after the store answered this entry again.
+	 * Returns the period after the store answered again.
 	 * @param lostAtMs start of the last call that failed
 	 * @param answeredAtMs when its answer arrived
+	 * @param confirmed false if it may have been away for this entry only
 	 * @return the period; the present one if it ends later
 	 */
-	public LapseGrace storeReturned(long lostAtMs, long answeredAtMs) {
-		return laterOf(new LapseGrace(lostAtMs, answeredAtMs + LENGTH_MS));
+	public LapseGrace storeReturned(long lostAtMs, long answeredAtMs, boolean confirmed) {
+		return laterOf(new LapseGrace(lostAtMs, answeredAtMs + LENGTH_MS, confirmed));
+	}
+
+	/**
+	 * Returns the period with the knowledge that the store is up for some entry.
+	 * @param upSinceMs a time at which it was up after the outage
+	 * @return the period; shorter if the store was up for that entry before it was for
+	 * this one
+	 */
+	public LapseGrace storeUpSince(long upSinceMs) {
+		return new LapseGrace(this.lostAtMs, Math.min(this.endsAtMs, upSinceMs + LENGTH_MS), true);
 	}
 
 	/**
@@ -72,7 +96,7 @@
 		if (knowledge.isGapless(endsAtMs - LENGTH_MS - StoreKnowledge.MIN_OUTAGE_MS, nowMs)) {
 			return this;
 		}
-		return laterOf(new LapseGrace(Long.MAX_VALUE, endsAtMs));
+		return laterOf(new LapseGrace(Long.MAX_VALUE, endsAtMs, true));
 	}
 
 	/**
@@ -85,11 +109,23 @@
 		if (asOfMs <= this.lostAtMs || latestEndMs >= this.endsAtMs) {
 			return this;
 		}
-		return new LapseGrace(this.lostAtMs, latestEndMs);
+		return new LapseGrace(this.lostAtMs, latestEndMs, this.confirmed);
 	}
 
 	private LapseGrace laterOf(LapseGrace other) {
-		return (other.endsAtMs > this.endsAtMs) ? other : this;
+		return (other.effectiveEndMs() > effectiveEndMs()) ? other : this;
+	}
+
+	private long effectiveEndMs() {
+		return this.confirmed ? this.endsAtMs : returnedAtMs() + UNCONFIRMED_LENGTH_MS;
+	}
+
+	/**
+	 * Returns when the store answered again, as far as is known.
+	 * @return the time; long ago if there was no outage
+	 */
+	long returnedAtMs() {
+		return this.endsAtMs - LENGTH_MS;
 	}
 
 	/**
@@ -98,7 +134,7 @@
 	 * @return true if the period is over
 	 */
 	public boolean isOver(long nowMs) {
-		return nowMs >= this.endsAtMs;
+		return nowMs >= effectiveEndMs();
 	}
 
 	/**
@@ -107,7 +143,7 @@
 	 * @return milliseconds; 0 if it is over
 	 */
 	public long restMs(long nowMs) {
-		return Math.max(0, this.endsAtMs - nowMs);
+		return Math.max(0, effectiveEndMs() - nowMs);
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
@@ -19,8 +19,8 @@
 public final class LapsedRegistrations {
 
 	/**
-	 * Time from the acknowledgement of a removal until an entry reads it, and from the
-	 * end of its use until the next housekeeping.
+	 * Time from the end of the use of a registration until the next housekeeping, and for
+	 * the way of the last request.
 	 */
 	static final long EFFECT_DELAY_MS = 400;
 
@@ -71,7 +71,7 @@
 		if (this.grace.isOver(nowMs)) {
 			return false;
 		}
-		this.removals.putIfAbsent(id, new Removal(id, knownBeforeMs, nowMs));
+		this.removals.putIfAbsent(id, new Removal(id, knownBeforeMs));
 		return true;
 	}
 
@@ -92,7 +92,7 @@
 		List<Removal> due = new ArrayList<>();
 		boolean isOver = this.grace.isOver(nowMs);
 		for (Removal removal : this.removals.values()) {
-			if (isOver || nowMs - removal.seenAtMs() >= this.maxKeptMs) {
+			if (isOver || nowMs - earliestLeavingMs(removal) >= this.maxKeptMs) {
 				due.add(removal);
 			}
 		}
@@ -100,6 +100,11 @@
 		return due;
 	}
 
+	// Nothing is acknowledged while the store is away.
+	private long earliestLeavingMs(Removal removal) {
+		return Math.max(removal.knownBeforeMs(), this.grace.returnedAtMs());
+	}
+
 	/**
 	 * Returns the number of registrations that stay in use for now.
 	 * @return the number
@@ -113,9 +118,8 @@
 	 *
 	 * @param id id of the backend server
 	 * @param knownBeforeMs time as of which it was still registered
-	 * @param seenAtMs when its removal became known here
 	 */
-	public record Removal(String id, long knownBeforeMs, long seenAtMs) {
+	public record Removal(String id, long knownBeforeMs) {
 
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreReadPlan.java
@@ -1,6 +1,8 @@
 package org.wigeontally.fleet;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Collectors;
 
 import org.wigeontally.misc.RendezvousHash;
 import org.wigeontally.schema.generated.Address;
@@ -67,6 +69,10 @@
 	 */
 	static final long FIRST_SUPPLY_MS = 1_500;
 
+	private static final Comparator<EntryNews> READ_ORDER = Comparator.comparing(StoreReadPlan::canRead)
+		.reversed()
+		.thenComparingLong(StoreReadPlan::hash);
+
 	private StoreReadPlan() {
 	}
 
@@ -96,15 +102,29 @@
 		return (int) others.stream().filter((entry) -> isInRegionOf(own, entry) && isBefore(entry, own)).count();
 	}
 
+	/**
+	 * Returns the entries of each region that come first in the order in which they read
+	 * the store.
+	 * @param entries last messages of entries
+	 * @param perRegion maximum number of each region
+	 * @return their control addresses
+	 */
+	public static List<Address> firstReaders(List<EntryNews> entries, int perRegion) {
+		return entries.stream()
+			.collect(Collectors.groupingBy(EntryNews::getRegion))
+			.values()
+			.stream()
+			.flatMap((region) -> region.stream().sorted(READ_ORDER).limit(perRegion))
+			.map(EntryNews::getControl)
+			.toList();
+	}
+
 	private static boolean isInRegionOf(EntryNews own, EntryNews entry) {
 		return entry.getRegion().equals(own.getRegion());
 	}
 
 	private static boolean isBefore(EntryNews entry, EntryNews other) {
-		if (canRead(entry) != canRead(other)) {
-			return canRead(entry);
-		}
-		return hash(entry) < hash(other);
+		return READ_ORDER.compare(entry, other) < 0;
 	}
 
 	private static boolean canRead(EntryNews entry) {
--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -67,7 +67,7 @@
 	/** The delays are those of the question and of the reply, with pauses. */
 	@Test(dataProvider = "delays")
 	public void graceThatEntriesTellEachOtherEndsOnTime(int questionMs, int replyMs) {
-		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		FleetState teller = this.first;
 		FleetState asker = this.second;
 		while (this.clock.monotonicMs() < ENDS_AT_MS) {
@@ -90,7 +90,7 @@
 
 	@Test
 	public void lapsedRegistrationIsKeptUntilTheGraceEnds() {
-		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		this.clock.advance(50);
 		this.second.grace()
 			.told(this.first.grace().remainingMs(), this.clock.monotonicMs(), StoreKnowledge.startedAt(RETURNED_AT_MS));
@@ -109,7 +109,7 @@
 	public void graceIsBoundByTheFirstAnswerOfTheStoreToAnyEntry() {
 		long longestGraceMs = MAX_CALL_MS + LapseGrace.LENGTH_MS;
 		this.clock.advance(3_000);
-		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		this.first.grace().storeAnswered(RETURNED_AT_MS - 1_000);
 		assertThat(this.first.grace().remainingMs()).isEqualTo(LapseGrace.LENGTH_MS);
 		this.first.grace().storeAnswered(RETURNED_AT_MS);
@@ -119,7 +119,7 @@
 	/** Live backend servers need the whole grace after a call that hung in the outage. */
 	@Test
 	public void graceIsNotShortenedByACallThatHungUntilTheStoreReturned() {
-		LapseGrace grace = LapseGrace.none().storeReturned(RETURNED_AT_MS - 1_450, RETURNED_AT_MS);
+		LapseGrace grace = LapseGrace.none().storeReturned(RETURNED_AT_MS - 1_450, RETURNED_AT_MS, true);
 		assertThat(grace.storeAnswered(RETURNED_AT_MS - 1_400).restMs(RETURNED_AT_MS)).isEqualTo(LapseGrace.LENGTH_MS);
 	}
 
@@ -135,7 +135,7 @@
 	@Test(dataProvider = "heldBackMs")
 	public void lapsedRegistrationIsKeptAfterAnAnswerThatTheStoreHeldBack(long heldBackMs) {
 		this.clock.advance(heldBackMs);
-		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		this.first.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		apply(this.first, new TopicRecord(ID, 2, new byte[0], true));
 		this.clock.advance(HEARTBEAT_MS);
 		this.first.removeLapsedBackends();
@@ -154,7 +154,7 @@
 		FleetState fleet = fleet(
 				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
 		long acknowledgedAtMs = RETURNED_AT_MS - 50;
-		fleet.grace().storeReturned(RETURNED_AT_MS - 1_000);
+		fleet.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
 		this.clock.advance(HEARTBEAT_MS);
 		fleet.removeLapsedBackends();
@@ -164,6 +164,48 @@
 		assertThat(fleet.backends()).isEmpty();
 	}
 
+	/**
+	 * Guards against requests to backend servers that have left while an entry was cut
+	 * off, if it reaches the store before any other entry.
+	 */
+	@Test
+	public void graceThatNoOtherEntryConfirmsEndsEarly() {
+		int drainMs = 3_000;
+		FleetState fleet = fleet(
+				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
+		fleet.grace().storeReturned(RETURNED_AT_MS - 4_000, RETURNED_AT_MS, false);
+		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
+		assertThat(fleet.backends()).isNotEmpty();
+		this.clock.advance(1_000);
+		fleet.removeLapsedBackends();
+		assertThat(fleet.backends()).isEmpty();
+	}
+
+	@DataProvider
+	public Object[][] uptimes() {
+		return new Object[][] { { RETURNED_AT_MS - 60_000, 0 },
+				{ RETURNED_AT_MS - 1_000, LapseGrace.LENGTH_MS - 1_000 }, { RETURNED_AT_MS, LapseGrace.LENGTH_MS } };
+	}
+
+	/**
+	 * Another entry has read the store all the time, or since shortly before this one.
+	 */
+	@Test(dataProvider = "uptimes")
+	public void graceCountsFromTheReturnOfTheStoreForAnyEntry(long upSinceMs, long graceMs) {
+		this.first.grace().storeReturned(RETURNED_AT_MS - 4_000, RETURNED_AT_MS, false);
+		this.first.grace().storeUpSince(upSinceMs);
+		assertThat(this.first.grace().remainingMs()).isEqualTo(graceMs);
+	}
+
+	@Test
+	public void serverThatSaidThatItLeavesIsNotKeptInTheGrace() {
+		byte[] draining = FakeBackend.registration(9, "desk", "zone-a", "draining", 1).toBuffer().getBytes();
+		apply(this.first, new TopicRecord(ID, 2, draining, false));
+		this.first.grace().storeReturned(RETURNED_AT_MS - 4_000, RETURNED_AT_MS, true);
+		apply(this.first, new TopicRecord(ID, 3, new byte[0], true));
+		assertThat(this.first.backends()).isEmpty();
+	}
+
 	@DataProvider
 	public Object[][] gaps() {
 		return new Object[][] { { 700, 0 }, { 2_500, 2_000 } };
