Simulated spreading of weights takes the same course in every process

Cause: hosts were handed to the scheduler in a Map.copyOf, whose order differs from JVM to JVM, and random peers are drawn from them in that order.

Change: a copy that keeps the order.

--- a/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/spreading/SpreadReplica.java
@@ -72,8 +72,9 @@
 		}
 		if (nowMs() >= this.nextRefreshMs) {
 			this.nextRefreshMs = nowMs() + REFRESH_MS;
-			this.scheduler.updateHosts(Map.copyOf(this.simulation.table()), this.simulation.assignment(this.version),
-					(long) nowMs());
+			// A copy with the same order in every process, unlike Map.copyOf.
+			this.scheduler.updateHosts(new LinkedHashMap<>(this.simulation.table()),
+					this.simulation.assignment(this.version), (long) nowMs());
 			this.scheduler.setHeldInRegion(this.simulation.isHeldInRegion(this.owner.location, this.version));
 		}
 		if (nowMs() >= this.nextFollowUpdateMs) {
