Hosts follow more peers while a version spreads

A host asks only the peers whose chunk maps it follows, six of its zone and two of the region; if those serve others, it falls behind.

Change: eight of the zone and four of the region.

--- a/library/src/main/java/org/wigeontally/weights/PeerSelector.java
+++ b/library/src/main/java/org/wigeontally/weights/PeerSelector.java
@@ -17,9 +17,10 @@
  */
 final class PeerSelector {
 
-	private static final int ZONE_PEERS = 6;
+	/** With few peers, a host falls behind whose peers are busy with others. */
+	private static final int ZONE_PEERS = 8;
 
-	private static final int REGION_PEERS = 2;
+	private static final int REGION_PEERS = 4;
 
 	private static final int CROSS_REGION_PEERS = 3;
 
