A slow store is not taken for an outage

A reader that gets records waits before its next call, so up to 2.7 s lie between the start of a call and the answer to the next one when the store answers 0.3 s late. The period in which the store is up would have ended, and removals would have been kept, without a failed call. An answer that is not late now counts from its arrival, less the longest way; only a late one may be as old as the start of its call (StoreUptimeTests#slowStoreIsNotTakenForAnOutage).

--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -167,7 +167,7 @@
 	 */
 	void recordKnownAsOf(long asOfMs) {
 		this.knowledge = this.knowledge.knownAsOf(asOfMs);
-		updateUptime(this.uptime.answered(asOfMs, this.clock.monotonicMs()));
+		updateUptime(this.uptime.answered(asOfMs, 0, this.clock.monotonicMs()));
 	}
 
 	/**
@@ -355,7 +355,7 @@
 			keys = this.records.applySnapshot(page.records(), page.endPosition());
 		}
 		// A snapshot that lags behind what is known does not show what the store has now.
-		recordSuccess(outdated ? this.knowledge.asOfMs() : this.callStartedAtMs);
+		recordSuccess(outdated ? this.knowledge.asOfMs() : this.callStartedAtMs, 0);
 		if (restored) {
 			this.restore.storeRestored().run();
 		}
@@ -386,7 +386,7 @@
 		// The store responds without records only at the end of the wait.
 		long waitedMs = page.records().isEmpty() ? waitMs : 0;
 		List<String> keys = this.records.applyUpdate(start, page.records(), page.endPosition());
-		recordSuccess(this.callStartedAtMs + waitedMs);
+		recordSuccess(this.callStartedAtMs + waitedMs, waitMs);
 		if (!keys.isEmpty()) {
 			this.listener.recordsChanged(keys, "store", sinceMs);
 		}
@@ -400,7 +400,7 @@
 		return Math.max(this.knowledge.asOfMs(), this.lastFailedCallAtMs);
 	}
 
-	private void recordSuccess(long asOfMs) {
+	private void recordSuccess(long asOfMs, long waitMs) {
 		this.announcedBytes = 0;
 		this.starting = false;
 		if (this.failures > 1) {
@@ -410,6 +410,7 @@
 		this.failures = 0;
 		this.polling = true;
 		this.knownBeforeMs = this.knowledge.asOfMs();
+		updateUptime(this.uptime.answered(this.callStartedAtMs, waitMs, this.clock.monotonicMs()));
 		recordKnownAsOf(asOfMs);
 		this.hasAnswered = true;
 		this.lastResponseAtMs = this.clock.monotonicMs();
--- a/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
@@ -25,6 +25,12 @@
 	 */
 	public static final long LAPSE_MS = 2_300;
 
+	/**
+	 * Longest way of an answer that does not look late, also of a slow store. A later one
+	 * may have been given any time since the start of its call.
+	 */
+	private static final long MAX_DELIVERY_MS = 400;
+
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
 	private static final StoreUptime UNKNOWN = new StoreUptime(NEVER_MS, NEVER_MS);
@@ -48,12 +54,15 @@
 
 	/**
 	 * Returns the period after the store answered a call.
-	 * @param calledAtMs earliest time at which the store may have answered
+	 * @param calledAtMs start of the call
+	 * @param waitMs time for which the store may wait before it answers
 	 * @param arrivedAtMs when the answer arrived
 	 * @return the period
 	 */
-	public StoreUptime answered(long calledAtMs, long arrivedAtMs) {
-		return and(new StoreUptime(arrivedAtMs, calledAtMs));
+	public StoreUptime answered(long calledAtMs, long waitMs, long arrivedAtMs) {
+		boolean prompt = arrivedAtMs - calledAtMs <= waitMs + MAX_DELIVERY_MS;
+		long answeredAtMs = prompt ? Math.max(calledAtMs, arrivedAtMs - MAX_DELIVERY_MS) : calledAtMs;
+		return and(new StoreUptime(arrivedAtMs, answeredAtMs));
 	}
 
 	/**
--- a/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
@@ -20,7 +20,7 @@
 	@Test
 	public void outageThatOnlyOneEntrySawIsNone() {
 		StoreUptime before = answered(StoreUptime.unknown(), 0, 10_000);
-		StoreUptime returned = before.answered(16_000, 16_000 + CALL_MS);
+		StoreUptime returned = before.answered(16_000, 0, 16_000 + CALL_MS);
 		assertThat(returned.isAfterOutage(before)).isTrue();
 		StoreUptime other = answered(StoreUptime.unknown(), 500, 16_000);
 		long askedAtMs = 16_010;
@@ -29,22 +29,36 @@
 		assertThat(told.sinceMs()).isLessThan(1_000);
 		StoreUptime toldFirst = before.told(other.durationMs(askedAtMs), askedAtMs - other.lastMs(), askedAtMs,
 				askedAtMs + CALL_MS);
-		assertThat(toldFirst.answered(16_020, 16_020 + CALL_MS).isAfterOutage(before)).isFalse();
+		assertThat(toldFirst.answered(16_020, 0, 16_020 + CALL_MS).isAfterOutage(before)).isFalse();
 	}
 
 	/** A call that hangs in an outage does not make the outage look shorter. */
 	@Test
 	public void outageIsSeenAfterACallThatHungInIt() {
 		StoreUptime before = answered(StoreUptime.unknown(), 0, 10_000);
-		StoreUptime after = before.answered(11_200, 13_400);
+		StoreUptime after = before.answered(11_200, 700, 13_400);
 		assertThat(after.isAfterOutage(before)).isTrue();
 		assertThat(after.sinceMs()).isEqualTo(13_400);
 	}
 
+	/**
+	 * The reader waits after each page of records, and the store holds its next call back
+	 * until there are some, and answers late.
+	 */
+	@Test
+	public void slowStoreIsNotTakenForAnOutage() {
+		StoreUptime uptime = StoreUptime.unknown();
+		for (long calledAtMs = 0; calledAtMs < 20_000; calledAtMs += 1_700) {
+			StoreUptime next = uptime.answered(calledAtMs, 700, calledAtMs + 1_000);
+			assertThat(next.isAfterOutage(uptime)).isFalse();
+			uptime = next;
+		}
+	}
+
 	private static StoreUptime answered(StoreUptime uptime, long fromMs, long untilMs) {
 		StoreUptime result = uptime;
 		for (long atMs = fromMs; atMs <= untilMs; atMs += 700) {
-			result = result.answered(atMs, atMs + CALL_MS);
+			result = result.answered(atMs, 0, atMs + CALL_MS);
 		}
 		return result;
 	}
@@ -175,7 +189,7 @@
 			}
 			if (this.connected && fleet.storeUp && nowMs >= this.nextCallAtMs) {
 				this.nextCallAtMs = nowMs + 700;
-				this.uptime = this.uptime.answered(nowMs - Math.min(CALL_MS, nowMs), nowMs);
+				this.uptime = this.uptime.answered(nowMs - Math.min(CALL_MS, nowMs), 0, nowMs);
 			}
 			if (this.reply != null && nowMs >= this.reply.arrivesAtMs) {
 				this.uptime = this.uptime.told(this.reply.durationMs, this.reply.ageMs, this.reply.askedAtMs, nowMs);
