--- a/daemons/src/main/java/org/wigeontally/gateway/RegistrationGrace.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RegistrationGrace.java
@@ -39,7 +39,7 @@
 	 */
 	void storeReturned(long lostAtMs, long answeredAtMs, boolean confirmed) {
 		set(this.lapsed.grace().storeReturned(lostAtMs, answeredAtMs, confirmed),
-				confirmed ? "store-returned" : "store-returned-here", this.clock.monotonicMs());
+				confirmed ? "store-returned" : "store-returned-here");
 	}
 
 	/**
@@ -47,7 +47,7 @@
 	 * @param upSinceMs a time at which the store was up after its last outage
 	 */
 	void storeUpSince(long upSinceMs) {
-		set(this.lapsed.grace().storeUpSince(upSinceMs), "store-up", this.clock.monotonicMs());
+		set(this.lapsed.grace().storeUpSince(upSinceMs), "store-up");
 	}
 
 	/**
@@ -55,7 +55,7 @@
 	 * @param asOfMs start of the call that it answered
 	 */
 	void storeAnswered(long asOfMs) {
-		set(this.lapsed.grace().storeAnswered(asOfMs), "store-answered", this.clock.monotonicMs());
+		set(this.lapsed.grace().storeAnswered(asOfMs), "store-answered");
 	}
 
 	/**
@@ -65,11 +65,10 @@
 	 * @param knowledge what this entry knows of the store
 	 */
 	void told(long restMs, long askedAtMs, StoreKnowledge knowledge) {
-		long nowMs = this.clock.monotonicMs();
-		set(this.lapsed.grace().told(restMs, askedAtMs, knowledge, nowMs), "told", nowMs);
+		set(this.lapsed.grace().told(restMs, askedAtMs, knowledge, this.clock.monotonicMs()), "told");
 	}
 
-	private void set(LapseGrace newest, String cause, long nowMs) {
+	private void set(LapseGrace newest, String cause) {
 		long restBeforeMs = remainingMs();
 		this.lapsed.setGrace(newest);
 		if (Math.abs(remainingMs() - restBeforeMs) >= MIN_LOGGED_CHANGE_MS) {
--- a/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
+++ b/library/src/main/java/org/wigeontally/fleet/LapsedRegistrations.java
@@ -14,7 +14,8 @@
  * not renew it, or of one that has left. The store does not tell which. A live one is
  * registered again within one heartbeat; one that has left must get nothing more once the
  * deployment's bound for leaving has passed. So a removed registration stays in use until
- * the grace period ends, but not beyond that bound. Used by one thread.
+ * the grace period ends, but not beyond that bound, which counts from when the backend
+ * server was last known to be registered. Used by one thread.
  */
 public final class LapsedRegistrations {
 
