An entry that is cut off does not take the store for back

Cause: what another entry supplied counted as an answer that arrived now, whatever its age. From an entry that was cut off too it is old, so that an outage seemed to lie between.

Change: what was supplied shows that the store was up at the start of that call, and no more, if it is fresh.

--- a/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/StoreFollower.java
@@ -167,7 +167,7 @@
 	 */
 	void recordKnownAsOf(long asOfMs) {
 		this.knowledge = this.knowledge.knownAsOf(asOfMs);
-		updateUptime(this.uptime.answered(asOfMs, 0, this.clock.monotonicMs()));
+		updateUptime(this.uptime.suppliedAsOf(asOfMs, this.clock.monotonicMs()));
 	}
 
 	/**
--- a/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
@@ -80,6 +80,21 @@
 		return and(new StoreUptime(nowMs - durationMs, askedAtMs - ageMs));
 	}
 
+	/**
+	 * Returns the period with the age of what another entry supplied, which does not tell
+	 * when its call to the store was answered.
+	 * @param asOfMs start of the call
+	 * @param nowMs current time in milliseconds
+	 * @return the period; the present one if the call is as long ago as an outage takes
+	 */
+	public StoreUptime suppliedAsOf(long asOfMs, long nowMs) {
+		if (asOfMs <= this.lastMs || nowMs - asOfMs >= LAPSE_MS) {
+			return this;
+		}
+		boolean outage = asOfMs - this.lastMs >= LAPSE_MS;
+		return new StoreUptime(outage ? nowMs : this.sinceMs, asOfMs);
+	}
+
 	private StoreUptime and(StoreUptime other) {
 		StoreUptime earlier = (this.lastMs <= other.lastMs) ? this : other;
 		StoreUptime later = (earlier == this) ? other : this;
--- a/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
@@ -73,10 +73,11 @@
 	}
 
 	/**
-	 * Two of three entries are cut off at times, beside outages for all, and messages are
-	 * slow in both directions. No entry takes the period for longer than it is, and one
-	 * that is connected again soon knows since when it lasts. Red if what is told counts
-	 * from the question, or its end from the arrival.
+	 * Two of three entries are cut off at times, beside outages for all. Messages are
+	 * slow in both directions, and entries that are cut off exchange them with each
+	 * other. No entry takes the period for longer than it is, and one that is connected
+	 * again soon knows since when it lasts. Red if what is told counts from the question,
+	 * or its end from the arrival.
 	 */
 	@Test(dataProvider = "seeds")
 	public void entriesAgreeOnTheTimeSinceTheLastOutage(int seed) {
@@ -192,14 +193,20 @@
 				this.uptime = this.uptime.answered(nowMs - Math.min(CALL_MS, nowMs), 0, nowMs);
 			}
 			if (this.reply != null && nowMs >= this.reply.arrivesAtMs) {
-				this.uptime = this.uptime.told(this.reply.durationMs, this.reply.ageMs, this.reply.askedAtMs, nowMs);
+				StoreUptime before = this.uptime;
+				this.uptime = this.uptime.told(this.reply.durationMs, this.reply.ageMs, this.reply.askedAtMs, nowMs)
+					.suppliedAsOf(this.reply.askedAtMs - this.reply.ageMs, nowMs);
+				boolean wasAway = before.lastMs() < fleet.upSinceMs;
+				if (!this.connected && !wasAway && this.uptime.isAfterOutage(before)) {
+					fail("At %d ms, an entry that is cut off takes the store for back", nowMs);
+				}
 				this.reply = null;
 			}
-			if (this.connected && this.reply == null && nowMs >= this.nextExchangeAtMs) {
+			if (this.reply == null && nowMs >= this.nextExchangeAtMs) {
 				this.nextExchangeAtMs = nowMs + 500;
 				this.readerNext = !this.readerNext;
 				Entry other = fleet.entries.get(this.readerNext ? 0 : fleet.random.nextInt(Fleet.ENTRIES));
-				if (other.connected && other.uptime.isKnown()) {
+				if (other.connected == this.connected && other.uptime.isKnown()) {
 					long askedAtMs = nowMs - fleet.way();
 					this.reply = new Reply(other.uptime.durationMs(nowMs), nowMs - other.uptime.lastMs(), askedAtMs,
 							nowMs + fleet.way());
