--- a/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/EntryExchange.java
@@ -13,7 +13,6 @@
 import org.wigeontally.fleet.DueContacts;
 import org.wigeontally.fleet.EntryTable;
 import org.wigeontally.fleet.StoreReadPlan;
-import org.wigeontally.fleet.StoreUptime;
 import org.wigeontally.platform.wire.ConfigurationDecoder;
 import org.wigeontally.rpc.ConsecutiveFailures;
 import org.wigeontally.rpc.PeerClient;
@@ -55,9 +54,6 @@
 	 */
 	private static final long MAX_STORE_AGE_MS = 2_600;
 
-	/** Entries of each region that are asked at once; one of them may be gone. */
-	private static final int ENTRIES_ASKED_PER_REGION = 2;
-
 	private final GatewayContext context;
 
 	private final EntryTable table;
@@ -85,13 +81,12 @@
 
 	private long sequence;
 
-	// When the newest question was asked that another entry has answered.
-	private long lastAnsweredAskedAtMs = Long.MIN_VALUE / 2;
-
 	private StoreFollower operatorFollower;
 
 	private StoreFollower backendFollower;
 
+	private StoreNews storeNews;
+
 	EntryExchange(GatewayContext context, EntryTable table, EntryHeartbeats heartbeats, long incarnation) {
 		this.context = context;
 		this.facts = new SharedFacts(context, table);
@@ -124,9 +119,14 @@
 		return new EntryRegionSupply(this, this.table, this.context, EntryNews::getBackendEnd, false);
 	}
 
+	StoreNews storeNews() {
+		return this.storeNews;
+	}
+
 	void setFollowers(StoreFollower operator, StoreFollower backend) {
 		this.operatorFollower = operator;
 		this.backendFollower = backend;
+		this.storeNews = new StoreNews(this.context, this.table, (entry) -> exchange(entry, false), operator, backend);
 	}
 
 	/**
@@ -240,11 +240,10 @@
 					exchange(entry, false);
 				}
 				if (result.succeeded()) {
-					recordLapseGrace(result.result(), sentAtMs);
-					recordStoreUptime(result.result(), sentAtMs);
+					this.storeNews.recordUptime(result.result(), sentAtMs);
 					applyNews(result.result());
 					recordLimits(result.result(), sentAtMs);
-					recordAges(result.result(), sentAtMs);
+					this.storeNews.recordAges(result.result(), sentAtMs);
 					fetchIfBehind(result.result());
 				}
 				else {
@@ -292,58 +291,6 @@
 		return "entry:" + peerNews.getHost();
 	}
 
-	// Registrations may lapse while the store is away; the reader knows that it was.
-	private void recordLapseGrace(EntryNews reply, long sentAtMs) {
-		if (reply.hasBackendUpdate()) {
-			this.context.fleet().grace().told(reply.getLapseGraceMs(), sentAtMs, this.backendFollower.knowledge());
-		}
-	}
-
-	// An entry that was cut off learns from the reply whether the store was away for the
-	// others too. After a restore of the store removals wait, however long it was up.
-	private void recordStoreUptime(EntryNews reply, long sentAtMs) {
-		this.lastAnsweredAskedAtMs = Math.max(this.lastAnsweredAskedAtMs, sentAtMs);
-		this.backendFollower.recordUptimeTold(reply.getStoreUptimeMs(), reply.getBackendAgeMs(), sentAtMs);
-		FleetState fleet = this.context.fleet();
-		if (this.backendFollower.uptime().isKnown() && !fleet.backendRecords().isSettlementNeeded()) {
-			fleet.grace().storeUpSince(this.backendFollower.uptime().sinceMs());
-			fleet.removeLapsedBackends();
-		}
-	}
-
-	/**
-	 * Returns whether the store was away for other entries too, as far as they told while
-	 * it was away.
-	 * @param beganAtMs when the outage may have begun
-	 * @return true also if there is no other entry
-	 */
-	boolean isOutageConfirmed(long beganAtMs) {
-		boolean alone = !this.table.hasOtherThan(this.context.settings().getControl());
-		return alone || this.lastAnsweredAskedAtMs >= beganAtMs + StoreUptime.LAPSE_MS;
-	}
-
-	/**
-	 * Asks some entries of each region at once what they know of the store, also those
-	 * that did not answer lately.
-	 */
-	void askAboutStore() {
-		StoreReadPlan.firstReaders(this.table.recentEntries(this.context.nowMs()), ENTRIES_ASKED_PER_REGION)
-			.forEach((entry) -> exchange(entry, false));
-	}
-
-	// The reply holds all records that its sender knew when it was asked, so they are
-	// known as of the time of the question, less the age that they had there.
-	private void recordAges(EntryNews reply, long sentAtMs) {
-		FleetState fleet = this.context.fleet();
-		fleet.grace().storeAnswered(sentAtMs - reply.getBackendAgeMs());
-		if (fleet.operatorRecords().endPosition() >= reply.getOperatorEnd()) {
-			this.operatorFollower.recordKnownAsOf(sentAtMs - reply.getOperatorAgeMs());
-		}
-		if (fleet.backendRecords().endPosition() >= reply.getBackendEnd()) {
-			this.backendFollower.recordKnownAsOf(sentAtMs - reply.getBackendAgeMs());
-		}
-	}
-
 	/**
 	 * Applies the news of another entry and builds the reply.
 	 * @param peerNews the news of the other entry
@@ -399,7 +346,7 @@
 	EntryNews.Builder ownNews() {
 		FleetState fleet = this.context.fleet();
 		HostSettings settings = this.context.settings();
-		return EntryNews.newBuilder()
+		EntryNews.Builder news = EntryNews.newBuilder()
 			.setHost(settings.getHost())
 			.setFront(settings.getFront())
 			.setControl(settings.getControl())
@@ -411,12 +358,11 @@
 			.setBackendEnd(fleet.backendRecords().endPosition())
 			.setConfigurationVersion(fleet.configurationVersion())
 			.setStoreReachable(this.operatorFollower.isStoreReachable() && this.backendFollower.isStoreReachable())
-			.setOperatorAgeMs(this.operatorFollower.toldAgeMs())
-			.setBackendAgeMs(this.backendFollower.toldAgeMs())
-			.setStoreUptimeMs(this.backendFollower.uptime().durationMs(this.context.nowMs()))
 			.setReadsContent(true)
 			.setHeartbeatPort(settings.getInternalPort())
 			.setReceiving(this.operatorFollower.isReceiving() || this.contents.isReceivingFromOtherRegion());
+		this.storeNews.addTo(news);
+		return news;
 	}
 
 	// A process that started after the store was restored reads the copy's configuration.
--- a/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/GatewayDaemon.java
@@ -159,11 +159,11 @@
 						this::writeOwnRecords),
 				this::operatorRecordsChanged, () -> {
 				});
-		this.backendFollower = new StoreFollower(
-				vertx, clock, log, this.store, StoreTopic.BACKENDS, fleet.backendRecords(), BACKEND_READ_PAUSE_MS,
-				this.exchange.backendSupply(), new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS,
-						new BackendRestorePolicy(log), this::storeRestored),
-				this::backendRecordsChanged, this::storeReturned);
+		this.backendFollower = new StoreFollower(vertx, clock, log, this.store, StoreTopic.BACKENDS,
+				fleet.backendRecords(), BACKEND_READ_PAUSE_MS, this.exchange.backendSupply(),
+				new StoreFollower.RestoreBehaviour(LapseGrace.LENGTH_MS, new BackendRestorePolicy(log),
+						() -> this.exchange.storeNews().storeRestored()),
+				this::backendRecordsChanged, () -> this.exchange.storeNews().storeReturned());
 		this.store.onUnreadableEra(
 				(header) -> log.write(LogEvent.STORE_ERA_UNREADABLE, "header", (header != null) ? header : "missing"));
 		this.exchange.setFollowers(this.operatorFollower, this.backendFollower);
@@ -270,21 +270,6 @@
 		}
 	}
 
-	private void storeReturned() {
-		this.context.fleet()
-			.grace()
-			.storeReturned(this.backendFollower.lastFailedCallAtMs(), this.backendFollower.uptime().sinceMs(),
-					this.exchange.isOutageConfirmed(this.backendFollower.outageBeganAtMs()));
-		this.exchange.askAboutStore();
-	}
-
-	// The registrations that are written again come after the restore, however long ago
-	// the store answered.
-	private void storeRestored() {
-		long nowMs = this.context.nowMs();
-		this.context.fleet().grace().storeReturned(nowMs, nowMs, true);
-	}
-
 	private void writeOwnRecords() {
 		registerSelf();
 		this.harmfulPartStore.writeAll();
