--- a/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
+++ b/library/src/main/java/org/wigeontally/fleet/StoreUptime.java
@@ -13,9 +13,10 @@
  *
  * <p>
  * An answer shows that the store was up at some time between the start of the call and
- * its arrival. The period therefore begins with an arrival and ends with the start of a
- * call. What another entry tells begins no earlier here than there, and ends no later, so
- * that entries cannot make a period longer by passing it on.
+ * its arrival. The period therefore begins with an arrival and, unless the answer came
+ * promptly, ends with the start of a call. What another entry tells begins no earlier
+ * here than there, and ends no later, so that entries cannot make a period longer by
+ * passing it on.
  */
 public final class StoreUptime {
 
