--- a/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
+++ b/testsuite/src/test/java/org/wigeontally/weights/ChunkSchedulerTests.java
@@ -179,8 +179,9 @@
 		}
 
 		private void updateHosts() {
-			this.schedulers.values()
-				.forEach((scheduler) -> scheduler.updateHosts(Map.copyOf(this.locations), assignment(), nowMs()));
+			// A copy with the same order in every process, unlike Map.copyOf.
+			Map<String, HostLocation> copy = new LinkedHashMap<>(this.locations);
+			this.schedulers.values().forEach((scheduler) -> scheduler.updateHosts(copy, assignment(), nowMs()));
 		}
 
 		FetchAssignment assignment() {
