--- a/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/LapseGraceTests.java
@@ -47,6 +47,10 @@
 		return fleet(HostSettings.getDefaultInstance());
 	}
 
+	private FleetState fleetWithDrainBound(int drainMs) {
+		return fleet(HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
+	}
+
 	private FleetState fleet(HostSettings settings) {
 		FleetState fleet = new FleetState(settings, null, this.clock, EventLog.create(this.clock, "entry"));
 		byte[] registration = FakeBackend.registration(9, "desk", "zone-a", "ready", 1).toBuffer().getBytes();
@@ -151,8 +155,7 @@
 	public void serverThatLeavesInTheGraceIsRemovedWithinTheBoundForLeaving() {
 		int drainMs = 2_000;
 		int housekeepingMs = 250;
-		FleetState fleet = fleet(
-				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
+		FleetState fleet = fleetWithDrainBound(drainMs);
 		long acknowledgedAtMs = RETURNED_AT_MS - 50;
 		fleet.grace().storeReturned(RETURNED_AT_MS - 1_000, this.clock.monotonicMs(), true);
 		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
@@ -171,8 +174,7 @@
 	@Test
 	public void graceThatNoOtherEntryConfirmsEndsEarly() {
 		int drainMs = 3_000;
-		FleetState fleet = fleet(
-				HostSettings.newBuilder().setBounds(HostBounds.newBuilder().setDrainMs(drainMs)).build());
+		FleetState fleet = fleetWithDrainBound(drainMs);
 		fleet.grace().storeReturned(RETURNED_AT_MS - 4_000, RETURNED_AT_MS, false);
 		apply(fleet, new TopicRecord(ID, 2, new byte[0], true));
 		assertThat(fleet.backends()).isNotEmpty();
