--- a/review/standin-2/Entry.java
+++ b/review/standin-2/Entry.java
@@ -24,9 +24,9 @@
 
 	final int directory = freePort();
 
-	private final int internal = freePort();
+	final int internal = freePort();
 
-	private final int metrics = freePort();
+	final int metrics = freePort();
 
 	private final Path folder;
 
@@ -76,15 +76,29 @@
 				  drain_ms: 2000
 				""".formatted(this.name, this.front, this.ready, this.control, this.directory, this.internal,
 				this.metrics, String.join(", ", quotedSeeds), storePort);
-		Path file = Files.writeString(this.folder.resolve(this.name + ".yaml"), settings);
-		ProcessBuilder builder = new ProcessBuilder(command("entry"));
+		this.process = launch("entry", this.name, this.folder, settings);
+	}
+
+	/**
+	 * Starts a process of a role.
+	 * @param role the role
+	 * @param name name of its host
+	 * @param folder folder for its settings and its log
+	 * @param settings its settings
+	 * @return the process, which ends with this one at the latest
+	 * @throws IOException if it cannot be started
+	 */
+	static Process launch(String role, String name, Path folder, String settings) throws IOException {
+		Path file = Files.writeString(folder.resolve(name + ".yaml"), settings);
+		ProcessBuilder builder = new ProcessBuilder(command(role));
 		Map<String, String> environment = builder.environment();
 		environment.keySet().removeIf((key) -> !List.of("PATH", "HOME", "JAVA_HOME", "LANG").contains(key));
 		environment.put("WIGEONTALLY_CONFIG", file.toString());
 		builder.redirectErrorStream(true);
-		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(this.folder.resolve(this.name + ".log").toFile()));
-		this.process = builder.start();
-		Runtime.getRuntime().addShutdownHook(new Thread(this.process::destroyForcibly));
+		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+		Process started = builder.start();
+		Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
+		return started;
 	}
 
 	// The line "run" of the role in the deploy file, split at spaces as the platform does.
@@ -126,28 +140,11 @@
 		}
 	}
 
-	long pid() {
-		return this.process.pid();
-	}
-
-	boolean isAlive() {
-		return this.process.isAlive();
-	}
-
-	/** Sends SIGTERM. */
-	void terminate() {
-		this.process.destroy();
-	}
-
 	/** Sends SIGKILL and waits for the end. */
 	void kill() throws InterruptedException {
 		this.process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
 	}
 
-	void signal(String signal) throws IOException, InterruptedException {
-		new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
-	}
-
 	@Override
 	public void close() throws InterruptedException {
 		if (this.process != null) {
