--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -22,6 +22,8 @@
 	/** A piece that turned bad so lately doesn't count (RULES.md, WHOLE). */
 	private static final long EXCUSED_MS = 3_000;
 
+	static final long BEAT_MS = 1_200;
+
 	private static final long LOAD_MS = 300;
 
 	private static final long PAUSE_MS = 60;
@@ -56,6 +58,8 @@
 
 	private int beats;
 
+	private long lastBeatMs;
+
 	private int spoiltRuns;
 
 	private Set<Integer> spoiltPieces = Set.of();
@@ -117,14 +121,25 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns the entry that the replica writes to the store, once its machine runs.
+	 * @return the entry
+	 * @throws InterruptedException if the test ends
+	 */
 	synchronized String beat() throws InterruptedException {
 		awaitWake();
+		this.lastBeatMs = this.record.nowMs();
 		return """
 				{"service":"%s","address":"%s:%d","zone":"lautoka-a","version":"v1","slots":%d,"state":"ready",\
 				"cold-remaining-ms":0,"stage":"both","models":%s,"born":%d,"seq":%d}""".formatted(Site.ENGINES,
 				this.socket.getInetAddress().getHostAddress(), port(), SLOTS, models(), this.bornMs, ++this.beats);
 	}
 
+	/** Returns whether the replica has written nothing for three heartbeat intervals. */
+	synchronized boolean isLapsed() {
+		return this.record.nowMs() - this.lastBeatMs > 3 * BEAT_MS;
+	}
+
 	private String models() {
 		return "[{\"name\":\"m0\",\"version\":" + this.version + ",\"adapters\":[],\"layers\":[{\"from\":0,\"target\":16,"
 				+ "\"version\":" + this.version + "}]}]";
--- a/review/standin-2/SpoiltWeights.java
+++ b/review/standin-2/SpoiltWeights.java
@@ -40,9 +40,10 @@
 				Replica.start("beats", () -> {
 					while (true) {
 						store.write("keyed.servers", engine.id, engine.beat());
-						Thread.sleep(1_200);
+						Thread.sleep(Engine.BEAT_MS);
 					}
 				});
+				Replica.start("lapses", () -> expire(store, engine, record));
 			}
 			entry.start(store.port(), List.of());
 			firstAgent.start(entry, store.port(), Integer.toString(first.port()));
@@ -87,6 +88,20 @@
 		}
 	}
 
+	// The platform removes the entry of a replica that is silent.
+	private static void expire(Store store, Engine engine, Record record) throws InterruptedException {
+		Thread.sleep(Engine.BEAT_MS);
+		boolean removed = false;
+		while (true) {
+			if (engine.isLapsed() && !removed) {
+				store.write("keyed.servers", engine.id, "");
+				record.write("lapse   the entry of " + engine.id + " is removed");
+			}
+			removed = engine.isLapsed();
+			Thread.sleep(50);
+		}
+	}
+
 	private static void freeze(Engine engine, Agent agent, Record record) {
 		try {
 			engine.setFrozen(true);
