A stream goes on only with the run that wrote its last event, or one that began after it

Cause: EventStreamWriter decided by the id of an event whether it may be written. Where the run of an attempt had begun was kept by nobody. While a request had several attempts, the silent one could go on behind an event of its successor, and before the first event each could bring a part.

The writer goes on; another run can take over only while nothing was written since it began. Its first event is held while a rival can still go on, so that a silent engine is given up only for one that goes on, as before. Nothing is held on a stream with one attempt. CallerEventStream replaces EventStreamWriter; RequestRelay and BackendAttempt are shorter. The event that a caller names in Last-Event-Id counts as its last one where the route may be resumed.

--- a/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
+++ b/daemons/src/main/java/org/wigeontally/eventlog/LogEvent.java
@@ -89,6 +89,8 @@
 	ANSWER_GIVEN_UP(RateLimit.SOME),
 	/** A stream was resumed on another backend server. */
 	STREAM_RESUMED(RateLimit.REQUESTS),
+	/** The events of a stream come from another attempt than those before. */
+	STREAM_TAKEN_OVER(RateLimit.REQUESTS),
 	/** Progress of downloading weights to this host. */
 	WEIGHTS(RateLimit.SOME),
 	/** A piece of weights was not received or failed verification. */
--- a/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AttemptListener.java
@@ -31,8 +31,11 @@
 	 */
 	void successorWanted(BackendAttempt attempt);
 
-	/** Called immediately before the request is sent to the backend server. */
-	void requestSent();
+	/**
+	 * Called immediately before the request is sent to the backend server.
+	 * @param attempt the attempt, which goes on after {@link #lastEventId()}
+	 */
+	void requestSent(BackendAttempt attempt);
 
 	/**
 	 * Called when the backend server has begun its answer without a crash.
@@ -47,6 +50,13 @@
 	 */
 	boolean eventsReceived(BackendAttempt attempt, ResponseReader reader);
 
+	/**
+	 * Returns the size of the events that were received and not forwarded yet.
+	 * @param attempt the attempt that received them
+	 * @return bytes
+	 */
+	long heldEventBytes(BackendAttempt attempt);
+
 	/**
 	 * Called when the event stream ended normally.
 	 * @param attempt the attempt that received it
--- a/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/BackendAttempt.java
@@ -83,12 +83,12 @@
 
 	private boolean sent;
 
+	private String beganAfter;
+
 	private boolean ended;
 
 	private boolean answerBegun;
 
-	private long forwardedEvents;
-
 	private long progressTimer = -1;
 
 	private boolean silenceLogged;
@@ -174,23 +174,6 @@
 		return this.answerBegun;
 	}
 
-	/**
-	 * Records events of this attempt that the caller had not received before.
-	 * @param count number of events
-	 */
-	void eventsForwarded(long count) {
-		this.forwardedEvents += count;
-	}
-
-	/**
-	 * Returns whether the backend server has brought the stream far enough that other
-	 * attempts are given up for it.
-	 * @return true if it has
-	 */
-	boolean isSound() {
-		return this.forwardedEvents >= MIN_SOUND_EVENTS;
-	}
-
 	SuspectRequest toSuspect() {
 		return new SuspectRequest(this.request.sharedParts(), this.triedParts);
 	}
@@ -208,10 +191,22 @@
 		return this.sent;
 	}
 
+	/**
+	 * Returns the event after which the backend server was told to go on.
+	 * @return id of the event, or null if it began at the start of the stream
+	 */
+	String beganAfter() {
+		return this.beganAfter;
+	}
+
 	long sentAtMs() {
 		return this.sentAtMs;
 	}
 
+	ResponseReader reader() {
+		return this.reader;
+	}
+
 	/**
 	 * Returns for how long the backend server has sent nothing on this request.
 	 * @return milliseconds
@@ -293,11 +288,12 @@
 		this.sent = true;
 		this.sentAtMs = nowMs;
 		this.lastReceivedMs = nowMs;
-		this.listener.requestSent();
+		this.listener.requestSent(this);
 		this.backend.warmupLimiter().recordSent(nowMs);
 		this.backend.attemptStarted(this);
 		this.context.harmfulParts().trialStarted(this.triedParts);
 		String lastEventId = this.listener.lastEventId();
+		this.beganAfter = lastEventId;
 		long remainingMs = this.listener.remainingMs();
 		this.work.sent(remainingMs, lastEventId, this.listener.hasForwardedEvents());
 		BackendRequest backendRequest = this.request.toBackendRequest(backendId(), remainingMs, this.enginePriority,
@@ -447,7 +443,7 @@
 		if (!this.ended && this.reader.isTooLarge()) {
 			abandon("response too large");
 		}
-		this.memory.hold(this.reader.heldBytes());
+		this.memory.hold(this.reader.heldBytes() + this.listener.heldEventBytes(this));
 	}
 
 	private void recordAnswerBegun() {
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerWriter.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerWriter.java
@@ -1,5 +1,8 @@
 package org.wigeontally.gateway;
 
+import java.util.Map;
+
+import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
@@ -29,6 +32,25 @@
 		return this.pendingBytes;
 	}
 
+	/**
+	 * Copies status and headers of a backend server's response, without the headers that
+	 * concern its connection.
+	 * @param status the status
+	 * @param headers the headers
+	 * @param closeConnection whether the caller is told to close its connection
+	 */
+	void copyHead(int status, HttpHeaders headers, boolean closeConnection) {
+		this.response.setStatusCode(status);
+		for (Map.Entry<String, String> header : headers) {
+			if (!ConnectionHeaders.contains(header.getKey())) {
+				this.response.headers().add(header.getKey(), header.getValue());
+			}
+		}
+		if (closeConnection) {
+			this.response.putHeader("Connection", "close");
+		}
+	}
+
 	void write(Buffer bytes) {
 		track(bytes.length(), this.response.write(bytes));
 	}
--- a/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/RequestRelay.java
@@ -23,13 +23,13 @@
  * backend server says so), or if its route allows it to run more than once. While its
  * attempts are silent, such a request is sent to one more backend server, and the attempt
  * that makes progress first is kept: a sound backend server can be silent for a moment,
- * and no other one is certain to answer. One event of a stream is not enough for that,
- * since an engine can break off after it. A response is forwarded only after it was
- * received completely. Event streams are the exception: each complete event is forwarded
- * when it arrives. If a stream breaks, another backend server resumes it where the route
- * allows that; otherwise the connection to the caller is closed, so that the response
- * cannot be mistaken for a complete one. When the caller disconnects, the connection to
- * the backend server is closed, which cancels the request there. Runs on the event loop.
+ * and no other one is certain to answer. Which attempt goes on with a stream is decided
+ * by {@link CallerEventStream}. A response is forwarded only after it was received
+ * completely. Event streams are the exception: each complete event is forwarded when it
+ * arrives. If a stream breaks, another backend server resumes it where the route allows
+ * that; otherwise the connection to the caller is closed, so that the response cannot be
+ * mistaken for a complete one. When the caller disconnects, the connection to the backend
+ * server is closed, which cancels the request there. Runs on the event loop.
  */
 final class RequestRelay implements AttemptListener, RequestDispatch.Listener {
 
@@ -65,9 +65,7 @@
 
 	private final RunningAttempts attempts = new RunningAttempts();
 
-	private final StreamTimes streamTimes = new StreamTimes();
-
-	private EventStreamWriter streamWriter;
+	private final CallerEventStream stream;
 
 	// Returned if no attempt brings a better one.
 	private BufferedResponse failureResponse;
@@ -89,6 +87,7 @@
 		this.expiresAtMs = request.receivedAtMs() + Math.min(request.callerTimeoutMs(), request.route().timeoutMs());
 		this.endLog = new RequestEndLog(context, request);
 		this.writer = new CallerWriter(request.http().response(), this::updateMemory);
+		this.stream = new CallerEventStream(context, request, this.writer);
 		this.memory = context.memory().open(request.memoryOwner(), () -> guard(this::endForMemory));
 		this.dispatch = new RequestDispatch(context, placement, permits, request, this);
 	}
@@ -192,13 +191,12 @@
 
 	@Override
 	public String lastEventId() {
-		String lastForwarded = (this.streamWriter != null) ? this.streamWriter.lastEventId() : null;
-		return (lastForwarded != null) ? lastForwarded : this.request.lastEventId();
+		return this.stream.lastEventId();
 	}
 
 	@Override
 	public boolean hasForwardedEvents() {
-		return this.streamWriter != null;
+		return this.stream.hasBegun();
 	}
 
 	@Override
@@ -213,7 +211,7 @@
 	}
 
 	private boolean mayHaveSuccessor() {
-		if (!this.request.route().isRetryable() || !isResumable() || remainingMs() < MIN_REMAINING_MS
+		if (!this.request.route().isRetryable() || !this.stream.isResumable() || remainingMs() < MIN_REMAINING_MS
 				|| this.sentAttempts >= this.request.route().maxAttempts()
 				|| this.connectFailures >= MAX_CONNECT_FAILURES) {
 			return false;
@@ -221,13 +219,10 @@
 		return this.dispatch.mayRunTwice();
 	}
 
-	private boolean isResumable() {
-		return this.streamWriter == null || this.streamWriter.isResumable();
-	}
-
 	@Override
-	public void requestSent() {
+	public void requestSent(BackendAttempt attempt) {
 		this.sentAttempts++;
+		this.stream.attemptSent(attempt);
 	}
 
 	@Override
@@ -240,35 +235,25 @@
 		if (this.finished) {
 			return true;
 		}
-		long nowMs = this.context.nowMs();
-		if (this.streamWriter == null) {
-			startStream(reader);
-			this.streamTimes.recordFirst(elapsedMs(), nowMs);
-			this.context.metrics().recordFirstByteTime(this.request.service(), this.streamTimes.firstEventMs());
-		}
-		else {
-			this.streamTimes.recordArrival(nowMs);
-		}
-		long writtenBefore = this.streamWriter.writtenEvents();
-		boolean follows = this.streamWriter.writeEvents(reader);
+		long writtenBefore = this.stream.writtenEvents();
+		boolean follows = this.stream.receive(attempt, reader);
 		// Events that a resumed stream repeats do not show that it goes on.
-		long written = this.streamWriter.writtenEvents() - writtenBefore;
-		if (written > 0) {
-			this.streamTimes.recordProgress(nowMs);
-			attempt.eventsForwarded(written);
-			if (attempt.isSound()) {
-				keepOnly(attempt);
-			}
+		if (this.stream.writtenEvents() > writtenBefore && this.stream.isSound(attempt)) {
+			keepOnly(attempt);
 		}
 		return follows;
 	}
 
-	private void keepOnly(BackendAttempt winner) {
-		this.attempts.keepOnly(winner).forEach((other) -> other.overtakenBy(winner));
+	@Override
+	public long heldEventBytes(BackendAttempt attempt) {
+		return this.stream.heldBytes(attempt);
 	}
 
-	private void startStream(ResponseReader reader) {
-		this.streamWriter = new EventStreamWriter(this.writer, reader, this.context.isDraining());
+	private void keepOnly(BackendAttempt winner) {
+		this.attempts.keepOnly(winner).forEach((other) -> {
+			other.overtakenBy(winner);
+			this.stream.attemptEnded(other);
+		});
 	}
 
 	@Override
@@ -276,16 +261,13 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.streamWriter == null) {
-			startStream(reader);
-		}
-		if (!this.streamWriter.isEndedBy(reader)) {
+		if (!this.stream.isCompletedBy(attempt, reader)) {
 			attemptFailed(attempt, AttemptFailure.FAILED, "stream ended without further events");
 			return;
 		}
 		keepOnly(attempt);
 		recordCompletion(reader.status());
-		this.streamWriter.end();
+		this.stream.end();
 	}
 
 	@Override
@@ -293,7 +275,7 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.streamWriter != null) {
+		if (this.stream.hasEvents()) {
 			attemptFailed(attempt, AttemptFailure.FAILED, "no stream, status " + response.status());
 			return;
 		}
@@ -330,10 +312,11 @@
 		}
 		this.connectFailures += (outcome == AttemptFailure.NOT_SENT) ? 1 : 0;
 		this.attempts.remove(failedAttempt);
+		this.stream.attemptEnded(failedAttempt);
 		if (!this.attempts.isEmpty()) {
 			return;
 		}
-		boolean retryAllowed = isResumable() && switch (outcome) {
+		boolean retryAllowed = this.stream.isResumable() && switch (outcome) {
 			case NOT_SENT -> this.connectFailures < MAX_CONNECT_FAILURES;
 			case NOT_RUN -> mayRetry();
 			// A trial that ends in a loss is not repeated before its result is known.
@@ -357,7 +340,7 @@
 	// Aborts a stream that has begun, returns a stored server error, or sends a response
 	// of the entry itself.
 	private void endWithoutSuccess(LocalResponse answerIfRun, DoubleUnaryOperator retryAfterSeconds) {
-		if (this.streamWriter != null) {
+		if (this.stream.hasBegun()) {
 			abortStream(answerIfRun.reason());
 			return;
 		}
@@ -418,7 +401,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.endLog.callerLeft(this.streamWriter != null);
+		this.endLog.callerLeft(this.stream.hasBegun());
 		cancelAttempts();
 		finish("caller-left");
 	}
@@ -441,7 +424,7 @@
 	}
 
 	private void abortStream(String reason) {
-		this.endLog.streamCut(reason, this.streamWriter.lastEventId(), this.streamTimes, this.sentAttempts);
+		this.endLog.streamCut(reason, this.stream.lastEventId(), this.stream.times(), this.sentAttempts);
 		finish("stream-cut");
 		// Closing the connection omits the last chunk of the body, so the caller detects
 		// that the response is incomplete.
@@ -453,16 +436,14 @@
 			refuse(LocalResponse.unknownOutcome("unproven-refusal"));
 			return;
 		}
-		HttpServerResponse callerResponse = this.request.http().response();
-		EventStreamWriter.copyHead(backendResponse.status(), backendResponse.headers(), callerResponse,
-				this.context.isDraining());
+		this.writer.copyHead(backendResponse.status(), backendResponse.headers(), this.context.isDraining());
 		recordCompletion(backendResponse.status());
 		this.writer.end(backendResponse.body().toBuffer());
 	}
 
 	private void recordCompletion(int status) {
 		this.context.metrics().recordAnswerTime(this.request.service(), elapsedMs());
-		this.endLog.done(status, this.streamTimes, this.sentAttempts);
+		this.endLog.done(status, this.stream.times(), this.sentAttempts);
 		finish((status < 400) ? "done" : "failed-by-backend");
 	}
 
--- a/library/src/main/java/org/wigeontally/fleet/EventStreamSplitter.java
+++ b/library/src/main/java/org/wigeontally/fleet/EventStreamSplitter.java
@@ -85,18 +85,29 @@
 		System.arraycopy(this.buffer, end, this.buffer, 0, this.length - end);
 		this.length -= end;
 		this.scannedLength = 0;
-		return new Event(event, parseId(event));
+		return new Event(event, parseEventId(event));
 	}
 
-	private static long parseId(byte[] event) {
+	private static long parseEventId(byte[] event) {
 		String text = new String(event, StandardCharsets.ISO_8859_1);
 		int start = text.startsWith("id:") ? 0 : text.indexOf("\nid:") + 1;
 		if (start == 0 && !text.startsWith("id:")) {
 			return Event.NO_ID;
 		}
-		int end = text.indexOf('\n', start);
+		return parseId(text.substring(start + "id:".length(), text.indexOf('\n', start)));
+	}
+
+	/**
+	 * Returns the number that an id stands for.
+	 * @param id text of the id, or null
+	 * @return the number, or {@link Event#NO_ID} if it is none
+	 */
+	public static long parseId(String id) {
+		if (id == null) {
+			return Event.NO_ID;
+		}
 		try {
-			return Long.parseLong(text.substring(start + "id:".length(), end).strip());
+			return Long.parseLong(id.strip());
 		}
 		catch (NumberFormatException ex) {
 			return Event.NO_ID;
--- a/library/src/main/java/org/wigeontally/streams/package-info.java
+++ b/library/src/main/java/org/wigeontally/streams/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Token streams that are resumed on another model engine.
+ * Token streams that are resumed on another model engine, or run on several at once.
  */
 package org.wigeontally.streams;
