Soak: engines name their run in each event, joins of runs are violations

Change: each event names its run, and the history knows where each run began. A complete stream may change to a run only where that one began.

--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakBackend.java
@@ -270,10 +270,11 @@
 	private void respondWithStream(FakeBackend.ReceivedRequest request, NetSocket socket, String headers, int draw) {
 		String last = request.headers().get("last-event-id");
 		int first = (last != null) ? Integer.parseInt(last) + 1 : 0;
+		int run = this.history.streamBegan(request.attemptId(), first);
 		List<Buffer> pieces = new ArrayList<>();
 		pieces.add(Buffer.buffer(FakeBackend.eventStreamHead(request, headers)));
 		for (int number = first; number < this.history.eventCount(request.attemptId()); number++) {
-			Buffer chunk = Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number)));
+			Buffer chunk = Buffer.buffer(FakeBackend.chunk(SoakHistory.event(request.attemptId(), number, run)));
 			int split = (this.random.nextInt(SPLIT_INTERVAL) == 0) ? chunk.length() / 2 : 0;
 			if (split > 0) {
 				pieces.add(chunk.slice(0, split));
--- a/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
+++ b/emulator/src/main/java/org/wigeontally/emulator/soak/SoakHistory.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.wigeontally.misc.Clock;
 import org.wigeontally.platform.standin.TestCaller;
@@ -37,6 +39,8 @@
 
 	}
 
+	private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)/\\d+/(\\d+)\n\n");
+
 	private static final int NOT_SENT = -1;
 
 	private static final int SHORT_STREAM_EVENTS = 6;
@@ -61,6 +65,9 @@
 
 	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
+	// Number of the first event of each run of a stream.
+	private final Map<String, List<Integer>> streams = new ConcurrentHashMap<>();
+
 	// Requests whose backend server broke off, lost the answer or crashed.
 	private final Map<String, Boolean> spoiled = new ConcurrentHashMap<>();
 
@@ -111,19 +118,45 @@
 		return isLong ? LONG_STREAM_EVENTS : SHORT_STREAM_EVENTS;
 	}
 
-	static String event(String attemptId, int number) {
-		return "id: " + number + "\ndata: " + attemptId + "/" + number + "\n\n";
+	/**
+	 * Records that an engine begins a stream.
+	 * @param attemptId id of the request
+	 * @param firstEvent number of the first event that it generates
+	 * @return number of the run, which each of its events names
+	 */
+	int streamBegan(String attemptId, int firstEvent) {
+		List<Integer> begun = this.streams.computeIfAbsent(attemptId, (key) -> new CopyOnWriteArrayList<>());
+		synchronized (begun) {
+			begun.add(firstEvent);
+			return begun.size() - 1;
+		}
+	}
+
+	static String event(String attemptId, int number, int run) {
+		return "id: " + number + "\ndata: " + attemptId + "/" + number + "/" + run + "\n\n";
 	}
 
-	private String expectedBody(Route route, String attemptId) {
+	// A stream has all events, each once and in order, of runs of which each began where
+	// the one before was left.
+	private boolean isWhole(Route route, String attemptId, String body) {
 		if (route != Route.EVENTS) {
-			return plainBody(attemptId);
+			return body.equals(plainBody(attemptId));
 		}
-		StringBuilder body = new StringBuilder();
-		for (int number = 0; number < eventCount(attemptId); number++) {
-			body.append(event(attemptId, number));
+		List<Integer> begun = this.streams.getOrDefault(attemptId, List.of());
+		int number = 0;
+		int lastRun = -1;
+		Matcher events = EVENT.matcher(body);
+		while (events.lookingAt()) {
+			int run = Integer.parseInt(events.group(3));
+			boolean follows = run == lastRun || (run < begun.size() && begun.get(run) == number);
+			if (!follows || !events.group().equals(event(attemptId, number, run))) {
+				return false;
+			}
+			number++;
+			lastRun = run;
+			events.region(events.end(), body.length());
 		}
-		return body.toString();
+		return events.regionStart() == body.length() && number == eventCount(attemptId);
 	}
 
 	/**
@@ -134,8 +167,8 @@
 	void answered(Call call, TestCaller.Response response) {
 		this.calls.add(call.ended(response.status(), null));
 		boolean success = response.status() / 100 == 2;
-		if (success && !response.body().equals(expectedBody(call.route(), call.attemptId()))) {
-			violation("crossed or incomplete: " + call + " got \"" + response.body().replace("\n", "|") + "\"");
+		if (success && !isWhole(call.route(), call.attemptId(), response.body())) {
+			violation("crossed, joined or incomplete: " + call + " got \"" + response.body().replace("\n", "|") + "\"");
 		}
 		if (success && response.signature() == null) {
 			violation("success without a signature: " + call);
