Agents report no part of a response as done when the upload meets a reset

Cause: Vert.x's client ends a body that is delimited by the end of its connection also when a write met the reset. The result of that write was not looked at. Change: BackendProxy and AtMostOnceProxy require that the request was written, or given up by this side, before such a response counts as whole (ConnectionResets.requireWhole).

--- a/daemons/src/main/java/org/wigeontally/agent/AtMostOnceProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/AtMostOnceProxy.java
@@ -17,6 +17,7 @@
 import org.wigeontally.claims.ClaimTicket;
 import org.wigeontally.claims.DispatchDeduplicator;
 import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.ConnectionResets;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Refusal;
 import org.wigeontally.http.StatusCodes;
@@ -124,11 +125,11 @@
 			.putHeader(Headers.PRIORITY, request.priority())
 			.putHeader("Content-Type", "application/json");
 		long timer = this.vertx.setTimer(Math.max(1, request.remainingMs()), (id) -> backendRequest.reset());
-		backendRequest.send(body)
+		Future<Void> written = backendRequest.end(body);
+		backendRequest.response()
 			.onSuccess((backendResponse) -> link.admission().responseStarted(request.id()))
 			.compose((backendResponse) -> StatusCodes.isFinal(backendResponse.statusCode())
-					? backendResponse.body().map((responseBody) -> toOutcome(backendResponse, responseBody))
-					: dropInvalid(backendRequest))
+					? receive(backendResponse, written) : dropInvalid(backendRequest))
 			.onComplete((result) -> {
 				this.vertx.cancelTimer(timer);
 				link.admission()
@@ -143,6 +144,12 @@
 			});
 	}
 
+	private static Future<Outcome> receive(HttpClientResponse backendResponse, Future<Void> written) {
+		return backendResponse.body()
+			.compose((body) -> ConnectionResets.requireWhole(backendResponse, written)
+				.map((whole) -> toOutcome(backendResponse, body)));
+	}
+
 	private static Future<Outcome> dropInvalid(HttpClientRequest backendRequest) {
 		backendRequest.reset();
 		return Future.failedFuture("the backend server answered with an invalid status");
--- a/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
+++ b/daemons/src/main/java/org/wigeontally/agent/BackendProxy.java
@@ -10,6 +10,7 @@
 
 import org.wigeontally.admission.AdmissionController;
 import org.wigeontally.errors.ErrorType;
+import org.wigeontally.http.ConnectionResets;
 import org.wigeontally.http.Headers;
 import org.wigeontally.http.Outcome;
 import org.wigeontally.http.Refusal;
@@ -72,6 +73,8 @@
 
 		private boolean reset;
 
+		private Future<Void> written;
+
 		private long timer;
 
 		ForwardedRequest(DispatchRequest request, BackendLink link, HttpServerResponse response,
@@ -95,7 +98,8 @@
 			this.timer = BackendProxy.this.vertx.setTimer(Math.max(1, this.request.remainingMs()),
 					(id) -> resetBackendRequest(backendRequest));
 			this.response.closeHandler((closed) -> resetBackendRequest(backendRequest));
-			backendRequest.send(body).onComplete((result) -> {
+			this.written = backendRequest.end(body);
+			backendRequest.response().onComplete((result) -> {
 				if (result.failed()) {
 					handleFailure().onComplete((notified) -> Refusal.unknownOutcome("the backend server gave no answer")
 						.send(this.response));
@@ -122,13 +126,18 @@
 			if (backendResponse.getHeader("Content-Length") == null) {
 				this.response.setChunked(true);
 			}
-			backendResponse.pipe().endOnFailure(false).to(this.response).onComplete((pipeResult) -> {
-				if (pipeResult.succeeded()) {
-					requestEnded(AdmissionController.CompletionStatus.COMPLETED);
-					return;
-				}
-				handleFailure().onComplete((notified) -> this.response.reset());
-			});
+			backendResponse.pipe()
+				.endOnComplete(false)
+				.to(this.response)
+				.compose((end) -> ConnectionResets.requireWhole(backendResponse, this.written))
+				.compose((whole) -> this.response.end())
+				.onComplete((result) -> {
+					if (result.succeeded()) {
+						requestEnded(AdmissionController.CompletionStatus.COMPLETED);
+						return;
+					}
+					handleFailure().onComplete((notified) -> this.response.reset());
+				});
 		}
 
 		private Future<Void> handleFailure() {
--- a/daemons/src/main/java/org/wigeontally/http/ConnectionResets.java
+++ b/daemons/src/main/java/org/wigeontally/http/ConnectionResets.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClientResponse;
+
 /**
  * Tells a reset of a connection from its orderly end while a request is being written. A
  * write that meets the reset closes the connection, and no read tells of it. A response
@@ -23,4 +26,17 @@
 		return writeFailure instanceof IOException && !(writeFailure instanceof ClosedChannelException);
 	}
 
+	/**
+	 * Checks a response that has ended.
+	 * @param response the response
+	 * @param requestWritten result of writing the request
+	 * @return fails if the response may be incomplete
+	 */
+	public static Future<Void> requireWhole(HttpClientResponse response, Future<Void> requestWritten) {
+		boolean delimitedByClose = response.getHeader("Content-Length") == null
+				&& response.getHeader("Transfer-Encoding") == null;
+		return (delimitedByClose && requestWritten.failed() && isReset(requestWritten.cause()))
+				? Future.failedFuture(requestWritten.cause()) : Future.succeededFuture();
+	}
+
 }
--- a/testsuite/src/test/java/org/wigeontally/gateway/EarlyBackend.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/EarlyBackend.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.wigeontally.platform.standin.FakeBackend;
 
@@ -18,6 +20,8 @@
  */
 public final class EarlyBackend implements AutoCloseable {
 
+	private static final Pattern ATTEMPT_ID = Pattern.compile("(?i)attempt-id: (\\S+)");
+
 	private static final int RECEIVE_BUFFER_BYTES = 16 * 1024;
 
 	private final ServerSocket server = new ServerSocket();
@@ -42,7 +46,7 @@
 	 * Sets the time from each response to the end of its connection.
 	 * @param delayMs the time
 	 */
-	void setEndDelayMs(long delayMs) {
+	public void setEndDelayMs(long delayMs) {
 		this.endDelayMs = delayMs;
 	}
 
@@ -65,9 +69,10 @@
 	private void answer(Socket socket) throws IOException, InterruptedException {
 		socket.setTcpNoDelay(true);
 		socket.setSoTimeout(2_000);
-		String id = readHead(socket.getInputStream()).replaceAll("(?is).*attempt-id: ([^\r]*).*", "$1");
-		FakeBackend.ReceivedRequest arrival = new FakeBackend.ReceivedRequest("POST", "/", Map.of("x-attempt-id", id),
-				"");
+		Matcher id = ATTEMPT_ID.matcher(readHead(socket.getInputStream()));
+		String attemptId = id.find() ? id.group(1) : "none";
+		FakeBackend.ReceivedRequest arrival = new FakeBackend.ReceivedRequest("POST", "/",
+				Map.of("x-attempt-id", attemptId), "");
 		OutputStream out = socket.getOutputStream();
 		out.write((FakeBackend.signedResponseHead(arrival) + this.response).getBytes(StandardCharsets.ISO_8859_1));
 		out.flush();
