A request with another transfer encoding than chunked is rejected

Cause: CallerRequestDecoder rejected only chunked beside a length; the decoder of Netty ignores other encodings. Change: exactly one Transfer-Encoding, chunked, is accepted; all others get 400 and the end of the connection (RFC 9112, section 6.3). Result: seven rows of RequestRelayTests red before, green after; the other tests of the class and the fuzz test of the handler pass.

--- a/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerRequestDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -20,9 +22,10 @@
  * begin and end.
  *
  * <p>
- * Rejects requests with both a Content-Length header and chunked transfer encoding. The
- * two may place the end of the body differently, which allows request smuggling: a part
- * of the body could be parsed as another request.
+ * Rejects requests with both a Content-Length header and chunked transfer encoding, and
+ * requests with any other transfer encoding than chunked. The end of their bodies is
+ * placed differently by different readers, or not known at all, which allows request
+ * smuggling: a part of the body could be parsed as another request.
  */
 final class CallerRequestDecoder extends VertxHttpRequestDecoder {
 
@@ -89,6 +92,17 @@
 		}
 	}
 
+	// Called when the headers have been read, before the end of the body is looked for.
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		boolean chunked = encodings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+		if (!encodings.isEmpty() && !chunked) {
+			throw new IllegalArgumentException("request has an unsupported transfer encoding");
+		}
+		return super.isContentAlwaysEmpty(message);
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("request has both a Content-Length header and chunked transfer encoding");
--- a/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/RequestRelayTests.java
@@ -1,12 +1,15 @@
 package org.wigeontally.gateway;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.wigeontally.platform.standin.FakeBackend;
@@ -327,6 +330,37 @@
 		socket.close();
 	}
 
+	@DataProvider
+	public Object[][] unsupportedTransferEncodings() {
+		return new Object[][] { { "gzip" }, { "identity" }, { "xchunked" }, { "chunked, identity" },
+				{ "gzip, chunked" }, { "" }, { "chunked\r\nTransfer-Encoding: identity" } };
+	}
+
+	/**
+	 * Guards against a body whose end is not known and that is parsed as the next
+	 * request.
+	 */
+	@Test(dataProvider = "unsupportedTransferEncodings")
+	public void requestWithAnUnsupportedTransferEncodingIsRejected(String encoding) throws Exception {
+		FakeBackend backend = this.fixture.startBackend("desk-1", "desk", "zone-a",
+				GatewayFixture.respondWithSuccess("ok"));
+		startEntryAndAwait("plain");
+		int arrivalsBefore = backend.receivedRequests().size();
+		String inner = TestCaller.requestText("GET /plain/inner", "inner", GatewayFixture.API_KEY, "", "");
+		NetSocket socket = GatewayFixture.await(this.fixture.vertx()
+			.createNetClient()
+			.connect(this.fixture.settings(0).getFront().getPort(), "127.0.0.1"));
+		Buffer received = Buffer.buffer();
+		AtomicBoolean closed = new AtomicBoolean();
+		socket.handler(received::appendBuffer);
+		socket.closeHandler((v) -> closed.set(true));
+		socket.write(TestCaller.requestText("POST /plain/x", "outer", GatewayFixture.API_KEY,
+				"Transfer-Encoding: " + encoding + "\r\n", inner));
+		GatewayFixture.awaitTrue(closed::get);
+		assertThat(received.toString()).startsWith("HTTP/1.1 400 ");
+		assertThat(backend.receivedRequests()).hasSize(arrivalsBefore);
+	}
+
 	private void startEntryAndAwait(String route) throws Exception {
 		this.fixture.startEntry();
 		this.fixture.awaitStatus(0, route, 200);
