Weights that an agent has found wrong stay out of service when it restarts

Cause: the agent's process alone kept that a load was disproven. Without a report the entries go by the registration, and the next agent takes what was loaded before its start for proven.

Change: reports name the orders that the engine has begun and the load that was found wrong; entries keep it (DisprovenLoads) until the engine has begun another order or is replaced, and tell the agent of that engine. AgentReports takes the reports out of FleetState; FleetState and SidecarDaemon are shorter. Ruled out: a check of staged chunks at the agent's start, since chunks also turn bad after a sound load.

--- a/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/AgentBriefings.java
@@ -125,6 +125,11 @@
 			.stream()
 			.sorted(Comparator.comparing((EntryNews entry) -> Addresses.format(entry.getControl())))
 			.forEach((entry) -> briefing.addEntryPlaces(toPlace(entry.getControl(), entry.getRegion())));
+		this.context.fleet()
+			.agentReports()
+			.disprovenLoad(Addresses.format(status.getBackend()), status.getEngineBorn())
+			.ifPresent((load) -> briefing.setDisprovenOrders(load.startedOrders())
+				.setDisprovenEngineBorn(load.engineStartMs()));
 		HostSettings settings = this.context.settings();
 		return briefing.addEntryPlaces(toPlace(settings.getControl(), settings.getRegion()))
 			.setVersionBoundMs((long) settings.getBounds().getVersionMs());
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -114,7 +114,7 @@
 		if (service.engine().isEmpty()) {
 			return true;
 		}
-		if (backend.isLoading(nowMs)) {
+		if (backend.isLoading(nowMs) || this.fleet.agentReports().isLoadDisproven(backend)) {
 			return false;
 		}
 		for (String model : service.engine().get().modelNames()) {
--- a/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/FleetState.java
@@ -75,6 +75,8 @@
 
 	private final LeavingBackends leaving;
 
+	private final AgentReports agentReports;
+
 	private final RegistrationGrace grace;
 
 	// Why records were unreadable, by their key, to report each once.
@@ -108,6 +110,7 @@
 		this.clock = clock;
 		this.log = log;
 		this.leaving = new LeavingBackends(this, clock, log);
+		this.agentReports = new AgentReports(this.backendsByAddress::get, this.leaving, clock, log);
 	}
 
 	LeavingBackends leaving() {
@@ -461,30 +464,15 @@
 	}
 
 	/**
-	 * Records an agent's report on its backend server. Ignores reports that are outdated,
-	 * that come from an agent without a reachable engine, or that concern another process
-	 * than the registered one.
+	 * Records an agent's report on its backend server.
 	 * @param status the report
 	 */
 	void recordAgentReport(EngineStatus status) {
-		Backend backend = this.backendsByAddress.get(Addresses.format(status.getBackend()));
-		if (backend == null) {
-			return;
-		}
-		if (!backend.acceptReportSequence(status.getIncarnation(), status.getSequence())) {
-			return;
-		}
-		if (!status.getReachable() || (backend.record().processStartMs() != 0 && status.getEngineBorn() != 0
-				&& backend.record().processStartMs() != status.getEngineBorn())) {
-			return;
-		}
-		if (status.getEngineLeaving()) {
-			this.leaving.record(backend, "agent");
-		}
-		long nowMs = this.clock.monotonicMs();
-		backend.recordReport(status.getLoadedVersion(), status.getLoading(), nowMs);
-		backend.load().recordReport(status.getActive() + status.getQueued(), status.getPace(), nowMs);
-		this.backendListener.accept(backend);
+		this.agentReports.record(status).ifPresent(this.backendListener);
+	}
+
+	AgentReports agentReports() {
+		return this.agentReports;
 	}
 
 }
--- a/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/EngineLoader.java
@@ -198,6 +198,17 @@
 			});
 	}
 
+	/**
+	 * Records that an earlier agent has found a load of the engine wrong.
+	 * @param load the load
+	 */
+	void recordDisproof(LoadLedger.Load load) {
+		if (this.ledger.recordDisproof(load)) {
+			this.log.write(LogEvent.ORDER, "phase", "proof", "orders", load.startedOrders(), "outcome",
+					"wrong weights, as an earlier agent has found");
+		}
+	}
+
 	// A call may have reached the engine's present process before its start was noticed.
 	private boolean mayStagedChunksChange() {
 		return this.client.mayStagingArriveLate() || this.clock.monotonicMs() - this.startedMs < EARLIER_CALLS_MS;
--- a/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/FleetView.java
@@ -1,8 +1,11 @@
 package org.wigeontally.sidecar;
 
+import java.util.Optional;
+
 import org.wigeontally.fleet.AnnouncedVersions;
 import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.schema.generated.AgentBriefing;
+import org.wigeontally.weights.LoadLedger;
 import org.wigeontally.weights.PeerDiscovery;
 
 /**
@@ -24,8 +27,18 @@
 
 	private boolean weightsHeldAtStart;
 
+	private Optional<LoadLedger.Load> disprovenLoad = Optional.empty();
+
 	private long confirmedAtMs = Long.MIN_VALUE / 2;
 
+	/**
+	 * Returns the load of the own engine that an earlier agent has found wrong.
+	 * @return the load that an entry has named last; empty if none has
+	 */
+	Optional<LoadLedger.Load> disprovenLoad() {
+		return this.disprovenLoad;
+	}
+
 	AgentBriefing briefing() {
 		return this.briefing;
 	}
@@ -38,6 +51,10 @@
 	 * @return true if the briefing announces a newer version
 	 */
 	boolean updateBriefing(AgentBriefing received, long nowMs) {
+		if (received.getDisprovenOrders() > 0) {
+			this.disprovenLoad = Optional
+				.of(new LoadLedger.Load(received.getDisprovenEngineBorn(), received.getDisprovenOrders()));
+		}
 		if (received.getModel().isEmpty() || received.getVersion() < this.briefing.getVersion()) {
 			return false;
 		}
--- a/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
+++ b/daemons/src/main/java/org/wigeontally/sidecar/SidecarDaemon.java
@@ -277,6 +277,7 @@
 		this.lastEngineAnswerMs = this.clock.monotonicMs();
 		this.engineState = newState;
 		this.loader.recordState(newState);
+		this.view.disprovenLoad().ifPresent(this.loader::recordDisproof);
 		this.answeredPoll = this.pollCount;
 		LoadLedger ledger = this.loader.ledger();
 		this.loadAnnounced = this.loadAnnounced
@@ -383,12 +384,7 @@
 			.setEngineGone(isEngineGone())
 			.setLeaving(this.draining);
 		if (this.engineState != null) {
-			status.setEngineBorn(this.engineState.processStartMs())
-				.setActive(this.engineState.activeRequests())
-				.setQueued(this.engineState.queuedRequests())
-				.setPace(this.engineState.slowdownFactor())
-				.setEngineLeaving(this.engineState.leaving())
-				.setLoading(isLoading());
+			EngineStatusFields.add(status.setLoading(isLoading()), this.engineState, this.loader.ledger());
 		}
 		return status;
 	}
--- a/library/src/main/java/org/wigeontally/weights/LoadLedger.java
+++ b/library/src/main/java/org/wigeontally/weights/LoadLedger.java
@@ -25,8 +25,9 @@
  *
  * <p>
  * The weights that an engine has when this process first sees it were proven by the
- * process that ordered them. Orders that begin later and are not from this process can be
- * proven by a check too. An instance belongs to one thread.
+ * process that ordered them, unless it is told that they were disproven. Orders that
+ * begin later and are not from this process can be proven by a check too. An instance
+ * belongs to one thread.
  */
 public final class LoadLedger {
 
@@ -137,6 +138,29 @@
 		return true;
 	}
 
+	/**
+	 * Records that an earlier process has found a load wrong. What lies staged now may
+	 * have been repaired since, so no check can prove that load any more.
+	 * @param load the load
+	 * @return true if it is the last one, and was not known to be wrong
+	 */
+	public boolean recordDisproof(Load load) {
+		if (!load.equals(lastLoad()) || this.disproven) {
+			return false;
+		}
+		this.provenOrders = UNKNOWN;
+		close(true);
+		return true;
+	}
+
+	/**
+	 * Returns the load that was found wrong.
+	 * @return the last load; empty if it is not known to be wrong
+	 */
+	public Optional<Load> disprovenLoad() {
+		return this.disproven ? Optional.of(lastLoad()) : Optional.empty();
+	}
+
 	private void close(boolean isDisproven) {
 		this.lastOrder = null;
 		this.disproven = isDisproven;
--- a/testsuite/src/test/java/org/wigeontally/sidecar/WrongWeightsTests.java
+++ b/testsuite/src/test/java/org/wigeontally/sidecar/WrongWeightsTests.java
@@ -105,6 +105,35 @@
 		}
 	}
 
+	/**
+	 * Guards against requests on wrong weights after the agent that found them has been
+	 * replaced: the next one has not seen the load, and while there is none, the engine's
+	 * registration names the version.
+	 */
+	@Test
+	public void wrongWeightsAreNotServedAfterTheAgentIsReplaced() throws Exception {
+		ReportingAgent first = ReportingAgent.start(this.fixture, this.engine);
+		try (first) {
+			this.engine.whenStagedChunksAreChecked(() -> {
+				this.engine.corruptStagedChunk(CHUNK);
+				this.engine.fallSilentOnOrder(PAUSE_MS);
+			});
+			this.fixture.announceVersion(2);
+			GatewayFixture
+				.awaitTrue(() -> this.engine.loadedVersion() == 2 && first.lastStatus().getDisprovenOrders() > 0);
+			assertThat(this.engine.isLoadedWrong()).isTrue();
+			// The datagrams of this agent do not reach the entry, its calls do.
+			Thread.sleep(SETTLED_MS);
+		}
+		try (ReportingAgent second = ReportingAgent.start(this.fixture, this.engine)) {
+			GatewayFixture.awaitTrue(() -> second.lastStatus().getDisprovenOrders() > 0);
+			assertThat(second.lastStatus().getLoadedVersion()).isZero();
+			this.fixture.announceVersion(3);
+			GatewayFixture.awaitTrue(() -> second.offers(3));
+			assertThat(second.lastStatus().getDisprovenOrders()).isZero();
+		}
+	}
+
 	// The engine with the wrong weights has to come back into service with another
 	// version.
 	private void assertWrongWeightsAreNotOffered(ReportingAgent agent, long version) throws Exception {
