Placement on an older version ends earlier where reports are overdue

Cause: the margins of VersionSchedule assume a short way. Requests were on their way for up to 2 s, and the close that withdraws them came behind. The entry knew that the reports of this agent were overdue.

Change: for such an engine the last placement and the withdrawal come earlier by the age of the last report, 2 s at most.

Result: VersionBoundTests has a test with a slow link, red before. CallerEventStream keeps the last writer itself.

--- a/daemons/src/main/java/org/wigeontally/gateway/Backend.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/Backend.java
@@ -6,6 +6,7 @@
 
 import org.wigeontally.fleet.BackendHealth;
 import org.wigeontally.fleet.BackendRecord;
+import org.wigeontally.fleet.VersionSchedule;
 import org.wigeontally.fleet.WarmupRateLimiter;
 import org.wigeontally.limits.BackendLimit;
 import org.wigeontally.limits.PermitGrant;
@@ -202,6 +203,16 @@
 		return this.agentReported && !hasRecentReport(nowMs);
 	}
 
+	/**
+	 * Returns the time that messages to the backend server may take, by the reports of
+	 * its agent.
+	 * @param nowMs the current time
+	 * @return milliseconds; 0 if reports come in time, or it has no agent
+	 */
+	long messageDelayMs(long nowMs) {
+		return VersionSchedule.messageDelayMs(nowMs - this.lastReportAtMs, isReportOverdue(nowMs));
+	}
+
 	void recordReport(long version, boolean isLoading, long nowMs) {
 		this.agentLoadedVersion = version;
 		this.loading = isLoading;
--- a/daemons/src/main/java/org/wigeontally/gateway/CallerEventStream.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CallerEventStream.java
@@ -27,6 +27,9 @@
 
 	private final StreamTimes times = new StreamTimes();
 
+	// Brought the last event that was written.
+	private BackendAttempt lastWriter;
+
 	private boolean begun;
 
 	CallerEventStream(GatewayContext context, CallerRequest request, CallerWriter writer) {
@@ -67,12 +70,11 @@
 				writeComment(attempt, reader, event);
 			}
 			else {
-				Optional<BackendAttempt> before = this.succession.writer();
-				Optional<List<EventStreamSplitter.Event>> written = this.succession.receive(attempt, event);
-				if (written.isEmpty()) {
+				Optional<List<EventStreamSplitter.Event>> events = this.succession.receive(attempt, event);
+				if (events.isEmpty()) {
 					return false;
 				}
-				write(attempt, before, reader, written.get());
+				write(attempt, reader, events.get());
 			}
 			event = reader.takeEvent();
 		}
@@ -86,21 +88,23 @@
 		}
 	}
 
-	private void write(BackendAttempt attempt, Optional<BackendAttempt> before, ResponseReader reader,
-			List<EventStreamSplitter.Event> events) {
+	private void write(BackendAttempt attempt, ResponseReader reader, List<EventStreamSplitter.Event> events) {
 		if (events.isEmpty()) {
 			return;
 		}
-		before.filter((other) -> other != attempt).ifPresent((other) -> logTakeover(attempt, other));
+		if (this.lastWriter != null && this.lastWriter != attempt) {
+			logTakeover(attempt);
+		}
+		this.lastWriter = attempt;
 		begin(reader);
 		events.forEach((event) -> this.writer.write(Buffer.buffer(event.bytes())));
 		this.times.recordProgress(this.context.nowMs());
 	}
 
-	private void logTakeover(BackendAttempt attempt, BackendAttempt before) {
+	private void logTakeover(BackendAttempt attempt) {
 		this.context.log()
 			.write(LogEvent.STREAM_TAKEN_OVER, "id", this.request.attemptId(), "backend", attempt.backendId(), "from",
-					before.backendId(), "last-event", attempt.beganAfter(), "waited-ms",
+					this.lastWriter.backendId(), "last-event", attempt.beganAfter(), "waited-ms",
 					this.times.silentMs(this.context.nowMs()));
 	}
 
@@ -123,12 +127,11 @@
 	 * @return true if the caller has all events now, and {@link #end()} is to be called
 	 */
 	boolean isCompletedBy(BackendAttempt attempt, ResponseReader reader) {
-		Optional<BackendAttempt> before = this.succession.writer();
 		Optional<List<EventStreamSplitter.Event>> rest = this.succession.complete(attempt);
 		if (rest.isEmpty()) {
 			return false;
 		}
-		write(attempt, before, reader, rest.get());
+		write(attempt, reader, rest.get());
 		begin(reader);
 		return true;
 	}
@@ -145,9 +148,7 @@
 	 */
 	void attemptEnded(BackendAttempt ended) {
 		this.succession.remove(ended);
-		Optional<BackendAttempt> before = this.succession.writer();
-		this.succession.successor()
-			.ifPresent((left) -> write(left, before, left.reader(), this.succession.succeed(left)));
+		this.succession.successor().ifPresent((left) -> write(left, left.reader(), this.succession.succeed(left)));
 	}
 
 	/**
--- a/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/CandidateSelector.java
@@ -119,7 +119,7 @@
 		}
 		for (String model : service.engine().get().modelNames()) {
 			long version = backend.loadedVersion(model, nowMs);
-			if (version <= 0 || version < requiredVersion(model, nowMs)) {
+			if (version <= 0 || version < requiredVersion(model, backend.messageDelayMs(nowMs), nowMs)) {
 				return false;
 			}
 		}
@@ -129,17 +129,19 @@
 	/**
 	 * Returns the oldest version of a model's weights to which requests may be sent.
 	 * @param model name of the model
+	 * @param messageDelayMs time that a request may take to the engine
 	 * @param nowMs the current time
 	 * @return the version; 0 if every version is allowed
 	 */
-	long requiredVersion(String model, long nowMs) {
-		return this.fleet.announcedVersions(model).requiredVersion(nowMs, this.versionSchedule.placementEndMs());
+	long requiredVersion(String model, long messageDelayMs, long nowMs) {
+		return this.fleet.announcedVersions(model)
+			.requiredVersion(nowMs, this.versionSchedule.placementEndMs(messageDelayMs));
 	}
 
-	long requiredVersion(EngineProfile model, long nowMs) {
+	long requiredVersion(EngineProfile model, long messageDelayMs, long nowMs) {
 		long required = 0;
 		for (String name : model.modelNames()) {
-			required = Math.max(required, requiredVersion(name, nowMs));
+			required = Math.max(required, requiredVersion(name, messageDelayMs, nowMs));
 		}
 		return required;
 	}
@@ -148,10 +150,12 @@
 	 * Returns when requests that wait for a version of a model's weights are withdrawn.
 	 * @param model name of the model
 	 * @param version the version
+	 * @param messageDelayMs time that the withdrawal may take to the engine
 	 * @return the time
 	 */
-	long withdrawalMs(String model, long version) {
-		return this.fleet.announcedVersions(model).endOfUseMs(version, this.versionSchedule.withdrawalMs());
+	long withdrawalMs(String model, long version, long messageDelayMs) {
+		return this.fleet.announcedVersions(model)
+			.endOfUseMs(version, this.versionSchedule.withdrawalMs(messageDelayMs));
 	}
 
 	BackendCandidate toPlacementCandidate(CallerRequest request, Backend backend, ServiceTraits traits, long nowMs) {
--- a/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
+++ b/daemons/src/main/java/org/wigeontally/gateway/VersionRequirement.java
@@ -93,21 +93,23 @@
 
 		@Override
 		public long requiredVersion(long nowMs) {
-			return this.selector.requiredVersion(this.profile, nowMs);
+			return this.selector.requiredVersion(this.profile, this.backend.messageDelayMs(nowMs), nowMs);
 		}
 
 		@Override
 		public boolean isMet(long nowMs) {
 			return this.profile.modelNames()
 				.stream()
-				.allMatch((model) -> loadedVersion(model, nowMs) >= this.selector.requiredVersion(model, nowMs));
+				.allMatch((model) -> loadedVersion(model, nowMs) >= this.selector.requiredVersion(model,
+						this.backend.messageDelayMs(nowMs), nowMs));
 		}
 
 		@Override
 		public long withdrawalMs(long nowMs) {
 			return this.profile.modelNames()
 				.stream()
-				.mapToLong((model) -> this.selector.withdrawalMs(model, loadedVersion(model, nowMs)))
+				.mapToLong((model) -> this.selector.withdrawalMs(model, loadedVersion(model, nowMs),
+						this.backend.messageDelayMs(nowMs)))
 				.min()
 				.orElse(NEVER_MS);
 		}
--- a/library/src/main/java/org/wigeontally/fleet/VersionSchedule.java
+++ b/library/src/main/java/org/wigeontally/fleet/VersionSchedule.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long WITHDRAWAL_LEAD_MS = 400;
 
+	/**
+	 * Longest delay of a message that is allowed for. An engine whose agent has died
+	 * looks like one on a slow link, and is not left out for longer than this.
+	 */
+	private static final long MAX_MESSAGE_DELAY_MS = 2_000;
+
 	private final long boundMs;
 
 	private VersionSchedule(long boundMs) {
@@ -45,11 +51,33 @@
 	}
 
 	/**
-	 * Returns the time from which requests are no longer placed on an older version.
+	 * Returns the delay of messages to an engine. While pieces of a new version fill the
+	 * link of its host, requests, reports and the close that withdraws a request wait for
+	 * each other, so what is known of it is the age of its last report.
+	 * @param reportAgeMs age of the last report
+	 * @param overdue whether another report should have come since
+	 * @return milliseconds; 0 if reports come in time
+	 */
+	public static long messageDelayMs(long reportAgeMs, boolean overdue) {
+		return overdue ? Math.min(MAX_MESSAGE_DELAY_MS, reportAgeMs) : 0;
+	}
+
+	/**
+	 * Returns the time from which requests are no longer placed on an older version, if
+	 * they reach the engine at once.
 	 * @return milliseconds since the announcement
 	 */
 	public long placementEndMs() {
-		return Math.max(0, this.boundMs - PLACEMENT_MARGIN_MS);
+		return placementEndMs(0);
+	}
+
+	/**
+	 * Returns the time from which requests are no longer placed on an older version.
+	 * @param messageDelayMs time that a request may take to the engine
+	 * @return milliseconds since the announcement
+	 */
+	public long placementEndMs(long messageDelayMs) {
+		return Math.max(0, this.boundMs - PLACEMENT_MARGIN_MS - messageDelayMs);
 	}
 
 	/**
@@ -63,16 +91,17 @@
 	/**
 	 * Returns the time at which requests that wait at an engine with an older version are
 	 * withdrawn.
+	 * @param messageDelayMs time that the withdrawal may take to the engine
 	 * @return milliseconds since the announcement
 	 */
-	public long withdrawalMs() {
-		return Math.max(0, this.boundMs - WITHDRAWAL_LEAD_MS);
+	public long withdrawalMs(long messageDelayMs) {
+		return Math.max(0, this.boundMs - WITHDRAWAL_LEAD_MS - messageDelayMs);
 	}
 
 	@Override
 	public String toString() {
 		return "placement until " + placementEndMs() + " ms, load until " + loadDeadlineMs() + " ms, withdrawal at "
-				+ withdrawalMs() + " ms, bound " + this.boundMs + " ms";
+				+ withdrawalMs(0) + " ms, bound " + this.boundMs + " ms";
 	}
 
 }
--- a/library/src/main/java/org/wigeontally/streams/StreamSuccession.java
+++ b/library/src/main/java/org/wigeontally/streams/StreamSuccession.java
@@ -232,14 +232,6 @@
 		return run.equals(this.writer);
 	}
 
-	/**
-	 * Returns the run that brought the last written event.
-	 * @return the run, which may have ended; or nothing before the first event
-	 */
-	public Optional<R> writer() {
-		return Optional.ofNullable(this.writer);
-	}
-
 	/**
 	 * Returns whether events of any run wait until it is known who takes over.
 	 * @return true if some do
--- a/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
+++ b/testsuite/src/test/java/org/wigeontally/fleet/StoreUptimeTests.java
@@ -94,7 +94,7 @@
 
 		private static final long STEP_MS = 20;
 
-		private static final long MAX_WAY_MS = 300;
+		private static final long MAX_MESSAGE_DELAY_MS = 300;
 
 		/** Three rounds of exchanges, one of them with the reader, and their ways. */
 		private static final long SETTLED_MS = 2_100;
@@ -154,7 +154,7 @@
 		}
 
 		private long way() {
-			return this.random.nextInt((int) MAX_WAY_MS);
+			return this.random.nextInt((int) MAX_MESSAGE_DELAY_MS);
 		}
 
 	}
--- a/testsuite/src/test/java/org/wigeontally/gateway/VersionBoundTests.java
+++ b/testsuite/src/test/java/org/wigeontally/gateway/VersionBoundTests.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -15,6 +17,8 @@
 import org.wigeontally.platform.standin.FakeBackend;
 import org.wigeontally.platform.standin.FakeConfiguration;
 import org.wigeontally.platform.standin.TestCaller;
+import org.wigeontally.schema.generated.Address;
+import org.wigeontally.schema.generated.EngineStatus;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,6 +40,12 @@
 
 	private static final long REQUEST_INTERVAL_MS = 50;
 
+	/** Bound that leaves time for requests before they are no longer placed. */
+	private static final int LONG_VERSION_BOUND_MS = 5_000;
+
+	/** Time of a request on a link that is full. */
+	private static final long SLOW_LINK_DELAY_MS = 2_000;
+
 	/** Enough that each has a place for all requests that an entry sends it. */
 	private static final int ENGINES = 8;
 
@@ -130,6 +140,50 @@
 		assertNoneBeganLate(announcedMs);
 	}
 
+	/**
+	 * Guards against requests that are on their way to an engine for two seconds, on a
+	 * link that the pieces of the newer version fill: the close that withdraws them comes
+	 * behind them. The reports of its agent are late as well.
+	 */
+	@Test
+	public void requestOnASlowLinkDoesNotBeginOnTheOlderVersion() throws Exception {
+		writeConfiguration(true);
+		List<Long> arrivalsMs = new CopyOnWriteArrayList<>();
+		FakeBackend engine = this.fixture.startBackend("slow-0", "engines", "zone-a",
+				(arrival, socket) -> this.fixture.later(SLOW_LINK_DELAY_MS, () -> {
+					arrivalsMs.add(nowMs());
+					socket.write(FakeBackend.partialEventStream(arrival, "s1", 0, 3) + FakeBackend.LAST_CHUNK);
+				}));
+		this.fixture.startEntryWithVersionBound(LONG_VERSION_BOUND_MS);
+		this.fixture.awaitReady(0);
+		sendReport(engine);
+		long announcedMs = announceVersion();
+		Future<TestCaller.Response> early = this.fixture.send(0, "events", "early", GatewayFixture.API_KEY, "body");
+		Thread.sleep(LONG_VERSION_BOUND_MS - 2 * FIRST_REQUEST_MS);
+		while (nowMs() < announcedMs + LONG_VERSION_BOUND_MS - LAST_REQUEST_MS) {
+			this.fixture.send(0, "events", "late-" + System.nanoTime(), GatewayFixture.API_KEY, "body");
+			Thread.sleep(REQUEST_INTERVAL_MS);
+		}
+		Thread.sleep(LAST_REQUEST_MS + SLOW_LINK_DELAY_MS);
+		assertThat(GatewayFixture.await(early).status()).isEqualTo(200);
+		assertThat(arrivalsMs).isNotEmpty()
+			.allSatisfy((ms) -> assertThat(ms - announcedMs).isLessThanOrEqualTo(LONG_VERSION_BOUND_MS));
+	}
+
+	private void sendReport(FakeBackend engine) throws Exception {
+		EngineStatus status = EngineStatus.newBuilder()
+			.setAgent(GatewayFixture.freeAddress())
+			.setBackend(Address.newBuilder().setIp("127.0.0.1").setPort(engine.port()))
+			.setIncarnation(1)
+			.setSequence(1)
+			.setReachable(true)
+			.setLoadedVersion(1)
+			.build();
+		GatewayFixture.await(this.fixture.vertx()
+			.createDatagramSocket()
+			.send(Buffer.buffer(status.toByteArray()), this.fixture.settings(0).getInternalPort(), "127.0.0.1"));
+	}
+
 	/** Guards against giving up requests that the newer version can serve. */
 	@Test
 	public void requestThatWaitsMovesToTheNewerVersion() throws Exception {
